--- /dev/null
+++ b/crates/hawthornmount-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiments for development; not shipped.
--- /dev/null
+++ b/crates/hawthornmount-core/src/id/mod.rs
@@ -0,0 +1,50 @@
+//! Names of things, as type aliases over shared text, and the generator of request ids.
+
+use {
+    rand::RngExt,
+    std::{fmt::Write, sync::Arc},
+};
+
+/// Name of a client account.
+pub type AccountId = Arc<str>;
+/// Name of a cascade of models.
+pub type CascadeId = Arc<str>;
+/// Name of a data centre.
+pub type DataCentreId = Arc<str>;
+/// Name of an entry instance, unique in the fleet and kept over its restarts.
+pub type InstanceId = Arc<str>;
+/// Number of one life of an entry instance; a restarted instance has a higher one.
+pub type Incarnation = u64;
+/// Name of a model.
+pub type ModelId = Arc<str>;
+/// Name of a region.
+pub type RegionId = Arc<str>;
+/// Id of one request of a caller, unique in the fleet.
+pub type RequestId = Arc<str>;
+/// Revision of the store at which a value was last changed.
+pub type Revision = u64;
+/// Name of a roll-out.
+pub type RolloutId = Arc<str>;
+/// Name of a backend server.
+pub type ServerId = Arc<str>;
+/// Name of a plain service.
+pub type ServiceId = Arc<str>;
+/// Name that a caller gives to a session.
+pub type SessionId = Arc<str>;
+/// Name of a version of a model.
+pub type VersionId = Arc<str>;
+
+/// Bytes of randomness in a generated id.
+const RANDOM_BYTES: usize = 16;
+
+/// Returns a fresh id with `prefix`, unique over all instances.
+pub fn fresh(prefix: &str) -> Arc<str> {
+    let bytes: [u8; RANDOM_BYTES] = rand::rng().random();
+    let mut text = String::with_capacity(prefix.len() + 1 + 2 * RANDOM_BYTES);
+    text.push_str(prefix);
+    text.push('-');
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text.into()
+}
--- /dev/null
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -0,0 +1,135 @@
+//! Settings of one entry instance, read from a file of JSON with comments.
+
+use {
+    crate::id::{DataCentreId, InstanceId, RegionId},
+    derive_more::{Display, Error},
+    jsonc_parser::ParseOptions,
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+    std::{fs, io, net::SocketAddr, path::Path, path::PathBuf, sync::Arc, time::Duration},
+};
+
+/// Settings of one instance.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: InstanceId,
+    /// Data centre that the instance stands in.
+    pub data_centre: DataCentreId,
+    /// Region that the instance stands in.
+    pub region: RegionId,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators: metrics, health, status.
+    pub admin: SocketAddr,
+    /// Address for frames between instances, over UDP and TCP.
+    pub fleet: SocketAddr,
+    /// Addresses of the store's gateway.
+    pub store: Vec<SocketAddr>,
+    /// Address of the platform's list of instances.
+    #[serde(default)]
+    pub instance_list: Option<SocketAddr>,
+    /// Address of the service that rates answers.
+    #[serde(default)]
+    pub rating: Option<SocketAddr>,
+    /// Address of the weight store.
+    #[serde(default)]
+    pub weight_store: Option<SocketAddr>,
+    /// Secret that the instances of the fleet share, at least 16 characters.
+    pub fleet_key: Arc<str>,
+    /// Threads for traffic.
+    #[serde(default = "default_threads")]
+    pub traffic_threads: usize,
+    /// Longest wait for requests in flight when the instance stops.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "default_drain", rename = "drain_ms")]
+    pub drain: Duration,
+    /// Level of the log: error, warn, info, debug or trace.
+    #[serde(default = "default_level")]
+    pub log: Arc<str>,
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// The file can't be read.
+    #[display("{} can't be read: check that it exists and may be read", path.display())]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The file is not JSON with comments, or a key or type is wrong.
+    #[display("{message}: correct the settings file")]
+    Form {
+        /// Message of the parser.
+        message: Arc<str>,
+    },
+    /// Values contradict each other or are out of range.
+    #[display("{}", problems.join("; "))]
+    Invalid {
+        /// Each problem as `path: what: remedy`.
+        #[error(not(source))]
+        problems: Vec<String>,
+    },
+}
+
+/// Fewest characters of the fleet's key.
+const MIN_KEY_CHARS: usize = 16;
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or its content is not valid settings.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| Error::Read { path: path.to_owned(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is not valid settings.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let settings: Self = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|error| Error::Form { message: error.to_string().into() })?;
+        let problems = settings.problems();
+        if problems.is_empty() { Ok(settings) } else { Err(Error::Invalid { problems }) }
+    }
+
+    fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        if self.instance.is_empty() {
+            problems.push("instance: is empty: give the instance a name".to_owned());
+        }
+        if self.fleet_key.len() < MIN_KEY_CHARS {
+            problems.push(format!("fleet_key: is too short: give {MIN_KEY_CHARS} characters"));
+        }
+        if self.store.is_empty() {
+            problems.push("store: is empty: give an address of the store".to_owned());
+        }
+        if self.traffic_threads == 0 {
+            problems.push("traffic_threads: is 0: give at least 1".to_owned());
+        }
+        problems
+    }
+}
+
+const fn default_threads() -> usize {
+    2
+}
+
+const fn default_drain() -> Duration {
+    Duration::from_secs(30)
+}
+
+fn default_level() -> Arc<str> {
+    "info".into()
+}
--- /dev/null
+++ b/crates/hawthornmount-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, gossip and configuration propagation between entry instances.
--- /dev/null
+++ b/crates/hawthornmount-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims, usage records and session pins kept on the key-value service.
--- /dev/null
+++ b/crates/hawthornmount-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure routing decisions: cascade, version, server, admission and retry.
--- /dev/null
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Roll-outs, withdrawals, suspensions and orders to engines.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line of hawthornmount.
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! End-to-end tests.
