--- /dev/null
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -0,0 +1,74 @@
+//! The experiments and what they have in common.
+
+use {
+    crate::{figure::Result as Outcome, plot::Plot},
+    derive_more::{Display, Error},
+    std::{error::Error as StdError, sync::Arc, time::Duration},
+};
+
+/// Options of one run.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// How long the run may take, where the experiment has a choice.
+    pub duration: Option<Duration>,
+}
+
+/// Why an experiment gave no figures.
+#[derive(Debug, Display, Error)]
+#[display("the experiment can't run: {cause}")]
+pub struct Failure {
+    cause: Arc<str>,
+}
+
+impl Failure {
+    /// Creates a failure from an error of any kind.
+    pub fn new(cause: &dyn StdError) -> Self {
+        Self::text(&cause.to_string())
+    }
+
+    /// Creates a failure from a message.
+    pub fn text(cause: &str) -> Self {
+        Self { cause: cause.into() }
+    }
+}
+
+/// Figures of a run with a plot of them, if the experiment draws one.
+pub struct Report {
+    /// The figures and targets.
+    pub outcome: Outcome,
+    /// The plot.
+    pub plot: Option<Plot>,
+}
+
+/// An experiment.
+pub struct Experiment {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub summary: &'static str,
+    /// Runs it.
+    pub run: fn(Options) -> Result<Report, Failure>,
+}
+
+/// Every experiment, in order of their names.
+pub const ALL: &[Experiment] = &[];
+
+/// Returns the experiment with this name.
+pub fn find(name: &str) -> Option<&'static Experiment> {
+    ALL.iter().find(|experiment| experiment.name == name)
+}
+
+/// Runs a future to its end on a runtime with all cores.
+///
+/// # Errors
+///
+/// Returns a failure if no runtime can be started, or the future's own.
+pub fn block_on<T>(future: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::new(&error))?
+        .block_on(future)
+}
--- /dev/null
+++ b/crates/hawthornmount-bench/src/figure/mod.rs
@@ -0,0 +1,99 @@
+//! Figures of an experiment and the targets that they are held against.
+
+use {
+    hawthornmount_core::table::Table,
+    serde::{Deserialize, Serialize},
+    std::{fmt, sync::Arc},
+};
+
+/// Side of the limit on which a figure has to be.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Side {
+    /// At most the limit.
+    AtMost,
+    /// At least the limit.
+    AtLeast,
+}
+
+/// Limit of one figure.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Target {
+    /// The limit.
+    pub limit: f64,
+    /// Side on which the figure has to be.
+    pub side: Side,
+}
+
+/// Outcome of one run.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Result {
+    /// Name of the experiment.
+    pub name: Arc<str>,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Whether every target was met.
+    pub pass: bool,
+    /// Figures by name.
+    pub figures: Table<f64>,
+    /// Targets by the name of their figure.
+    pub targets: Table<Target>,
+}
+
+impl Result {
+    /// Creates an outcome without figures.
+    pub fn new(name: &str, seed: u64) -> Self {
+        Self { name: name.into(), seed, pass: true, figures: Table::new(), targets: Table::new() }
+    }
+
+    /// Adds a figure.
+    #[must_use]
+    pub fn figure(mut self, name: &str, value: f64) -> Self {
+        self.figures.insert(name.into(), value);
+        self
+    }
+
+    /// Adds a figure that may be at most `limit`.
+    #[must_use]
+    pub fn at_most(self, name: &str, value: f64, limit: f64) -> Self {
+        self.held(name, value, Target { limit, side: Side::AtMost })
+    }
+
+    /// Adds a figure that has to be at least `limit`.
+    #[must_use]
+    pub fn at_least(self, name: &str, value: f64, limit: f64) -> Self {
+        self.held(name, value, Target { limit, side: Side::AtLeast })
+    }
+
+    fn held(mut self, name: &str, value: f64, target: Target) -> Self {
+        self.pass &= target.is_met(value);
+        self.targets.insert(name.into(), target);
+        self.figure(name, value)
+    }
+}
+
+impl Target {
+    /// Tells whether a figure meets the target; one that is not a number never does.
+    pub fn is_met(self, value: f64) -> bool {
+        match self.side {
+            Side::AtMost => value <= self.limit,
+            Side::AtLeast => value >= self.limit,
+        }
+    }
+}
+
+impl fmt::Display for Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} with seed {}", self.name, self.seed)?;
+        for row in &self.figures {
+            write!(f, "  {:<44} {:>14.4}", row.id, row.value)?;
+            if let Some(target) = self.targets.get(&row.id) {
+                let sign = if target.side == Side::AtMost { "<=" } else { ">=" };
+                let mark = if target.is_met(row.value) { "ok" } else { "MISSED" };
+                write!(f, "  {sign} {} {mark}", target.limit)?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/hawthornmount-bench/src/lib.rs
+++ b/crates/hawthornmount-bench/src/lib.rs
@@ -1,1 +1,7 @@
-//! Load and experiments for development; not shipped.
+//! Experiments of hawthornmount, for development only: each is seeded, bounded in time and count,
+//! stays on loopback and compares its figures with the targets of the project.
+
+pub mod compare;
+pub mod experiment;
+pub mod figure;
+pub mod plot;
--- a/crates/hawthornmount-core/src/merge/mod.rs
+++ b/crates/hawthornmount-core/src/merge/mod.rs
@@ -15,6 +15,15 @@
 /// Endings of the files that are read.
 const ENDINGS: [&str; 3] = ["json", "jsonc", "json5"];
 
+/// One file of the folder.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// Name of the file.
+    pub name: Arc<str>,
+    /// Content of the file.
+    pub text: Arc<str>,
+}
+
 /// Why a folder gives no configuration.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -76,12 +85,34 @@
 ///
 /// Returns an error if the folder or a file can't be read or parsed.
 pub fn merge(path: &Path) -> Result<Value, Error> {
-    let mut merged = Value::Object(serde_json::Map::new());
+    merge_sources(&read(path)?)
+}
+
+/// Reads the folder's files in byte order of their names.
+///
+/// # Errors
+///
+/// Returns an error if the folder or a file can't be read.
+pub fn read(path: &Path) -> Result<Vec<Source>, Error> {
+    let mut sources = Vec::new();
     for file in files(path)? {
         let text = fs::read_to_string(&file)
             .map_err(|source| Error::Read { path: file.clone(), source })?;
         let name = file.file_name().unwrap_or_default().to_string_lossy();
-        json_patch::merge(&mut merged, &parse(&name, &text)?);
+        sources.push(Source { name: name.as_ref().into(), text: text.into() });
+    }
+    Ok(sources)
+}
+
+/// Merges files in the order given.
+///
+/// # Errors
+///
+/// Returns an error if a file can't be parsed.
+pub fn merge_sources(sources: &[Source]) -> Result<Value, Error> {
+    let mut merged = Value::Object(serde_json::Map::new());
+    for source in sources {
+        json_patch::merge(&mut merged, &parse(&source.name, &source.text)?);
     }
     Ok(merged)
 }
--- /dev/null
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -0,0 +1,227 @@
+//! Stand-ins and entry instances, started together.
+
+mod source;
+
+use {
+    derive_more::{Display, Error, From},
+    hawthornmount_core::{id, merge, settings::Settings, snapshot::Health},
+    hawthornmount_entry::{Instance, instance},
+    hawthornmount_fleet::config::{self, ApplyError},
+    hawthornmount_http::server::ListenError,
+    hawthornmount_standin::{
+        engine::{Behaviour, Engine, Loaded},
+        list::{Kind, List, Listed, State},
+        rating::Rating,
+        service::Service,
+        store::Store,
+    },
+    hawthornmount_store::etcd::Etcd,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Data centres of the demo.
+pub const DATA_CENTRES: [&str; 2] = ["attica-a", "macedonia-a"];
+/// Entry instances in each data centre.
+const INSTANCES_EACH: usize = 2;
+/// Engines in each data centre.
+const ENGINES_EACH: usize = 2;
+/// Requests that an engine runs at a time.
+pub(crate) const ENGINE_SLOTS: u32 = 16;
+/// Delay of the stand-in store.
+const STORE_DELAY: Duration = Duration::from_millis(2);
+/// Time in which the instances have to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Why the demo can't start.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// A stand-in can't listen.
+    #[display("{_0}")]
+    Listen(ListenError),
+    /// An instance can't start.
+    #[display("{_0}")]
+    Instance(instance::Error),
+    /// The example folder is not valid.
+    #[display("{_0}")]
+    Merge(merge::Error),
+    /// The configuration was not accepted.
+    #[display("{_0}")]
+    Apply(ApplyError),
+    /// The instances did not become ready.
+    #[display("the instances are not ready in time: run the demo on an idle machine")]
+    NotReady,
+}
+
+/// An engine with its name.
+pub struct NamedEngine {
+    /// Name of the engine.
+    pub id: Arc<str>,
+    /// Data centre of the engine.
+    pub data_centre: Arc<str>,
+    /// The engine.
+    pub engine: Engine,
+}
+
+/// Stand-ins and entry instances, started together.
+pub struct World {
+    /// The platform's key-value service.
+    pub store: Store,
+    /// The platform's list of instances.
+    pub list: List,
+    /// The rating service.
+    pub rating: Rating,
+    /// The plain service.
+    pub service: Service,
+    /// The engines.
+    pub engines: Vec<NamedEngine>,
+    /// The entry instances.
+    pub instances: Vec<Instance>,
+}
+
+impl World {
+    /// Starts everything and publishes the example folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something can't start or the instances do not become ready.
+    pub async fn start() -> Result<Self, Error> {
+        let store = Store::start(any_port()).await?;
+        store.faults().set_delay(STORE_DELAY);
+        let mut world = Self {
+            list: List::start(any_port()).await?,
+            rating: Rating::start(any_port()).await?,
+            service: Service::start(any_port()).await?,
+            engines: engines().await?,
+            instances: Vec::new(),
+            store,
+        };
+        world.publish().await?;
+        world.start_instances()?;
+        world.list.set(world.listed());
+        world.wait_ready().await?;
+        Ok(world)
+    }
+
+    /// Returns the settings of one more instance.
+    pub fn settings(&self, data_centre: &str, number: usize) -> Settings {
+        Settings {
+            instance: format!("{data_centre}-{number}").into(),
+            data_centre: data_centre.into(),
+            region: data_centre.trim_end_matches("-a").into(),
+            listen: any_port(),
+            admin: any_port(),
+            fleet: any_port(),
+            store: vec![self.store.address()],
+            instance_list: Some(self.list.address()),
+            rating: Some(self.rating.address()),
+            weight_store: None,
+            fleet_key: "the key of the demo's fleet".into(),
+            traffic_threads: 1,
+            drain: Duration::from_secs(10),
+            log: "warn".into(),
+        }
+    }
+
+    /// Returns the addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(Instance::callers).collect()
+    }
+
+    async fn publish(&self) -> Result<(), Error> {
+        let value = merge::merge_sources(&source::sources(self))?;
+        merge::from_value(value.clone())?;
+        let store = Etcd::new(vec![self.store.address()]);
+        config::apply(&store, value, 0, &id::fresh("apply")).await?;
+        Ok(())
+    }
+
+    fn start_instances(&mut self) -> Result<(), Error> {
+        for data_centre in DATA_CENTRES {
+            for number in 1..=INSTANCES_EACH {
+                self.instances.push(Instance::start(self.settings(data_centre, number))?);
+            }
+        }
+        Ok(())
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        let entries = self.instances.iter().map(|instance| {
+            let settings = &instance.parts().settings;
+            Listed {
+                id: settings.instance.clone(),
+                kind: Kind::Entry,
+                address: settings.fleet,
+                data_centre: settings.data_centre.clone(),
+                state: State::Live,
+            }
+        });
+        let servers = self.engines.iter().map(|named| Listed {
+            id: named.id.clone(),
+            kind: Kind::Server,
+            address: named.engine.address(),
+            data_centre: named.data_centre.clone(),
+            state: State::Live,
+        });
+        entries.chain(servers).collect()
+    }
+
+    async fn wait_ready(&self) -> Result<(), Error> {
+        let bound = Instant::now() + READY_TIMEOUT;
+        while !self.instances.iter().all(|instance| self.is_ready(instance)) {
+            if Instant::now() > bound {
+                return Err(Error::NotReady);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, instance: &Instance) -> bool {
+        let backends = &instance.parts().cell.load().backends;
+        let up = backends.iter().filter(|backend| backend.health == Health::Up).count();
+        up == self.engines.len() + 1
+    }
+}
+
+async fn engines() -> Result<Vec<NamedEngine>, Error> {
+    let mut engines = Vec::new();
+    for data_centre in DATA_CENTRES {
+        for number in 1..=ENGINES_EACH {
+            let loaded = [("draft-large", "v1"), ("draft-small", "v1"), ("draft-small", "v2")];
+            let loaded = loaded
+                .map(|(model, version)| Loaded { model: model.into(), version: version.into() });
+            let checks_fencing = number == 1;
+            let engine =
+                Engine::start(any_port(), ENGINE_SLOTS, checks_fencing, loaded.to_vec()).await?;
+            engine.set_behaviour("draft-small", "v1", behaviour(0.75, 10, 1));
+            engine.set_behaviour("draft-small", "v2", behaviour(0.8, 10, 1));
+            engine.set_behaviour("draft-large", "v1", behaviour(0.98, 30, 2));
+            engines.push(NamedEngine {
+                id: format!("engine-{data_centre}-{number}").into(),
+                data_centre: data_centre.into(),
+                engine,
+            });
+        }
+    }
+    Ok(engines)
+}
+
+const fn behaviour(quality: f64, first_token_ms: u64, per_token_ms: u64) -> Behaviour {
+    Behaviour {
+        quality,
+        error_rate: 0.01,
+        first_token: Duration::from_millis(first_token_ms),
+        per_token: Duration::from_millis(per_token_ms),
+    }
+}
+
+/// Returns the loopback address with any free port.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/api/parse.rs
@@ -0,0 +1,69 @@
+//! Reads a caller's request, with bounds on its size and time.
+
+use {
+    crate::exchange::{Completion, Kind, ServiceCall},
+    bytes::Bytes,
+    hawthornmount_core::{problem::Problem, reason::Refusal},
+    hawthornmount_http::{Body, HeaderMap, Method, Request},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    std::time::Duration,
+};
+
+/// Time in which a caller has to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest path with its query, in bytes.
+const MAX_PATH: usize = 4_096;
+
+/// A request as far as it was read.
+pub struct Parsed {
+    pub kind: Kind,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+pub async fn read(request: Request, limit: usize) -> Result<Parsed, Problem> {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    if path.len() > MAX_PATH {
+        return Err(Problem::new(Refusal::Malformed, "the path is too long: shorten it"));
+    }
+    let body = read_body(body, limit).await?;
+    let kind = kind(&parts.method, path, &body)?;
+    Ok(Parsed { kind, headers: parts.headers, body })
+}
+
+fn kind(method: &Method, path: &str, body: &[u8]) -> Result<Kind, Problem> {
+    if let Some(rest) = path.strip_prefix("/services/") {
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (service, tail) = rest.split_at(end);
+        let path = if tail.starts_with('/') { tail.into() } else { format!("/{tail}").into() };
+        return Ok(Kind::Service(ServiceCall {
+            service: service.into(),
+            method: method.as_str().into(),
+            path,
+            idempotent: false,
+        }));
+    }
+    let path = path.split('?').next().unwrap_or(path);
+    match (method, path) {
+        (&Method::POST, "/v1/chat/completions") => Completion::parse(body).map(Kind::Completion),
+        (&Method::GET, "/v1/models") => Ok(Kind::Models),
+        _ => Err(Problem::new(
+            Refusal::NotFound,
+            "no such path or method: use /v1/chat/completions, /v1/models or /services/NAME/...",
+        )),
+    }
+}
+
+async fn read_body(body: Body, limit: usize) -> Result<Bytes, Problem> {
+    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
+    match read.await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::new(
+            Refusal::BodyTooLarge,
+            format!("the body has more than {limit} bytes: send a smaller one"),
+        )),
+        Ok(Err(_)) => Err(Problem::new(Refusal::Malformed, "the body was cut: send it again")),
+        Err(_) => Err(Problem::new(Refusal::CallerTimeout, "the body came too slowly")),
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/control/load.rs
@@ -0,0 +1,105 @@
+//! Looks at the servers' load pages and at the platform's list.
+
+use {
+    super::Change,
+    crate::instance::Parts,
+    futures::{StreamExt, stream},
+    hawthornmount_core::id::ServerId,
+    hawthornmount_http::client::Client,
+    serde::Deserialize,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Pause between two looks at a server.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time that a look may take.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Looks at a time.
+const AT_A_TIME: usize = 16;
+
+/// Load page of a server.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    /// Requests that run or wait.
+    pub load: u32,
+    /// Whether the server is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Loaded versions.
+    #[serde(default)]
+    pub loaded: Vec<Loaded>,
+}
+
+/// A loaded version.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Loaded {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: Arc<str>,
+}
+
+/// What one look at a server saw.
+pub struct Seen {
+    /// The server.
+    pub server: ServerId,
+    /// Its load page; none if it did not answer.
+    pub report: Option<Report>,
+    /// When it answered.
+    pub at: Instant,
+}
+
+#[derive(Deserialize)]
+struct Listed {
+    id: Arc<str>,
+    kind: Arc<str>,
+    state: Arc<str>,
+}
+
+/// Looks at every server of the configuration again and again.
+pub async fn watch_servers(parts: Arc<Parts>, sender: mpsc::Sender<Change>) {
+    let client = Client::new();
+    loop {
+        let config = parts.cell.load().config.clone();
+        let looks: Vec<_> = config
+            .servers
+            .iter()
+            .map(|row| look(client.clone(), row.id.clone(), row.value.address))
+            .collect();
+        stream::iter(looks)
+            .buffer_unordered(AT_A_TIME)
+            .for_each(|seen| async {
+                let _ = sender.send(Change::Load(seen)).await;
+            })
+            .await;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn look(client: Client, server: ServerId, address: SocketAddr) -> Seen {
+    let report = client.get(address, "/load", TIMEOUT).await.ok();
+    Seen { server, report, at: Instant::now() }
+}
+
+/// Looks at the platform's list again and again.
+pub async fn watch_list(parts: Arc<Parts>, sender: mpsc::Sender<Change>) {
+    let Some(address) = parts.settings.instance_list else { return };
+    let client = Client::new();
+    loop {
+        let listed: Result<Vec<Listed>, _> = client.get(address, "/instances", TIMEOUT).await;
+        if let Ok(listed) = listed {
+            let leaving = listed
+                .into_iter()
+                .filter(|one| &*one.kind == "server" && &*one.state == "leaving")
+                .map(|one| one.id)
+                .collect();
+            let _ = sender.send(Change::Leaving(leaving)).await;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/allow.rs
@@ -0,0 +1,104 @@
+//! Refuses models and services that the account may not use, and lists those that it may.
+
+use {
+    super::{Filter, Flow},
+    crate::{
+        answer::{Answer, Content},
+        exchange::{Exchange, Kind, ServiceCall},
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{
+        config::Account,
+        problem::Problem,
+        reason::Refusal,
+        snapshot::{Release, Snapshot},
+    },
+    hawthornmount_http::StatusCode,
+    hawthornmount_policy::rule,
+    serde_json::{Value, json},
+};
+
+pub struct Allow;
+
+#[async_trait]
+impl Filter for Allow {
+    fn name(&self) -> &'static str {
+        "allow"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        let snapshot = exchange.snapshot.clone();
+        let account = snapshot
+            .config
+            .accounts
+            .get(&exchange.account)
+            .ok_or_else(|| Problem::new(Refusal::BadKey, "the account does not exist"))?;
+        match &mut exchange.kind {
+            Kind::Completion(completion) => {
+                allow_model(account, completion.model.as_deref())?;
+                Ok(Flow::Next)
+            }
+            Kind::Service(call) => {
+                allow_service(&snapshot, account, call)?;
+                Ok(Flow::Next)
+            }
+            Kind::Models => {
+                exchange.answer = Some(list(&snapshot, &exchange.account, account));
+                Ok(Flow::Answered)
+            }
+        }
+    }
+}
+
+fn allow_model(account: &Account, model: Option<&str>) -> Result<(), Problem> {
+    match model {
+        Some(model) if account.allow.iter().any(|one| *one.model == *model) => Ok(()),
+        Some(model) => Err(not_allowed(format!(
+            "the account has no model {model}: see GET /v1/models for those that it has"
+        ))),
+        None if account.cascade.is_some() => Ok(()),
+        None => Err(not_allowed("the account has no cascade: name a model".to_owned())),
+    }
+}
+
+fn allow_service(
+    snapshot: &Snapshot,
+    account: &Account,
+    call: &mut ServiceCall,
+) -> Result<(), Problem> {
+    let service = snapshot.config.services.get(&call.service);
+    let Some(service) = service.filter(|_| account.services.contains(&call.service)) else {
+        return Err(not_allowed(format!("the account has no service {}", call.service)));
+    };
+    call.idempotent = service.is_idempotent(&call.method, &call.path);
+    Ok(())
+}
+
+fn list(snapshot: &Snapshot, id: &str, account: &Account) -> Answer {
+    let data: Vec<Value> = account
+        .allow
+        .iter()
+        .filter_map(|allowance| {
+            let model = snapshot.config.models.get(&allowance.model)?;
+            let versions: Vec<&str> = model
+                .versions
+                .iter()
+                .map(|row| Release { model: allowance.model.clone(), version: row.id.clone() })
+                .filter(|release| rule::is_usable(snapshot, id, release))
+                .filter_map(|release| model.versions.row(&release.version))
+                .map(|row| &*row.id)
+                .collect();
+            Some(json!({ "id": &*allowance.model, "object": "model", "versions": versions }))
+        })
+        .collect();
+    let body = json!({ "object": "list", "data": data });
+    Answer {
+        status: StatusCode::OK,
+        content_type: "application/json".into(),
+        content: Content::Whole(body.to_string().into()),
+    }
+}
+
+fn not_allowed(detail: String) -> Problem {
+    Problem::new(Refusal::NotAllowed, detail)
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/bill.rs
@@ -0,0 +1,115 @@
+//! Bills the request once, before the last byte of its answer goes out.
+
+use {
+    super::{Filter, Finisher, Flow},
+    crate::{
+        answer::End,
+        exchange::{Exchange, Kind},
+        instance::Parts,
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{
+        id::{AccountId, ModelId, RequestId, VersionId},
+        problem::Problem,
+        reason::Refusal,
+        units::{MicroCost, PRICED_TOKENS},
+    },
+    hawthornmount_ledger::{self as ledger, Ledger, Usage},
+    std::{sync::Arc, time::SystemTime},
+};
+
+pub struct Bill {
+    ledger: Arc<dyn Ledger>,
+}
+
+impl Bill {
+    pub fn new(parts: &Parts) -> Self {
+        Self { ledger: parts.ledger.clone() }
+    }
+}
+
+#[async_trait]
+impl Filter for Bill {
+    fn name(&self) -> &'static str {
+        "bill"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        let (model, version) = match (&exchange.kind, &exchange.answered_by) {
+            (Kind::Service(call), _) => (call.service.clone(), "".into()),
+            (_, Some(release)) => (release.model.clone(), release.version.clone()),
+            _ => return Ok(Flow::Next),
+        };
+        let config = &exchange.snapshot.config;
+        let price = match &exchange.kind {
+            Kind::Service(call) => {
+                Price::Call(config.services.get(&call.service).map_or(0, |one| one.price))
+            }
+            _ => Price::Tokens(config.models.get(&model).map_or(0, |one| one.price)),
+        };
+        exchange.finishers.push(Box::new(Record {
+            ledger: self.ledger.clone(),
+            request: exchange.id.clone(),
+            account: exchange.account.clone(),
+            model,
+            version,
+            price,
+            earlier_cost: exchange.cost,
+        }));
+        Ok(Flow::Next)
+    }
+}
+
+enum Price {
+    Call(MicroCost),
+    Tokens(MicroCost),
+}
+
+struct Record {
+    ledger: Arc<dyn Ledger>,
+    request: RequestId,
+    account: AccountId,
+    model: ModelId,
+    version: VersionId,
+    price: Price,
+    earlier_cost: MicroCost,
+}
+
+#[async_trait]
+impl Finisher for Record {
+    async fn finish(&self, end: &End) -> Result<(), Problem> {
+        let tokens = end.usage.prompt_tokens + end.usage.completion_tokens;
+        let billed = match self.price {
+            Price::Call(price) => price,
+            Price::Tokens(price) => price * tokens / PRICED_TOKENS,
+        };
+        let usage = Usage {
+            request: self.request.clone(),
+            account: self.account.clone(),
+            model: self.model.clone(),
+            version: self.version.clone(),
+            prompt_tokens: end.usage.prompt_tokens,
+            completion_tokens: end.usage.completion_tokens,
+            billed,
+            cost: self.earlier_cost + billed,
+            at_ms: now_ms(),
+        };
+        self.ledger.record(usage).await.map_err(|error| refused(&error))
+    }
+}
+
+fn refused(error: &ledger::Error) -> Problem {
+    let reason = match error {
+        ledger::Error::Backlog { .. } => Refusal::UsageBacklog,
+        ledger::Error::Unavailable { .. } | ledger::Error::Unknown { .. } => {
+            Refusal::StoreUnavailable
+        }
+    };
+    Problem::new(reason, format!("the request can't be billed, so its answer is held: {error}"))
+        .ran_unknown()
+}
+
+fn now_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/choose.rs
@@ -0,0 +1,51 @@
+//! Chooses the models and versions to try.
+
+use {
+    super::{Filter, Flow},
+    crate::{
+        exchange::{Exchange, Kind},
+        instance::Parts,
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{problem::Problem, reason::Refusal},
+    std::sync::Arc,
+};
+
+pub struct Choose {
+    parts: Arc<Parts>,
+}
+
+impl Choose {
+    pub fn new(parts: &Arc<Parts>) -> Self {
+        Self { parts: parts.clone() }
+    }
+}
+
+#[async_trait]
+impl Filter for Choose {
+    fn name(&self) -> &'static str {
+        "choose"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        if !matches!(exchange.kind, Kind::Completion(_)) {
+            return Ok(Flow::Next);
+        }
+        let settings = &self.parts.settings;
+        let query = exchange.query(&settings.data_centre, &settings.region);
+        let plan = self.parts.router.plan(&exchange.snapshot, &query).map_err(no_plan)?;
+        for candidate in &plan.candidates {
+            let release = &candidate.release;
+            exchange.trace.step(format!(
+                "candidate {}@{} with quality {:.2}",
+                release.model, release.version, candidate.quality
+            ));
+        }
+        exchange.plan = plan;
+        Ok(Flow::Next)
+    }
+}
+
+fn no_plan(reason: Refusal) -> Problem {
+    Problem::new(reason, "no version that the account may use can answer: ask your operator")
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/rate.rs
@@ -0,0 +1,99 @@
+//! Has a sample of the answers rated after they went out.
+
+use {
+    super::{Filter, Finisher, Flow},
+    crate::{
+        answer::End,
+        exchange::{Exchange, Kind, TASK_HEADER},
+        instance::Parts,
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{
+        id::{AccountId, DataCentreId, RequestId, ServerId},
+        problem::Problem,
+        snapshot::Release,
+    },
+    hawthornmount_rollout::{Sample, sample::Seen},
+    rand::RngExt,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Part of the answers that are rated.
+const SAMPLED: f64 = 0.5;
+/// Time that a late rating may take.
+const RATING_TIMEOUT: Duration = Duration::from_secs(10);
+
+pub struct Rate {
+    parts: Arc<Parts>,
+}
+
+impl Rate {
+    pub fn new(parts: &Arc<Parts>) -> Self {
+        Self { parts: parts.clone() }
+    }
+}
+
+#[async_trait]
+impl Filter for Rate {
+    fn name(&self) -> &'static str {
+        "rate"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        let (Kind::Completion(_), Some(release)) = (&exchange.kind, &exchange.answered_by) else {
+            return Ok(Flow::Next);
+        };
+        let last = exchange.trace.attempts.last();
+        let server = last.map(|attempt| attempt.server.clone()).unwrap_or_default();
+        let data_centre = exchange
+            .snapshot
+            .backend(&server)
+            .map(|backend| backend.data_centre.clone())
+            .unwrap_or_default();
+        exchange.finishers.push(Box::new(RateLater(Arc::new(Subject {
+            parts: self.parts.clone(),
+            request: exchange.id.clone(),
+            account: exchange.account.clone(),
+            task: exchange.header(TASK_HEADER).unwrap_or("default").into(),
+            release: release.clone(),
+            server,
+            data_centre,
+        }))));
+        Ok(Flow::Next)
+    }
+}
+
+struct Subject {
+    parts: Arc<Parts>,
+    request: RequestId,
+    account: AccountId,
+    task: Arc<str>,
+    release: Release,
+    server: ServerId,
+    data_centre: DataCentreId,
+}
+
+struct RateLater(Arc<Subject>);
+
+#[async_trait]
+impl Finisher for RateLater {
+    async fn finish(&self, end: &End) -> Result<(), Problem> {
+        if !end.text.is_empty() && rand::rng().random_bool(SAMPLED) {
+            tokio::spawn(rate(self.0.clone(), end.text.clone()));
+        }
+        Ok(())
+    }
+}
+
+async fn rate(subject: Arc<Subject>, text: Arc<str>) {
+    let parts = &subject.parts;
+    let Some(rating) = parts.rater.rate(&text, RATING_TIMEOUT).await else { return };
+    parts.router.rated(&subject.account, &subject.task, &subject.release, rating);
+    parts.judge.observe(Sample {
+        release: subject.release.clone(),
+        server: subject.server.clone(),
+        data_centre: subject.data_centre.clone(),
+        seen: Seen::Rated(rating),
+    });
+    parts.journal.rate(&subject.request, rating);
+}
--- /dev/null
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -0,0 +1,142 @@
+//! The parts that an instance is put together from.
+
+use {
+    crate::{
+        rater::{Absent, Rater, Remote},
+        trace::Journal,
+    },
+    hawthornmount_core::{
+        clock::{self, Clock},
+        metrics::Metrics,
+        settings::Settings,
+        snapshot::{Cell, Liveness, Member},
+    },
+    hawthornmount_fleet::{Fleet, local::Local},
+    hawthornmount_http::client::Client,
+    hawthornmount_ledger::{Ledger, direct::Direct},
+    hawthornmount_policy::{Router, basic::Basic},
+    hawthornmount_rollout::{Judge, quiet::Quiet},
+    hawthornmount_store::{Store, etcd::Etcd},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize},
+        },
+        time::SystemTime,
+    },
+};
+
+/// The parts of one instance, shared by its threads.
+pub struct Parts {
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Control state as traffic threads read it.
+    pub cell: Cell,
+    /// Client of backend servers.
+    pub client: Client,
+    /// The platform's key-value service.
+    pub store: Arc<dyn Store>,
+    /// Claims, usage records and sessions.
+    pub ledger: Arc<dyn Ledger>,
+    /// The other instances.
+    pub fleet: Arc<dyn Fleet>,
+    /// Routing decisions.
+    pub router: Arc<dyn Router>,
+    /// Judge of versions.
+    pub judge: Arc<dyn Judge>,
+    /// The service that rates answers.
+    pub rater: Arc<dyn Rater>,
+    /// Last requests with their decisions.
+    pub journal: Journal,
+    /// Requests in flight.
+    pub in_flight: Arc<AtomicUsize>,
+    /// Whether the instance is stopping.
+    pub stopping: AtomicBool,
+}
+
+/// Puts the parts of an instance together; a part that is not set is the product's own.
+pub struct Builder {
+    settings: Settings,
+    store: Option<Arc<dyn Store>>,
+    ledger: Option<Arc<dyn Ledger>>,
+    router: Option<Arc<dyn Router>>,
+    judge: Option<Arc<dyn Judge>>,
+}
+
+impl Builder {
+    /// Creates a builder for an instance with `settings`.
+    pub const fn new(settings: Settings) -> Self {
+        Self { settings, store: None, ledger: None, router: None, judge: None }
+    }
+
+    /// Sets another store.
+    #[must_use]
+    pub fn store(mut self, store: Arc<dyn Store>) -> Self {
+        self.store = Some(store);
+        self
+    }
+
+    /// Sets another ledger.
+    #[must_use]
+    pub fn ledger(mut self, ledger: Arc<dyn Ledger>) -> Self {
+        self.ledger = Some(ledger);
+        self
+    }
+
+    /// Sets another router.
+    #[must_use]
+    pub fn router(mut self, router: Arc<dyn Router>) -> Self {
+        self.router = Some(router);
+        self
+    }
+
+    /// Sets another judge.
+    #[must_use]
+    pub fn judge(mut self, judge: Arc<dyn Judge>) -> Self {
+        self.judge = Some(judge);
+        self
+    }
+
+    /// Returns the parts.
+    pub fn build(self) -> Parts {
+        let settings = self.settings;
+        let store = self.store.unwrap_or_else(|| Arc::new(Etcd::new(settings.store.clone())));
+        let ledger = self.ledger.unwrap_or_else(|| Arc::new(Direct::new(store.clone())));
+        let rater: Arc<dyn Rater> = match settings.rating {
+            Some(address) => Arc::new(Remote::new(address)),
+            None => Arc::new(Absent),
+        };
+        Parts {
+            clock: Arc::new(clock::System),
+            metrics: Metrics::new(),
+            cell: Cell::new(),
+            client: Client::new(),
+            fleet: Arc::new(Local::new(member(&settings))),
+            router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
+            judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
+            rater,
+            journal: Journal::default(),
+            in_flight: Arc::default(),
+            stopping: AtomicBool::new(false),
+            settings,
+            store,
+            ledger,
+        }
+    }
+}
+
+fn member(settings: &Settings) -> Member {
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Member {
+        id: settings.instance.clone(),
+        incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        data_centre: settings.data_centre.clone(),
+        address: settings.fleet,
+        liveness: Liveness::Alive,
+        revision: 0,
+    }
+}
--- a/crates/hawthornmount-ledger/src/lib.rs
+++ b/crates/hawthornmount-ledger/src/lib.rs
@@ -1,1 +1,96 @@
-//! Claims, usage records and session pins kept on the key-value service.
+//! Claims of non-idempotent calls, usage records and session pins, kept on the platform's
+//! key-value service so that each holds whichever instance asks.
+
+pub mod claim;
+pub mod direct;
+pub mod session;
+pub mod usage;
+
+pub use {
+    claim::{Claim, Claimed, Outcome, Ticket},
+    session::Pin,
+    usage::{Total, Usage},
+};
+
+use {
+    async_trait::async_trait,
+    derive_more::{Display, Error},
+    hawthornmount_core::id::{AccountId, SessionId},
+    std::sync::Arc,
+};
+
+/// Why the ledger can't answer.
+#[derive(Clone, Debug, Display, Error)]
+pub enum Error {
+    /// The store is out of reach and nothing was written.
+    #[display("the store is out of reach, try again later; cause={cause}")]
+    Unavailable {
+        /// Message of the store.
+        cause: Arc<str>,
+    },
+    /// It is not known whether the write took effect.
+    #[display("the store's answer was lost and reading back failed; cause={cause}")]
+    Unknown {
+        /// Message of the store.
+        cause: Arc<str>,
+    },
+    /// Too many records wait for the store.
+    #[display("{waiting} usage records wait for the store, try again when it is back")]
+    Backlog {
+        /// Number of records.
+        waiting: usize,
+    },
+}
+
+/// First-writer-wins records that every instance agrees on.
+#[async_trait]
+pub trait Ledger: Send + Sync {
+    /// Claims the only run of a non-idempotent call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the claim is not known to be the first; nothing may be sent then.
+    async fn claim(&self, claim: Claim) -> Result<Claimed, Error>;
+
+    /// Records how the claimed call ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is not known to be durable.
+    async fn settle(&self, ticket: &Ticket, outcome: Outcome) -> Result<(), Error>;
+
+    /// Makes a usage record durable; the same request id counts once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is neither durable nor copied to peers.
+    async fn record(&self, usage: Usage) -> Result<(), Error>;
+
+    /// Pins a session to a version and returns the pin that holds, which may be an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is out of reach.
+    async fn pin(&self, pin: Pin) -> Result<Pin, Error>;
+
+    /// Returns the pin of a session.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is out of reach.
+    async fn pinned(&self, account: &AccountId, session: &SessionId) -> Result<Option<Pin>, Error>;
+
+    /// Sums the usage of an account.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is out of reach.
+    async fn total(&self, account: &AccountId) -> Result<Total, Error>;
+
+    /// Writes everything that waits, before the instance stops.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if records still wait.
+    async fn flush(&self) -> Result<(), Error>;
+}
--- /dev/null
+++ b/crates/hawthornmount-ledger/src/usage/mod.rs
@@ -0,0 +1,58 @@
+//! Usage records.
+
+use {
+    hawthornmount_core::{
+        id::{AccountId, ModelId, RequestId, VersionId},
+        units::{MicroCost, Tokens},
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// What one request used.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Usage {
+    /// Request, which is the record's id.
+    pub request: RequestId,
+    /// Account that is billed.
+    pub account: AccountId,
+    /// Model or service that answered.
+    pub model: ModelId,
+    /// Version that answered; empty for a service.
+    pub version: VersionId,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Tokens of the answer.
+    pub completion_tokens: Tokens,
+    /// Price that the account pays.
+    pub billed: MicroCost,
+    /// Price of everything that ran for the request, seen by the caller or not.
+    pub cost: MicroCost,
+    /// Milliseconds since the epoch at the end of the answer.
+    pub at_ms: u64,
+}
+
+/// Sum of usage records.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Total {
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of the prompts.
+    pub prompt_tokens: Tokens,
+    /// Tokens of the answers.
+    pub completion_tokens: Tokens,
+    /// Price that the account pays.
+    pub billed: MicroCost,
+    /// Price of everything that ran.
+    pub cost: MicroCost,
+}
+
+impl Total {
+    /// Adds a record.
+    pub const fn add(&mut self, usage: &Usage) {
+        self.requests += 1;
+        self.prompt_tokens += usage.prompt_tokens;
+        self.completion_tokens += usage.completion_tokens;
+        self.billed += usage.billed;
+        self.cost += usage.cost;
+    }
+}
--- a/crates/hawthornmount-policy/src/lib.rs
+++ b/crates/hawthornmount-policy/src/lib.rs
@@ -1,1 +1,9 @@
-//! Pure routing decisions: cascade, version, server, admission and retry.
+//! Routing decisions: which models to try and in which order, which version, which server,
+//! whether to admit and whether to retry. Nothing here does I/O; time and randomness are handed
+//! in, so that every decision can be replayed.
+
+pub mod basic;
+pub mod plan;
+pub mod rule;
+
+pub use plan::{Candidate, Choice, Plan, Query, Router};
--- /dev/null
+++ b/crates/hawthornmount-policy/src/plan/mod.rs
@@ -0,0 +1,132 @@
+//! The border of the policy: what is asked and what is answered.
+
+use {
+    hawthornmount_core::{
+        id::{AccountId, DataCentreId, ModelId, RegionId, ServerId, ServiceId},
+        reason::Refusal,
+        snapshot::{Release, Snapshot},
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Query {
+    /// Account of the caller.
+    pub account: AccountId,
+    /// Kind of task, by which quality is learned.
+    pub task: std::sync::Arc<str>,
+    /// Model that the caller named, if it named no cascade.
+    pub model: Option<ModelId>,
+    /// Release that the session keeps.
+    pub pinned: Option<Release>,
+    /// Whether the answer is streamed, so that it can't be rated in line.
+    pub streamed: bool,
+    /// Hash of the prompt's first characters, for cache affinity.
+    pub prefix: u64,
+    /// Tokens of the prompt, estimated.
+    pub prompt_tokens: u64,
+    /// Largest number of tokens of the answer.
+    pub max_tokens: u64,
+    /// Data centre of this instance.
+    pub data_centre: DataCentreId,
+    /// Region of this instance.
+    pub region: RegionId,
+    /// When the answer has to be whole.
+    pub deadline: Instant,
+    /// The present time.
+    pub now: Instant,
+}
+
+/// A model and version worth trying.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The model and version.
+    pub release: Release,
+    /// Chance that its answer is good, as far as is known.
+    pub quality: f64,
+    /// Whether it was taken to learn and not because it is best.
+    pub explored: bool,
+}
+
+/// Models to try in order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Candidates from the first to the last resort.
+    pub candidates: Vec<Candidate>,
+    /// Quality below which the next candidate is tried, where answers are rated in line.
+    pub quality_target: f64,
+}
+
+/// A server for one attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+}
+
+/// End of one attempt, for learning.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// A whole answer after this time.
+    Answered(Duration),
+    /// The server failed after this time.
+    Failed(Duration),
+    /// The server refused because it is full.
+    Full,
+    /// The attempt was cancelled.
+    Cancelled,
+}
+
+/// Makes the routing decisions of one instance. Calls never block.
+pub trait Router: Send + Sync {
+    /// Returns the models and versions to try.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if there is none that the account may use.
+    fn plan(&self, snapshot: &Snapshot, query: &Query) -> Result<Plan, Refusal>;
+
+    /// Returns a server for a version, none of those in `tried`, and counts the attempt as
+    /// running there until [`Router::ended`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if there is no server.
+    fn choose(
+        &self,
+        snapshot: &Snapshot,
+        query: &Query,
+        release: &Release,
+        tried: &[ServerId],
+    ) -> Result<Choice, Refusal>;
+
+    /// Returns a server for a plain service, as [`Router::choose`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if there is no server.
+    fn choose_service(
+        &self,
+        snapshot: &Snapshot,
+        query: &Query,
+        service: &ServiceId,
+        tried: &[ServerId],
+    ) -> Result<Choice, Refusal>;
+
+    /// Takes the end of an attempt.
+    fn ended(&self, server: &ServerId, release: Option<&Release>, ended: Ended, now: Instant);
+
+    /// Takes a rating of an answer, from 0 to 1.
+    fn rated(&self, account: &AccountId, task: &str, release: &Release, rating: f64);
+
+    /// Tells whether one more attempt fits the retry budget, and takes it from the budget.
+    fn may_retry(&self, now: Instant) -> bool;
+}
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -1,1 +1,21 @@
-//! Roll-outs, withdrawals, suspensions and orders to engines.
+//! Roll-outs, withdrawals and suspensions of versions, the evidence that they rest on, and the
+//! orders to engines that follow from them.
+
+pub mod quiet;
+pub mod sample;
+
+pub use sample::Sample;
+
+use hawthornmount_core::snapshot::{Release, Share};
+
+/// Judges versions by what requests saw of them.
+pub trait Judge: Send + Sync {
+    /// Takes what one request saw of a version. Never blocks.
+    fn observe(&self, sample: Sample);
+
+    /// Returns the suspended releases in order.
+    fn suspended(&self) -> Vec<Release>;
+
+    /// Returns the shares of versions under roll-out, in order of their releases.
+    fn shares(&self) -> Vec<Share>;
+}
--- /dev/null
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -0,0 +1,216 @@
+//! Completions of the stand-in engine.
+
+use {
+    super::{Loaded, Run, Shared},
+    crate::http::empty,
+    bytes::Bytes,
+    hawthornmount_http::{
+        Body, HeaderValue, Response, StatusCode,
+        body::{self, Chunk},
+        header, server,
+    },
+    rand::RngExt,
+    serde::{Deserialize, Serialize},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+/// Tokens of an answer when the request gives no bound.
+const DEFAULT_TOKENS: u64 = 16;
+/// Characters of a token, roughly.
+const CHARS_PER_TOKEN: usize = 4;
+/// Events that wait for a slow reader.
+const EVENT_BACKLOG: usize = 8;
+
+/// Body of a completion request, as far as the engine looks at it.
+#[derive(Debug, Deserialize)]
+pub struct Completion {
+    model: Arc<str>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+/// Tokens of a completion.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+    /// Sum of both.
+    pub total_tokens: u64,
+}
+
+/// Returns the mark in an answer's text that tells its quality to the stand-in rating service.
+pub fn quality_mark(quality: f64) -> String {
+    format!("[quality {quality:.2}]")
+}
+
+pub async fn answer(
+    shared: Arc<Shared>,
+    id: Arc<str>,
+    version: Arc<str>,
+    completion: Completion,
+) -> Response {
+    let loaded = Loaded { model: completion.model.clone(), version };
+    if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
+        return not_run();
+    }
+    let load = Load::new(shared.clone());
+    let behaviour = shared.behaviour(&loaded);
+    let Ok(permit) = shared.slots.clone().acquire_owned().await else {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    tokio::time::sleep(behaviour.first_token).await;
+    if rand::rng().random_bool(behaviour.error_rate) {
+        return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
+    }
+    let good = rand::rng().random_bool(behaviour.quality);
+    let quality = if good { 1.0 } else { 0.0 };
+    shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
+    let work = Work { id, loaded, quality, behaviour_per_token: behaviour.per_token, completion };
+    if work.completion.stream {
+        let (sender, body) = body::channel(EVENT_BACKLOG);
+        let response = streamed(body, &work.id);
+        tokio::spawn(async move {
+            work.send_events(&shared, sender).await;
+            drop(load);
+            drop(permit);
+        });
+        return response;
+    }
+    let response = work.whole().await;
+    drop(permit);
+    response
+}
+
+struct Load(Arc<Shared>);
+
+impl Load {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.load.fetch_add(1, Ordering::SeqCst);
+        Self(shared)
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.0.load.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+struct Work {
+    id: Arc<str>,
+    loaded: Loaded,
+    quality: f64,
+    behaviour_per_token: Duration,
+    completion: Completion,
+}
+
+impl Work {
+    fn usage(&self) -> Usage {
+        let chars: usize =
+            self.completion.messages.iter().map(|message| message.content.len()).sum();
+        let prompt_tokens = (chars / CHARS_PER_TOKEN) as u64;
+        let completion_tokens = self.tokens();
+        Usage { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
+    }
+
+    fn tokens(&self) -> u64 {
+        self.completion.max_tokens.unwrap_or(DEFAULT_TOKENS)
+    }
+
+    /// Returns the words of the answer; the first ones tell whose answer it is.
+    fn word(&self, at: u64) -> String {
+        match at {
+            0 => format!("answer to {} ", self.id),
+            1 => quality_mark(self.quality),
+            _ => format!(" word{at}"),
+        }
+    }
+
+    async fn whole(&self) -> Response {
+        let tokens = self.tokens();
+        tokio::time::sleep(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX))
+            .await;
+        let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
+        let body = serde_json::json!({
+            "id": &*self.id,
+            "object": "chat.completion",
+            "model": &*self.loaded.model,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": content },
+                "finish_reason": "stop",
+            }],
+            "usage": self.usage(),
+        });
+        with_id(server::json(StatusCode::OK, &body), &self.id)
+    }
+
+    async fn send_events(&self, shared: &Shared, sender: mpsc::Sender<Chunk>) {
+        let cut_after = shared.cut_after.load(Ordering::SeqCst);
+        for at in 0..self.tokens().max(2) {
+            if cut_after > 0 && at >= u64::from(cut_after) {
+                let _ = sender.send(Err("the engine was cut off".into())).await;
+                return;
+            }
+            if at > 0 {
+                tokio::time::sleep(self.behaviour_per_token).await;
+            }
+            let delta = serde_json::json!({ "content": self.word(at) });
+            if sender.send(self.event(&delta, None)).await.is_err() {
+                shared.cancelled.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
+        }
+        let _ = sender.send(self.event(&serde_json::json!({}), Some("stop"))).await;
+        let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+    }
+
+    fn event(&self, delta: &serde_json::Value, finish: Option<&str>) -> Chunk {
+        let mut body = serde_json::json!({
+            "id": &*self.id,
+            "object": "chat.completion.chunk",
+            "model": &*self.loaded.model,
+            "choices": [{ "index": 0, "delta": delta, "finish_reason": finish }],
+        });
+        if finish.is_some() {
+            body["usage"] = serde_json::json!(self.usage());
+        }
+        Ok(format!("data: {body}\n\n").into())
+    }
+}
+
+fn streamed(body: Body, id: &str) -> Response {
+    let mut response = Response::new(body);
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    with_id(response, id)
+}
+
+fn not_run() -> Response {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
+    response
+}
+
+fn with_id(mut response: Response, id: &str) -> Response {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -0,0 +1,221 @@
+//! Stand-in for a model engine: the OpenAI-compatible API, versions with a speed and a quality of
+//! their own, a limited number of slots, a load page, and orders to load and unload versions.
+
+mod completion;
+mod order;
+
+pub use {
+    completion::{Usage, quality_mark},
+    order::{Order, OrderAnswer},
+};
+
+use {
+    crate::http::{empty, header, json},
+    async_trait::async_trait,
+    completion::Completion,
+    hawthornmount_core::table::Table,
+    hawthornmount_http::{
+        Request, Response, StatusCode,
+        server::{self, Handler, ListenError, Server},
+    },
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::Semaphore,
+};
+
+/// How a version behaves.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Chance that an answer is good, from 0 to 1.
+    pub quality: f64,
+    /// Chance that a request fails with status 500.
+    pub error_rate: f64,
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub per_token: Duration,
+}
+
+/// A loaded version.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Loaded {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: Arc<str>,
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// Requests that run or wait.
+    pub load: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+    /// Whether the engine is leaving.
+    pub leaving: bool,
+    /// Loaded versions in order.
+    pub loaded: Vec<Loaded>,
+}
+
+/// A run that the engine really did.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Request id that came with it.
+    pub request: Arc<str>,
+    /// Version that ran.
+    pub loaded: Loaded,
+    /// Quality of the answer, from 0 to 1.
+    pub quality: f64,
+}
+
+/// Stand-in for a model engine.
+pub struct Engine {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+pub(crate) struct Shared {
+    slots: Arc<Semaphore>,
+    slot_count: u32,
+    load: AtomicU32,
+    behaviours: Mutex<Table<Behaviour>>,
+    loaded: Mutex<Vec<Loaded>>,
+    runs: Mutex<Vec<Run>>,
+    cancelled: AtomicU64,
+    leaving: AtomicU32,
+    checks_fencing: bool,
+    fence: AtomicU64,
+    cut_after: AtomicU32,
+}
+
+impl Engine {
+    /// Starts an engine with its first loaded versions.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub async fn start(
+        address: SocketAddr,
+        slots: u32,
+        checks_fencing: bool,
+        loaded: Vec<Loaded>,
+    ) -> Result<Self, ListenError> {
+        let shared = Arc::new(Shared {
+            slots: Arc::new(Semaphore::new(slots as usize)),
+            slot_count: slots,
+            load: AtomicU32::new(0),
+            behaviours: Mutex::new(Table::new()),
+            loaded: Mutex::new(loaded),
+            runs: Mutex::new(Vec::new()),
+            cancelled: AtomicU64::new(0),
+            leaving: AtomicU32::new(0),
+            checks_fencing,
+            fence: AtomicU64::new(0),
+            cut_after: AtomicU32::new(0),
+        });
+        let server = Server::start(address, Arc::new(Api(shared.clone()))).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address of the engine.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets how `version` of `model` behaves.
+    pub fn set_behaviour(&self, model: &str, version: &str, behaviour: Behaviour) {
+        self.shared.behaviours.lock().insert(behaviour_key(model, version), behaviour);
+    }
+
+    /// Returns the runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.runs.lock().clone()
+    }
+
+    /// Returns the number of answers that callers gave up on.
+    pub fn cancelled(&self) -> u64 {
+        self.shared.cancelled.load(Ordering::SeqCst)
+    }
+
+    /// Returns the loaded versions.
+    pub fn loaded(&self) -> Vec<Loaded> {
+        self.shared.loaded.lock().clone()
+    }
+
+    /// Makes the engine say that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(u32::from(leaving), Ordering::SeqCst);
+    }
+
+    /// Cuts every streamed answer after `events` events; 0 cuts none.
+    pub fn cut_after(&self, events: u32) {
+        self.shared.cut_after.store(events, Ordering::SeqCst);
+    }
+}
+
+fn behaviour_key(model: &str, version: &str) -> Arc<str> {
+    format!("{model}@{version}").into()
+}
+
+impl Shared {
+    fn is_loaded(&self, loaded: &Loaded) -> bool {
+        self.loaded.lock().contains(loaded)
+    }
+
+    fn behaviour(&self, loaded: &Loaded) -> Behaviour {
+        let key = behaviour_key(&loaded.model, &loaded.version);
+        self.behaviours.lock().get(&key).cloned().unwrap_or(Behaviour {
+            quality: 1.0,
+            error_rate: 0.0,
+            first_token: Duration::ZERO,
+            per_token: Duration::ZERO,
+        })
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            load: self.load.load(Ordering::SeqCst),
+            slots: self.slot_count,
+            leaving: self.leaving.load(Ordering::SeqCst) > 0,
+            loaded: self.loaded.lock().clone(),
+        }
+    }
+}
+
+struct Api(Arc<Shared>);
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(&self, request: Request) -> Response {
+        match request.uri().path() {
+            "/v1/chat/completions" => self.complete(request).await,
+            "/load" => server::json(StatusCode::OK, &self.0.report()),
+            "/orders" => match json(request).await {
+                Ok(order) => order::apply(&self.0, &order).await,
+                Err(response) => response,
+            },
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Api {
+    async fn complete(&self, request: Request) -> Response {
+        let id: Arc<str> = header(request.headers(), "x-request-id").unwrap_or_default().into();
+        let version: Arc<str> =
+            header(request.headers(), "x-model-version").unwrap_or_default().into();
+        match json::<Completion>(request).await {
+            Ok(completion) => completion::answer(self.0.clone(), id, version, completion).await,
+            Err(response) => response,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-standin/src/http/mod.rs
@@ -0,0 +1,33 @@
+//! Reading of requests that the stand-ins share.
+
+use {
+    bytes::Bytes,
+    hawthornmount_http::{HeaderMap, Request, Response, StatusCode, server},
+    http_body_util::BodyExt,
+    serde::de::DeserializeOwned,
+};
+
+/// Returns the text of a header.
+pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Reads the whole body.
+pub async fn body(request: Request) -> Bytes {
+    match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => Bytes::new(),
+    }
+}
+
+/// Reads the whole body as JSON, or returns the answer that says it is not.
+pub async fn json<T: DeserializeOwned>(request: Request) -> Result<T, Response> {
+    serde_json::from_slice(&body(request).await).map_err(|error| {
+        server::text(StatusCode::BAD_REQUEST, format!("the body is not valid: {error}"))
+    })
+}
+
+/// Returns an empty answer.
+pub fn empty(status: StatusCode) -> Response {
+    server::text(status, String::new())
+}
--- /dev/null
+++ b/crates/hawthornmount-standin/src/service/mod.rs
@@ -0,0 +1,113 @@
+//! Stand-in for a plain service with calls that may not be repeated.
+
+use {
+    crate::http::{self, header},
+    async_trait::async_trait,
+    hawthornmount_http::{
+        HeaderValue, Method, Request, Response, StatusCode, body,
+        server::{self, Handler, ListenError, Server},
+    },
+    parking_lot::Mutex,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// A call that the service really ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Request id that came with it.
+    pub request: Arc<str>,
+    /// Idempotency key that came with it.
+    pub key: Option<Arc<str>>,
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// Path of the call.
+    pub path: Arc<str>,
+}
+
+/// Stand-in for a plain service.
+pub struct Service {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    runs: Mutex<Vec<Run>>,
+    delay_us: AtomicU64,
+    lose_answers: AtomicBool,
+}
+
+impl Service {
+    /// Starts the service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub async fn start(address: SocketAddr) -> Result<Self, ListenError> {
+        let shared = Arc::new(Shared::default());
+        let server = Server::start(address, Arc::new(Api(shared.clone()))).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address of the service.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the calls that ran so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.runs.lock().clone()
+    }
+
+    /// Delays every answer; the call runs at once.
+    pub fn set_delay(&self, delay: Duration) {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.shared.delay_us.store(micros, Ordering::SeqCst);
+    }
+
+    /// Runs calls and then answers with a cut body while `lose`.
+    pub fn set_lose_answers(&self, lose: bool) {
+        self.shared.lose_answers.store(lose, Ordering::SeqCst);
+    }
+}
+
+struct Api(Arc<Shared>);
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(&self, request: Request) -> Response {
+        if request.uri().path() == "/load" {
+            let report = serde_json::json!({
+                "load": 0, "slots": 64, "leaving": false, "loaded": [],
+            });
+            return server::json(StatusCode::OK, &report);
+        }
+        let run = Run {
+            request: header(request.headers(), "x-request-id").unwrap_or_default().into(),
+            key: header(request.headers(), "idempotency-key").map(Into::into),
+            method: request.method().as_str().into(),
+            path: request.uri().path().into(),
+        };
+        let is_read = request.method() == Method::GET;
+        let _ = http::body(request).await;
+        self.0.runs.lock().push(run.clone());
+        tokio::time::sleep(Duration::from_micros(self.0.delay_us.load(Ordering::SeqCst))).await;
+        if self.0.lose_answers.load(Ordering::SeqCst) {
+            return Response::new(body::broken("the connection was cut"));
+        }
+        let state = if is_read { "found" } else { "accepted" };
+        let answer = serde_json::json!({ "state": state, "request": &*run.request });
+        let mut response = server::json(StatusCode::OK, &answer);
+        if let Ok(value) = HeaderValue::from_str(&run.request) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-standin/src/store/faults.rs
@@ -0,0 +1,85 @@
+//! Faults of the stand-in store.
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// It is answered.
+    Answer,
+    /// It is refused and has no effect.
+    Refuse,
+    /// It takes effect and the answer is lost.
+    LoseAnswer,
+}
+
+/// Faults that can be switched on while the store runs.
+#[derive(Debug, Default)]
+pub struct Faults {
+    down: AtomicBool,
+    watch_silent: AtomicBool,
+    delay_us: AtomicU64,
+    lose_answers: AtomicU32,
+    calls: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl Faults {
+    /// Refuses every call while `down`.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Sends nothing more on open watches while `silent`.
+    pub fn set_watch_silent(&self, silent: bool) {
+        self.watch_silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// Delays every answer.
+    pub fn set_delay(&self, delay: Duration) {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.delay_us.store(micros, Ordering::SeqCst);
+    }
+
+    /// Loses the answers to the next `count` transactions after they took effect.
+    pub fn lose_answers(&self, count: u32) {
+        self.lose_answers.store(count, Ordering::SeqCst);
+    }
+
+    /// Returns the number of calls so far, each opened watch counting as one.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of transactions so far.
+    pub fn writes(&self) -> u64 {
+        self.writes.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn is_watch_silent(&self) -> bool {
+        self.watch_silent.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn delay(&self) -> Duration {
+        Duration::from_micros(self.delay_us.load(Ordering::SeqCst))
+    }
+
+    pub(super) fn next(&self, path: &str) -> Fate {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.down.load(Ordering::SeqCst) {
+            return Fate::Refuse;
+        }
+        if path != "/v3/kv/txn" {
+            return Fate::Answer;
+        }
+        self.writes.fetch_add(1, Ordering::SeqCst);
+        let take = |left: u32| left.checked_sub(1);
+        match self.lose_answers.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take) {
+            Ok(_) => Fate::LoseAnswer,
+            Err(_) => Fate::Answer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-store/src/memory/mod.rs
@@ -0,0 +1,132 @@
+//! Store inside the process, with the same rules as the platform's, for tests and stand-ins.
+
+mod state;
+
+use {
+    crate::{Commit, Entry, Error, Event, LeaseId, Page, Result, Store, Txn, Watch},
+    async_trait::async_trait,
+    futures::StreamExt,
+    hawthornmount_core::{
+        clock::{self, Clock},
+        id::Revision,
+    },
+    parking_lot::Mutex,
+    state::State,
+    std::{sync::Arc, time::Duration},
+    tokio::sync::broadcast,
+};
+
+/// Changes that a slow watch may lag behind before it breaks.
+const WATCH_BACKLOG: usize = 4_096;
+
+/// Store inside the process.
+pub struct Memory {
+    state: Mutex<State>,
+    events: broadcast::Sender<Event>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Memory {
+    /// Creates an empty store on the system's clock.
+    pub fn new() -> Self {
+        Self::with_clock(Arc::new(clock::System))
+    }
+
+    /// Creates an empty store on another clock.
+    pub fn with_clock(clock: Arc<dyn Clock>) -> Self {
+        let (events, _) = broadcast::channel(WATCH_BACKLOG);
+        Self { state: Mutex::new(State::default()), events, clock }
+    }
+
+    /// Forgets the changes before `revision`, so that watches from there fail.
+    pub fn compact(&self, revision: Revision) {
+        self.state.lock().compact(revision);
+    }
+
+    /// Returns the present revision.
+    pub fn revision(&self) -> Revision {
+        self.state.lock().revision()
+    }
+
+    fn with_state<T>(&self, action: impl FnOnce(&mut State, &mut Vec<Event>) -> T) -> T {
+        let mut events = Vec::new();
+        let mut state = self.state.lock();
+        state.expire(self.clock.now(), &mut events);
+        let result = action(&mut state, &mut events);
+        for event in events {
+            let _ = self.events.send(event);
+        }
+        result
+    }
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[async_trait]
+impl Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        Ok(self.with_state(|state, _| state.get(key)))
+    }
+
+    async fn list(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page> {
+        Ok(self.with_state(|state, _| state.list(prefix, after, limit)))
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit> {
+        self.with_state(|state, events| state.commit(&txn, events))
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
+        let now = self.clock.now();
+        Ok(self.with_state(|state, _| state.grant(now, ttl)))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Duration> {
+        let now = self.clock.now();
+        Ok(self.with_state(|state, _| state.keep_alive(now, lease)))
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        self.with_state(|state, events| state.revoke(lease, events));
+        Ok(())
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch> {
+        let (past, receiver) = {
+            let state = self.state.lock();
+            (state.since(prefix, from)?, self.events.subscribe())
+        };
+        let prefix: Arc<str> = prefix.into();
+        let past = futures::stream::iter(past.into_iter().map(Ok));
+        let live = futures::stream::unfold((receiver, prefix), |(mut receiver, prefix)| async {
+            loop {
+                match receiver.recv().await {
+                    Ok(event) if event.is_under(&prefix) => {
+                        return Some((Ok(event), (receiver, prefix)));
+                    }
+                    Ok(_) => {}
+                    Err(broadcast::error::RecvError::Closed) => return None,
+                    Err(broadcast::error::RecvError::Lagged(_)) => {
+                        let cause = "the watch fell behind".into();
+                        return Some((Err(Error::Lost { cause }), (receiver, prefix)));
+                    }
+                }
+            }
+        });
+        Ok(past.chain(live).boxed())
+    }
+}
+
+impl Event {
+    fn is_under(&self, prefix: &str) -> bool {
+        match self {
+            Self::Put(entry) => entry.key.starts_with(prefix),
+            Self::Delete { key, .. } => key.starts_with(prefix),
+            Self::Progress(_) => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,104 @@
+//! `demo`: runs the whole product on loopback.
+
+use {
+    super::{Error, Result, asks_help, refuse_rest},
+    hawthornmount_demo::{check, load, report::Report, world::World},
+    pico_args::Arguments,
+    std::{
+        io::{IsTerminal, Write},
+        process::ExitCode,
+    },
+};
+
+const HELP: &str = "\
+Usage: hawthornmount demo [OPTIONS]
+
+Starts stand-ins of the platform and of backend servers, and entry instances in two data
+centres; publishes the example folder, sends a mixed load and checks what came of it.
+
+Options:
+  --requests N  Requests to send [default: 600]
+  --seed N      Seed of the load [default: 1]
+  --json        Print one JSON object
+  --keep        Leave everything up and print curl lines
+  -h, --help    Show help
+
+Example:
+  hawthornmount demo --keep
+";
+
+/// Requests that are sent.
+const DEFAULT_REQUESTS: usize = 600;
+/// Seed of the load.
+const DEFAULT_SEED: u64 = 1;
+
+struct Options {
+    requests: usize,
+    seed: u64,
+    json: bool,
+    keep: bool,
+}
+
+/// Runs the subcommand.
+pub fn execute(mut arguments: Arguments) -> Result<ExitCode> {
+    if asks_help(&mut arguments, HELP) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let requests = arguments.opt_value_from_str("--requests").map_err(Error::usage)?;
+    let seed = arguments.opt_value_from_str("--seed").map_err(Error::usage)?;
+    let options = Options {
+        requests: requests.unwrap_or(DEFAULT_REQUESTS),
+        seed: seed.unwrap_or(DEFAULT_SEED),
+        json: arguments.contains("--json"),
+        keep: arguments.contains("--keep"),
+    };
+    refuse_rest(arguments, &["--requests", "--seed", "--json", "--keep", "--help"])?;
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::failed("no runtime can be started"))?
+        .block_on(demo(&options))
+}
+
+async fn demo(options: &Options) -> Result<ExitCode> {
+    let world = World::start().await.map_err(Error::failed("the demo can't start"))?;
+    let done = load::run(&world.callers(), options.requests, options.seed, progress(options)).await;
+    let checks = check::all(&world, &done).await;
+    let report = Report::new(&world, &done, checks).await;
+    if options.json {
+        let text = serde_json::to_string(&report)
+            .map_err(Error::failed("the report can't be written as JSON"))?;
+        println!("{text}");
+    } else {
+        print!("{report}");
+    }
+    if options.keep {
+        keep(&world).await;
+    }
+    Ok(if report.passes() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Returns what shows the progress where standard error is a terminal.
+fn progress(options: &Options) -> impl FnMut(usize) + use<> {
+    let total = options.requests;
+    let shows = std::io::stderr().is_terminal();
+    move |ended| {
+        if shows {
+            let end = if ended == total { "\n" } else { "" };
+            eprint!("\r{ended} of {total} requests{end}");
+            let _ = std::io::stderr().flush();
+        }
+    }
+}
+
+async fn keep(world: &World) {
+    let callers = world.callers()[0];
+    let operators = world.instances[0].operators();
+    println!(
+        "\ncurl -s http://{callers}/v1/models -H 'Authorization: Bearer demo-municipal'\n\
+         curl -sN http://{callers}/v1/chat/completions -H 'Authorization: Bearer demo-municipal' \
+         -d '{{\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}],\"stream\":true}}'\n\
+         curl -s http://{operators}/status\n\nPress Ctrl-C to stop."
+    );
+    let _ = tokio::signal::ctrl_c().await;
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,93 @@
+//! Subcommands, one file each, and what they share.
+
+mod admin;
+mod config;
+mod demo;
+mod error;
+mod explain;
+mod serve;
+mod status;
+mod usage;
+
+pub use error::{Error, Result};
+
+use {pico_args::Arguments, std::process::ExitCode};
+
+/// A subcommand.
+struct Command {
+    name: &'static str,
+    summary: &'static str,
+    execute: fn(Arguments) -> Result<ExitCode>,
+}
+
+const COMMANDS: &[Command] = &[
+    Command { name: "demo", summary: "Run the whole product on loopback", execute: demo::execute },
+    Command { name: "serve", summary: "Run an entry instance", execute: serve::execute },
+    Command { name: "config", summary: "Check and apply configuration", execute: config::execute },
+    Command { name: "status", summary: "Show the state of the fleet", execute: status::execute },
+    Command { name: "explain", summary: "Explain one request", execute: explain::execute },
+    Command { name: "usage", summary: "Sum the usage of an account", execute: usage::execute },
+];
+
+/// Exit code of a wrong command line or of wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Runs the subcommand that the arguments name.
+pub fn run(mut arguments: Arguments) -> ExitCode {
+    if arguments.contains("--version") {
+        println!("hawthornmount {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match dispatch(arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("hawthornmount: {}", error::chain(&error));
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn dispatch(mut arguments: Arguments) -> Result<ExitCode> {
+    let name = arguments.subcommand().map_err(Error::usage)?;
+    let Some(name) = name else {
+        if arguments.contains(["-h", "--help"]) {
+            print!("{}", help());
+            return Ok(ExitCode::SUCCESS);
+        }
+        return Err(Error::Usage { message: "no subcommand: see `hawthornmount --help`".into() });
+    };
+    match COMMANDS.iter().find(|command| command.name == name) {
+        Some(command) => (command.execute)(arguments),
+        None => {
+            let names: Vec<&str> = COMMANDS.iter().map(|command| command.name).collect();
+            Err(Error::unknown("subcommand", &name, &names))
+        }
+    }
+}
+
+fn help() -> String {
+    let mut text = "Usage: hawthornmount SUBCOMMAND [OPTIONS]\n\nSubcommands:\n".to_owned();
+    for command in COMMANDS {
+        text.push_str(&format!("  {:<9} {}\n", command.name, command.summary));
+    }
+    text.push_str("\nOptions:\n  -h, --help  Show help\n  --version   Show the version\n");
+    text.push_str("\nExamples:\n  hawthornmount demo\n  hawthornmount serve --settings FILE\n");
+    text
+}
+
+/// Prints `help` and returns true if the arguments ask for it.
+fn asks_help(arguments: &mut Arguments, help: &str) -> bool {
+    let asked = arguments.contains(["-h", "--help"]);
+    if asked {
+        print!("{help}");
+    }
+    asked
+}
+
+/// Refuses what is left of the arguments, naming the nearest of `flags`.
+fn refuse_rest(arguments: Arguments, flags: &[&str]) -> Result<()> {
+    match arguments.finish().first() {
+        None => Ok(()),
+        Some(rest) => Err(Error::unknown("argument", &rest.to_string_lossy(), flags)),
+    }
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,72 @@
+//! `serve`: runs an entry instance until it is told to stop.
+
+use {
+    super::{EXIT_USAGE, Error, Result, asks_help, error, refuse_rest},
+    hawthornmount_core::settings::Settings,
+    hawthornmount_entry::Instance,
+    pico_args::Arguments,
+    simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
+    std::{path::PathBuf, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const HELP: &str = "\
+Usage: hawthornmount serve --settings FILE
+
+Runs an entry instance. SIGTERM and SIGINT stop it gracefully.
+
+Options:
+  --settings FILE  Settings in JSON with comments
+  -h, --help       Show help
+
+Example:
+  hawthornmount serve --settings examples/settings.jsonc
+";
+
+/// Runs the subcommand.
+pub fn execute(mut arguments: Arguments) -> Result<ExitCode> {
+    if asks_help(&mut arguments, HELP) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let file: PathBuf = arguments.value_from_str("--settings").map_err(Error::usage)?;
+    refuse_rest(arguments, &["--settings", "--help"])?;
+    let settings = match Settings::read(&file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("hawthornmount: settings {}: {}", file.display(), error::chain(&error));
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
+    start_log(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::failed("the main thread can't start its runtime"))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<ExitCode> {
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(Error::failed("SIGTERM can't be watched"))?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).map_err(Error::failed("SIGINT can't be watched"))?;
+    let instance = Instance::start(settings).map_err(Error::failed("the instance can't start"))?;
+    log::info!("started; callers={} operators={}", instance.callers(), instance.operators());
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("stopping");
+    let stopped = instance.stop().await;
+    log::info!("stopped; cut={}", stopped.cut);
+    Ok(if stopped.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn start_log(level: &str) -> Result<()> {
+    let level: LevelFilter = level.parse().map_err(|_| Error::Usage {
+        message: format!("log level `{level}`: use error, warn, info, debug or trace").into(),
+    })?;
+    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+    WriteLogger::init(level, config, std::io::stderr())
+        .map_err(Error::failed("the log can't be started"))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,9 @@
 //! Command line of hawthornmount.
-fn main() {}
+
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cmd::run(pico_args::Arguments::from_env())
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,5 @@
-//! End-to-end tests.
+//! End-to-end tests: real instances over loopback against the stand-ins.
+
+mod command_line;
+mod demo;
+mod stream;
