Keep claims and sessions in sharded segment logs and usage in numbered batches

Cause: the ledger wrote one key for each record and one transaction for each write, had no expiry, and could not carry usage over a store outage.

Change: claims and pins go to hashed shards. A shard is a log of segments on the store; a segment is created only if its number is free and the index has not changed, so of two writers one reads the other's and decides again. Lost answers are read back by attempt id, attempts answered with an error are voided, old segments are compacted into parts that expire with the retention. A shard's owner batches for all instances; any instance writes itself when the owner gives no answer. Usage goes in batches numbered within one life of an instance, waits in memory with copies at two peers during an outage, and is folded into sums. A new filter refuses with usage_backlog before a request runs.

Throughput is not measured yet.

Conclusion: the ledger is in place of the direct one, which stays as the baseline.

--- a/crates/hawthornmount-entry/src/filter/claim.rs
+++ b/crates/hawthornmount-entry/src/filter/claim.rs
@@ -14,7 +14,10 @@
     },
     hawthornmount_http::StatusCode,
     hawthornmount_ledger::{self as ledger, Claimed, Ledger, Outcome, Ticket},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
 };
 
 /// Largest body that is kept for a repeated call, in bytes.
@@ -22,6 +25,9 @@
 /// When a caller should ask again for a call that still runs.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after its deadline in which an attempt still records how it ended.
+const END_MARGIN: Duration = Duration::from_secs(5);
+
 pub struct Claim {
     ledger: Arc<dyn Ledger>,
 }
@@ -51,6 +57,7 @@
             key: key.into(),
             attempt: exchange.id.clone(),
             digest: digest(call, &exchange.body),
+            until_ms: until_ms(exchange),
         };
         match self.ledger.claim(claim).await {
             Ok(Claimed::First(ticket)) => {
@@ -85,6 +92,13 @@
     }
 }
 
+/// Returns when the attempt has ended at the latest, in milliseconds since the epoch.
+fn until_ms(exchange: &Exchange) -> u64 {
+    let left = exchange.time_left().unwrap_or_default() + END_MARGIN;
+    let until = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default() + left;
+    u64::try_from(until.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn without_key(exchange: &Exchange, call: &ServiceCall) -> Result<(), Problem> {
     let config = &exchange.snapshot.config;
     let by_service = config.services.get(&call.service).is_some_and(|one| one.require_key);
--- a/crates/hawthornmount-entry/src/filter/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/mod.rs
@@ -8,6 +8,7 @@
 mod identify;
 mod pin;
 mod rate;
+mod room;
 mod send;
 
 use {
@@ -54,7 +55,7 @@
     async fn finish(&self, end: &End) -> Result<(), Problem>;
 }
 
-/// Returns the request path: who asks, what they may use, whether there is room, which version
+/// Returns the request path: who asks, what they may use, whether there is room for it and its usage record, which version
 /// the session keeps, whether the call is the first of its key, where it goes, and what is left
 /// to do when the answer is whole.
 pub fn path(parts: &Arc<Parts>) -> Vec<Box<dyn Filter>> {
@@ -62,6 +63,7 @@
         Box::new(identify::Identify),
         Box::new(allow::Allow),
         Box::new(admit::Admit::new(parts)),
+        Box::new(room::Room::new(parts)),
         Box::new(pin::Pin::new(parts)),
         Box::new(claim::Claim::new(parts)),
         Box::new(choose::Choose::new(parts)),
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -13,7 +13,7 @@
     },
     hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
-    hawthornmount_ledger::{Ledger, direct::Direct},
+    hawthornmount_ledger::{Ledger, Product, log::Options},
     hawthornmount_policy::{Router, basic::Basic},
     hawthornmount_rollout::{Judge, quiet::Quiet},
     hawthornmount_store::{Store, etcd::Etcd},
@@ -63,6 +63,7 @@
     settings: Settings,
     store: Option<Arc<dyn Store>>,
     ledger: Option<Arc<dyn Ledger>>,
+    fleet: Option<Arc<dyn Fleet>>,
     router: Option<Arc<dyn Router>>,
     judge: Option<Arc<dyn Judge>>,
 }
@@ -70,7 +71,7 @@
 impl Builder {
     /// Creates a builder for an instance with `settings`.
     pub const fn new(settings: Settings) -> Self {
-        Self { settings, store: None, ledger: None, router: None, judge: None }
+        Self { settings, store: None, ledger: None, fleet: None, router: None, judge: None }
     }
 
     /// Sets another store.
@@ -87,6 +88,13 @@
         self
     }
 
+    /// Sets another fleet.
+    #[must_use]
+    pub fn fleet(mut self, fleet: Arc<dyn Fleet>) -> Self {
+        self.fleet = Some(fleet);
+        self
+    }
+
     /// Sets another router.
     #[must_use]
     pub fn router(mut self, router: Arc<dyn Router>) -> Self {
@@ -105,17 +113,21 @@
     pub fn build(self) -> Parts {
         let settings = self.settings;
         let store = self.store.unwrap_or_else(|| Arc::new(Etcd::new(settings.store.clone())));
-        let ledger = self.ledger.unwrap_or_else(|| Arc::new(Direct::new(store.clone())));
+        let clock: Arc<dyn Clock> = Arc::new(clock::System);
+        let fleet = self.fleet.unwrap_or_else(|| Arc::new(Local::new(member(&settings))));
+        let ledger = self
+            .ledger
+            .unwrap_or_else(|| Arc::new(Product::new(&store, &fleet, &clock, Options::default())));
         let rater: Arc<dyn Rater> = match settings.rating {
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
         };
         Parts {
-            clock: Arc::new(clock::System),
+            clock,
             metrics: Metrics::new(),
             cell: Cell::new(),
             client: Client::new(),
-            fleet: Arc::new(Local::new(member(&settings))),
+            fleet,
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
             rater,
--- /dev/null
+++ b/crates/hawthornmount-ledger/src/billing/tests.rs
@@ -0,0 +1,131 @@
+use {
+    super::{Billing, RETRY_PAUSE},
+    crate::{
+        Error,
+        fakes::{Flaky, Mesh, usage},
+    },
+    hawthornmount_store::{Store, memory::Memory},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+};
+
+const DELAY: Duration = Duration::from_millis(2);
+const BOUND: Duration = Duration::from_secs(30);
+
+struct Rig {
+    mesh: Arc<Mesh>,
+    stores: Vec<Arc<Flaky>>,
+    billings: Vec<Arc<Billing>>,
+}
+
+fn rig(max_waiting: usize) -> Rig {
+    let mesh = Arc::new(Mesh::default());
+    let memory = Arc::new(Memory::new());
+    let mut rig = Rig { mesh: mesh.clone(), stores: Vec::new(), billings: Vec::new() };
+    for name in ["attica-1", "crete-1", "macedonia-1"] {
+        let flaky = Flaky::new(&memory, DELAY);
+        let store: Arc<dyn Store> = flaky.clone();
+        rig.stores.push(flaky);
+        rig.billings.push(Billing::new(store, mesh.join(name, name), max_waiting));
+    }
+    rig
+}
+
+impl Rig {
+    fn set_down(&self, down: bool) {
+        for store in &self.stores {
+            store.faults.down.store(down, Ordering::SeqCst);
+        }
+    }
+
+    async fn requests(&self) -> u64 {
+        self.billings[2].total("oikos").await.expect("a total").requests
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_of_all_instances_are_summed_once() {
+    let rig = rig(100);
+    for number in 0..400 {
+        let billing = &rig.billings[number % 3];
+        let record = usage(&format!("r{number}"), "oikos");
+        billing.record(record.clone()).await.expect("durable");
+        billing.record(record).await.expect("counted already");
+    }
+    let total = rig.billings[0].total("oikos").await.expect("a total");
+    assert_eq!((total.requests, total.billed, total.cost), (400, 2_800, 3_600));
+    assert_eq!(rig.billings[0].total("vitrine").await.expect("a total").requests, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_bills_once() {
+    let rig = rig(100);
+    rig.stores[0].faults.lose.store(1, Ordering::SeqCst);
+    rig.billings[0].record(usage("a", "oikos")).await.expect("copied");
+    rig.billings[0].record(usage("b", "oikos")).await.expect("durable");
+    rig.billings[0].flush(BOUND).await.expect("flushed");
+    assert_eq!(rig.requests().await, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_carried_and_bills_once() {
+    let rig = rig(100);
+    rig.set_down(true);
+    for number in 0..10 {
+        rig.billings[0].record(usage(&format!("r{number}"), "oikos")).await.expect("copied");
+    }
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    rig.set_down(false);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    rig.billings[0].flush(BOUND).await.expect("flushed");
+    assert_eq!(rig.requests().await, 10);
+}
+
+#[tokio::test(start_paused = true)]
+async fn peers_write_the_records_of_an_instance_that_died() {
+    let rig = rig(100);
+    rig.set_down(true);
+    rig.billings[0].record(usage("a", "oikos")).await.expect("copied");
+    rig.mesh.cut("attica-1", true);
+    for store in &rig.stores[1..] {
+        store.faults.down.store(false, Ordering::SeqCst);
+    }
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(rig.requests().await, 1);
+    rig.stores[0].faults.down.store(false, Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(rig.requests().await, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_bound_refuses_with_a_reason() {
+    let rig = rig(10);
+    rig.set_down(true);
+    for number in 0..9 {
+        rig.billings[0].record(usage(&format!("r{number}"), "oikos")).await.expect("copied");
+    }
+    let full = rig.billings[0].check_room();
+    assert!(matches!(full, Err(Error::Backlog { .. })), "{full:?}");
+    rig.billings[0].record(usage("last", "oikos")).await.expect("copied");
+    let refused = rig.billings[0].record(usage("more", "oikos")).await;
+    assert!(matches!(refused, Err(Error::Backlog { waiting: 10 })), "{refused:?}");
+    rig.set_down(false);
+    tokio::time::sleep(RETRY_PAUSE * 4).await;
+    rig.billings[0].record(usage("after", "oikos")).await.expect("durable");
+    assert_eq!(rig.requests().await, 11);
+}
+
+#[tokio::test(start_paused = true)]
+async fn cut_off_from_store_and_peers_it_refuses_and_bills_no_one() {
+    let rig = rig(100);
+    rig.set_down(true);
+    rig.mesh.cut("attica-1", true);
+    let refused = rig.billings[0].record(usage("a", "oikos")).await;
+    assert!(matches!(refused, Err(Error::Unavailable { .. })), "{refused:?}");
+    rig.set_down(false);
+    rig.billings[0].flush(BOUND).await.expect("flushed");
+    let total = rig.billings[0].total("oikos").await.expect("a total");
+    assert_eq!((total.billed, total.cost), (0, 9));
+}
--- a/crates/hawthornmount-ledger/src/claim/mod.rs
+++ b/crates/hawthornmount-ledger/src/claim/mod.rs
@@ -17,10 +17,12 @@
     pub attempt: RequestId,
     /// BLAKE3 hash, in hexadecimal, of method, path and body.
     pub digest: Arc<str>,
+    /// Milliseconds since the epoch after which the attempt no longer runs.
+    pub until_ms: u64,
 }
 
 /// Answer to a [`Claim`].
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Claimed {
     /// This attempt is the first and may run.
     First(Ticket),
@@ -41,7 +43,7 @@
 }
 
 /// Right to run a claimed call, and to say how it ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ticket {
     /// The claim that won.
     pub claim: Claim,
--- a/crates/hawthornmount-ledger/src/lib.rs
+++ b/crates/hawthornmount-ledger/src/lib.rs
@@ -1,13 +1,20 @@
 //! Claims of non-idempotent calls, usage records and session pins, kept on the platform's
 //! key-value service so that each holds whichever instance asks.
 
+pub mod billing;
 pub mod claim;
 pub mod direct;
+pub mod log;
 pub mod session;
 pub mod usage;
 
+#[cfg(test)]
+mod fakes;
+mod product;
+
 pub use {
     claim::{Claim, Claimed, Outcome, Ticket},
+    product::Product,
     session::Pin,
     usage::{Total, Usage},
 };
@@ -16,11 +23,12 @@
     async_trait::async_trait,
     derive_more::{Display, Error},
     hawthornmount_core::id::{AccountId, SessionId},
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
 /// Why the ledger can't answer.
-#[derive(Clone, Debug, Display, Error)]
+#[derive(Clone, Debug, Deserialize, Display, Error, PartialEq, Serialize)]
 pub enum Error {
     /// The store is out of reach and nothing was written.
     #[display("the store is out of reach, try again later; cause={cause}")]
@@ -42,6 +50,20 @@
     },
 }
 
+impl Error {
+    fn unavailable(cause: &str) -> Self {
+        Self::Unavailable { cause: cause.into() }
+    }
+
+    fn unknown(cause: &str) -> Self {
+        Self::Unknown { cause: cause.into() }
+    }
+
+    fn form(cause: &str) -> Self {
+        Self::unknown(&format!("a record of the ledger is of another form: {cause}"))
+    }
+}
+
 /// First-writer-wins records that every instance agrees on.
 #[async_trait]
 pub trait Ledger: Send + Sync {
@@ -66,6 +88,15 @@
     /// Returns an error if the record is neither durable nor copied to peers.
     async fn record(&self, usage: Usage) -> Result<(), Error>;
 
+    /// Checks, before a request runs, that its usage record will find room.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if too many records wait for the store.
+    fn check_room(&self) -> Result<(), Error> {
+        Ok(())
+    }
+
     /// Pins a session to a version and returns the pin that holds, which may be an earlier one.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/hawthornmount-ledger/src/log/mod.rs
@@ -0,0 +1,223 @@
+//! Claims and session pins in hashed shards, each a log of segments on the store.
+//!
+//! The owner of a shard, by rendezvous hashing over the live members, batches the wishes of all
+//! instances. It is only a choice that saves writes: any instance may write at any time, and the
+//! store decides whose segment stands.
+
+mod journal;
+mod options;
+pub(crate) mod record;
+mod shard;
+mod state;
+
+#[cfg(test)]
+mod tests;
+
+pub use options::{Mutation, Options};
+
+use {
+    crate::{Claim, Claimed, Error, Outcome, Pin, Ticket},
+    async_trait::async_trait,
+    bytes::Bytes,
+    hawthornmount_core::{
+        clock::Clock,
+        id::{AccountId, InstanceId, SessionId},
+        snapshot::Liveness,
+    },
+    hawthornmount_fleet::{Fleet, Message, Responder, Topic},
+    hawthornmount_store::Store,
+    journal::Journal,
+    record::{Answer, Reply, Settle, Wish, decode, encode},
+    shard::Shard,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Pause between looks at what still waits.
+const FLUSH_PAUSE: Duration = Duration::from_millis(10);
+
+/// Claims and session pins.
+pub struct Log {
+    shards: Arc<[Arc<Shard>]>,
+    fleet: Arc<dyn Fleet>,
+    options: Options,
+}
+
+impl Log {
+    /// Creates the log on a store and answers for the shards that peers think this instance owns.
+    pub fn new(
+        store: &Arc<dyn Store>,
+        fleet: Arc<dyn Fleet>,
+        clock: &Arc<dyn Clock>,
+        options: Options,
+    ) -> Self {
+        let shard = |number| {
+            let journal = Journal::new(store.clone(), options, number);
+            Shard::new(journal, clock.clone(), options)
+        };
+        let shards: Arc<[Arc<Shard>]> = (0..options.shards.max(1)).map(shard).collect();
+        fleet.respond_with(Topic::Claim, Arc::new(Owner { shards: shards.clone() }));
+        Self { shards, fleet, options }
+    }
+
+    /// Claims the only run of a non-idempotent call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the claim is not known to be the first; it never holds its key then.
+    pub async fn claim(&self, claim: Claim) -> Result<Claimed, Error> {
+        match self.grant(Wish::Claim(claim.clone())).await {
+            Ok(Reply::Claimed(claimed)) => Ok(claimed),
+            Ok(_) => Err(Error::form("not an answer to a claim")),
+            Err(error) => {
+                if matches!(error, Error::Unknown { .. }) {
+                    self.shard_of(&Wish::Claim(claim.clone())).1.give_up(&claim);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Records how a claimed call ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is not known to be durable.
+    pub async fn settle(&self, ticket: &Ticket, outcome: Outcome) -> Result<(), Error> {
+        let claim = &ticket.claim;
+        let settle = Settle {
+            account: claim.account.clone(),
+            key: claim.key.clone(),
+            attempt: claim.attempt.clone(),
+            outcome,
+        };
+        let is_unrun = settle.outcome == Outcome::NotRun;
+        let settled = self.grant(Wish::Settle(settle)).await;
+        if settled.is_err() && is_unrun {
+            self.shard_of(&Wish::Claim(claim.clone())).1.give_up(claim);
+        }
+        settled.map(|_| ())
+    }
+
+    /// Pins a session and returns the pin that holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is out of reach.
+    pub async fn pin(&self, pin: Pin) -> Result<Pin, Error> {
+        match self.grant(Wish::Pin(pin)).await? {
+            Reply::Pin(Some(pin)) => Ok(pin),
+            _ => Err(Error::form("not an answer to a pin")),
+        }
+    }
+
+    /// Returns the pin of a session.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is out of reach.
+    pub async fn pinned(
+        &self,
+        account: &AccountId,
+        session: &SessionId,
+    ) -> Result<Option<Pin>, Error> {
+        let wish = Wish::Pinned { account: account.clone(), session: session.clone() };
+        match self.grant(wish).await? {
+            Reply::Pin(pin) => Ok(pin),
+            _ => Err(Error::form("not an answer to the question for a pin")),
+        }
+    }
+
+    /// Waits until nothing waits any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if records still wait after `bound`.
+    pub async fn flush(&self, bound: Duration) -> Result<(), Error> {
+        let ends = tokio::time::Instant::now() + bound;
+        loop {
+            let waiting: usize = self.shards.iter().map(|shard| shard.waiting()).sum();
+            if waiting == 0 {
+                return Ok(());
+            }
+            if tokio::time::Instant::now() >= ends {
+                return Err(Error::Backlog { waiting });
+            }
+            tokio::time::sleep(FLUSH_PAUSE).await;
+        }
+    }
+
+    /// Asks the shard's owner, and writes itself if the owner gives no answer in time.
+    async fn grant(&self, wish: Wish) -> Answer {
+        let (number, shard) = self.shard_of(&wish);
+        let owner = self.owner(number);
+        if owner == self.fleet.local() {
+            return shard.grant(wish).await;
+        }
+        let asked = Request { shard: number, wish: wish.clone() };
+        match self.ask(&owner, &asked).await {
+            Some(Ok(reply)) => Ok(reply),
+            Some(Err(_)) | None => match shard.grant(wish).await {
+                Err(Error::Unavailable { cause }) => Err(Error::Unknown { cause }),
+                answer => answer,
+            },
+        }
+    }
+
+    async fn ask(&self, owner: &InstanceId, request: &Request) -> Option<Answer> {
+        let payload = encode(request).ok()?.into();
+        let asked = self.fleet.ask(owner, Topic::Claim, payload);
+        let answer = tokio::time::timeout(self.options.forward_timeout, asked).await.ok()?.ok()?;
+        decode(&answer).ok()
+    }
+
+    fn shard_of(&self, wish: &Wish) -> (u32, &Arc<Shard>) {
+        let count = u64::try_from(self.shards.len()).unwrap_or(1);
+        let number = hash(wish.subject().as_bytes()) % count;
+        let at = usize::try_from(number).unwrap_or(0);
+        (u32::try_from(number).unwrap_or(0), &self.shards[at])
+    }
+
+    /// Returns the live member with the highest hash for a shard.
+    fn owner(&self, shard: u32) -> InstanceId {
+        let members = self.fleet.members();
+        let weight = |id: &InstanceId| hash(format!("{shard}/{id}").as_bytes());
+        let live = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        live.map(|member| member.id.clone())
+            .max_by_key(weight)
+            .unwrap_or_else(|| self.fleet.local())
+    }
+}
+
+/// A wish on its way to the shard's owner.
+#[derive(serde::Deserialize, serde::Serialize)]
+struct Request {
+    shard: u32,
+    wish: Wish,
+}
+
+/// Answers the wishes of peers.
+struct Owner {
+    shards: Arc<[Arc<Shard>]>,
+}
+
+#[async_trait]
+impl Responder for Owner {
+    async fn respond(&self, message: Message) -> Bytes {
+        let answer = match decode::<Request>(&message.payload) {
+            Ok(request) => match self.shards.get(request.shard as usize) {
+                Some(shard) => shard.grant(request.wish).await,
+                None => Err(Error::form("no such shard")),
+            },
+            Err(error) => Err(error),
+        };
+        encode(&answer).unwrap_or_default().into()
+    }
+}
+
+/// Returns the first bytes of a BLAKE3 hash as a number.
+fn hash(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
+    let mut number = [0; size_of::<u64>()];
+    number.copy_from_slice(&hash.as_bytes()[..size_of::<u64>()]);
+    u64::from_le_bytes(number)
+}
--- a/crates/hawthornmount-ledger/src/usage/mod.rs
+++ b/crates/hawthornmount-ledger/src/usage/mod.rs
@@ -55,4 +55,13 @@
         self.billed += usage.billed;
         self.cost += usage.cost;
     }
+
+    /// Adds another sum.
+    pub const fn merge(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.prompt_tokens += other.prompt_tokens;
+        self.completion_tokens += other.completion_tokens;
+        self.billed += other.billed;
+        self.cost += other.cost;
+    }
 }
