List every problem of the settings at once

Cause: serde stops at the first problem, so an operator mended settings one run at a time. Change: reading goes on after a problem with an example value in its place; value checks follow; each problem has path, what and remedy, one a line, exit 2.

--- /dev/null
+++ b/crates/hawthornmount-core/src/settings/check.rs
@@ -0,0 +1,78 @@
+//! Checks of the settings' values against each other and against their ranges.
+
+use {
+    super::{Problem, Settings},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Fewest characters of the fleet's key.
+const MIN_KEY_CHARS: usize = 16;
+/// Longest wait for requests in flight when the instance stops.
+const MAX_DRAIN: Duration = Duration::from_secs(600);
+/// Most threads for traffic.
+const MAX_THREADS: usize = 1_024;
+/// Levels of the log.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// Returns everything that is wrong.
+pub fn check(settings: &Settings) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    check_names(settings, &mut problems);
+    check_addresses(settings, &mut problems);
+    check_ranges(settings, &mut problems);
+    problems
+}
+
+fn check_names(settings: &Settings, problems: &mut Vec<Problem>) {
+    let names = [
+        ("instance", &settings.instance),
+        ("data_centre", &settings.data_centre),
+        ("region", &settings.region),
+    ];
+    for (path, name) in names {
+        if name.trim().is_empty() {
+            problems.push(problem(path, "is empty", "give it a name"));
+        }
+    }
+}
+
+fn check_addresses(settings: &Settings, problems: &mut Vec<Problem>) {
+    if settings.store.is_empty() {
+        problems.push(problem("store", "is empty", "give an address of the store"));
+    }
+    let own = [("listen", settings.listen), ("admin", settings.admin), ("fleet", settings.fleet)];
+    for (at, (path, address)) in own.iter().enumerate() {
+        if let Some((other, _)) = own[..at].iter().find(|(_, other)| clash(*other, *address)) {
+            let what = format!("is the same address as {other}");
+            problems.push(problem(path, &what, "give each its own port"));
+        }
+    }
+}
+
+fn check_ranges(settings: &Settings, problems: &mut Vec<Problem>) {
+    if settings.fleet_key.chars().count() < MIN_KEY_CHARS {
+        let remedy = format!("give at least {MIN_KEY_CHARS} characters");
+        problems.push(problem("fleet_key", "is too short", &remedy));
+    }
+    if settings.traffic_threads == 0 || settings.traffic_threads > MAX_THREADS {
+        let remedy = format!("give 1 to {MAX_THREADS}");
+        problems.push(problem("traffic_threads", "is out of range", &remedy));
+    }
+    if settings.drain > MAX_DRAIN {
+        let remedy = format!("give at most {}", MAX_DRAIN.as_millis());
+        problems.push(problem("drain_ms", "is too long", &remedy));
+    }
+    if !LEVELS.contains(&&*settings.log) {
+        let remedy = format!("use {}", LEVELS.join(", "));
+        problems.push(problem("log", "is not a level", &remedy));
+    }
+}
+
+/// Tells whether two addresses can't be listened on at once; port 0 means any free port.
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    a == b && a.port() != 0
+}
+
+fn problem(path: &str, what: &str, remedy: &str) -> Problem {
+    Problem { path: path.into(), what: what.into(), remedy: remedy.into() }
+}
--- /dev/null
+++ b/crates/hawthornmount-core/src/settings/form.rs
@@ -0,0 +1,83 @@
+//! Reads settings from JSON and goes on after a problem, so that all of them are listed.
+
+use {
+    super::{Problem, Settings},
+    serde_json::{Map, Value, json},
+};
+
+/// Problems after which the reading gives up.
+const MAX_PROBLEMS: usize = 64;
+
+/// Reads settings. Values with problems are replaced by examples, so that the rest can be read;
+/// the settings are only whole if there are no problems.
+pub fn read(mut value: Value) -> (Option<Settings>, Vec<Problem>) {
+    let mut problems = Vec::new();
+    while problems.len() < MAX_PROBLEMS {
+        let error = match serde_path_to_error::deserialize::<_, Settings>(&value) {
+            Ok(settings) => return (Some(settings), problems),
+            Err(error) => error,
+        };
+        let path = error.path().to_string();
+        let message = error.inner().to_string();
+        let Value::Object(fields) = &mut value else {
+            problems.push(problem(".", &message, "write an object of settings"));
+            break;
+        };
+        problems.push(repair(fields, &path, &message));
+    }
+    (None, problems)
+}
+
+/// Describes a problem and takes it out of the fields.
+fn repair(fields: &mut Map<String, Value>, path: &str, message: &str) -> Problem {
+    if message.starts_with("unknown field") {
+        let name = quoted(message);
+        fields.remove(name);
+        let known = message.split_once("expected one of").map_or("", |(_, known)| known.trim());
+        return problem(name, "unknown setting", &format!("use one of {known}"));
+    }
+    if message.starts_with("missing field") {
+        let name = quoted(message);
+        let example = example(name);
+        let remedy = format!("set it, for example to {example}");
+        fields.insert(name.to_owned(), example);
+        return problem(name, "missing", &remedy);
+    }
+    let name = path.split(['.', '[']).next().unwrap_or(path);
+    let example = example(name);
+    let remedy = format!("write it as in {example}");
+    if example.is_null() {
+        fields.remove(name);
+    } else {
+        fields.insert(name.to_owned(), example);
+    }
+    problem(path, message, &remedy)
+}
+
+/// Returns the first name between backticks.
+fn quoted(message: &str) -> &str {
+    message.split('`').nth(1).unwrap_or_default()
+}
+
+/// Returns a valid value of a setting; null if there is no such setting.
+fn example(name: &str) -> Value {
+    match name {
+        "instance" => json!("attica-a-1"),
+        "data_centre" => json!("attica-a"),
+        "region" => json!("attica"),
+        "listen" => json!("127.0.0.1:8080"),
+        "admin" => json!("127.0.0.1:9100"),
+        "fleet" => json!("127.0.0.1:7100"),
+        "store" => json!(["127.0.0.1:2379"]),
+        "instance_list" | "rating" | "weight_store" => json!("127.0.0.1:8500"),
+        "fleet_key" => json!("at least sixteen characters"),
+        "traffic_threads" => json!(2),
+        "drain_ms" => json!(30_000),
+        "log" => json!("info"),
+        _ => Value::Null,
+    }
+}
+
+fn problem(path: &str, what: &str, remedy: &str) -> Problem {
+    Problem { path: path.into(), what: what.into(), remedy: remedy.into() }
+}
--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -1,5 +1,8 @@
 //! Settings of one entry instance, read from a file of JSON with comments.
 
+mod check;
+mod form;
+
 use {
     crate::id::{DataCentreId, InstanceId, RegionId},
     derive_more::{Display, Error},
@@ -51,6 +54,18 @@
     pub log: Arc<str>,
 }
 
+/// Something wrong in the settings.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("{path}: {what}: {remedy}")]
+pub struct Problem {
+    /// Path of the value.
+    pub path: Arc<str>,
+    /// What is wrong.
+    pub what: Arc<str>,
+    /// What mends it.
+    pub remedy: Arc<str>,
+}
+
 /// Why settings can't be used.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -62,24 +77,21 @@
         /// Cause.
         source: io::Error,
     },
-    /// The file is not JSON with comments, or a key or type is wrong.
-    #[display("{message}: correct the settings file")]
-    Form {
+    /// The file is not JSON with comments.
+    #[display("{message}: mend the syntax")]
+    Syntax {
         /// Message of the parser.
         message: Arc<str>,
     },
-    /// Values contradict each other or are out of range.
-    #[display("{}", problems.join("; "))]
+    /// Keys, types or values are wrong.
+    #[display("{} problems: mend each of them", problems.len())]
     Invalid {
-        /// Each problem as `path: what: remedy`.
+        /// Each problem.
         #[error(not(source))]
-        problems: Vec<String>,
+        problems: Vec<Problem>,
     },
 }
 
-/// Fewest characters of the fleet's key.
-const MIN_KEY_CHARS: usize = 16;
-
 impl Settings {
     /// Reads settings from a file.
     ///
@@ -96,29 +108,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the text is not valid settings.
+    /// Returns an error that lists every problem if the text is not valid settings.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let settings: Self = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|error| Error::Form { message: error.to_string().into() })?;
-        let problems = settings.problems();
-        if problems.is_empty() { Ok(settings) } else { Err(Error::Invalid { problems }) }
-    }
-
-    fn problems(&self) -> Vec<String> {
-        let mut problems = Vec::new();
-        if self.instance.is_empty() {
-            problems.push("instance: is empty: give the instance a name".to_owned());
-        }
-        if self.fleet_key.len() < MIN_KEY_CHARS {
-            problems.push(format!("fleet_key: is too short: give {MIN_KEY_CHARS} characters"));
-        }
-        if self.store.is_empty() {
-            problems.push("store: is empty: give an address of the store".to_owned());
-        }
-        if self.traffic_threads == 0 {
-            problems.push("traffic_threads: is 0: give at least 1".to_owned());
+        let value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|error| Error::Syntax { message: error.to_string().into() })?;
+        let (settings, mut problems) = form::read(value);
+        problems.extend(settings.iter().flat_map(check::check));
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(Error::Invalid { problems }),
         }
-        problems
     }
 }
 
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -2,11 +2,14 @@
 
 use {
     super::{EXIT_USAGE, Error, Result, asks_help, error, refuse_rest},
-    hawthornmount_core::settings::Settings,
+    hawthornmount_core::settings::{self, Settings},
     hawthornmount_entry::Instance,
     pico_args::Arguments,
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
-    std::{path::PathBuf, process::ExitCode},
+    std::{
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -33,7 +36,7 @@
     let settings = match Settings::read(&file) {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("hawthornmount: settings {}: {}", file.display(), error::chain(&error));
+            print_problems(&file, &error);
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
@@ -62,6 +65,19 @@
     Ok(if stopped.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Prints every problem of the settings, one a line.
+fn print_problems(file: &Path, error: &settings::Error) {
+    let file = file.display();
+    match error {
+        settings::Error::Invalid { problems } => {
+            for problem in problems {
+                eprintln!("{file}: {problem}");
+            }
+        }
+        other => eprintln!("{file}: {}", error::chain(other)),
+    }
+}
+
 fn start_log(level: &str) -> Result<()> {
     let level: LevelFilter = level.parse().map_err(|_| Error::Usage {
         message: format!("log level `{level}`: use error, warn, info, debug or trace").into(),
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -45,7 +45,7 @@
     arguments: &["serve", "--settings", "Cargo.toml"],
     code: 2,
     stdout: "",
-    stderr: "correct the settings file",
+    stderr: "Cargo.toml: ",
 })]
 #[case::valid_folder(Case {
     arguments: &["config", "check", "examples/config"],
