--- a/crates/hawthornmount-entry/src/api/mod.rs
+++ b/crates/hawthornmount-entry/src/api/mod.rs
@@ -14,7 +14,7 @@
     hawthornmount_core::{id, problem::Problem, reason::Refusal},
     hawthornmount_http::{
         HeaderValue, Request, Response, StatusCode, header,
-        server::{self, Handler},
+        server::{self, Handler, Rejection},
     },
     std::sync::{
         Arc,
@@ -70,6 +70,15 @@
         }
         response
     }
+
+    fn rejected(&self, rejection: Rejection) {
+        let reason = match rejection {
+            Rejection::SlowHead => Refusal::CallerTimeout,
+            Rejection::LargeHead => Refusal::Malformed,
+        };
+        self.inner.parts.metrics.refuse(reason);
+        log::info!("a connection was closed; reason={reason}");
+    }
 }
 
 impl Inner {
--- a/crates/hawthornmount-http/src/server/mod.rs
+++ b/crates/hawthornmount-http/src/server/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server around one handler.
 
+mod gate;
 mod reply;
 
 pub use reply::{json, text};
@@ -8,9 +9,10 @@
     crate::{Request, Response},
     async_trait::async_trait,
     derive_more::{Display, Error},
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc},
+    gate::Gate,
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinHandle},
-    volo::net::incoming::DefaultIncoming,
+    volo::net::incoming::MakeIncoming,
     volo_http::{context::ServerContext, server::Server as VoloServer},
 };
 
@@ -19,6 +21,49 @@
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
     async fn handle(&self, request: Request) -> Response;
+
+    /// Takes note of a connection that was closed before its request was read.
+    fn rejected(&self, _rejection: Rejection) {}
+}
+
+/// Limits on what a caller may send before its request is handled.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time in which the head of the first request has to arrive.
+    pub head_timeout: Duration,
+    /// Longest head, in bytes.
+    pub max_head: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head_timeout: Duration::from_secs(10), max_head: 32 * 1_024 }
+    }
+}
+
+/// Why a connection was closed before its request was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rejection {
+    /// The head of the request came too slowly.
+    SlowHead,
+    /// The head of the request is too large.
+    LargeHead,
+}
+
+impl Rejection {
+    /// Returns the whole answer as it goes out.
+    const fn answer(self) -> &'static str {
+        match self {
+            Self::SlowHead => concat!(
+                "HTTP/1.1 408 Request Timeout\r\n",
+                "connection: close\r\ncontent-length: 0\r\n\r\n",
+            ),
+            Self::LargeHead => concat!(
+                "HTTP/1.1 431 Request Header Fields Too Large\r\n",
+                "connection: close\r\ncontent-length: 0\r\n\r\n",
+            ),
+        }
+    }
 }
 
 /// Why a server can't listen.
@@ -48,11 +93,24 @@
     pub async fn start(
         address: SocketAddr,
         handler: Arc<dyn Handler>,
+    ) -> Result<Self, ListenError> {
+        Self::start_with(address, handler, Limits::default()).await
+    }
+
+    /// Listens as [`Server::start`] does, with other limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub async fn start_with(
+        address: SocketAddr,
+        handler: Arc<dyn Handler>,
+        limits: Limits,
     ) -> Result<Self, ListenError> {
         let listener =
             TcpListener::bind(address).await.map_err(|source| ListenError { address, source })?;
         let address = listener.local_addr().map_err(|source| ListenError { address, source })?;
-        let task = tokio::spawn(run(listener, handler));
+        let task = tokio::spawn(run(listener, handler, limits));
         Ok(Self { address, task })
     }
 
@@ -68,15 +126,26 @@
     }
 }
 
-async fn run(listener: TcpListener, handler: Arc<dyn Handler>) {
+async fn run(listener: TcpListener, handler: Arc<dyn Handler>, limits: Limits) {
+    let gate = Gate::new(listener, handler.clone(), limits);
     let server = VoloServer::new(Adapter(handler))
         .http1_only()
         .register_shutdown_hook(|| Box::pin(std::future::pending()));
-    if let Err(error) = server.run(DefaultIncoming::from(listener)).await {
+    if let Err(error) = server.run(Made(gate)).await {
         log::error!("HTTP server ended, restart the instance; cause={error}");
     }
 }
 
+struct Made(Gate);
+
+impl MakeIncoming for Made {
+    type Incoming = Gate;
+
+    async fn make_incoming(self) -> io::Result<Gate> {
+        Ok(self.0)
+    }
+}
+
 #[derive(Clone)]
 struct Adapter(Arc<dyn Handler>);
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,6 @@
 
 mod command_line;
 mod demo;
+mod problems;
+mod serve;
 mod stream;
--- /dev/null
+++ b/tests/testsuite/problems.rs
@@ -0,0 +1,71 @@
+//! Each refusal is a problem document with a stable reason and a counter.
+
+use {
+    hawthornmount_core::problem::{Document, Ran},
+    hawthornmount_demo::world::World,
+    hawthornmount_http::{Body, client::Client},
+    std::time::Duration,
+};
+
+/// Time that an answer may take.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Case {
+    method: &'static str,
+    path: &'static str,
+    key: &'static str,
+    body: String,
+    status: u16,
+    reason: &'static str,
+}
+
+const MESSAGES: &str = r#""messages":[{"role":"user","content":"hello"}]"#;
+const COMPLETIONS: &str = "/v1/chat/completions";
+
+fn cases() -> Vec<Case> {
+    let case = |method, path, key, body: &str, status, reason| Case {
+        method,
+        path,
+        key,
+        body: body.to_owned(),
+        status,
+        reason,
+    };
+    let large = format!("{{{MESSAGES},\"pad\":\"{}\"}}", "x".repeat(2 << 20));
+    let unknown_model = format!("{{{MESSAGES},\"model\":\"no-such-model\"}}");
+    let valid = format!("{{{MESSAGES}}}");
+    let municipal = "demo-municipal";
+    vec![
+        case("POST", COMPLETIONS, municipal, "{ broken", 400, "malformed"),
+        case("POST", COMPLETIONS, municipal, "{}", 400, "malformed"),
+        case("POST", COMPLETIONS, municipal, &unknown_model, 403, "not_allowed"),
+        case("POST", COMPLETIONS, "wrong", &valid, 401, "bad_key"),
+        case("POST", COMPLETIONS, municipal, &large, 413, "body_too_large"),
+        case("GET", "/v1/nothing", municipal, "", 404, "not_found"),
+        case("GET", "/services/no-such-service/x", municipal, "", 403, "not_allowed"),
+        case("POST", "/services/grant-portal/submissions", "demo-rural", "{}", 400, "key_required"),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_problem_documents_and_counters() {
+    let world = World::start().await.expect("the demo starts");
+    let instance = &world.instances[0];
+    for case in cases() {
+        let refusals = &instance.parts().metrics.refusals;
+        let before = refusals.with_label_values(&[case.reason]).get();
+        let request = http::Request::builder()
+            .method(case.method)
+            .uri(case.path)
+            .header("authorization", format!("Bearer {}", case.key))
+            .body(Body::from(case.body))
+            .expect("the request is valid");
+        let answer = Client::new().call(instance.callers(), request, TIMEOUT).await;
+        let answer = answer.expect("the instance answers");
+        assert_eq!(answer.status.as_u16(), case.status, "{} {}", case.method, case.path);
+        let document: Document = serde_json::from_slice(&answer.body).expect("it is a document");
+        assert_eq!(&*document.reason, case.reason);
+        assert_eq!(document.ran, Ran::No);
+        assert_eq!(refusals.with_label_values(&[case.reason]).get(), before + 1);
+    }
+}
