--- a/crates/hawthornmount-demo/src/load/caller.rs
+++ b/crates/hawthornmount-demo/src/load/caller.rs
@@ -34,6 +34,8 @@
     pub replayed: bool,
     /// Whether the answer was whole and for this request.
     pub whole: bool,
+    /// Tokens of prompt and answer that the server told of.
+    pub tokens: u64,
     /// Quality that the stand-in engine marked in the answer.
     pub quality: Option<f64>,
     /// Time to the first byte of the body.
@@ -134,6 +136,7 @@
         moved: text("x-session-moved-from").is_some(),
         replayed,
         whole,
+        tokens: tokens(&read.text).unwrap_or(0),
         quality: quality(&read.text),
         first: read.first,
         total: started.elapsed(),
@@ -181,6 +184,11 @@
     builder.body(body).ok()
 }
 
+fn tokens(text: &str) -> Option<u64> {
+    let rest = text.split_once("\"total_tokens\":")?.1;
+    rest.split(|one: char| !one.is_ascii_digit()).next()?.parse().ok()
+}
+
 fn quality(text: &str) -> Option<f64> {
     text.split_once("[quality ")?.1.split(']').next()?.parse().ok()
 }
--- a/crates/hawthornmount-demo/src/report/mod.rs
+++ b/crates/hawthornmount-demo/src/report/mod.rs
@@ -9,6 +9,7 @@
     hawthornmount_core::{
         reason::{Refusal, Retry},
         table::Table,
+        units::PRICED_TOKENS,
     },
     hdrhistogram::Histogram,
     serde::Serialize,
@@ -22,6 +23,8 @@
     pub release: Arc<str>,
     /// Answers.
     pub requests: u64,
+    /// Price of the answers, in micro-units.
+    pub cost: u64,
     /// Part of the answers that were good, from 0 to 1; none for services.
     pub quality: Option<f64>,
     /// Median time to the whole answer, in milliseconds.
@@ -65,6 +68,7 @@
 struct Figures {
     total: Histogram<u64>,
     first: Histogram<u64>,
+    cost: u64,
     rated: u64,
     quality: f64,
 }
@@ -78,7 +82,7 @@
             failed,
             billed: 0,
             cost: 0,
-            lines: lines(done),
+            lines: lines(world, done),
             refusals: counts(world, Refusal::ALL.iter().map(|one| one.as_str()), true),
             retries: counts(world, Retry::ALL.iter().map(|one| one.as_str()), false),
             checks,
@@ -103,15 +107,21 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<18} {:>8} {:>8} {:>9} {:>9} {:>10}",
-            "model@version", "requests", "quality", "p50 ms", "p95 ms", "first p95"
+            "{:<18} {:>8} {:>8} {:>8} {:>9} {:>9} {:>10}",
+            "model@version", "requests", "cost", "quality", "p50 ms", "p95 ms", "first p95"
         )?;
         for line in &self.lines {
             let quality = line.quality.map_or_else(|| "-".to_owned(), |one| format!("{one:.2}"));
             writeln!(
                 f,
-                "{:<18} {:>8} {:>8} {:>9.1} {:>9.1} {:>10.1}",
-                line.release, line.requests, quality, line.p50_ms, line.p95_ms, line.first_p95_ms
+                "{:<18} {:>8} {:>8} {:>8} {:>9.1} {:>9.1} {:>10.1}",
+                line.release,
+                line.requests,
+                line.cost,
+                quality,
+                line.p50_ms,
+                line.p95_ms,
+                line.first_p95_ms
             )?;
         }
         writeln!(f, "\nbilled {} and spent {} micro-units", self.billed, self.cost)?;
@@ -133,7 +143,7 @@
     writeln!(f, "{name}: {text}")
 }
 
-fn lines(done: &[Done]) -> Vec<Line> {
+fn lines(world: &World, done: &[Done]) -> Vec<Line> {
     let mut figures: Table<Figures> = Table::new();
     for one in done {
         let Outcome::Answered(answered) = &one.outcome else { continue };
@@ -148,6 +158,7 @@
         let Some(row) = figures.get_mut(&release) else { continue };
         let _ = row.total.record(micros(answered.total));
         let _ = row.first.record(micros(answered.first));
+        row.cost += price(world, &release, answered.tokens);
         if let Some(quality) = answered.quality {
             row.rated += 1;
             row.quality += quality;
@@ -156,10 +167,21 @@
     figures.iter().map(|row| row.value.line(&row.id)).collect()
 }
 
+/// Returns the price of one answer, in micro-units.
+fn price(world: &World, release: &str, tokens: u64) -> u64 {
+    let Some(instance) = world.instances.first() else { return 0 };
+    let config = instance.parts().cell.load().config.clone();
+    let model = release.split('@').next().unwrap_or(release);
+    match config.models.get(model) {
+        Some(model) => model.price * tokens / PRICED_TOKENS,
+        None => config.services.get(release).map_or(0, |service| service.price),
+    }
+}
+
 impl Figures {
     fn new() -> Self {
         let histogram = Histogram::new(3).expect("3 digits are a valid precision");
-        Self { total: histogram.clone(), first: histogram, rated: 0, quality: 0.0 }
+        Self { total: histogram.clone(), first: histogram, cost: 0, rated: 0, quality: 0.0 }
     }
 
     fn line(&self, release: &Arc<str>) -> Line {
@@ -169,6 +191,7 @@
         Line {
             release: release.clone(),
             requests: self.total.len(),
+            cost: self.cost,
             quality: (self.rated > 0).then(|| self.quality / self.rated as f64),
             p50_ms: ms(&self.total, 0.5),
             p95_ms: ms(&self.total, 0.95),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod demo;
+mod guide;
 mod problems;
 mod serve;
 mod stream;
