--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -72,3 +72,18 @@
         .map_err(|error| Failure::new(&error))?
         .block_on(future)
 }
+
+/// Runs a future like [`block_on`] and gives up after `limit`.
+///
+/// # Errors
+///
+/// Returns a failure if the time is over or no runtime can be started, or the future's own.
+pub fn block_on_within<T>(
+    limit: Duration,
+    future: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    block_on(async {
+        let over = |_| Failure::text("its time is over: run it on an idle machine");
+        tokio::time::timeout(limit, future).await.map_err(over)?
+    })
+}
--- a/crates/hawthornmount-bench/src/lib.rs
+++ b/crates/hawthornmount-bench/src/lib.rs
@@ -4,4 +4,6 @@
 pub mod compare;
 pub mod experiment;
 pub mod figure;
+pub mod load;
 pub mod plot;
+pub mod usage;
--- a/crates/hawthornmount-bench/src/main.rs
+++ b/crates/hawthornmount-bench/src/main.rs
@@ -4,6 +4,7 @@
     hawthornmount_bench::{
         compare,
         experiment::{self, Options},
+        usage,
     },
     pico_args::Arguments,
     std::{error::Error, path::PathBuf, process::ExitCode, time::Duration},
@@ -54,6 +55,7 @@
     refuse_rest(arguments)?;
     let experiment = experiment::find(&name)
         .ok_or_else(|| format!("no experiment {name}: see `hawthornmount-bench list`"))?;
+    usage::bound_memory();
     let report = (experiment.run)(Options { seed, duration: seconds.map(Duration::from_secs) })?;
     if let (Some(file), Some(plot)) = (plot, &report.plot) {
         plot.draw(&file)?;
--- /dev/null
+++ b/crates/hawthornmount-bench/src/usage/mod.rs
@@ -0,0 +1,60 @@
+//! Memory and processor time of this process, and the bound on its memory.
+
+use std::{fs, process, thread, time::Duration};
+
+/// Part of the machine's memory that an experiment may take.
+const MEMORY_SHARE: u64 = 2;
+/// Pause between two looks at the memory.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Ticks of a second in the kernel's processor times.
+const TICKS: f64 = 100.0;
+/// Bytes of a kibibyte.
+const KIB: u64 = 1_024;
+
+/// Returns the resident memory of this process, in bytes.
+pub fn resident() -> u64 {
+    field("/proc/self/status", "VmRSS:")
+}
+
+/// Returns the processor time of this process's threads whose name starts with `prefix`, in
+/// seconds; an empty prefix takes every thread.
+pub fn processor(prefix: &str) -> f64 {
+    let Ok(tasks) = fs::read_dir("/proc/self/task") else { return 0.0 };
+    let stats = tasks.filter_map(|task| fs::read_to_string(task.ok()?.path().join("stat")).ok());
+    stats.filter_map(|stat| thread_time(&stat, prefix)).sum()
+}
+
+/// Starts a thread that ends the process when it takes more than half of the machine's memory.
+pub fn bound_memory() {
+    let limit = field("/proc/meminfo", "MemTotal:") / MEMORY_SHARE;
+    thread::spawn(move || {
+        loop {
+            if resident() > limit {
+                eprintln!("hawthornmount-bench: half of the machine's memory is taken: run less");
+                process::exit(1);
+            }
+            thread::sleep(PAUSE);
+        }
+    });
+}
+
+/// Reads a field in kibibytes.
+fn field(file: &str, name: &str) -> u64 {
+    let text = fs::read_to_string(file).unwrap_or_default();
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    let number = value.and_then(|value| value.split_whitespace().next()?.parse::<u64>().ok());
+    number.unwrap_or(0) * KIB
+}
+
+/// Returns the user and system time of one thread, in seconds.
+fn thread_time(stat: &str, prefix: &str) -> Option<f64> {
+    let (head, tail) = stat.rsplit_once(')')?;
+    let (_, name) = head.split_once('(')?;
+    if !name.starts_with(prefix) {
+        return None;
+    }
+    let mut times = tail.split_whitespace().skip(11);
+    let user: f64 = times.next()?.parse().ok()?;
+    let system: f64 = times.next()?.parse().ok()?;
+    Some((user + system) / TICKS)
+}
