Carry session pins in signed tokens, at two instances of the data centre and in the ledger

Cause: a session's version was read from the ledger on each request and was lost in a store outage.

Change: answers of a session carry x-session-token, a keyed BLAKE3 code over the pin; old_fleet_keys keeps the tokens of earlier keys valid while keys rotate. The pin is also kept by two instances of the data centre that rendezvous hashing names for the session, and recorded in the ledger, later if the store is out of reach. A generation grows only when the version can't be used any more, and x-session-generation and x-session-moved-from tell the caller.

Tokens of other or rotated-out keys and changed tokens are not valid.

Conclusion: a request with a token needs no read of the store.

--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -42,6 +42,9 @@
     pub weight_store: Option<SocketAddr>,
     /// Secret that the instances of the fleet share, at least 16 characters.
     pub fleet_key: Arc<str>,
+    /// Earlier values of `fleet_key` whose session tokens are still taken.
+    #[serde(default)]
+    pub old_fleet_keys: Vec<Arc<str>>,
     /// Threads for traffic.
     #[serde(default = "default_threads")]
     pub traffic_threads: usize,
--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -122,6 +122,7 @@
             rating: Some(self.rating.address()),
             weight_store: None,
             fleet_key: "the key of the demo's fleet".into(),
+            old_fleet_keys: Vec::new(),
             traffic_threads: 1,
             drain: Duration::from_secs(10),
             log: "warn".into(),
--- a/crates/hawthornmount-entry/src/api/deliver.rs
+++ b/crates/hawthornmount-entry/src/api/deliver.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         answer::{self, Answer, Content, End, Usage, events::Reader},
-        exchange::{Exchange, REQUEST_HEADER},
+        exchange::{Exchange, REQUEST_HEADER, TOKEN_HEADER},
         instance::Parts,
     },
     bytes::Bytes,
@@ -20,6 +20,8 @@
 
 /// Header of an answer that repeats the outcome of an earlier call with the same key.
 const REPLAYED_HEADER: &str = "idempotency-replayed";
+/// Header that tells how often the session had to move.
+const GENERATION_HEADER: &str = "x-session-generation";
 /// Events that wait for a slow caller.
 const EVENT_BACKLOG: usize = 16;
 /// Content type of problem documents.
@@ -58,8 +60,11 @@
         Content::Whole(bytes) => whole(parts, exchange, status, content_type, bytes).await,
         Content::Events(reader) => {
             let (sender, body) = body::channel(EVENT_BACKLOG);
-            let response =
-                session_headers(respond(status, &content_type, &exchange.id, body), &exchange);
+            let response = session_headers(
+                parts,
+                respond(status, &content_type, &exchange.id, body),
+                &exchange,
+            );
             let relay = Relay { parts: parts.clone(), exchange, reader: *reader, content_type };
             tokio::spawn(relay.run(sender));
             response
@@ -87,7 +92,7 @@
         return problem(parts, exchange, &refused);
     }
     let response = respond(status, &content_type, &exchange.id, Body::from(bytes));
-    let response = session_headers(response, &exchange);
+    let response = session_headers(parts, response, &exchange);
     exchange.trace.outcome = "answered".into();
     close(parts, exchange, "answered");
     response
@@ -212,7 +217,7 @@
 }
 
 /// Tells the caller which version answered and whether its session had to move.
-fn session_headers(mut response: Response, exchange: &Exchange) -> Response {
+fn session_headers(parts: &Parts, mut response: Response, exchange: &Exchange) -> Response {
     let headers = response.headers_mut();
     if exchange.replayed {
         headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
@@ -222,6 +227,13 @@
     {
         headers.insert("x-answered-by", value);
     }
+    if let Some(pin) = &exchange.pin {
+        headers.insert(GENERATION_HEADER, HeaderValue::from(pin.generation));
+        let token = parts.sessions.sign(pin);
+        if let Some(Ok(value)) = token.map(|token| HeaderValue::from_str(&token)) {
+            headers.insert(TOKEN_HEADER, value);
+        }
+    }
     if let Some(release) = &exchange.moved_from
         && let Ok(value) = HeaderValue::from_str(&format!("{}@{}", release.model, release.version))
     {
--- a/crates/hawthornmount-entry/src/exchange/mod.rs
+++ b/crates/hawthornmount-entry/src/exchange/mod.rs
@@ -15,7 +15,7 @@
         units::MicroCost,
     },
     hawthornmount_http::HeaderMap,
-    hawthornmount_ledger::Ticket,
+    hawthornmount_ledger::{Pin, Ticket},
     hawthornmount_policy::{Plan, Query},
     std::{
         any::Any,
@@ -68,6 +68,8 @@
     pub account: AccountId,
     /// Session of the caller.
     pub session: Option<SessionId>,
+    /// Pin of the session as far as it is known.
+    pub pin: Option<Pin>,
     /// Release that the session keeps.
     pub pinned: Option<Release>,
     /// Release that the session had to leave.
@@ -109,6 +111,7 @@
             kind,
             account: "".into(),
             session,
+            pin: None,
             pinned: None,
             moved_from: None,
             replayed: false,
@@ -169,6 +172,8 @@
 
 /// Header that names the session.
 pub const SESSION_HEADER: &str = "x-session-id";
+/// Header that carries the session's token.
+pub const TOKEN_HEADER: &str = "x-session-token";
 /// Header that names the kind of task.
 pub const TASK_HEADER: &str = "x-task-kind";
 /// Header that names the deadline, in milliseconds from now.
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -55,7 +55,7 @@
         let plan = std::mem::take(&mut exchange.plan);
         let mut history = History::default();
         let (answer, release) = self.try_candidates(exchange, &plan, &mut history).await?;
-        let (answer, release) = match pin::confirm(&*self.parts.ledger, exchange, &release).await {
+        let (answer, release) = match pin::confirm(&self.parts.sessions, exchange, &release).await {
             None => (answer, release),
             Some(kept) => {
                 self.charge(exchange, &answer, &release);
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         rater::{Absent, Rater, Remote},
+        session::Sessions,
         trace::Journal,
     },
     hawthornmount_core::{
@@ -42,6 +43,8 @@
     pub store: Arc<dyn Store>,
     /// Claims, usage records and sessions.
     pub ledger: Arc<dyn Ledger>,
+    /// Sessions and the versions that they keep.
+    pub sessions: Arc<Sessions>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
     /// Routing decisions.
@@ -118,6 +121,7 @@
         let ledger = self
             .ledger
             .unwrap_or_else(|| Arc::new(Product::new(&store, &fleet, &clock, Options::default())));
+        let sessions = Sessions::new(&settings, ledger.clone(), fleet.clone());
         let rater: Arc<dyn Rater> = match settings.rating {
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
@@ -128,6 +132,7 @@
             cell: Cell::new(),
             client: Client::new(),
             fleet,
+            sessions: Arc::new(sessions),
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
             rater,
--- a/crates/hawthornmount-entry/src/lib.rs
+++ b/crates/hawthornmount-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod filter;
 pub mod instance;
 pub mod rater;
+pub mod session;
 pub mod trace;
 
 pub use {exchange::Exchange, filter::Filter, instance::Instance};
