fleet: members, gossip and questions over UDP and TCP

Cause: instances did not know each other; the fleet part was a fleet of one.

Change: `mesh::Mesh` implements `Fleet`. One probe a second in shuffled turns (two pings, a TCP check, three relays), then suspicion of 4 s that the member can refute; news goes in a few rounds to three random members; state transfer on joining, on a return and when the hashes of the members differ. Frames are versioned, bounded and carry a keyed BLAKE3 hash; what fails a check is dropped and counted by its cause. Nobody takes another's word that a live member is dead: it is suspected first. The network is behind a trait, with sockets, a network in the process and injected faults. The control thread binds the address of the settings and runs the mesh; a stopping instance announces that it leaves.

Measured before: no members.

Conclusion: the other parts can talk over `Fleet`.

--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -156,7 +156,7 @@
             Listed {
                 id: settings.instance.clone(),
                 kind: Kind::Entry,
-                address: settings.fleet,
+                address: instance.frames(),
                 data_centre: settings.data_centre.clone(),
                 state: State::Live,
             }
--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::instance::Parts,
-    hawthornmount_fleet::config,
+    hawthornmount_fleet::{config, transport::net::Net},
     state::State,
     std::{io, sync::Arc, thread, time::Duration},
     tokio::{
@@ -47,11 +47,16 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the operating system gives no thread.
+/// Returns an error if the address for frames can't be bound or the operating system gives no
+/// thread.
 pub fn start(parts: &Arc<Parts>) -> io::Result<Handle> {
     let (stop, stopped) = oneshot::channel();
     let parts = parts.clone();
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    {
+        let _guard = runtime.enter();
+        parts.mesh.attach(Arc::new(Net::bind(parts.settings.fleet)?));
+    }
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(async {
             tokio::select! {
@@ -66,6 +71,7 @@
 
 async fn run(parts: &Arc<Parts>) {
     let (sender, mut changes) = mpsc::channel(CHANGE_BACKLOG);
+    tokio::spawn(parts.mesh.clone().run());
     tokio::spawn(follow_config(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
--- a/crates/hawthornmount-entry/src/instance/mod.rs
+++ b/crates/hawthornmount-entry/src/instance/mod.rs
@@ -29,8 +29,11 @@
     /// An address can't be listened on.
     #[display("{_0}")]
     Listen(ListenError),
-    /// The operating system gives no threads.
-    #[display("no thread can be started: raise the limit on threads; cause={_0}")]
+    /// The operating system gives no threads or the address for frames is taken.
+    #[display(
+        "no thread or socket can be had: raise the limit on threads or set another address for \
+         frames; cause={_0}"
+    )]
     Threads(io::Error),
 }
 
@@ -87,6 +90,11 @@
         self.operators.address()
     }
 
+    /// Returns the address for frames between instances.
+    pub fn frames(&self) -> SocketAddr {
+        self.parts.mesh.address()
+    }
+
     /// Returns the parts of the instance.
     pub const fn parts(&self) -> &Arc<Parts> {
         &self.parts
@@ -96,6 +104,7 @@
     /// settings, and records that wait are written.
     pub async fn stop(mut self) -> Stopped {
         self.parts.stopping.store(true, Ordering::SeqCst);
+        self.parts.mesh.leave();
         let bound = Instant::now() + self.parts.settings.drain;
         tokio::time::sleep(BALANCER_LAG).await;
         while self.in_flight() > 0 && Instant::now() < bound {
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -9,14 +9,21 @@
         clock::{self, Clock},
         metrics::Metrics,
         settings::Settings,
-        snapshot::{Cell, Liveness, Member},
+        snapshot::Cell,
+    },
+    hawthornmount_fleet::{
+        Fleet,
+        mesh::{self, Mesh},
+        position::Position,
+        seed::{Platform, Source},
+        wire::{Record, Standing},
     },
-    hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, direct::Direct},
     hawthornmount_policy::{Router, basic::Basic},
     hawthornmount_rollout::{Judge, quiet::Quiet},
     hawthornmount_store::{Store, etcd::Etcd},
+    rand::RngExt,
     std::{
         sync::{
             Arc,
@@ -44,6 +51,8 @@
     pub ledger: Arc<dyn Ledger>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
+    /// The other instances over UDP and TCP, which the control thread runs.
+    pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
     /// Judge of versions.
@@ -110,12 +119,15 @@
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
         };
+        let metrics = Metrics::new();
+        let mesh = Arc::new(mesh(&settings, metrics.clone()));
         Parts {
             clock: Arc::new(clock::System),
-            metrics: Metrics::new(),
+            metrics,
             cell: Cell::new(),
             client: Client::new(),
-            fleet: Arc::new(Local::new(member(&settings))),
+            fleet: mesh.clone(),
+            mesh,
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
             rater,
@@ -129,14 +141,26 @@
     }
 }
 
-fn member(settings: &Settings) -> Member {
+fn mesh(settings: &Settings, metrics: Metrics) -> Mesh {
+    let source = |address| -> Arc<dyn Source> { Arc::new(Platform::new(address)) };
+    Mesh::new(mesh::Options {
+        local: record(settings),
+        secret: settings.fleet_key.clone(),
+        seeds: settings.instance_list.map(source),
+        position: Arc::new(Position::new()),
+        metrics,
+        seed: rand::rng().random(),
+    })
+}
+
+fn record(settings: &Settings) -> Record {
     let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    Member {
+    Record {
         id: settings.instance.clone(),
         incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        refutation: 0,
+        standing: Standing::Alive,
         data_centre: settings.data_centre.clone(),
         address: settings.fleet,
-        liveness: Liveness::Alive,
-        revision: 0,
     }
 }
--- a/crates/hawthornmount-fleet/src/lib.rs
+++ b/crates/hawthornmount-fleet/src/lib.rs
@@ -3,7 +3,14 @@
 
 pub mod config;
 pub mod local;
+pub mod mesh;
+pub mod position;
+pub mod role;
+pub mod roster;
+pub mod seed;
 pub mod topic;
+pub mod transport;
+pub mod wire;
 
 pub use topic::{Message, Topic};
 
--- /dev/null
+++ b/crates/hawthornmount-fleet/src/position/mod.rs
@@ -0,0 +1,114 @@
+//! Configuration revision that this instance holds, when it was last confirmed, and which peer
+//! holds a newer one. Heartbeats read it and the follower of the configuration writes it.
+
+use {
+    hawthornmount_core::id::{InstanceId, Revision},
+    parking_lot::Mutex,
+    tokio::{
+        sync::{Notify, watch},
+        time::Instant,
+    },
+};
+
+/// A peer that holds a newer revision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Hint {
+    /// The peer.
+    pub peer: InstanceId,
+    /// The revision that it holds.
+    pub revision: Revision,
+}
+
+/// Most peers that are remembered as holders of a newer revision.
+const MAX_HINTS: usize = 8;
+
+/// Position of an instance in the sequence of accepted configurations.
+pub struct Position {
+    held: watch::Sender<Revision>,
+    confirmed: Mutex<Option<Instant>>,
+    hints: Mutex<Vec<Hint>>,
+    hinted: Notify,
+}
+
+impl Position {
+    /// Creates the position of an instance that holds nothing.
+    pub fn new() -> Self {
+        Self {
+            held: watch::Sender::new(0),
+            confirmed: Mutex::new(None),
+            hints: Mutex::new(Vec::new()),
+            hinted: Notify::new(),
+        }
+    }
+
+    /// Returns the revision that is held, 0 if there is none.
+    pub fn held(&self) -> Revision {
+        *self.held.borrow()
+    }
+
+    /// Moves to a revision if it is newer and tells whether it was.
+    pub fn advance(&self, revision: Revision) -> bool {
+        let newer = self.held.send_if_modified(|held| {
+            let newer = revision > *held;
+            *held = revision.max(*held);
+            newer
+        });
+        if newer {
+            self.hints.lock().retain(|hint| hint.revision > revision);
+        }
+        newer
+    }
+
+    /// Returns a receiver that sees each change of the held revision.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.held.subscribe()
+    }
+
+    /// Returns when the held revision was last known to be the newest.
+    pub fn confirmed(&self) -> Option<Instant> {
+        *self.confirmed.lock()
+    }
+
+    /// Notes that the held revision was the newest at `at`.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed = self.confirmed.lock();
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
+    /// Notes that a peer holds `revision`.
+    pub fn hint(&self, peer: &InstanceId, revision: Revision) {
+        if revision <= self.held() {
+            return;
+        }
+        let mut hints = self.hints.lock();
+        hints.retain(|hint| hint.peer != *peer);
+        hints.push(Hint { peer: peer.clone(), revision });
+        if hints.len() > MAX_HINTS {
+            hints.remove(0);
+        }
+        self.hinted.notify_one();
+    }
+
+    /// Waits for a peer that holds a newer revision and takes it from the list.
+    pub async fn newer(&self) -> Hint {
+        loop {
+            if let Some(hint) = self.take_hint() {
+                return hint;
+            }
+            self.hinted.notified().await;
+        }
+    }
+
+    fn take_hint(&self) -> Option<Hint> {
+        let held = self.held();
+        let mut hints = self.hints.lock();
+        hints.retain(|hint| hint.revision > held);
+        hints.pop()
+    }
+}
+
+impl Default for Position {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-fleet/src/wire/mod.rs
@@ -0,0 +1,117 @@
+//! Frames between instances: a version, a keyed BLAKE3 hash and a postcard body, all bounded.
+
+mod message;
+
+pub use message::{
+    Answer, Body, Digest, Frame, Outcome, Payload, Question, Record, Request, Rumour, Standing,
+};
+
+use {
+    derive_more::{Display, Error},
+    serde::{Serialize, de::DeserializeOwned},
+};
+
+/// Version of the frames; others are dropped.
+pub const VERSION: u8 = 1;
+/// Largest datagram, in bytes, so that it fits the usual path without fragments.
+pub const MAX_DATAGRAM: usize = 1_200;
+/// Largest payload that is spread, in bytes; the rest of a datagram is for the frame's head.
+pub const MAX_PAYLOAD: usize = 900;
+/// Largest frame of a connection, in bytes.
+pub const MAX_STREAM: usize = 2 << 20;
+
+/// Bytes of the hash in a frame.
+const HASH_BYTES: usize = 16;
+/// Bytes before the body.
+const HEAD_BYTES: usize = 1 + HASH_BYTES;
+/// Context of the key's derivation.
+const KEY_CONTEXT: &str = "hawthornmount fleet frames v1";
+
+/// Why a frame was dropped.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum Reject {
+    /// It is larger than the bound.
+    #[display("too_large")]
+    TooLarge,
+    /// It ends before its body.
+    #[display("too_short")]
+    TooShort,
+    /// It is of another version.
+    #[display("version")]
+    Version,
+    /// Its hash is not made with the fleet's key.
+    #[display("hash")]
+    Hash,
+    /// Its body has another form.
+    #[display("form")]
+    Form,
+}
+
+/// Key that the instances of a fleet share.
+#[derive(Clone)]
+pub struct Key([u8; blake3::KEY_LEN]);
+
+impl Key {
+    /// Derives the key from the secret of the settings.
+    pub fn new(secret: &str) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
+    }
+
+    /// Encodes a body with version and hash.
+    pub fn seal<T: Serialize>(&self, body: &T) -> Vec<u8> {
+        let frame = vec![0; HEAD_BYTES];
+        let mut frame = postcard::to_extend(body, frame).unwrap_or_default();
+        if frame.len() < HEAD_BYTES {
+            return frame;
+        }
+        frame[0] = VERSION;
+        let hash = self.hash(&frame[HEAD_BYTES..]);
+        frame[1..HEAD_BYTES].copy_from_slice(&hash);
+        frame
+    }
+
+    /// Checks and decodes a frame of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason to drop the frame.
+    pub fn open<T: DeserializeOwned>(&self, frame: &[u8], limit: usize) -> Result<T, Reject> {
+        if frame.len() > limit {
+            return Err(Reject::TooLarge);
+        }
+        if frame.len() < HEAD_BYTES {
+            return Err(Reject::TooShort);
+        }
+        if frame[0] != VERSION {
+            return Err(Reject::Version);
+        }
+        let (head, body) = frame.split_at(HEAD_BYTES);
+        if !self.is_genuine(&head[1..], body) {
+            return Err(Reject::Hash);
+        }
+        match postcard::take_from_bytes(body) {
+            Ok((value, [])) => Ok(value),
+            _ => Err(Reject::Form),
+        }
+    }
+
+    fn hash(&self, body: &[u8]) -> [u8; HASH_BYTES] {
+        let mut hash = [0; HASH_BYTES];
+        hash.copy_from_slice(&self.whole_hash(body).as_bytes()[..HASH_BYTES]);
+        hash
+    }
+
+    fn whole_hash(&self, body: &[u8]) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(&[VERSION]);
+        hasher.update(body);
+        hasher.finalize()
+    }
+
+    /// Compares in constant time.
+    fn is_genuine(&self, hash: &[u8], body: &[u8]) -> bool {
+        let wanted = self.hash(body);
+        let differing = wanted.iter().zip(hash).fold(0, |acc, (a, b)| acc | (a ^ b));
+        differing == 0 && hash.len() == HASH_BYTES
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-fleet/tests/support/mod.rs
@@ -0,0 +1,127 @@
+//! Instances of the fleet part on a network inside the process.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use {
+    hawthornmount_core::{
+        metrics::Metrics,
+        snapshot::{Liveness, Member},
+    },
+    hawthornmount_fleet::{
+        Fleet,
+        mesh::{Mesh, Options},
+        position::Position,
+        seed::{Fixed, Seed},
+        transport::{
+            fault::{Fault, Faults},
+            memory::Network,
+        },
+        wire::{Record, Standing},
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::task::JoinHandle,
+};
+
+pub const SECRET: &str = "secret of the tests' fleet";
+
+pub struct Node {
+    pub mesh: Arc<Mesh>,
+    pub metrics: Metrics,
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Node {
+    pub fn sees(&self, id: &str) -> Option<Member> {
+        self.mesh.members().iter().find(|member| *member.id == *id).cloned()
+    }
+
+    pub fn alive(&self) -> usize {
+        let members = self.mesh.members();
+        members.iter().filter(|member| member.liveness == Liveness::Alive).count()
+    }
+
+    pub fn dropped(&self, cause: &str) -> u64 {
+        self.metrics.dropped.with_label_values(&["fleet", cause]).get()
+    }
+
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+}
+
+pub struct World {
+    pub network: Network,
+    pub faults: Faults,
+    pub nodes: Vec<Node>,
+}
+
+impl World {
+    pub fn new(count: usize) -> Self {
+        let mut world = Self { network: Network::new(), faults: Faults::new(1), nodes: Vec::new() };
+        for number in 0..count {
+            let node = world.start(&name(number), 1, SECRET, address(number));
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    pub fn start(&self, id: &str, incarnation: u64, secret: &str, address: SocketAddr) -> Node {
+        let metrics = Metrics::new();
+        let local = Record {
+            id: id.into(),
+            incarnation,
+            refutation: 0,
+            standing: Standing::Alive,
+            data_centre: "attica-a".into(),
+            address,
+        };
+        let seed = Seed { id: name(0), address: self::address(0) };
+        let mesh = Arc::new(Mesh::new(Options {
+            local,
+            secret: secret.into(),
+            seeds: Some(Arc::new(Fixed(vec![seed]))),
+            position: Arc::new(Position::new()),
+            metrics: metrics.clone(),
+            seed: u64::from(address.port()),
+        }));
+        let memory = Arc::new(self.network.bind(address));
+        mesh.attach(Arc::new(Fault::new(memory, self.faults.clone())));
+        let task = tokio::spawn(mesh.clone().run());
+        Node { mesh, metrics, address, task }
+    }
+
+    pub fn all_alive(&self) -> bool {
+        self.nodes.iter().all(|node| node.alive() == self.nodes.len())
+    }
+
+    /// Counts the instances that see instance `of` so, itself included.
+    pub fn seen_as(&self, of: usize, liveness: Liveness) -> usize {
+        let sees = |node: &&Node| node.sees(&name(of)).is_some_and(|one| one.liveness == liveness);
+        self.nodes.iter().filter(sees).count()
+    }
+
+    pub fn addresses(&self, range: std::ops::Range<usize>) -> Vec<SocketAddr> {
+        self.nodes[range].iter().map(|node| node.address).collect()
+    }
+}
+
+pub fn name(number: usize) -> Arc<str> {
+    format!("attica-a-{number:03}").into()
+}
+
+pub fn address(number: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000 + u16::try_from(number).expect("few instances")))
+}
+
+/// Waits on the paused clock until the condition holds, and fails after `bound`.
+pub async fn until(bound: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + bound;
+    while !holds() {
+        assert!(tokio::time::Instant::now() < deadline, "not in {bound:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
