--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -10,14 +10,21 @@
         clock::{self, Clock},
         metrics::Metrics,
         settings::Settings,
-        snapshot::{Cell, Liveness, Member},
+        snapshot::Cell,
+    },
+    hawthornmount_fleet::{
+        Fleet,
+        mesh::{self, Mesh},
+        position::Position,
+        seed::{Platform, Source},
+        wire::{Record, Standing},
     },
-    hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
     hawthornmount_policy::{Router, basic::Basic},
     hawthornmount_rollout::{Judge, quiet::Quiet},
     hawthornmount_store::{Store, etcd::Etcd},
+    rand::RngExt,
     std::{
         sync::{
             Arc,
@@ -47,6 +54,8 @@
     pub sessions: Arc<Sessions>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
+    /// The other instances over UDP and TCP, which the control thread runs.
+    pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
     /// Judge of versions.
@@ -117,7 +126,9 @@
         let settings = self.settings;
         let store = self.store.unwrap_or_else(|| Arc::new(Etcd::new(settings.store.clone())));
         let clock: Arc<dyn Clock> = Arc::new(clock::System);
-        let fleet = self.fleet.unwrap_or_else(|| Arc::new(Local::new(member(&settings))));
+        let metrics = Metrics::new();
+        let mesh = Arc::new(mesh(&settings, metrics.clone()));
+        let fleet = self.fleet.unwrap_or_else(|| mesh.clone());
         let ledger = self
             .ledger
             .unwrap_or_else(|| Arc::new(Product::new(&store, &fleet, &clock, Options::default())));
@@ -127,11 +138,12 @@
             None => Arc::new(Absent),
         };
         Parts {
-            clock,
-            metrics: Metrics::new(),
+clock,
+            metrics,
             cell: Cell::new(),
             client: Client::new(),
             fleet,
+            mesh,
             sessions: Arc::new(sessions),
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
@@ -146,14 +158,26 @@
     }
 }
 
-fn member(settings: &Settings) -> Member {
+fn mesh(settings: &Settings, metrics: Metrics) -> Mesh {
+    let source = |address| -> Arc<dyn Source> { Arc::new(Platform::new(address)) };
+    Mesh::new(mesh::Options {
+        local: record(settings),
+        secret: settings.fleet_key.clone(),
+        seeds: settings.instance_list.map(source),
+        position: Arc::new(Position::new()),
+        metrics,
+        seed: rand::rng().random(),
+    })
+}
+
+fn record(settings: &Settings) -> Record {
     let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    Member {
+    Record {
         id: settings.instance.clone(),
         incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        refutation: 0,
+        standing: Standing::Alive,
         data_centre: settings.data_centre.clone(),
         address: settings.fleet,
-        liveness: Liveness::Alive,
-        revision: 0,
     }
 }
