Drop answers that are not whole, and say "not run" only if no attempt may have run

Cause: a refusal took "not run" from the last attempt even if an earlier one had gone out; a stream passed as whole without a reason for its end or with events of another answer; what ran for an answer that was cut, hung up on or refused was no cost in the usage records.

Change: an exchange counts the attempts that may have run, and problems are corrected by it. The reader of events checks that all carry the first one's id and that the answer was finished; whole completions have to be completions. Dropped answers are counted by cause. A finisher learns of an answer that was cut, and the bill records its cost with nothing billed.

--- a/crates/hawthornmount-entry/src/answer/events.rs
+++ b/crates/hawthornmount-entry/src/answer/events.rs
@@ -4,6 +4,7 @@
     super::Usage,
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
+    hawthornmount_core::units::Tokens,
     hawthornmount_http::Body,
     http_body_util::BodyExt,
     serde::Deserialize,
@@ -23,6 +24,12 @@
     /// The stream ended before its terminal event.
     #[display("the stream was cut before its end: send the request again")]
     Cut,
+    /// An event belongs to another answer.
+    #[display("an event of another answer came: send the request again")]
+    Crossed,
+    /// The stream ended without saying why the answer is finished.
+    #[display("the answer is truncated: send the request again")]
+    Truncated,
     /// An event is larger than the limit.
     #[display("an event of the stream is too large: lower max_tokens")]
     TooLarge,
@@ -34,6 +41,18 @@
     },
 }
 
+impl Error {
+    /// Returns the cause as counters name it.
+    pub const fn cause(&self) -> &'static str {
+        match self {
+            Self::Cut | Self::Broken { .. } => "cut",
+            Self::Crossed => "crossed",
+            Self::Truncated => "truncated",
+            Self::TooLarge => "too_large",
+        }
+    }
+}
+
 /// One event with its blank line.
 #[derive(Clone, Debug)]
 pub struct Event {
@@ -50,10 +69,15 @@
     first: Option<Event>,
     usage: Usage,
     text: String,
+    id: Option<Arc<str>>,
+    pieces: Tokens,
+    finished: bool,
 }
 
 #[derive(Deserialize)]
 struct Chunk {
+    #[serde(default)]
+    id: Option<Arc<str>>,
     #[serde(default)]
     usage: Option<Usage>,
     #[serde(default)]
@@ -64,6 +88,8 @@
 struct Choice {
     #[serde(default)]
     delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<Arc<str>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -81,6 +107,9 @@
             first: None,
             usage: Usage::default(),
             text: String::new(),
+            id: None,
+            pieces: 0,
+            finished: false,
         }
     }
 
@@ -111,6 +140,14 @@
         self.usage
     }
 
+    /// Returns the tokens so far, counted by events if the server has told of none.
+    pub fn usage_so_far(&self) -> Usage {
+        if self.usage == Usage::default() {
+            return Usage { prompt_tokens: 0, completion_tokens: self.pieces };
+        }
+        self.usage
+    }
+
     /// Returns the text so far.
     pub fn text(&self) -> &str {
         &self.text
@@ -120,7 +157,7 @@
         loop {
             if let Some(end) = find_blank_line(&self.buffer) {
                 let bytes = self.buffer.split_to(end).freeze();
-                return Ok(self.note(bytes));
+                return self.note(bytes);
             }
             if self.buffer.len() > MAX_EVENT {
                 return Err(Error::TooLarge);
@@ -139,19 +176,41 @@
         }
     }
 
-    fn note(&mut self, bytes: Bytes) -> Event {
+    fn note(&mut self, bytes: Bytes) -> Result<Event, Error> {
         let text = String::from_utf8_lossy(&bytes);
         let data = text.lines().find_map(|line| line.strip_prefix("data:")).unwrap_or_default();
         let terminal = data.trim() == TERMINAL;
         if let Ok(chunk) = serde_json::from_str::<Chunk>(data) {
+            self.check_id(chunk.id)?;
             self.usage = chunk.usage.unwrap_or(self.usage);
-            let content = chunk.choices.into_iter().next().and_then(|choice| choice.delta.content);
-            if self.text.len() < MAX_TEXT {
-                self.text.push_str(&content.unwrap_or_default());
+            if let Some(choice) = chunk.choices.into_iter().next() {
+                self.add(choice);
             }
         }
         drop(text);
-        Event { bytes, terminal }
+        if terminal && !self.finished {
+            return Err(Error::Truncated);
+        }
+        Ok(Event { bytes, terminal })
+    }
+
+    fn add(&mut self, choice: Choice) {
+        self.finished |= choice.finish_reason.is_some();
+        let Some(content) = choice.delta.content else { return };
+        self.pieces += 1;
+        if self.text.len() < MAX_TEXT {
+            self.text.push_str(&content);
+        }
+    }
+
+    /// Checks that all events carry the id of the first.
+    fn check_id(&mut self, id: Option<Arc<str>>) -> Result<(), Error> {
+        match (&self.id, id) {
+            (None, id) => self.id = id,
+            (Some(first), Some(id)) if *first != id => return Err(Error::Crossed),
+            _ => {}
+        }
+        Ok(())
     }
 }
 
--- a/crates/hawthornmount-entry/src/answer/mod.rs
+++ b/crates/hawthornmount-entry/src/answer/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod events;
 
+#[cfg(test)]
+mod tests;
+
 use {
     bytes::Bytes, events::Reader, hawthornmount_core::units::Tokens,
     hawthornmount_http::StatusCode, serde::Deserialize, std::sync::Arc,
--- a/crates/hawthornmount-entry/src/api/deliver.rs
+++ b/crates/hawthornmount-entry/src/api/deliver.rs
@@ -109,6 +109,7 @@
 impl Relay {
     async fn run(mut self, sender: mpsc::Sender<Chunk>) {
         let outcome = self.copy(&sender).await;
+        self.clean_up().await;
         self.exchange.trace.outcome = outcome.into();
         close(&self.parts, self.exchange, outcome);
     }
@@ -123,6 +124,7 @@
             let event = match event {
                 Ok(event) => event,
                 Err(error) => {
+                    self.parts.metrics.drop_one("answer", error.cause());
                     let detail = format!("the answer is not whole: {error}");
                     let problem = Problem::new(Refusal::BadAnswer, detail).ran_unknown();
                     return self.fail(sender, &problem).await;
@@ -147,14 +149,26 @@
     }
 
     async fn finish(&mut self) -> Result<(), Problem> {
-        let end = End {
+        let end = self.end(self.reader.usage());
+        finish(&mut self.exchange, &end).await
+    }
+
+    /// Does what the filters left for an answer that did not reach its end.
+    async fn clean_up(&mut self) {
+        let end = self.end(self.reader.usage_so_far());
+        for finisher in std::mem::take(&mut self.exchange.finishers) {
+            finisher.cut(&end).await;
+        }
+    }
+
+    fn end(&self, usage: Usage) -> End {
+        End {
             status: StatusCode::OK.as_u16(),
             content_type: self.content_type.clone(),
             body: None,
-            usage: self.reader.usage(),
+            usage,
             text: self.reader.text().into(),
-        };
-        finish(&mut self.exchange, &end).await
+        }
     }
 
     /// Ends the stream with an explicit error event and no terminal event.
--- a/crates/hawthornmount-entry/src/exchange/mod.rs
+++ b/crates/hawthornmount-entry/src/exchange/mod.rs
@@ -19,7 +19,10 @@
     hawthornmount_policy::{Plan, Query},
     std::{
         any::Any,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -76,6 +79,8 @@
     pub moved_from: Option<Release>,
     /// Whether the answer repeats the outcome of an earlier call with the same key.
     pub replayed: bool,
+    /// Attempts that may have run so far.
+    pub runs: Arc<AtomicUsize>,
     /// Right to run a non-idempotent call.
     pub ticket: Option<Ticket>,
     /// Models to try.
@@ -115,6 +120,7 @@
             pinned: None,
             moved_from: None,
             replayed: false,
+            runs: Arc::default(),
             ticket: None,
             plan: Plan::default(),
             answered_by: None,
@@ -147,6 +153,12 @@
         Ok(left)
     }
 
+    /// Corrects what `problem` says of whether the request ran: an attempt may have, even if the
+    /// last one did not.
+    pub fn correct(&self, problem: Problem) -> Problem {
+        if self.runs.load(Ordering::SeqCst) > 0 { problem.ran_unknown() } else { problem }
+    }
+
     /// Returns the question that the policy answers.
     pub fn query(&self, data_centre: &Arc<str>, region: &Arc<str>) -> Query {
         let completion = match &self.kind {
--- a/crates/hawthornmount-entry/src/filter/bill.rs
+++ b/crates/hawthornmount-entry/src/filter/bill.rs
@@ -78,12 +78,30 @@
 #[async_trait]
 impl Finisher for Record {
     async fn finish(&self, end: &End) -> Result<(), Problem> {
+        let price = self.price(end);
+        let usage = self.usage(end, price, self.earlier_cost + price);
+        self.ledger.record(usage).await.map_err(|error| refused(&error))
+    }
+
+    async fn cut(&self, end: &End) {
+        let usage = self.usage(end, 0, self.earlier_cost + self.price(end));
+        if let Err(error) = self.ledger.record(usage).await {
+            log::warn!("a cost is not recorded; request={} cause={error}", self.request);
+        }
+    }
+}
+
+impl Record {
+    fn price(&self, end: &End) -> MicroCost {
         let tokens = end.usage.prompt_tokens + end.usage.completion_tokens;
-        let billed = match self.price {
+        match self.price {
             Price::Call(price) => price,
             Price::Tokens(price) => price * tokens / PRICED_TOKENS,
-        };
-        let usage = Usage {
+        }
+    }
+
+    fn usage(&self, end: &End, billed: MicroCost, cost: MicroCost) -> Usage {
+        Usage {
             request: self.request.clone(),
             account: self.account.clone(),
             model: self.model.clone(),
@@ -91,10 +109,9 @@
             prompt_tokens: end.usage.prompt_tokens,
             completion_tokens: end.usage.completion_tokens,
             billed,
-            cost: self.earlier_cost + billed,
+            cost,
             at_ms: now_ms(),
-        };
-        self.ledger.record(usage).await.map_err(|error| refused(&error))
+        }
     }
 }
 
@@ -109,7 +126,7 @@
         .ran_unknown()
 }
 
-fn now_ms() -> u64 {
+pub(super) fn now_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/hawthornmount-entry/src/filter/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/mod.rs
@@ -53,6 +53,9 @@
     ///
     /// Returns the problem that the caller gets in place of the answer's end.
     async fn finish(&self, end: &End) -> Result<(), Problem>;
+
+    /// Cleans up after an answer that did not reach its end; `end` is what is known of it.
+    async fn cut(&self, _end: &End) {}
 }
 
 /// Returns the request path: who asks, what they may use, whether there is room for it and its usage record, which version
@@ -84,6 +87,7 @@
             Ok(Flow::Next) => {}
             Ok(Flow::Answered) => return Ok(()),
             Err(problem) => {
+                let problem = exchange.correct(problem);
                 for applied in path[..at].iter().rev() {
                     applied.failed(exchange, &problem).await;
                 }
--- a/crates/hawthornmount-entry/src/filter/room.rs
+++ b/crates/hawthornmount-entry/src/filter/room.rs
@@ -1,11 +1,11 @@
 //! Refuses, before it runs, a request whose usage record would find no room.
 
 use {
-    super::{Filter, Flow},
+    super::{Filter, Flow, bill},
     crate::{exchange::Exchange, instance::Parts},
     async_trait::async_trait,
     hawthornmount_core::{problem::Problem, reason::Refusal},
-    hawthornmount_ledger::Ledger,
+    hawthornmount_ledger::{Ledger, Usage},
     std::{sync::Arc, time::Duration},
 };
 
@@ -34,4 +34,28 @@
             Problem::new(Refusal::UsageBacklog, error.to_string()).retry_after(RETRY_AFTER)
         })
     }
+
+    /// Records the cost of what ran for a request that got no answer.
+    async fn failed(&self, exchange: &mut Exchange, _problem: &Problem) {
+        if exchange.cost == 0 {
+            return;
+        }
+        let usage = Usage {
+            request: exchange.id.clone(),
+            account: exchange.account.clone(),
+            model: "".into(),
+            version: "".into(),
+            prompt_tokens: 0,
+            completion_tokens: 0,
+            billed: 0,
+            cost: exchange.cost,
+            at_ms: bill::now_ms(),
+        };
+        let ledger = self.ledger.clone();
+        tokio::spawn(async move {
+            if let Err(error) = ledger.record(usage).await {
+                log::warn!("a cost is not recorded; cause={error}");
+            }
+        });
+    }
 }
--- a/crates/hawthornmount-entry/src/filter/send/attempt.rs
+++ b/crates/hawthornmount-entry/src/filter/send/attempt.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        answer::{Answer, Content, events},
+        answer::{self, Answer, Content, events},
         exchange::{Exchange, KEY_HEADER, Kind, REQUEST_HEADER},
         instance::Parts,
     },
     derive_more::{Display, Error},
     hawthornmount_core::{
+        metrics::Metrics,
         problem::Problem,
         reason::{Refusal, Retry},
         snapshot::Release,
@@ -18,7 +19,14 @@
         header,
     },
     hawthornmount_policy::Choice,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// Header with which a server says that it refused before running.
@@ -69,6 +77,16 @@
         }
     }
 
+    /// Returns how counters name an answer that was dropped, if there may have been one.
+    const fn dropped(&self) -> Option<&'static str> {
+        match self {
+            Self::Unreachable | Self::Refused | Self::Status(_) => None,
+            Self::Broken => Some("cut"),
+            Self::Timeout => Some("late"),
+            Self::BadAnswer(_) => Some("not_its_own"),
+        }
+    }
+
     /// Returns what the caller gets.
     pub fn problem(&self, idempotent: bool) -> Problem {
         let reason = match self {
@@ -94,7 +112,10 @@
     id: Arc<str>,
     request: Request,
     stream: bool,
+    completion: bool,
     timeout: Duration,
+    metrics: Metrics,
+    runs: Arc<AtomicUsize>,
 }
 
 impl Attempt {
@@ -131,7 +152,17 @@
         set_header(&mut request, "content-type", content_type);
         set_header(&mut request, REQUEST_HEADER, &id);
         let timeout = exchange.time_left().unwrap_or(Duration::ZERO);
-        Self { client: parts.client.clone(), address: choice.address, id, request, stream, timeout }
+        Self {
+            client: parts.client.clone(),
+            address: choice.address,
+            id,
+            request,
+            stream,
+            completion: matches!(exchange.kind, Kind::Completion(_)),
+            timeout,
+            metrics: parts.metrics.clone(),
+            runs: exchange.runs.clone(),
+        }
     }
 
     /// Sends the request and waits for the whole answer, or for the first event of a stream.
@@ -141,14 +172,28 @@
     /// Returns why there is no answer.
     pub async fn run(self) -> Result<Answer, Failure> {
         let timeout = self.timeout;
-        tokio::time::timeout(timeout, self.exchange()).await.unwrap_or(Err(Failure::Timeout))
+        let metrics = self.metrics.clone();
+        let run = tokio::time::timeout(timeout, self.exchange()).await;
+        let result = run.unwrap_or(Err(Failure::Timeout));
+        if let Err(Some(cause)) = result.as_ref().map_err(Failure::dropped) {
+            metrics.drop_one("answer", cause);
+        }
+        result
     }
 
     async fn exchange(self) -> Result<Answer, Failure> {
-        let response = self.client.send(self.address, self.request).await.map_err(|error| {
-            if error.is_unsent() { Failure::Unreachable } else { Failure::Broken }
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        let sent = self.client.send(self.address, self.request).await;
+        let response = sent.map_err(|error| {
+            if error.is_unsent() {
+                self.runs.fetch_sub(1, Ordering::SeqCst);
+                Failure::Unreachable
+            } else {
+                Failure::Broken
+            }
         })?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
+            self.runs.fetch_sub(1, Ordering::SeqCst);
             return Err(Failure::Refused);
         }
         check_id(&response, &self.id)?;
@@ -162,6 +207,9 @@
         }
         let body =
             client::read(self.address, response.into_body()).await.map_err(|_| Failure::Broken)?;
+        if self.completion && status.is_success() && answer::read_completion(&body).is_none() {
+            return Err(Failure::BadAnswer("the answer is truncated"));
+        }
         Ok(Answer { status, content_type, content: Content::Whole(body) })
     }
 }
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -138,7 +138,7 @@
             None => Arc::new(Absent),
         };
         Parts {
-clock,
+            clock,
             metrics,
             cell: Cell::new(),
             client: Client::new(),
