Judge versions by anytime-valid evidence

Cause: nothing judged versions, so a bad one kept its traffic. Change: tallies for each instance, life, release and server merge without double counting; blocks of answers of the same server bet against a candidate, and a detector bets against a version's past; suspensions are facts that only grow and that a newer revision with a higher generation lifts. Conclusion: good versions, one bad server, one bad data centre, the network and the rating service condemn nothing in these tests; bad versions are suspended.

--- a/crates/hawthornmount-core/src/config/mod.rs
+++ b/crates/hawthornmount-core/src/config/mod.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         id::{AccountId, CascadeId, DataCentreId, ModelId, RegionId, ServiceId, VersionId},
-        table::Table,
+        table::{Row, Table},
         units::MicroCost,
     },
     serde::{Deserialize, Serialize},
@@ -98,6 +98,9 @@
     /// Reference of the weights in the weight store.
     #[serde(default)]
     pub weights: Option<Arc<str>>,
+    /// Number that an operator raises to lift a suspension.
+    #[serde(default)]
+    pub generation: u64,
 }
 
 /// What a version may be used for.
@@ -229,6 +232,15 @@
         let owner = self.accounts.iter().find(|row| row.value.key_hashes.contains(&hash))?;
         Some(owner.id.clone())
     }
+
+    /// Returns the generation of a version: the highest of its own and of the roll-outs to it.
+    pub fn generation(&self, model: &str, version: &str) -> u64 {
+        let row = self.models.get(model).and_then(|model| model.versions.get(version));
+        let own = row.map_or(0, |version| version.generation);
+        let to = |row: &&Row<Rollout>| *row.value.model == *model && *row.value.to == *version;
+        let tries = self.rollouts.iter().filter(to).map(|row| row.value.generation);
+        tries.fold(own, u64::max)
+    }
 }
 
 impl Account {
--- /dev/null
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -0,0 +1,474 @@
+//! Judge of an instance: it keeps the evidence, suspends versions that it condemns and knows the
+//! progress of the roll-outs.
+
+mod latency;
+mod report;
+
+pub use report::{Report, RolloutReport};
+
+use {
+    crate::{
+        Judge, Sample,
+        evidence::{
+            Cell, Count, Evidence, Key, Signal, Tally,
+            bet::Wealth,
+            pair::Pairs,
+            season::{Batch, Season},
+        },
+        progress::{self, Progress},
+        sample::Seen,
+        suspension::{self, Cause, Set, Suspension},
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{
+        clock::Clock,
+        config::{Config, State},
+        id::{DataCentreId, Incarnation, InstanceId, Revision, ServerId},
+        snapshot::{Release, Share},
+    },
+    latency::Latency,
+    parking_lot::Mutex,
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
+    tokio::sync::Notify,
+};
+
+/// Chance that a good version is ever suspended, over all signals and instances.
+const FALSE_ALARMS: f64 = 0.001;
+/// Ways in which a version can be condemned: three signals beside the stable version and three
+/// against its past.
+const WAYS: f64 = 6.0;
+
+/// Judge of an instance.
+pub struct Keeper {
+    inner: Mutex<Inner>,
+    changed: Notify,
+    clock: Arc<dyn Clock>,
+}
+
+struct Inner {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    revision: Revision,
+    config: Arc<Config>,
+    members: usize,
+    evidence: Evidence,
+    fresh: Vec<Key>,
+    pairs: Pairs,
+    latency: Latency,
+    seasons: Vec<(Release, [Season; 3])>,
+    sequence: u64,
+    suspensions: Set,
+    unsent: Vec<Suspension>,
+    progress: Vec<Progress>,
+}
+
+impl Keeper {
+    /// Creates a judge that has seen nothing.
+    pub fn new(instance: InstanceId, incarnation: Incarnation, clock: Arc<dyn Clock>) -> Self {
+        let inner = Inner {
+            instance,
+            incarnation,
+            revision: 0,
+            config: Arc::default(),
+            members: 1,
+            evidence: Evidence::default(),
+            fresh: Vec::new(),
+            pairs: Pairs::default(),
+            latency: Latency::default(),
+            seasons: Vec::new(),
+            sequence: 0,
+            suspensions: Set::default(),
+            unsent: Vec::new(),
+            progress: Vec::new(),
+        };
+        Self { inner: Mutex::new(inner), changed: Notify::new(), clock }
+    }
+
+    /// Takes the configuration in force and the number of members, which share the chance of a
+    /// false alarm.
+    pub fn configure(&self, revision: Revision, config: &Arc<Config>, members: usize) {
+        let mut inner = self.inner.lock();
+        inner.members = inner.members.max(members);
+        if revision <= inner.revision {
+            return;
+        }
+        inner.revision = revision;
+        inner.config = config.clone();
+        inner.forget();
+    }
+
+    /// Takes tallies of other instances.
+    pub fn merge_evidence(&self, cells: Vec<Cell>) {
+        let mut inner = self.inner.lock();
+        let mut changed = false;
+        for cell in cells {
+            if cell.key.instance != inner.instance {
+                changed |= inner.take_cell(cell, self.now_ms());
+            }
+        }
+        self.tell(changed);
+    }
+
+    /// Takes suspensions of other instances or of the store, and tells whether one was news.
+    pub fn merge_suspensions(&self, suspensions: Vec<Suspension>) -> bool {
+        let mut inner = self.inner.lock();
+        let mut changed = false;
+        for suspension in suspensions {
+            changed |= inner.suspensions.merge(suspension);
+        }
+        self.tell(changed);
+        changed
+    }
+
+    /// Takes progress of roll-outs; progress never moves back.
+    pub fn merge_progress(&self, progress: Vec<Progress>) -> bool {
+        let mut inner = self.inner.lock();
+        let mut changed = false;
+        for one in progress {
+            changed |= inner.take_progress(one);
+        }
+        self.tell(changed);
+        changed
+    }
+
+    /// Returns up to `limit` tallies of this instance that changed since the last call.
+    pub fn fresh_evidence(&self, limit: usize) -> Vec<Cell> {
+        let mut inner = self.inner.lock();
+        let count = inner.fresh.len().min(limit);
+        let keys: Vec<Key> = inner.fresh.drain(..count).collect();
+        let tally = |key: Key| {
+            let tally = inner.evidence.get(&key)?.clone();
+            Some(Cell { key, tally })
+        };
+        keys.into_iter().filter_map(tally).collect()
+    }
+
+    /// Returns the suspensions that this instance made and that were not told yet.
+    pub fn fresh_suspensions(&self) -> Vec<Suspension> {
+        std::mem::take(&mut self.inner.lock().unsent)
+    }
+
+    /// Returns every suspension that is known.
+    pub fn suspensions(&self) -> Vec<Suspension> {
+        self.inner.lock().suspensions.all().to_vec()
+    }
+
+    /// Returns the progress that is known.
+    pub fn progress(&self) -> Vec<Progress> {
+        self.inner.lock().progress.clone()
+    }
+
+    /// Returns the rated answers of a release and the logarithm of the largest e-value against it.
+    pub fn standing(&self, release: &Release) -> (u64, f64) {
+        self.inner.lock().standing(release)
+    }
+
+    /// Returns why the release gets no new work, if it gets none.
+    pub fn against(&self, release: &Release) -> Option<Arc<str>> {
+        self.inner.lock().against(release)
+    }
+
+    /// Returns what operators are shown.
+    pub fn report(&self) -> Report {
+        report::build(&self.inner.lock(), self.now_ms())
+    }
+
+    fn tell(&self, changed: bool) {
+        if changed {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns the time in milliseconds since the epoch.
+    pub fn now_ms(&self) -> u64 {
+        let elapsed = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+#[async_trait]
+impl Judge for Keeper {
+    fn observe(&self, sample: Sample) {
+        let mut inner = self.inner.lock();
+        let changed = inner.observe(&sample, self.now_ms());
+        self.tell(changed);
+    }
+
+    fn suspended(&self) -> Vec<Release> {
+        let inner = self.inner.lock();
+        let held = inner.suspensions.in_force(inner.revision, &inner.config);
+        let mut releases: Vec<Release> = held.iter().map(|one| one.key.release()).collect();
+        releases.dedup();
+        releases
+    }
+
+    fn shares(&self) -> Vec<Share> {
+        let inner = self.inner.lock();
+        progress::shares(&inner.config, &inner.progress)
+    }
+
+    async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
+impl Inner {
+    fn observe(&mut self, sample: &Sample, now_ms: u64) -> bool {
+        let observed = match sample.seen {
+            Seen::Unreachable => return false,
+            Seen::Failed => [Some((Signal::Failure, 1.0)), None],
+            Seen::Rated(rating) => [Some((Signal::Rating, 1.0 - rating.clamp(0.0, 1.0))), None],
+            Seen::Answered(elapsed) => {
+                let slow = self.slow(sample, elapsed).map(|slow| (Signal::Latency, slow));
+                [Some((Signal::Failure, 0.0)), slow]
+            }
+        };
+        let mut changed = false;
+        for (signal, badness) in observed.into_iter().flatten() {
+            changed |= self.count(sample, signal, badness, now_ms);
+        }
+        changed
+    }
+
+    /// Tells whether an answer was slower than most of the stable version's on the same server.
+    fn slow(&mut self, sample: &Sample, elapsed: Duration) -> Option<f64> {
+        let stable = self.config.models.get(&sample.release.model)?.stable.clone();
+        let is_stable = stable == sample.release.version;
+        let slow = self.latency.is_slow(&sample.release.model, &sample.server, elapsed);
+        if is_stable {
+            self.latency.learn(&sample.release.model, &sample.server, elapsed);
+        }
+        slow.map(|slow| if slow { 1.0 } else { 0.0 })
+    }
+
+    fn count(&mut self, sample: &Sample, signal: Signal, badness: f64, now_ms: u64) -> bool {
+        let mut cell = self.own_cell(&sample.release, &sample.server, &sample.data_centre);
+        let count = &mut cell.tally.counts[signal as usize];
+        count.seen += 1;
+        count.bad += badness;
+        let mut changed = false;
+        if let Some(stable) = self.stable_of(&sample.release) {
+            let is_candidate = stable.version != sample.release.version;
+            if is_candidate {
+                let block = self.pairs.take(&sample.release, &sample.server, signal, true, badness);
+                bet(count, block);
+            } else {
+                changed = self.pair_stable(sample, signal, badness, now_ms);
+            }
+        }
+        cell.tally.changes += 1;
+        self.take_cell(cell, now_ms) || changed
+    }
+
+    /// Pairs an answer of the stable version with waiting answers of the model's candidates.
+    fn pair_stable(&mut self, sample: &Sample, signal: Signal, badness: f64, now_ms: u64) -> bool {
+        let mut changed = false;
+        for candidate in self.candidates(&sample.release) {
+            let block = self.pairs.take(&candidate, &sample.server, signal, false, badness);
+            if block.is_none() {
+                continue;
+            }
+            let mut cell = self.own_cell(&candidate, &sample.server, &sample.data_centre);
+            bet(&mut cell.tally.counts[signal as usize], block);
+            cell.tally.changes += 1;
+            changed |= self.take_cell(cell, now_ms);
+        }
+        changed
+    }
+
+    fn own_cell(&self, release: &Release, server: &ServerId, place: &DataCentreId) -> Cell {
+        let key = Key {
+            model: release.model.clone(),
+            version: release.version.clone(),
+            generation: self.config.generation(&release.model, &release.version),
+            server: server.clone(),
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+        };
+        let tally = self.evidence.get(&key).cloned().unwrap_or(Tally {
+            data_centre: place.clone(),
+            changes: 0,
+            counts: Default::default(),
+        });
+        Cell { key, tally }
+    }
+
+    /// Takes a tally and judges its release again. Tells whether the release was suspended now.
+    fn take_cell(&mut self, cell: Cell, now_ms: u64) -> bool {
+        let release = Release { model: cell.key.model.clone(), version: cell.key.version.clone() };
+        let generation = cell.key.generation;
+        let own = cell.key.instance == self.instance;
+        let (key, tally) = (cell.key.clone(), cell.tally.clone());
+        let Some(before) = self.evidence.merge(cell) else { return false };
+        if own && !self.fresh.contains(&key) {
+            self.fresh.push(key.clone());
+        }
+        if generation != self.config.generation(&release.model, &release.version) {
+            return false;
+        }
+        self.feed_season(&release, &key.server, before.as_ref(), &tally);
+        self.judge(&release, generation, now_ms)
+    }
+
+    fn feed_season(
+        &mut self,
+        release: &Release,
+        server: &ServerId,
+        old: Option<&Tally>,
+        new: &Tally,
+    ) {
+        let group = self.group(&new.data_centre, server);
+        self.sequence += 1;
+        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        let at = found.unwrap_or_else(|at| {
+            self.seasons.insert(at, (release.clone(), Signal::ALL.map(Season::new)));
+            at
+        });
+        for signal in Signal::ALL {
+            let at_signal = signal as usize;
+            let before = old.map_or_else(Count::default, |old| old.counts[at_signal]);
+            let now = new.counts[at_signal];
+            let batch = Batch {
+                seen: now.seen.saturating_sub(before.seen),
+                bad: (now.bad - before.bad).max(0.0),
+            };
+            self.seasons[at].1[at_signal].take(&group, batch, self.sequence);
+        }
+    }
+
+    /// Returns the group that may be wrong as a whole: the data centre, or the server where there
+    /// is only one data centre.
+    fn group(&self, data_centre: &DataCentreId, server: &ServerId) -> Arc<str> {
+        if self.config.data_centres.len() > 1 { data_centre.clone() } else { server.clone() }
+    }
+
+    fn judge(&mut self, release: &Release, generation: u64, now_ms: u64) -> bool {
+        if self.against(release).is_some() {
+            return false;
+        }
+        let Some(text) = self.condemned(release, generation) else { return false };
+        let key = suspension::Key {
+            model: release.model.clone(),
+            version: release.version.clone(),
+            generation,
+        };
+        let cause =
+            Cause { revision: self.revision, text, by: self.instance.clone(), at_ms: now_ms };
+        log::warn!("version suspended; release={}@{} cause={}", key.model, key.version, cause.text);
+        let suspension = Suspension { key, cause };
+        self.unsent.push(suspension.clone());
+        self.suspensions.merge(suspension)
+    }
+
+    fn condemned(&self, release: &Release, generation: u64) -> Option<Arc<str>> {
+        let threshold = self.threshold();
+        for signal in Signal::ALL {
+            let paired = self.evidence.against(release, generation, signal);
+            if paired >= threshold {
+                let text = format!("{signal} worse than the stable version's, ln e = {paired:.1}");
+                return Some(text.into());
+            }
+            let past = self.season(release, signal);
+            if past >= threshold && !self.is_common(release, signal) {
+                return Some(format!("{signal} worse than in its past, ln e = {past:.1}").into());
+            }
+        }
+        None
+    }
+
+    /// Returns the logarithm of the e-value against a release compared with its past. Slowness says
+    /// nothing here: load makes a good version slow.
+    fn season(&self, release: &Release, signal: Signal) -> f64 {
+        if signal == Signal::Latency {
+            return f64::NEG_INFINITY;
+        }
+        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].1[signal as usize].against())
+    }
+
+    /// Tells whether ratings may have fallen for every model at once, which is the rating service's
+    /// doing. Only a release of another model that stayed as it was shows that they did not.
+    fn is_common(&self, release: &Release, signal: Signal) -> bool {
+        if signal != Signal::Rating {
+            return false;
+        }
+        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        let own = found.ok().map(|at| &self.seasons[at].1[signal as usize]);
+        let since = own.and_then(Season::rising_since).unwrap_or(self.sequence);
+        let others = self.seasons.iter().filter(|(one, _)| one.model != release.model);
+        !others.into_iter().any(|(_, season)| season[signal as usize].is_steady_after(since))
+    }
+
+    /// Returns the logarithm of the e-value that condemns.
+    fn threshold(&self) -> f64 {
+        (self.members.max(1) as f64 * WAYS / FALSE_ALARMS).ln()
+    }
+
+    fn standing(&self, release: &Release) -> (u64, f64) {
+        let generation = self.config.generation(&release.model, &release.version);
+        let doubt = |signal| {
+            let paired = self.evidence.against(release, generation, signal);
+            paired.max(self.season(release, signal))
+        };
+        let most = Signal::ALL.into_iter().map(doubt).fold(f64::NEG_INFINITY, f64::max);
+        (self.evidence.seen(release, generation, Signal::Rating), most)
+    }
+
+    fn against(&self, release: &Release) -> Option<Arc<str>> {
+        let version = self.config.models.get(&release.model)?.versions.get(&release.version)?;
+        if version.state == State::Withdrawn {
+            return Some("the version is withdrawn".into());
+        }
+        let held = self.suspensions.in_force(self.revision, &self.config);
+        let found = held.into_iter().find(|one| one.key.release() == *release)?;
+        Some(format!("suspended: {}", found.cause.text).into())
+    }
+
+    fn take_progress(&mut self, progress: Progress) -> bool {
+        match self.progress.binary_search_by(|one| one.rollout.cmp(&progress.rollout)) {
+            Ok(at) if self.progress[at].order() >= progress.order() => false,
+            Ok(at) => {
+                self.progress[at] = progress;
+                true
+            }
+            Err(at) => {
+                self.progress.insert(at, progress);
+                true
+            }
+        }
+    }
+
+    fn stable_of(&self, release: &Release) -> Option<Release> {
+        let model = self.config.models.get(&release.model)?;
+        Some(Release { model: release.model.clone(), version: model.stable.clone() })
+    }
+
+    fn candidates(&self, stable: &Release) -> Vec<Release> {
+        let Some(model) = self.config.models.get(&stable.model) else { return Vec::new() };
+        let others = model.versions.iter().filter(|row| row.id != stable.version);
+        let alive = others.filter(|row| row.value.state != State::Withdrawn);
+        alive.map(|row| Release { model: stable.model.clone(), version: row.id.clone() }).collect()
+    }
+
+    /// Forgets what belongs to versions and generations that are gone.
+    fn forget(&mut self) {
+        let config = self.config.clone();
+        self.evidence.retain(|key| {
+            let exists = config
+                .models
+                .get(&key.model)
+                .is_some_and(|model| model.versions.contains(&key.version));
+            exists && config.generation(&key.model, &key.version) <= key.generation
+        });
+    }
+}
+
+fn bet(count: &mut Count, block: Option<Wealth>) {
+    if let Some(block) = block {
+        crate::evidence::bet::add(&mut count.wealth, &block);
+        count.blocks += 1;
+    }
+}
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -1,14 +1,22 @@
 //! Roll-outs, withdrawals and suspensions of versions, the evidence that they rest on, and the
 //! orders to engines that follow from them.
 
+pub mod evidence;
+pub mod keeper;
+pub mod progress;
 pub mod quiet;
 pub mod sample;
+pub mod suspension;
 
 pub use sample::Sample;
 
-use hawthornmount_core::snapshot::{Release, Share};
+use {
+    async_trait::async_trait,
+    hawthornmount_core::snapshot::{Release, Share},
+};
 
 /// Judges versions by what requests saw of them.
+#[async_trait]
 pub trait Judge: Send + Sync {
     /// Takes what one request saw of a version. Never blocks.
     fn observe(&self, sample: Sample);
@@ -18,4 +26,9 @@
 
     /// Returns the shares of versions under roll-out, in order of their releases.
     fn shares(&self) -> Vec<Share>;
+
+    /// Waits until the suspended releases or the shares changed.
+    async fn changed(&self) {
+        std::future::pending::<()>().await;
+    }
 }
--- a/crates/hawthornmount-rollout/src/quiet/mod.rs
+++ b/crates/hawthornmount-rollout/src/quiet/mod.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{Judge, Sample},
+    async_trait::async_trait,
     hawthornmount_core::snapshot::{Release, Share},
 };
 
@@ -9,6 +10,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Quiet;
 
+#[async_trait]
 impl Judge for Quiet {
     fn observe(&self, _sample: Sample) {}
 
