Drive roll-outs by lease and order engines

Cause: roll-outs, suspensions and orders had no one to carry them out. Change: whoever holds the lease moves progress by compare-and-swap that is fenced by the lease's key, records suspensions and orders engines, and reads back; each attempt checks the present control state, so that retries and cascade steps of a withdrawn version stop; the stand-in engines fetch weights.

--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it owns all control state and publishes it as one snapshot.
 
 mod load;
+mod rollout;
 mod state;
 
 use {
@@ -69,6 +70,7 @@
     tokio::spawn(follow_config(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
+    rollout::start(parts);
     let mut state = State::new(parts);
     let mut publish = tokio::time::interval(PUBLISH_PAUSE);
     loop {
@@ -84,6 +86,7 @@
                 None => return,
             },
             _ = publish.tick() => state.publish(parts),
+            () = parts.judge.changed() => state.publish(parts),
         }
     }
 }
--- /dev/null
+++ b/crates/hawthornmount-entry/src/control/rollout.rs
@@ -0,0 +1,35 @@
+//! Starts the parts of the control thread that judge versions, drive roll-outs and order engines.
+
+use {
+    crate::instance::Parts,
+    hawthornmount_core::{id, snapshot::Snapshot},
+    hawthornmount_http::client::Client,
+    hawthornmount_rollout::{
+        driver::{Driver, View, lease::Lease},
+        order::Orders,
+        share,
+    },
+    std::sync::Arc,
+};
+
+struct Present(Arc<Parts>);
+
+impl View for Present {
+    fn snapshot(&self) -> Arc<Snapshot> {
+        self.0.cell.load()
+    }
+}
+
+pub fn start(parts: &Arc<Parts>) {
+    let name = id::fresh(&parts.settings.instance);
+    let driver = Driver::new(
+        parts.keeper.clone(),
+        parts.store.clone(),
+        parts.fleet.clone(),
+        Arc::new(Present(parts.clone())),
+        Lease::new(name, parts.clock.clone()),
+        parts.role.clone(),
+    );
+    tokio::spawn(share::run(parts.keeper.clone(), parts.fleet.clone()));
+    tokio::spawn(driver.run(Orders::new(Client::new())));
+}
--- a/crates/hawthornmount-entry/src/control/state.rs
+++ b/crates/hawthornmount-entry/src/control/state.rs
@@ -72,10 +72,12 @@
     }
 
     pub fn publish(&self, parts: &Parts) {
+        let members = parts.fleet.members();
+        parts.keeper.configure(self.revision, &self.config, members.len());
         parts.cell.publish(Snapshot {
             revision: self.revision,
             config: self.config.clone(),
-            members: parts.fleet.members(),
+            members,
             backends: self.backends(),
             suspended: parts.judge.suspended().into(),
             shares: parts.judge.shares().into(),
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -20,7 +20,7 @@
         snapshot::Release,
         units::PRICED_TOKENS,
     },
-    hawthornmount_policy::{Choice, Plan, plan::Ended},
+    hawthornmount_policy::{Choice, Plan, plan::Ended, rule},
     hawthornmount_rollout::{Sample, sample::Seen},
     std::{
         sync::Arc,
@@ -54,7 +54,14 @@
     async fn complete(&self, exchange: &mut Exchange) -> Result<(), Problem> {
         let plan = std::mem::take(&mut exchange.plan);
         let mut history = History::default();
-        let (answer, release) = self.try_candidates(exchange, &plan, &mut history).await?;
+        let tried = self.try_candidates(exchange, &plan, &mut history).await;
+        let (answer, release) = match tried {
+            Err(problem) if problem.reason == Refusal::NoVersion => {
+                let plan = self.plan_again(exchange)?;
+                self.try_candidates(exchange, &plan, &mut history).await?
+            }
+            tried => tried?,
+        };
         let (answer, release) = match pin::confirm(&*self.parts.ledger, exchange, &release).await {
             None => (answer, release),
             Some(kept) => {
@@ -68,6 +75,19 @@
         Ok(())
     }
 
+    /// Plans on the present control state when every version of the first plan was withdrawn or
+    /// suspended after it was made.
+    fn plan_again(&self, exchange: &mut Exchange) -> Result<Plan, Problem> {
+        exchange.snapshot = self.parts.cell.load();
+        if let Some(pinned) = exchange.pinned.take() {
+            exchange.moved_from = Some(pinned);
+        }
+        exchange.trace.step("every version of the plan was withdrawn meanwhile; planned again");
+        let settings = &self.parts.settings;
+        let query = exchange.query(&settings.data_centre, &settings.region);
+        self.parts.router.plan(&exchange.snapshot, &query).map_err(withdrawn)
+    }
+
     /// Tries the candidates in order; an answer that rates below the target is dropped when the
     /// next candidate is asked.
     async fn try_candidates(
@@ -163,10 +183,16 @@
         let settings = &self.parts.settings;
         let query = exchange.query(&settings.data_centre, &settings.region);
         let router = &self.parts.router;
+        let present = self.parts.cell.load();
+        if let Some(release) = release
+            && !rule::is_usable(&present, &exchange.account, release)
+        {
+            return Err(withdrawn(Refusal::NoVersion));
+        }
         let chosen = match (release, &exchange.kind) {
-            (Some(release), _) => router.choose(&exchange.snapshot, &query, release, tried),
+            (Some(release), _) => router.choose(&present, &query, release, tried),
             (None, Kind::Service(call)) => {
-                router.choose_service(&exchange.snapshot, &query, &call.service, tried)
+                router.choose_service(&present, &query, &call.service, tried)
             }
             (None, _) => Err(Refusal::NoServer),
         };
@@ -220,6 +246,10 @@
     }
 }
 
+fn withdrawn(reason: Refusal) -> Problem {
+    Problem::new(reason, "no version that the account may use can answer: ask your operator")
+}
+
 const fn is_idempotent(kind: &Kind) -> bool {
     match kind {
         Kind::Completion(_) | Kind::Models => true,
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -15,8 +15,9 @@
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, direct::Direct},
     hawthornmount_policy::{Router, basic::Basic},
-    hawthornmount_rollout::{Judge, quiet::Quiet},
+    hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
+    parking_lot::Mutex,
     std::{
         sync::{
             Arc,
@@ -48,6 +49,10 @@
     pub router: Arc<dyn Router>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
+    /// Evidence on versions, suspensions and the progress of roll-outs.
+    pub keeper: Arc<Keeper>,
+    /// What this instance knows of the holder that drives the roll-outs.
+    pub role: Arc<Mutex<Role>>,
     /// The service that rates answers.
     pub rater: Arc<dyn Rater>,
     /// Last requests with their decisions.
@@ -110,14 +115,19 @@
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
         };
+        let clock: Arc<dyn Clock> = Arc::new(clock::System);
+        let member = member(&settings);
+        let keeper = Arc::new(Keeper::new(member.id.clone(), member.incarnation, clock.clone()));
         Parts {
-            clock: Arc::new(clock::System),
+            clock,
             metrics: Metrics::new(),
             cell: Cell::new(),
             client: Client::new(),
-            fleet: Arc::new(Local::new(member(&settings))),
+            fleet: Arc::new(Local::new(member)),
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
-            judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
+            judge: self.judge.unwrap_or_else(|| keeper.clone()),
+            keeper,
+            role: Arc::default(),
             rater,
             journal: Journal::default(),
             in_flight: Arc::default(),
--- a/crates/hawthornmount-policy/src/basic/mod.rs
+++ b/crates/hawthornmount-policy/src/basic/mod.rs
@@ -146,5 +146,6 @@
         return Some(share.release.clone());
     }
     let stable = Release { model: model.clone(), version: row.stable.clone() };
-    rule::is_usable(snapshot, account, &stable).then_some(stable)
+    let usable = rule::is_usable(snapshot, account, &stable).then_some(stable);
+    usable.or_else(|| rule::fallback(snapshot, account, model))
 }
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -45,6 +45,7 @@
 pub struct Keeper {
     inner: Mutex<Inner>,
     changed: Notify,
+    news: Notify,
     clock: Arc<dyn Clock>,
 }
 
@@ -84,7 +85,7 @@
             unsent: Vec::new(),
             progress: Vec::new(),
         };
-        Self { inner: Mutex::new(inner), changed: Notify::new(), clock }
+        Self { inner: Mutex::new(inner), changed: Notify::new(), news: Notify::new(), clock }
     }
 
     /// Takes the configuration in force and the number of members, which share the chance of a
@@ -151,6 +152,11 @@
         std::mem::take(&mut self.inner.lock().unsent)
     }
 
+    /// Waits until there may be something to tell the other instances at once.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
     /// Returns every suspension that is known.
     pub fn suspensions(&self) -> Vec<Suspension> {
         self.inner.lock().suspensions.all().to_vec()
@@ -179,6 +185,7 @@
     fn tell(&self, changed: bool) {
         if changed {
             self.changed.notify_one();
+            self.news.notify_one();
         }
     }
 
@@ -303,8 +310,9 @@
         let own = cell.key.instance == self.instance;
         let (key, tally) = (cell.key.clone(), cell.tally.clone());
         let Some(before) = self.evidence.merge(cell) else { return false };
-        if own && !self.fresh.contains(&key) {
-            self.fresh.push(key.clone());
+        if own {
+            let worse = before.as_ref().is_none_or(|before| is_worse(before, &tally));
+            self.note_fresh(key.clone(), worse);
         }
         if generation != self.config.generation(&release.model, &release.version) {
             return false;
@@ -313,6 +321,16 @@
         self.judge(&release, generation, now_ms)
     }
 
+    /// Notes that a tally has to be told; one that got worse goes first.
+    fn note_fresh(&mut self, key: Key, worse: bool) {
+        match self.fresh.iter().position(|one| *one == key) {
+            Some(at) if worse => self.fresh[..=at].rotate_right(1),
+            Some(_) => {}
+            None if worse => self.fresh.insert(0, key),
+            None => self.fresh.push(key),
+        }
+    }
+
     fn feed_season(
         &mut self,
         release: &Release,
@@ -466,6 +484,10 @@
     }
 }
 
+fn is_worse(before: &Tally, now: &Tally) -> bool {
+    before.counts.iter().zip(&now.counts).any(|(before, now)| now.bad > before.bad + 0.5)
+}
+
 fn bet(count: &mut Count, block: Option<Wealth>) {
     if let Some(block) = block {
         crate::evidence::bet::add(&mut count.wealth, &block);
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -1,11 +1,14 @@
 //! Roll-outs, withdrawals and suspensions of versions, the evidence that they rest on, and the
 //! orders to engines that follow from them.
 
+pub mod driver;
 pub mod evidence;
 pub mod keeper;
+pub mod order;
 pub mod progress;
 pub mod quiet;
 pub mod sample;
+pub mod share;
 pub mod suspension;
 
 pub use sample::Sample;
--- a/crates/hawthornmount-rollout/src/progress/mod.rs
+++ b/crates/hawthornmount-rollout/src/progress/mod.rs
@@ -123,7 +123,7 @@
         if let Some(cause) = &gate.against {
             return Next::Stop(cause.clone());
         }
-        let rated = gate.rated.saturating_sub(self.rated_before);
+        let rated = gate.rated.checked_sub(self.rated_before).unwrap_or(gate.rated);
         let waited_ms = u128::from(gate.now_ms.saturating_sub(self.since_ms));
         if waited_ms < rollout.step.as_millis() {
             return Next::Wait(format!("{waited_ms} of {} ms", rollout.step.as_millis()).into());
--- /dev/null
+++ b/crates/hawthornmount-rollout/src/share/mod.rs
@@ -0,0 +1,107 @@
+//! Tells the other instances of evidence, suspensions and progress, and takes theirs.
+
+use {
+    crate::{evidence::Cell, keeper::Keeper, progress::Progress, suspension::Suspension},
+    bytes::Bytes,
+    hawthornmount_fleet::{Fleet, Message, Topic},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Pause between two frames of evidence.
+const EVIDENCE_PAUSE: Duration = Duration::from_millis(200);
+/// Tallies in a frame, so that it fits a datagram.
+const FRAME_CELLS: usize = 5;
+/// Messages that wait to be taken.
+const BACKLOG: usize = 1_024;
+/// Pauses after which a suspension is told again, in case frames were lost.
+const REPEATS: [Duration; 5] = [
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+    Duration::from_secs(2),
+    Duration::from_secs(5),
+];
+
+/// Suspensions or progress that are told a few times.
+struct Told<T> {
+    item: T,
+    count: usize,
+    next: Instant,
+}
+
+/// Exchanges evidence, suspensions and progress with the other instances; never returns.
+pub async fn run(keeper: Arc<Keeper>, fleet: Arc<dyn Fleet>) {
+    let mut evidence = subscribe(&*fleet, Topic::Evidence);
+    let mut suspensions = subscribe(&*fleet, Topic::Suspension);
+    let mut progress = subscribe(&*fleet, Topic::Rollout);
+    let mut tick = tokio::time::interval(EVIDENCE_PAUSE);
+    let mut told: Vec<Told<Suspension>> = Vec::new();
+    loop {
+        tokio::select! {
+            Some(message) = suspensions.recv() => {
+                keeper.merge_suspensions(read::<Suspension>(&message));
+            }
+            Some(message) = evidence.recv() => keeper.merge_evidence(read::<Cell>(&message)),
+            Some(message) = progress.recv() => {
+                keeper.merge_progress(read::<Progress>(&message));
+            }
+            () = keeper.news() => {}
+            _ = tick.tick() => spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(FRAME_CELLS)),
+        }
+        let now = Instant::now();
+        let fresh = keeper.fresh_suspensions().into_iter();
+        told.extend(fresh.map(|item| Told { item, count: 0, next: now }));
+        repeat(&*fleet, &mut told, now);
+    }
+}
+
+/// Tells the other instances of progress, as the holder of the lease does after each change.
+pub fn tell_progress(fleet: &dyn Fleet, progress: &[Progress]) {
+    for one in progress {
+        spread(fleet, Topic::Rollout, std::slice::from_ref(one));
+    }
+}
+
+/// Tells the other instances of suspensions that the store holds.
+pub fn tell_suspensions(fleet: &dyn Fleet, suspensions: &[Suspension]) {
+    for one in suspensions {
+        spread(fleet, Topic::Suspension, std::slice::from_ref(one));
+    }
+}
+
+fn repeat(fleet: &dyn Fleet, told: &mut Vec<Told<Suspension>>, now: Instant) {
+    for one in told.iter_mut().filter(|one| one.next <= now) {
+        spread(fleet, Topic::Suspension, std::slice::from_ref(&one.item));
+        one.next = now + REPEATS.get(one.count).copied().unwrap_or_default();
+        one.count += 1;
+    }
+    told.retain(|one| one.count <= REPEATS.len());
+}
+
+fn subscribe(fleet: &dyn Fleet, topic: Topic) -> mpsc::Receiver<Message> {
+    let (sender, receiver) = mpsc::channel(BACKLOG);
+    fleet.subscribe(topic, sender);
+    receiver
+}
+
+fn spread<T: Serialize>(fleet: &dyn Fleet, topic: Topic, items: &[T]) {
+    if items.is_empty() {
+        return;
+    }
+    let Ok(bytes) = postcard::to_stdvec(items) else { return };
+    if let Err(error) = fleet.spread(topic, Bytes::from(bytes)) {
+        log::warn!("a message is not spread; topic={topic:?} cause={error}");
+    }
+}
+
+fn read<T: DeserializeOwned>(message: &Message) -> Vec<T> {
+    postcard::from_bytes(&message.payload).unwrap_or_else(|error| {
+        log::warn!("a message can't be read; from={} cause={error}", message.from);
+        Vec::new()
+    })
+}
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -16,6 +16,7 @@
     hawthornmount_core::table::Table,
     hawthornmount_http::{
         Request, Response, StatusCode,
+        client::Client,
         server::{self, Handler, ListenError, Server},
     },
     parking_lot::Mutex,
@@ -95,6 +96,10 @@
     checks_fencing: bool,
     fence: AtomicU64,
     cut_after: AtomicU32,
+    room: AtomicU32,
+    orders: AtomicU64,
+    weights: Mutex<Option<SocketAddr>>,
+    client: Client,
 }
 
 impl Engine {
@@ -121,6 +126,10 @@
             checks_fencing,
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
+            room: AtomicU32::new(u32::MAX),
+            orders: AtomicU64::new(0),
+            weights: Mutex::new(None),
+            client: Client::new(),
         });
         let server = Server::start(address, Arc::new(Api(shared.clone()))).await?;
         Ok(Self { server, shared })
@@ -151,6 +160,27 @@
         self.shared.loaded.lock().clone()
     }
 
+    /// Returns the number of orders that the engine took.
+    pub fn orders(&self) -> u64 {
+        self.shared.orders.load(Ordering::SeqCst)
+    }
+
+    /// Loads weights from the store at `address`.
+    pub fn set_weights(&self, address: SocketAddr) {
+        *self.shared.weights.lock() = Some(address);
+    }
+
+    /// Sets how many versions fit into the engine's memory.
+    pub fn set_room(&self, versions: u32) {
+        self.shared.room.store(versions, Ordering::SeqCst);
+    }
+
+    /// Starts again with nothing loaded and no fencing number seen.
+    pub fn restart_empty(&self) {
+        self.shared.loaded.lock().clear();
+        self.shared.fence.store(0, Ordering::SeqCst);
+    }
+
     /// Makes the engine say that it is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.shared.leaving.store(u32::from(leaving), Ordering::SeqCst);
--- a/crates/hawthornmount-standin/src/lib.rs
+++ b/crates/hawthornmount-standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod rating;
 pub mod service;
 pub mod store;
+pub mod weights;
 
 mod http;
