Prove roll-outs and withdrawals under failures

Cause: the driver and the orders had no test. Change: focused tests of holders that die, pause, lose answers or are cut off at each step, and end to end tests of withdrawal, suspension and repair through real instances and stand-in engines. Conclusion: the roll-out moves one step at a time in each case; a withdrawn version gets no run past 4 s of the accept.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod command_line;
 mod demo;
 mod stream;
+mod version;
