--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,8 @@
 
 mod command_line;
 mod demo;
+mod guide;
+mod problems;
+mod serve;
 mod stream;
 mod version;
