--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -21,8 +21,9 @@
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
     hawthornmount_policy::{Router, basic::Basic},
-    hawthornmount_rollout::{Judge, quiet::Quiet},
+    hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
+    parking_lot::Mutex,
     rand::RngExt,
     std::{
         sync::{
@@ -57,6 +58,10 @@
     pub router: Arc<dyn Router>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
+    /// Evidence on versions, suspensions and the progress of roll-outs.
+    pub keeper: Arc<Keeper>,
+    /// What this instance knows of the holder that drives the roll-outs.
+    pub role: Arc<Mutex<Role>>,
     /// The service that rates answers.
     pub rater: Arc<dyn Rater>,
     /// Last requests with their decisions.
@@ -124,7 +129,9 @@
         let store = self.store.unwrap_or_else(|| Arc::new(Etcd::new(settings.store.clone())));
         let clock: Arc<dyn Clock> = Arc::new(clock::System);
         let metrics = Metrics::new();
-        let mesh = Arc::new(mesh(&settings, metrics.clone()));
+        let local = record(&settings);
+        let keeper = Arc::new(Keeper::new(local.id.clone(), local.incarnation, clock.clone()));
+        let mesh = Arc::new(mesh(&settings, local, metrics.clone()));
         let fleet = self.fleet.unwrap_or_else(|| mesh.clone());
         let ledger = self
             .ledger
@@ -141,7 +148,9 @@
             fleet,
             mesh,
             router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
-            judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
+            judge: self.judge.unwrap_or_else(|| keeper.clone()),
+            keeper,
+            role: Arc::default(),
             rater,
             journal: Journal::default(),
             in_flight: Arc::default(),
@@ -153,10 +162,10 @@
     }
 }
 
-fn mesh(settings: &Settings, metrics: Metrics) -> Mesh {
+fn mesh(settings: &Settings, local: Record, metrics: Metrics) -> Mesh {
     let source = |address| -> Arc<dyn Source> { Arc::new(Platform::new(address)) };
     Mesh::new(mesh::Options {
-        local: record(settings),
+        local,
         secret: settings.fleet_key.clone(),
         seeds: settings.instance_list.map(source),
         position: Arc::new(Position::new()),
