--- a/crates/hawthornmount-entry/src/filter/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/mod.rs
@@ -58,9 +58,9 @@
     async fn cut(&self, _end: &End) {}
 }
 
-/// Returns the request path: who asks, what they may use, whether there is room for it and its usage record, which version
-/// the session keeps, whether the call is the first of its key, where it goes, and what is left
-/// to do when the answer is whole.
+/// Returns the request path: who asks, what they may use, whether there is room for the request and
+/// for its usage record, which version the session keeps, whether the call is the first of its key,
+/// where it goes, and what is left to do when the answer is whole.
 pub fn path(parts: &Arc<Parts>) -> Vec<Box<dyn Filter>> {
     vec![
         Box::new(identify::Identify),
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -2,10 +2,12 @@
 //! their own, a limited number of slots, a load page, and orders to load and unload versions.
 
 mod completion;
+mod faults;
 mod order;
 
 pub use {
     completion::{Usage, quality_mark},
+    faults::Chances,
     order::{Order, OrderAnswer},
 };
 
@@ -13,9 +15,11 @@
     crate::http::{empty, header, json},
     async_trait::async_trait,
     completion::Completion,
+    faults::Faults,
     hawthornmount_core::table::Table,
     hawthornmount_http::{
         Request, Response, StatusCode,
+        client::Client,
         server::{self, Handler, ListenError, Server},
     },
     parking_lot::Mutex,
@@ -95,6 +99,11 @@
     checks_fencing: bool,
     fence: AtomicU64,
     cut_after: AtomicU32,
+    faults: Faults,
+    room: AtomicU32,
+    orders: AtomicU64,
+    weights: Mutex<Option<SocketAddr>>,
+    client: Client,
 }
 
 impl Engine {
@@ -121,6 +130,11 @@
             checks_fencing,
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
+            faults: Faults::default(),
+            room: AtomicU32::new(u32::MAX),
+            orders: AtomicU64::new(0),
+            weights: Mutex::new(None),
+            client: Client::new(),
         });
         let server = Server::start(address, Arc::new(Api(shared.clone()))).await?;
         Ok(Self { server, shared })
@@ -151,11 +165,37 @@
         self.shared.loaded.lock().clone()
     }
 
+    /// Returns the number of orders that the engine took.
+    pub fn orders(&self) -> u64 {
+        self.shared.orders.load(Ordering::SeqCst)
+    }
+
+    /// Loads weights from the store at `address`.
+    pub fn set_weights(&self, address: SocketAddr) {
+        *self.shared.weights.lock() = Some(address);
+    }
+
+    /// Sets how many versions fit into the engine's memory.
+    pub fn set_room(&self, versions: u32) {
+        self.shared.room.store(versions, Ordering::SeqCst);
+    }
+
+    /// Starts again with nothing loaded and no fencing number seen.
+    pub fn restart_empty(&self) {
+        self.shared.loaded.lock().clear();
+        self.shared.fence.store(0, Ordering::SeqCst);
+    }
+
     /// Makes the engine say that it is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.shared.leaving.store(u32::from(leaving), Ordering::SeqCst);
     }
 
+    /// Sets the chances of faulty answers and the seed of their choice.
+    pub fn set_faults(&self, chances: Chances, seed: u64) {
+        self.shared.faults.set(chances, seed);
+    }
+
     /// Cuts every streamed answer after `events` events; 0 cuts none.
     pub fn cut_after(&self, events: u32) {
         self.shared.cut_after.store(events, Ordering::SeqCst);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod problems;
 mod serve;
 mod stream;
+mod version;
