--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! The experiments and what they have in common.
 
+pub mod at_most_once;
+
 use {
     crate::{figure::Result as Outcome, plot::Plot},
     derive_more::{Display, Error},
@@ -53,7 +55,11 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: at_most_once::NAME,
+    summary: "submissions run once, requests are billed once, answers are whole",
+    run: at_most_once::run,
+}];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
