Let one home decide between first answers during an outage; write claims without a pause

A claim waited 6 ms for company although one write was on its way anyway.

Change: two instances of the whole fleet remember a session too, and the first of them decides while the ledger is out of reach. A claim is written as soon as no write is on its way; usage records wait 80 ms. The experiment allows a broken connection only for instances that were killed, loses the store's answers often when the read-back is off, and the ways to write have an experiment of their own.

--- a/crates/hawthornmount-bench/src/experiment/at_most_once/calls.rs
+++ b/crates/hawthornmount-bench/src/experiment/at_most_once/calls.rs
@@ -57,6 +57,8 @@
     NotRun,
     /// No answer, or a connection that broke.
     Nothing,
+    /// A stream whose connection broke.
+    Broken,
     /// An answer that is not whole and does not say so.
     Torn,
 }
@@ -66,6 +68,8 @@
 pub struct Op {
     /// What it was.
     pub kind: Kind,
+    /// Instance that it went to.
+    pub target: SocketAddr,
     /// Request id of the answer.
     pub request: Arc<str>,
     /// When it was sent.
@@ -200,7 +204,7 @@
         let sent = tokio::time::timeout(TIMEOUT, self.exchange(target, request, &kind)).await;
         let seen = sent.unwrap_or_else(|_| Seen::nothing());
         let answered = Instant::now();
-        let op = Op { kind, request: seen.request, called, answered, end: seen.end };
+        let op = Op { kind, target, request: seen.request, called, answered, end: seen.end };
         self.ops.lock().push(op);
         seen.token
     }
@@ -216,7 +220,7 @@
         let status = response.status();
         let is_stream = header(&response, "content-type").starts_with("text/event-stream");
         let Ok(body) = response.into_body().collect().await else {
-            let end = if is_stream { End::Torn } else { End::Nothing };
+            let end = if is_stream { End::Broken } else { End::Nothing };
             return Seen { request: head.request, token: None, end };
         };
         let body = body.to_bytes();
--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -55,11 +55,23 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: at_most_once::NAME,
-    summary: "submissions run once, requests are billed once, answers are whole",
-    run: at_most_once::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: at_most_once::NAME,
+        summary: "submissions run once, requests are billed once, answers are whole",
+        run: at_most_once::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_OFF,
+        summary: "the same with checks switched off, which has to show",
+        run: at_most_once::run_off,
+    },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/crates/hawthornmount-entry/src/session/mod.rs
+++ b/crates/hawthornmount-entry/src/session/mod.rs
@@ -1,8 +1,10 @@
 //! Sessions and the versions that they keep.
 //!
-//! A pin travels three ways: in a token that the caller brings along, at two instances of the data
-//! centre that rendezvous hashing names for the session, and in the ledger. The highest
-//! generation holds; a generation grows only when a session has to leave its version.
+//! A pin travels three ways: in a token that the caller brings along, at instances that rendezvous
+//! hashing names for the session (two of the data centre, and two of the whole fleet), and in the
+//! ledger. The highest generation holds; a generation grows only when a session has to leave its
+//! version. While the ledger is out of reach, the first instance that the whole fleet names decides
+//! between first answers that come at the same time.
 
 pub mod token;
 
@@ -12,7 +14,11 @@
 use {
     async_trait::async_trait,
     bytes::Bytes,
-    hawthornmount_core::{id::InstanceId, settings::Settings, snapshot::Liveness},
+    hawthornmount_core::{
+        id::InstanceId,
+        settings::Settings,
+        snapshot::{Liveness, Member},
+    },
     hawthornmount_fleet::{Fleet, Message, Responder, Topic},
     hawthornmount_ledger::{Ledger, Pin},
     parking_lot::Mutex,
@@ -23,7 +29,7 @@
 
 /// Pins that an instance remembers.
 const MAX_PINS: usize = 20_000;
-/// Instances of a data centre that remember the pin of a session.
+/// Instances of a data centre, and of the whole fleet, that remember the pin of a session.
 const HOMES: usize = 2;
 /// Time in which an instance of the data centre has to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -85,25 +91,45 @@
         if let Some(known) = self.pins.lock().get(account, session) {
             return Some(known.pin.clone());
         }
+        if let Some(pin) = self.find_at(&self.near_homes(account, session), account, session).await
+        {
+            return Some(pin);
+        }
+        match self.read(account, session).await {
+            Some(found) => found,
+            None => self.find_at(&self.far_homes(account, session), account, session).await,
+        }
+    }
+
+    /// Asks instances for a pin, in order.
+    async fn find_at(
+        &self,
+        homes: &[InstanceId],
+        account: &Arc<str>,
+        session: &Arc<str>,
+    ) -> Option<Pin> {
         let word = Word::Find { account: account.clone(), session: session.clone() };
-        for home in self.homes(account, session) {
-            if let Some(pin) = self.ask(&home, &word).await {
-                self.pins.lock().put(pin.clone(), false);
-                return Some(pin);
+        let local = self.fleet.local();
+        for home in homes.iter().filter(|home| **home != local) {
+            if let Some(pin) = self.ask(home, &word).await {
+                return Some(self.pins.lock().put(pin, false));
             }
         }
-        self.find_recorded(account, session).await
+        None
     }
 
     /// Returns the pin that the ledger has.
     pub async fn find_recorded(&self, account: &Arc<str>, session: &Arc<str>) -> Option<Pin> {
+        self.read(account, session).await.flatten()
+    }
+
+    /// Reads the ledger; nothing if it is out of reach.
+    async fn read(&self, account: &Arc<str>, session: &Arc<str>) -> Option<Option<Pin>> {
         let asked = self.ledger.pinned(account, session);
         match tokio::time::timeout(LEDGER_TIMEOUT, asked).await {
-            Ok(Ok(Some(pin))) => {
-                self.pins.lock().put(pin.clone(), true);
-                Some(pin)
-            }
-            Ok(Ok(None)) | Err(_) => None,
+            Ok(Ok(Some(pin))) => Some(Some(self.pins.lock().put(pin, true))),
+            Ok(Ok(None)) => Some(None),
+            Err(_) => None,
             Ok(Err(error)) => {
                 log::debug!("the session's version can't be read; cause={error}");
                 None
@@ -118,12 +144,29 @@
                 self.pins.lock().put(pin.clone(), true);
                 pin
             }
-            Ok(Err(_)) | Err(_) => self.pins.lock().put(wish, false),
+            Ok(Err(_)) | Err(_) => {
+                let pin = self.decide_without_ledger(wish).await;
+                self.pins.lock().put(pin, false)
+            }
         };
         self.tell_homes(&pin);
         pin
     }
 
+    /// Lets the first reachable home of the whole fleet decide which pin holds.
+    async fn decide_without_ledger(&self, wish: Pin) -> Pin {
+        let local = self.fleet.local();
+        for home in self.far_homes(&wish.account, &wish.session) {
+            if home == local {
+                return self.pins.lock().put(wish, false);
+            }
+            if let Some(pin) = self.ask(&home, &Word::Keep(wish.clone())).await {
+                return pin;
+            }
+        }
+        wish
+    }
+
     /// Remembers the pin that a request was answered under, and records it if the ledger was out
     /// of reach when it came about.
     pub fn note(&self, pin: &Pin) {
@@ -145,7 +188,12 @@
     }
 
     fn tell_homes(&self, pin: &Pin) {
-        for home in self.homes(&pin.account, &pin.session) {
+        let mut homes = self.near_homes(&pin.account, &pin.session);
+        homes.extend(self.far_homes(&pin.account, &pin.session));
+        homes.sort_unstable();
+        homes.dedup();
+        let local = self.fleet.local();
+        for home in homes.into_iter().filter(|home| *home != local) {
             let Ok(payload) = postcard::to_stdvec(&Word::Keep(pin.clone())) else { return };
             let fleet = self.fleet.clone();
             tokio::spawn(async move {
@@ -162,24 +210,36 @@
         postcard::from_bytes(&answer).ok()?
     }
 
-    /// Returns the other instances of this data centre that remember a session.
-    fn homes(&self, account: &str, session: &str) -> Vec<InstanceId> {
+    /// Returns the instances of this data centre that remember a session.
+    fn near_homes(&self, account: &str, session: &str) -> Vec<InstanceId> {
         let members = self.fleet.members();
         let local = self.fleet.local();
         let own = members.iter().find(|member| member.id == local);
-        let Some(own) = own.map(|member| member.data_centre.clone()) else { return Vec::new() };
-        let is_near = |member: &&hawthornmount_core::snapshot::Member| {
-            member.data_centre == own && member.liveness == Liveness::Alive
-        };
-        let mut near: Vec<InstanceId> =
-            members.iter().filter(is_near).map(|member| member.id.clone()).collect();
-        near.sort_by_cached_key(|id| {
+        let own = own.map(|member| member.data_centre.clone());
+        self.homes(account, session, |member| Some(&member.data_centre) == own.as_ref())
+    }
+
+    /// Returns the instances of the whole fleet that remember a session.
+    fn far_homes(&self, account: &str, session: &str) -> Vec<InstanceId> {
+        self.homes(account, session, |_| true)
+    }
+
+    fn homes(
+        &self,
+        account: &str,
+        session: &str,
+        is_able: impl Fn(&Member) -> bool,
+    ) -> Vec<InstanceId> {
+        let members = self.fleet.members();
+        let able = |member: &&Member| member.liveness == Liveness::Alive && is_able(member);
+        let mut homes: Vec<InstanceId> =
+            members.iter().filter(able).map(|member| member.id.clone()).collect();
+        homes.sort_by_cached_key(|id| {
             let weight = blake3::hash(format!("{account}\0{session}\0{id}").as_bytes());
             *weight.as_bytes()
         });
-        near.truncate(HOMES);
-        near.retain(|id| *id != local);
-        near
+        homes.truncate(HOMES);
+        homes
     }
 }
 
--- a/crates/hawthornmount-ledger/src/billing/mod.rs
+++ b/crates/hawthornmount-ledger/src/billing/mod.rs
@@ -36,7 +36,7 @@
 };
 
 /// Least time between two writes of an instance.
-const INTERVAL: Duration = Duration::from_millis(60);
+const INTERVAL: Duration = Duration::from_millis(80);
 /// Time in which the store has to take a batch before peers get copies.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time in which a peer has to take a copy.
--- a/crates/hawthornmount-ledger/src/log/journal.rs
+++ b/crates/hawthornmount-ledger/src/log/journal.rs
@@ -24,7 +24,7 @@
 /// Bytes of segments after which the log is compacted.
 const COMPACT_BYTES: usize = 256 << 10;
 /// Size up to which a part is merged with the segments that follow it, in bytes.
-const MERGE_BYTES: usize = 256 << 10;
+const MERGE_BYTES: usize = 64 << 10;
 
 /// Segments that one compaction deletes; the store takes 128 operations at a time.
 const MAX_DELETES: u64 = 100;
--- a/crates/hawthornmount-ledger/src/log/options.rs
+++ b/crates/hawthornmount-ledger/src/log/options.rs
@@ -34,7 +34,7 @@
     fn default() -> Self {
         Self {
             shards: 2,
-            window: Duration::from_millis(6),
+            window: Duration::ZERO,
             settle_window: Duration::from_millis(25),
             patience: Duration::from_secs(5),
             forward_timeout: Duration::from_millis(500),
