Test submissions, leaving servers, hang-ups and the planned stop end to end

Cause: the promises on keys, on servers that leave and on a planned stop had no test through real instances.

Change: tests/testsuite/once.rs drives the demo's instances: a key whose first call is answered, refused, lost, crossed or late, an instance that dies under its call, the store down, a caller that hangs up, a server that leaves by its own word or by the list, and a planned stop with a slow submission and a stream open.

Conclusion: nothing had to be mended.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod command_line;
 mod demo;
 mod guide;
+mod once;
 mod problems;
 mod serve;
 mod stream;
