Learn models, choose servers by corrected load, budget retries and admit fairly

An attempt whose caller hung up was never counted as ended, and a stream ended for the count with its first event. Change: adaptive::Adaptive in place of basic::Basic, which stays as the baseline with four rules: cascades by decayed counts of ratings, servers by distance, corrected report, speed and failures, a retry budget with jitter, hedges out of the same budget, Retry-After honoured and given. A weighted fair queue in front of the servers refuses early; demand is shared by gossip.

--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! The experiments and what they have in common.
 
+mod decision;
+
 use {
     crate::{figure::Result as Outcome, plot::Plot},
     derive_more::{Display, Error},
@@ -53,7 +55,11 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "decision",
+    summary: "time of a routing decision over the size of the fleet",
+    run: decision::run,
+}];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/crates/hawthornmount-entry/src/control/load.rs
+++ b/crates/hawthornmount-entry/src/control/load.rs
@@ -7,6 +7,7 @@
     hawthornmount_core::id::ServerId,
     hawthornmount_http::client::Client,
     serde::Deserialize,
+    serde_with::{DurationMilliSeconds, serde_as},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -23,10 +24,15 @@
 const AT_A_TIME: usize = 16;
 
 /// Load page of a server.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize)]
 pub struct Report {
     /// Requests that run or wait.
     pub load: u32,
+    /// Age of the report when it was handed out.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default, rename = "age_ms")]
+    pub age: Duration,
     /// Whether the server is leaving.
     #[serde(default)]
     pub leaving: bool,
@@ -50,7 +56,7 @@
     pub server: ServerId,
     /// Its load page; none if it did not answer.
     pub report: Option<Report>,
-    /// When it answered.
+    /// When the report was made.
     pub at: Instant,
 }
 
@@ -82,8 +88,10 @@
 }
 
 async fn look(client: Client, server: ServerId, address: SocketAddr) -> Seen {
-    let report = client.get(address, "/load", TIMEOUT).await.ok();
-    Seen { server, report, at: Instant::now() }
+    let report: Option<Report> = client.get(address, "/load", TIMEOUT).await.ok();
+    let age = report.as_ref().map_or(Duration::ZERO, |report| report.age);
+    let now = Instant::now();
+    Seen { server, report, at: now.checked_sub(age).unwrap_or(now) }
 }
 
 /// Looks at the platform's list again and again.
--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: it owns all control state and publishes it as one snapshot.
 
+mod demand;
 mod load;
 mod state;
 
@@ -68,6 +69,7 @@
     let (sender, mut changes) = mpsc::channel(CHANGE_BACKLOG);
     tokio::spawn(follow_config(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
+    tokio::spawn(demand::share(parts.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
     let mut state = State::new(parts);
     let mut publish = tokio::time::interval(PUBLISH_PAUSE);
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/admit/mod.rs
@@ -0,0 +1,88 @@
+//! Lets a request start when there is room for its account, and refuses early what can't be
+//! finished in time.
+
+mod queue;
+
+use {
+    super::{Filter, Flow},
+    crate::{
+        exchange::{Exchange, Kind},
+        instance::Parts,
+    },
+    async_trait::async_trait,
+    hawthornmount_core::{problem::Problem, reason::Refusal},
+    hawthornmount_policy::{admission::Arrival, plan::Class},
+    queue::Queue,
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// Requests that one instance works on at a time, those that wait included.
+const MAX_IN_FLIGHT: usize = 4_096;
+/// When a refused caller should come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+pub struct Admit {
+    parts: Arc<Parts>,
+    engines: Arc<Queue>,
+    services: Arc<Queue>,
+}
+
+impl Admit {
+    pub fn new(parts: &Arc<Parts>) -> Self {
+        Self { parts: parts.clone(), engines: Arc::default(), services: Arc::default() }
+    }
+
+    fn arrival(&self, exchange: &Exchange) -> Arrival {
+        let account = exchange.snapshot.config.accounts.get(&exchange.account);
+        let now = Instant::now();
+        let mut demand = self.parts.demand.lock();
+        demand.arrive(&exchange.account, now);
+        let share = demand.share(&exchange.account, now);
+        Arrival {
+            account: exchange.account.clone(),
+            weight: account.map_or(1.0, |account| f64::from(account.weight)) * share,
+            priority: account.map_or(0, |account| account.priority),
+            deadline: exchange.deadline,
+            now,
+        }
+    }
+}
+
+#[async_trait]
+impl Filter for Admit {
+    fn name(&self) -> &'static str {
+        "admit"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        exchange.time_left()?;
+        if self.parts.in_flight.load(Ordering::Relaxed) > MAX_IN_FLIGHT {
+            return Err(refused(Refusal::Overloaded, RETRY_AFTER));
+        }
+        let (class, queue) = match &exchange.kind {
+            Kind::Completion(_) => (Class::Engine, &self.engines),
+            Kind::Service(_) => (Class::Service, &self.services),
+            Kind::Models => return Ok(Flow::Next),
+        };
+        let settings = &self.parts.settings;
+        let query = exchange.query(&settings.data_centre, &settings.region);
+        let snapshot = self.parts.cell.load();
+        if let Some(capacity) = self.parts.router.capacity(&snapshot, &query, class) {
+            let place = queue.enter(&self.arrival(exchange), capacity).await?;
+            exchange.held.push(Box::new(place));
+        }
+        Ok(Flow::Next)
+    }
+}
+
+fn refused(reason: Refusal, retry_after: Duration) -> Problem {
+    let detail = match reason {
+        Refusal::Deadline => "the deadline can't be met now: allow more time or come back later",
+        Refusal::OverShare => "too many requests of the account wait: send fewer at a time",
+        _ => "the instance is full: come back later",
+    };
+    Problem::new(reason, detail).retry_after(retry_after)
+}
--- a/crates/hawthornmount-entry/src/filter/send/attempt.rs
+++ b/crates/hawthornmount-entry/src/filter/send/attempt.rs
@@ -28,6 +28,11 @@
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// When a caller whose request failed should come back, unless the server says so.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a server may send callers away.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Debug, Display, Error)]
 pub enum Failure {
@@ -36,7 +41,7 @@
     Unreachable,
     /// The server said that it refused before running.
     #[display("the server refused before running")]
-    Refused,
+    Refused(#[error(not(source))] Option<Duration>),
     /// The server failed.
     #[display("the server failed with status {_0}")]
     Status(#[error(not(source))] u16),
@@ -54,14 +59,14 @@
 impl Failure {
     /// Tells whether the request can't have run.
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused)
+        matches!(self, Self::Unreachable | Self::Refused(_))
     }
 
     /// Returns the reason of a retry after this failure.
     pub const fn retry(&self) -> Retry {
         match self {
             Self::Unreachable => Retry::Connect,
-            Self::Refused => Retry::ServerRefused,
+            Self::Refused(_) => Retry::ServerRefused,
             Self::Status(_) => Retry::ServerError,
             Self::Broken => Retry::CutAnswer,
             Self::Timeout => Retry::ServerTimeout,
@@ -72,7 +77,7 @@
     /// Returns what the caller gets.
     pub fn problem(&self, idempotent: bool) -> Problem {
         let reason = match self {
-            Self::Unreachable | Self::Refused => Refusal::NoServer,
+            Self::Unreachable | Self::Refused(_) => Refusal::NoServer,
             Self::Status(_) | Self::Broken => Refusal::ServerFailed,
             Self::Timeout => Refusal::Deadline,
             Self::BadAnswer(_) => Refusal::BadAnswer,
@@ -82,7 +87,11 @@
         } else {
             "ask the service for the state before you send it again"
         };
-        let problem = Problem::new(reason, format!("{self}: {remedy}"));
+        let after = match self {
+            Self::Refused(Some(after)) => *after,
+            _ => RETRY_AFTER,
+        };
+        let problem = Problem::new(reason, format!("{self}: {remedy}")).retry_after(after);
         if self.is_unsent() { problem } else { problem.ran_unknown() }
     }
 }
@@ -149,7 +158,7 @@
             if error.is_unsent() { Failure::Unreachable } else { Failure::Broken }
         })?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
-            return Err(Failure::Refused);
+            return Err(Failure::Refused(retry_after(&response)));
         }
         check_id(&response, &self.id)?;
         let status = response.status();
@@ -184,6 +193,12 @@
     Err(Failure::BadAnswer("the answer is for another request"))
 }
 
+/// Returns the seconds of a `Retry-After` header.
+fn retry_after(response: &Response) -> Option<Duration> {
+    let seconds = text_header(response, header::RETRY_AFTER.as_str()).trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).min(MAX_RETRY_AFTER))
+}
+
 fn text_header<'a>(response: &'a Response, name: &str) -> &'a str {
     response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/hawthornmount-entry/src/filter/send/flight.rs
@@ -0,0 +1,93 @@
+//! An attempt on its way, with a second copy if the first is slow.
+
+use {
+    super::{
+        attempt::{Attempt, Failure},
+        running::Running,
+    },
+    crate::answer::{Answer, Content},
+    hawthornmount_policy::{Choice, plan::Ended},
+    std::{
+        future::Future,
+        pin::pin,
+        time::{Duration, Instant},
+    },
+};
+
+/// An attempt on its way to a server.
+pub struct Flight {
+    pub choice: Choice,
+    pub attempt: Attempt,
+    pub running: Running,
+}
+
+/// An attempt that has ended.
+pub struct Landed {
+    pub choice: Choice,
+    pub result: Result<Answer, Failure>,
+    pub running: Running,
+    pub elapsed: Duration,
+    /// Whether it is the second copy of a slow request.
+    pub hedge: bool,
+}
+
+impl Flight {
+    /// Runs the attempt to its end.
+    pub async fn run(self, hedge: bool) -> Landed {
+        let started = Instant::now();
+        let mut overtaken = Overtaken { running: Some(self.running), started };
+        let result = self.attempt.run().await;
+        let elapsed = started.elapsed();
+        let mut running = overtaken.running.take().expect("it is taken only here");
+        running.set(ended(&result, elapsed));
+        Landed { choice: self.choice, result, running, elapsed, hedge }
+    }
+}
+
+/// Lets an attempt that is dropped on the way count as slow at least for the time it had.
+struct Overtaken {
+    running: Option<Running>,
+    started: Instant,
+}
+
+impl Drop for Overtaken {
+    fn drop(&mut self) {
+        if let Some(running) = &mut self.running {
+            running.set(Ended::Overtaken(self.started.elapsed()));
+        }
+    }
+}
+
+/// Runs `first`, and the copy that `second` gives once `after` has passed; the first whole answer
+/// wins, and a copy that loses is dropped.
+pub async fn race(
+    first: Flight,
+    after: Duration,
+    second: impl FnOnce() -> Option<Flight>,
+) -> Landed {
+    let mut first = pin!(first.run(false));
+    tokio::select! {
+        landed = &mut first => return landed,
+        () = tokio::time::sleep(after) => {}
+    }
+    let Some(second) = second() else { return first.await };
+    let mut second = pin!(second.run(true));
+    let (landed, other): (Landed, std::pin::Pin<&mut dyn SendFuture>) = tokio::select! {
+        landed = &mut first => (landed, second.as_mut()),
+        landed = &mut second => (landed, first.as_mut()),
+    };
+    if landed.result.is_ok() { landed } else { other.await }
+}
+
+trait SendFuture: Future<Output = Landed> + Send {}
+
+impl<T: Future<Output = Landed> + Send> SendFuture for T {}
+
+fn ended(result: &Result<Answer, Failure>, elapsed: Duration) -> Ended {
+    match result {
+        Ok(Answer { content: Content::Whole(_), .. }) => Ended::Answered(elapsed),
+        Ok(_) => Ended::Streamed(elapsed),
+        Err(Failure::Refused(retry_after)) => Ended::Full(*retry_after),
+        Err(_) => Ended::Failed(elapsed),
+    }
+}
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -2,6 +2,8 @@
 //! is safe.
 
 mod attempt;
+mod flight;
+mod running;
 
 use {
     super::{Filter, Flow, pin},
@@ -12,16 +14,18 @@
         trace,
     },
     async_trait::async_trait,
-    attempt::{Attempt, Failure},
+    attempt::{Attempt, Failure, RETRY_AFTER},
+    flight::{Flight, Landed},
     hawthornmount_core::{
         id::ServerId,
         problem::Problem,
         reason::{Refusal, Retry},
         snapshot::Release,
-        units::PRICED_TOKENS,
+        units::{MicroCost, PRICED_TOKENS},
     },
-    hawthornmount_policy::{Choice, Plan, plan::Ended},
+    hawthornmount_policy::{Plan, Query, budget, rule},
     hawthornmount_rollout::{Sample, sample::Seen},
+    running::Running,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -68,19 +72,23 @@
         Ok(())
     }
 
-    /// Tries the candidates in order; an answer that rates below the target is dropped when the
-    /// next candidate is asked.
+    /// Tries the candidates in order; an answer that rates below the target is kept only for the
+    /// case that the next candidates give none.
     async fn try_candidates(
         &self,
         exchange: &mut Exchange,
         plan: &Plan,
         history: &mut History,
     ) -> Result<(Answer, Release), Problem> {
-        let mut problem = Problem::new(Refusal::NoServer, "no server of an allowed version is up");
+        let mut problem = no_server(Refusal::NoServer);
+        let mut poor = None;
         for (at, candidate) in plan.candidates.iter().enumerate() {
+            if at >= plan.steps && poor.is_some() {
+                break;
+            }
             match self.serve(exchange, Some(&candidate.release), history).await {
                 Ok(answer) => {
-                    let last = at + 1 == plan.candidates.len();
+                    let last = at + 1 >= plan.steps;
                     if last || self.is_good(exchange, &answer, candidate, plan.quality_target).await
                     {
                         return Ok((answer, candidate.release.clone()));
@@ -88,11 +96,15 @@
                     self.charge(exchange, &answer, &candidate.release);
                     self.parts.metrics.retry(Retry::Escalation);
                     history.reason = Some(Retry::Escalation);
+                    poor = Some((answer, candidate.release.clone()));
                 }
                 Err(failed) => problem = failed,
             }
         }
-        Err(problem)
+        let Some((answer, release)) = poor else { return Err(problem) };
+        exchange.trace.step("no better answer came, the poor one goes out".to_owned());
+        self.refund(exchange, &answer, &release);
+        Ok((answer, release))
     }
 
     /// Tells whether an answer is good enough to go out.
@@ -107,7 +119,10 @@
         let Some((_, text)) = answer::read_completion(body) else { return true };
         let Ok(left) = exchange.time_left() else { return true };
         let timeout = RATING_TIMEOUT.min(left / 2);
-        let Some(rating) = self.parts.rater.rate(&text, timeout).await else { return true };
+        let Some(rating) = self.parts.rater.rate(&text, timeout).await else {
+            self.parts.router.unrated(Instant::now());
+            return true;
+        };
         let release = &candidate.release;
         let query = exchange.query(&self.parts.settings.data_centre, &self.parts.settings.region);
         self.parts.router.rated(&exchange.account, &query.task, release, rating);
@@ -117,10 +132,12 @@
 
     /// Counts the cost of an answer that the caller does not get.
     fn charge(&self, exchange: &mut Exchange, answer: &Answer, release: &Release) {
-        let Content::Whole(body) = &answer.content else { return };
-        let usage = answer::read_completion(body).map(|(usage, _)| usage).unwrap_or_default();
-        let price = exchange.snapshot.config.models.get(&release.model).map_or(0, |one| one.price);
-        exchange.cost += price * (usage.prompt_tokens + usage.completion_tokens) / PRICED_TOKENS;
+        exchange.cost += cost(exchange, answer, release);
+    }
+
+    /// Takes back what [`Send::charge`] counted, for an answer that goes out after all.
+    fn refund(&self, exchange: &mut Exchange, answer: &Answer, release: &Release) {
+        exchange.cost = exchange.cost.saturating_sub(cost(exchange, answer, release));
     }
 
     /// Tries the servers of one version, or of a service, as long as it is safe.
@@ -131,73 +148,120 @@
         history: &mut History,
     ) -> Result<Answer, Problem> {
         loop {
-            let choice = self.choose(exchange, release, &history.tried)?;
-            history.attempts += 1;
-            let started = Instant::now();
-            let attempt = Attempt::new(&self.parts, exchange, release, &choice, history.attempts);
-            let result = attempt.run().await;
-            self.learn(release, &choice, &result, started);
-            note(exchange, release, &choice, history.reason, &result, started);
+            let landed = self.fly(exchange, release, history).await?;
+            let reason = if landed.hedge { Some(Retry::Hedge) } else { history.reason };
+            self.observe(release, &landed);
+            note(exchange, release, &landed, reason);
+            let Landed { choice, result, running, .. } = landed;
             let failure = match result {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    if matches!(answer.content, Content::Events(_)) {
+                        exchange.held.push(Box::new(running));
+                    }
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
+            drop(running);
             history.tried.push(choice.server);
-            let retry = failure.retry();
-            let safe = failure.is_unsent() || is_idempotent(&exchange.kind);
+            let idempotent = is_idempotent(&exchange.kind);
+            let safe = failure.is_unsent() || idempotent;
             let left = history.attempts < MAX_ATTEMPTS && exchange.time_left().is_ok();
             if !safe || !left || !self.parts.router.may_retry(Instant::now()) {
-                return Err(failure.problem(is_idempotent(&exchange.kind)));
+                return Err(failure.problem(idempotent));
             }
-            self.parts.metrics.retry(retry);
-            history.reason = Some(retry);
+            self.parts.metrics.retry(failure.retry());
+            history.reason = Some(failure.retry());
+            let random = rand::random();
+            tokio::time::sleep(budget::pause(history.attempts, random)).await;
         }
     }
 
-    fn choose(
+    /// Sends one attempt, and a second copy if it is slow and the request is idempotent.
+    async fn fly(
         &self,
         exchange: &Exchange,
         release: Option<&Release>,
-        tried: &[ServerId],
-    ) -> Result<Choice, Problem> {
-        let settings = &self.parts.settings;
-        let query = exchange.query(&settings.data_centre, &settings.region);
+        history: &mut History,
+    ) -> Result<Landed, Problem> {
+        let first = self.prepare(exchange, release, history)?;
+        let after = match (release, &exchange.kind) {
+            (Some(release), Kind::Completion(one)) if !one.stream => {
+                self.parts.router.hedge_after(release, &self.query(exchange))
+            }
+            _ => None,
+        };
+        let Some(after) = after else { return Ok(first.run(false).await) };
+        let first_server = first.choice.server.clone();
+        let second = || {
+            history.tried.push(first_server);
+            let flight = self.hedge(exchange, release, history);
+            history.tried.pop();
+            flight
+        };
+        Ok(flight::race(first, after, second).await)
+    }
+
+    /// Returns a second copy of a slow request, if a server and the retry budget have room.
+    fn hedge(
+        &self,
+        exchange: &Exchange,
+        release: Option<&Release>,
+        history: &mut History,
+    ) -> Option<Flight> {
+        if history.attempts >= MAX_ATTEMPTS || !self.parts.router.may_retry(Instant::now()) {
+            return None;
+        }
+        let flight = self.prepare(exchange, release, history).ok()?;
+        self.parts.metrics.retry(Retry::Hedge);
+        Some(flight)
+    }
+
+    /// Chooses a server by the newest control state, not by that of the request's arrival, so that
+    /// a version withdrawn meanwhile gets no further attempt.
+    fn prepare(
+        &self,
+        exchange: &Exchange,
+        release: Option<&Release>,
+        history: &mut History,
+    ) -> Result<Flight, Problem> {
+        let snapshot = self.parts.cell.load();
+        let query = self.query(exchange);
         let router = &self.parts.router;
         let chosen = match (release, &exchange.kind) {
-            (Some(release), _) => router.choose(&exchange.snapshot, &query, release, tried),
+            (Some(release), _) if !rule::is_usable(&snapshot, &exchange.account, release) => {
+                Err(Refusal::NoVersion)
+            }
+            (Some(release), _) => router.choose(&snapshot, &query, release, &history.tried),
             (None, Kind::Service(call)) => {
-                router.choose_service(&exchange.snapshot, &query, &call.service, tried)
+                router.choose_service(&snapshot, &query, &call.service, &history.tried)
             }
             (None, _) => Err(Refusal::NoServer),
         };
-        chosen.map_err(|reason| Problem::new(reason, "no server is up that can answer: try later"))
+        let choice = chosen.map_err(no_server)?;
+        let running = Running::new(router, &choice, release);
+        history.attempts += 1;
+        let attempt = Attempt::new(&self.parts, exchange, release, &choice, history.attempts);
+        Ok(Flight { choice, attempt, running })
     }
 
-    fn learn(
-        &self,
-        release: Option<&Release>,
-        choice: &Choice,
-        result: &Result<Answer, Failure>,
-        started: Instant,
-    ) {
-        let elapsed = started.elapsed();
-        let (ended, seen) = match result {
-            Ok(_) => (Ended::Answered(elapsed), Seen::Answered(elapsed)),
-            Err(Failure::Refused) => (Ended::Full, Seen::Unreachable),
-            Err(Failure::Status(_) | Failure::BadAnswer(_)) => {
-                (Ended::Failed(elapsed), Seen::Failed)
-            }
-            Err(_) => (Ended::Failed(elapsed), Seen::Unreachable),
+    fn query(&self, exchange: &Exchange) -> Query {
+        exchange.query(&self.parts.settings.data_centre, &self.parts.settings.region)
+    }
+
+    fn observe(&self, release: Option<&Release>, landed: &Landed) {
+        let Some(release) = release else { return };
+        let seen = match &landed.result {
+            Ok(_) => Seen::Answered(landed.elapsed),
+            Err(Failure::Status(_) | Failure::BadAnswer(_)) => Seen::Failed,
+            Err(_) => Seen::Unreachable,
         };
-        self.parts.router.ended(&choice.server, release, ended, Instant::now());
-        if let Some(release) = release {
-            self.parts.judge.observe(Sample {
-                release: release.clone(),
-                server: choice.server.clone(),
-                data_centre: choice.data_centre.clone(),
-                seen,
-            });
-        }
+        self.parts.judge.observe(Sample {
+            release: release.clone(),
+            server: landed.choice.server.clone(),
+            data_centre: landed.choice.data_centre.clone(),
+            seen,
+        });
     }
 }
 
@@ -227,29 +291,46 @@
     }
 }
 
+fn no_server(reason: Refusal) -> Problem {
+    let detail = match reason {
+        Refusal::NoVersion => "the version was withdrawn or suspended: send the request again",
+        _ => "no server is up that can answer: try later",
+    };
+    Problem::new(reason, detail).retry_after(RETRY_AFTER)
+}
+
+/// Returns the price of an answer.
+fn cost(exchange: &Exchange, answer: &Answer, release: &Release) -> MicroCost {
+    let Content::Whole(body) = &answer.content else { return 0 };
+    let usage = answer::read_completion(body).map(|(usage, _)| usage).unwrap_or_default();
+    let price = exchange.snapshot.config.models.get(&release.model).map_or(0, |one| one.price);
+    price * (usage.prompt_tokens + usage.completion_tokens) / PRICED_TOKENS
+}
+
 fn note(
     exchange: &mut Exchange,
     release: Option<&Release>,
-    choice: &Choice,
+    landed: &Landed,
     reason: Option<Retry>,
-    result: &Result<Answer, Failure>,
-    started: Instant,
 ) {
     let (model, version) = match (release, &exchange.kind) {
         (Some(release), _) => (release.model.clone(), release.version.clone()),
         (None, Kind::Service(call)) => (call.service.clone(), "".into()),
         (None, _) => ("".into(), "".into()),
     };
-    let outcome = match result {
+    let outcome = match &landed.result {
         Ok(answer) => format!("status {}", answer.status.as_u16()),
         Err(failure) => failure.to_string(),
     };
+    if let Some(reason) = reason {
+        log::debug!("sent again; request={} reason={reason}", exchange.id);
+    }
     exchange.trace.attempts.push(trace::Attempt {
         model,
         version,
-        server: choice.server.clone(),
+        server: landed.choice.server.clone(),
         reason: reason.map(|reason| reason.as_str().into()),
         outcome: outcome.into(),
-        ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+        ms: u64::try_from(landed.elapsed.as_millis()).unwrap_or(u64::MAX),
     });
 }
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -14,9 +14,10 @@
     hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, direct::Direct},
-    hawthornmount_policy::{Router, basic::Basic},
+    hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Judge, quiet::Quiet},
     hawthornmount_store::{Store, etcd::Etcd},
+    parking_lot::Mutex,
     std::{
         sync::{
             Arc,
@@ -46,6 +47,8 @@
     pub fleet: Arc<dyn Fleet>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
+    /// Demand of accounts here and at the other instances.
+    pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
     /// The service that rates answers.
@@ -63,6 +66,7 @@
     settings: Settings,
     store: Option<Arc<dyn Store>>,
     ledger: Option<Arc<dyn Ledger>>,
+    fleet: Option<Arc<dyn Fleet>>,
     router: Option<Arc<dyn Router>>,
     judge: Option<Arc<dyn Judge>>,
 }
@@ -70,7 +74,7 @@
 impl Builder {
     /// Creates a builder for an instance with `settings`.
     pub const fn new(settings: Settings) -> Self {
-        Self { settings, store: None, ledger: None, router: None, judge: None }
+        Self { settings, store: None, ledger: None, fleet: None, router: None, judge: None }
     }
 
     /// Sets another store.
@@ -87,6 +91,13 @@
         self
     }
 
+    /// Sets other instances.
+    #[must_use]
+    pub fn fleet(mut self, fleet: Arc<dyn Fleet>) -> Self {
+        self.fleet = Some(fleet);
+        self
+    }
+
     /// Sets another router.
     #[must_use]
     pub fn router(mut self, router: Arc<dyn Router>) -> Self {
@@ -115,8 +126,9 @@
             metrics: Metrics::new(),
             cell: Cell::new(),
             client: Client::new(),
-            fleet: Arc::new(Local::new(member(&settings))),
-            router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
+            fleet: self.fleet.unwrap_or_else(|| Arc::new(Local::new(member(&settings)))),
+            router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
+            demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
             rater,
             journal: Journal::default(),
--- a/crates/hawthornmount-policy/src/basic/mod.rs
+++ b/crates/hawthornmount-policy/src/basic/mod.rs
@@ -1,52 +1,98 @@
-//! Router that tries models from cheap to costly and takes the less busy of two servers.
+//! Router with fixed rules, against which the learning one is measured.
 
 use {
     crate::{
         plan::{Candidate, Choice, Ended, Plan, Query, Router},
-        rule,
+        version,
     },
     hawthornmount_core::{
-        config::{Account, Config},
-        id::{AccountId, ModelId, ServerId, ServiceId},
+        id::{AccountId, ServerId, ServiceId},
         reason::Refusal,
         snapshot::{Backend, Health, Release, Snapshot},
         table::Table,
     },
     parking_lot::Mutex,
-    rand::{RngExt, seq::IndexedRandom},
+    rand::seq::IndexedRandom,
     std::time::Instant,
 };
 
-/// Router with the simplest rules that keep every promise.
+/// How a server is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Rule {
+    /// Any server.
+    Random,
+    /// Each server in turn.
+    RoundRobin,
+    /// The server that reported the least load.
+    LeastReported,
+    /// The less loaded, by report and own requests, of two random servers.
+    #[default]
+    TwoChoices,
+}
+
+/// Router that tries models from cheap to costly and chooses servers by a fixed rule.
 #[derive(Debug, Default)]
 pub struct Basic {
-    in_flight: Mutex<Table<u32>>,
+    rule: Rule,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    in_flight: Table<u32>,
+    turn: usize,
 }
 
 impl Basic {
-    /// Creates a router.
+    /// Creates a router that takes the less busy of two servers.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Creates a router with another rule.
+    pub fn with_rule(rule: Rule) -> Self {
+        Self { rule, state: Mutex::default() }
+    }
+
     fn pick(&self, query: &Query, backends: &[&Backend]) -> Option<Choice> {
         let local: Vec<&Backend> =
             backends.iter().copied().filter(|one| one.data_centre == query.data_centre).collect();
         let pool = if local.is_empty() { backends } else { &local };
-        let mut in_flight = self.in_flight.lock();
-        let running = |backend: &Backend| in_flight.get(&backend.id).copied().unwrap_or(0);
-        let chosen =
-            pool.sample(&mut rand::rng(), 2).min_by_key(|backend| running(backend)).copied()?;
-        let count = running(chosen) + 1;
-        in_flight.insert(chosen.id.clone(), count);
+        let mut state = self.state.lock();
+        let chosen = state.pick(self.rule, pool)?;
+        let count = state.running(chosen) + 1;
+        state.in_flight.insert(chosen.id.clone(), count);
         Some(Choice {
             server: chosen.id.clone(),
             address: chosen.address,
             data_centre: chosen.data_centre.clone(),
+            tokens: query.max_tokens,
         })
     }
 }
 
+impl State {
+    fn pick<'a>(&mut self, rule: Rule, pool: &[&'a Backend]) -> Option<&'a Backend> {
+        let mut rng = rand::rng();
+        match rule {
+            Rule::Random => pool.choose(&mut rng).copied(),
+            Rule::RoundRobin => {
+                self.turn += 1;
+                pool.get(self.turn % pool.len().max(1)).copied()
+            }
+            Rule::LeastReported => pool.iter().copied().min_by_key(|one| one.load),
+            Rule::TwoChoices => {
+                let load = |one: &&&Backend| one.load + self.running(one);
+                pool.sample(&mut rng, 2).min_by_key(load).copied()
+            }
+        }
+    }
+
+    fn running(&self, backend: &Backend) -> u32 {
+        self.in_flight.get(&backend.id).copied().unwrap_or(0)
+    }
+}
+
 impl Router for Basic {
     fn plan(&self, snapshot: &Snapshot, query: &Query) -> Result<Plan, Refusal> {
         let config = &snapshot.config;
@@ -54,19 +100,21 @@
         if let Some(pinned) = &query.pinned {
             return Ok(Plan {
                 candidates: vec![candidate(pinned.clone())],
+                steps: 1,
                 quality_target: account.quality_target,
             });
         }
-        let models = models(config, account, query.model.as_ref())?;
+        let models = version::models(config, account, query.model.as_ref())?;
         let candidates: Vec<Candidate> = models
             .iter()
-            .filter_map(|model| release(snapshot, &query.account, model))
+            .filter_map(|model| version::choose(snapshot, &query.account, model))
             .map(candidate)
             .collect();
         if candidates.is_empty() {
             return Err(Refusal::NoVersion);
         }
-        Ok(Plan { candidates, quality_target: account.quality_target })
+        let steps = candidates.len();
+        Ok(Plan { candidates, steps, quality_target: account.quality_target })
     }
 
     fn choose(
@@ -105,8 +153,8 @@
         self.pick(query, &able).ok_or(Refusal::NoServer)
     }
 
-    fn ended(&self, server: &ServerId, _release: Option<&Release>, _ended: Ended, _now: Instant) {
-        if let Some(count) = self.in_flight.lock().get_mut(server) {
+    fn ended(&self, choice: &Choice, _release: Option<&Release>, _ended: Ended, _now: Instant) {
+        if let Some(count) = self.state.lock().in_flight.get_mut(&choice.server) {
             *count = count.saturating_sub(1);
         }
     }
@@ -121,30 +169,3 @@
 fn candidate(release: Release) -> Candidate {
     Candidate { release, quality: 1.0, explored: false }
 }
-
-fn models(
-    config: &Config,
-    account: &Account,
-    named: Option<&ModelId>,
-) -> Result<Vec<ModelId>, Refusal> {
-    if let Some(model) = named {
-        return Ok(vec![model.clone()]);
-    }
-    let cascade = account.cascade.as_ref().and_then(|id| config.cascades.get(id));
-    cascade.map(|cascade| cascade.models.clone()).ok_or(Refusal::NotAllowed)
-}
-
-/// Returns the version of `model` for a new session: the one under roll-out for its share of the
-/// sessions, else the stable one.
-fn release(snapshot: &Snapshot, account: &str, model: &ModelId) -> Option<Release> {
-    let row = snapshot.config.models.get(model)?;
-    let rolled = snapshot.shares.iter().find(|share| share.release.model == *model);
-    if let Some(share) = rolled
-        && rule::is_usable(snapshot, account, &share.release)
-        && rand::rng().random_bool(share.fraction.clamp(0.0, 1.0))
-    {
-        return Some(share.release.clone());
-    }
-    let stable = Release { model: model.clone(), version: row.stable.clone() };
-    rule::is_usable(snapshot, account, &stable).then_some(stable)
-}
--- a/crates/hawthornmount-policy/src/plan/mod.rs
+++ b/crates/hawthornmount-policy/src/plan/mod.rs
@@ -57,6 +57,9 @@
 pub struct Plan {
     /// Candidates from the first to the last resort.
     pub candidates: Vec<Candidate>,
+    /// First candidates through which badly rated answers escalate; the others are asked only if
+    /// these give no answer.
+    pub steps: usize,
     /// Quality below which the next candidate is tried, where answers are rated in line.
     pub quality_target: f64,
 }
@@ -70,6 +73,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Largest number of tokens of the answer.
+    pub tokens: u64,
 }
 
 /// End of one attempt, for learning.
@@ -79,12 +84,25 @@
     Answered(Duration),
     /// The server failed after this time.
     Failed(Duration),
-    /// The server refused because it is full.
-    Full,
+    /// A stream whose first event came after this time; the rest has ended.
+    Streamed(Duration),
+    /// The server refused because it is full, for this time if it said so.
+    Full(Option<Duration>),
+    /// Another copy answered first, after this time.
+    Overtaken(Duration),
     /// The attempt was cancelled.
     Cancelled,
 }
 
+/// Kind of backend servers that a request needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Class {
+    /// Model engines.
+    Engine,
+    /// Plain services.
+    Service,
+}
+
 /// Makes the routing decisions of one instance. Calls never block.
 pub trait Router: Send + Sync {
     /// Returns the models and versions to try.
@@ -122,11 +140,30 @@
     ) -> Result<Choice, Refusal>;
 
     /// Takes the end of an attempt.
-    fn ended(&self, server: &ServerId, release: Option<&Release>, ended: Ended, now: Instant);
+    fn ended(&self, choice: &Choice, release: Option<&Release>, ended: Ended, now: Instant);
 
     /// Takes a rating of an answer, from 0 to 1.
     fn rated(&self, account: &AccountId, task: &str, release: &Release, rating: f64);
 
+    /// Takes notice that no rating came for an answer that waited for it.
+    fn unrated(&self, _now: Instant) {}
+
+    /// Returns the time after which a second copy of an idempotent request is worth it, if ever.
+    fn hedge_after(&self, _release: &Release, _query: &Query) -> Option<Duration> {
+        None
+    }
+
+    /// Returns the seconds that an answer of `tokens` tokens usually takes, 0 if that is unknown.
+    fn seconds(&self, _release: &Release, _tokens: u64) -> f64 {
+        0.0
+    }
+
+    /// Returns the requests that this instance may have running at backend servers; nothing leaves
+    /// it to the fixed bound.
+    fn capacity(&self, _snapshot: &Snapshot, _query: &Query, _class: Class) -> Option<f64> {
+        None
+    }
+
     /// Tells whether one more attempt fits the retry budget, and takes it from the budget.
     fn may_retry(&self, now: Instant) -> bool;
 }
--- /dev/null
+++ b/crates/hawthornmount-policy/src/server/index.rs
@@ -0,0 +1,134 @@
+//! Servers by the versions and services that they answer, made once for each snapshot.
+
+use {
+    crate::plan::Class,
+    hawthornmount_core::{
+        config::Config,
+        id::{DataCentreId, RegionId, ServiceId},
+        snapshot::{Backend, Health, Release, Snapshot},
+    },
+    std::sync::Arc,
+};
+
+/// How far a server is from this instance.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// In the same data centre.
+    Local,
+    /// In another data centre of the same region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+/// What a server answers.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Work {
+    /// A version of a model.
+    Release(Release),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+/// Servers that answer the same work, by their position in the snapshot.
+#[derive(Clone, Debug)]
+pub struct Group {
+    work: Work,
+    near: [Vec<usize>; 3],
+}
+
+impl Group {
+    /// Returns the servers at a distance.
+    pub fn at(&self, distance: Distance) -> &[usize] {
+        &self.near[distance as usize]
+    }
+
+    /// Returns all servers, the near ones first.
+    pub fn all(&self) -> impl Iterator<Item = usize> {
+        self.near.iter().flatten().copied()
+    }
+}
+
+/// Servers of one snapshot by what they answer.
+#[derive(Clone, Debug)]
+pub struct Index {
+    backends: Arc<[Backend]>,
+    config: Arc<Config>,
+    data_centre: DataCentreId,
+    groups: Vec<Group>,
+    engines: Vec<usize>,
+    services: Vec<usize>,
+}
+
+impl Index {
+    /// Creates the index of a snapshot, seen from a data centre.
+    pub fn new(snapshot: &Snapshot, data_centre: &DataCentreId, region: &RegionId) -> Self {
+        let mut index = Self {
+            backends: snapshot.backends.clone(),
+            config: snapshot.config.clone(),
+            data_centre: data_centre.clone(),
+            groups: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for (at, backend) in snapshot.backends.iter().enumerate() {
+            if backend.health == Health::Up {
+                index.add(at, backend, distance(backend, data_centre, region));
+            }
+        }
+        index
+    }
+
+    /// Tells whether the index is of this snapshot, seen from this data centre.
+    pub fn is_of(&self, snapshot: &Snapshot, data_centre: &DataCentreId) -> bool {
+        Arc::ptr_eq(&self.backends, &snapshot.backends)
+            && Arc::ptr_eq(&self.config, &snapshot.config)
+            && self.data_centre == *data_centre
+    }
+
+    /// Returns the positions of the servers of a class that are up.
+    pub fn up(&self, class: Class) -> &[usize] {
+        match class {
+            Class::Engine => &self.engines,
+            Class::Service => &self.services,
+        }
+    }
+
+    /// Returns the servers that answer `work`.
+    pub fn group(&self, work: &Work) -> Option<&Group> {
+        let at = self.groups.binary_search_by(|group| group.work.cmp(work)).ok()?;
+        Some(&self.groups[at])
+    }
+
+    fn add(&mut self, at: usize, backend: &Backend, distance: Distance) {
+        for release in &backend.loaded {
+            self.add_to(Work::Release(release.clone()), at, distance);
+        }
+        let config = self.config.clone();
+        let services = config.servers.get(&backend.id).map_or(&[][..], |server| &server.services);
+        let class = if services.is_empty() { &mut self.engines } else { &mut self.services };
+        class.push(at);
+        for service in services {
+            self.add_to(Work::Service(service.clone()), at, distance);
+        }
+    }
+
+    fn add_to(&mut self, work: Work, at: usize, distance: Distance) {
+        let place = self.groups.binary_search_by(|group| group.work.cmp(&work));
+        let place = place.unwrap_or_else(|place| {
+            self.groups.insert(place, Group { work, near: Default::default() });
+            place
+        });
+        self.groups[place].near[distance as usize].push(at);
+    }
+}
+
+fn distance(backend: &Backend, data_centre: &DataCentreId, region: &RegionId) -> Distance {
+    if backend.data_centre == *data_centre {
+        Distance::Local
+    } else if backend.region == *region {
+        Distance::Region
+    } else {
+        Distance::Remote
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-policy/tests/policy/budget.rs
@@ -0,0 +1,55 @@
+use {
+    hawthornmount_policy::budget::{Budget, pause},
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+struct Case {
+    percent: u32,
+    successes: u32,
+    asked: u32,
+    granted: u32,
+}
+
+#[rstest]
+#[case::nothing_but_the_first(Case { percent: 0, successes: 100, asked: 50, granted: 1 })]
+#[case::a_tenth(Case { percent: 10, successes: 50, asked: 50, granted: 6 })]
+#[case::savings_are_bounded(Case { percent: 10, successes: 10_000, asked: 50, granted: 10 })]
+fn retries_are_a_share_of_successes(#[case] case: Case) {
+    let now = Instant::now();
+    let mut budget = Budget::new(case.percent);
+    for _ in 0..case.successes {
+        budget.succeeded();
+    }
+    let granted = (0..case.asked).filter(|_| budget.take(now)).count();
+    assert_eq!(granted, case.granted as usize);
+}
+
+#[test]
+fn added_attempts_stay_under_a_tenth_while_everything_fails_after_a_good_time() {
+    let mut now = Instant::now();
+    let mut budget = Budget::new(10);
+    let (mut requests, mut retries) = (0, 0);
+    for _ in 0..2_000 {
+        now += Duration::from_millis(1);
+        requests += 1;
+        budget.succeeded();
+        retries += u32::from(budget.take(now));
+    }
+    for _ in 0..2_000 {
+        now += Duration::from_millis(1);
+        requests += 1;
+        retries += u32::from(budget.take(now));
+    }
+    assert!(f64::from(retries) <= 0.1 * f64::from(requests), "{retries} of {requests}");
+}
+
+#[rstest]
+#[case(1, Duration::from_millis(10))]
+#[case(3, Duration::from_millis(40))]
+#[case(40, Duration::from_millis(500))]
+fn pause_is_jittered_under_a_growing_bound(#[case] attempt: usize, #[case] bound: Duration) {
+    assert_eq!(pause(attempt, 0.0), Duration::ZERO);
+    assert!(pause(attempt, 1.0) <= bound);
+    assert!(pause(attempt, 0.5) < pause(attempt, 1.0));
+}
--- /dev/null
+++ b/crates/hawthornmount-policy/tests/policy/cascade.rs
@@ -0,0 +1,63 @@
+use {
+    hawthornmount_policy::cascade::{Belief, Tier, rated_path, single},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rstest::rstest,
+};
+
+const fn tier(cost: f64, quality: f64) -> Tier {
+    Tier { cost, quality, spread: 0.0, seconds: 1.0 }
+}
+
+struct Case {
+    tiers: Vec<Tier>,
+    seconds: f64,
+    path: &'static [usize],
+}
+
+#[rstest]
+#[case::cheap_first(Case {
+    tiers: vec![tier(1.0, 0.8), tier(10.0, 0.98)], seconds: 9.0, path: &[0, 1],
+})]
+#[case::cheap_is_useless(Case {
+    tiers: vec![tier(5.0, 0.1), tier(10.0, 0.98)], seconds: 9.0, path: &[1],
+})]
+#[case::middle_is_left_out(Case {
+    tiers: vec![tier(1.0, 0.8), tier(9.0, 0.81), tier(10.0, 0.98)], seconds: 9.0, path: &[0, 2],
+})]
+#[case::costly_has_gone_bad(Case {
+    tiers: vec![tier(1.0, 0.9), tier(10.0, 0.5)], seconds: 9.0, path: &[0],
+})]
+#[case::no_time_for_two(Case {
+    tiers: vec![tier(1.0, 0.8), tier(10.0, 0.98)], seconds: 1.5, path: &[1],
+})]
+#[case::nothing_to_try(Case { tiers: vec![], seconds: 9.0, path: &[] })]
+fn path_has_the_least_expected_cost(#[case] case: Case) {
+    assert_eq!(rated_path(&case.tiers, case.seconds), case.path);
+}
+
+#[rstest]
+#[case::cheapest_that_meets_it(&[tier(1.0, 0.7), tier(3.0, 0.92), tier(10.0, 0.99)], Some(1))]
+#[case::best_if_none_meets_it(&[tier(1.0, 0.7), tier(3.0, 0.6)], Some(0))]
+#[case::none(&[], None)]
+fn unrated_answers_come_from_the_cheapest_at_the_target(
+    #[case] tiers: &[Tier],
+    #[case] chosen: Option<usize>,
+) {
+    assert_eq!(single(tiers, 0.9), chosen);
+}
+
+#[test]
+fn belief_follows_drift_and_bad_ratings_are_passed_over() {
+    let mut rng = SmallRng::seed_from_u64(6);
+    let mut belief = Belief::default();
+    for _ in 0..1_000 {
+        belief.observe(if rng.random_bool(0.95) { 1.0 } else { 0.0 });
+    }
+    belief.observe(f64::NAN);
+    belief.observe(7.0);
+    assert!((belief.quality(0.5) - 0.95).abs() < 0.05, "{belief:?}");
+    for _ in 0..300 {
+        belief.observe(if rng.random_bool(0.4) { 1.0 } else { 0.0 });
+    }
+    assert!((0.3..0.65).contains(&belief.quality(0.5)), "{belief:?}");
+}
--- /dev/null
+++ b/crates/hawthornmount-policy/tests/policy/main.rs
@@ -0,0 +1,9 @@
+//! Decisions of the policy, case by case.
+
+mod admission;
+mod budget;
+mod cascade;
+mod fleet;
+mod reason;
+mod router;
+mod server;
--- /dev/null
+++ b/crates/hawthornmount-policy/tests/policy/router.rs
@@ -0,0 +1,110 @@
+use {
+    crate::fleet::{backend, query, release, snapshot},
+    hawthornmount_core::{
+        config::State,
+        reason::Refusal,
+        snapshot::{Release, Snapshot},
+    },
+    hawthornmount_policy::{Router, adaptive::Adaptive},
+    rstest::rstest,
+    std::{sync::Arc, time::Instant},
+};
+
+fn three_models() -> Snapshot {
+    snapshot(3, vec![backend("a", "one", "north", 3)])
+}
+
+fn teach(router: &Adaptive, qualities: &[f64]) {
+    for (model, quality) in qualities.iter().enumerate() {
+        for at in 0..100 {
+            let good = f64::from(at) < quality * 100.0;
+            router.rated(&"a".into(), "notes", &release(model), f64::from(u8::from(good)));
+        }
+    }
+}
+
+struct Case {
+    streamed: bool,
+    qualities: [f64; 3],
+    first: usize,
+}
+
+#[rstest]
+#[case::stream_takes_the_cheapest_at_the_target(Case {
+    streamed: true, qualities: [0.6, 0.97, 0.99], first: 1,
+})]
+#[case::stream_takes_the_best_if_none_is(Case {
+    streamed: true, qualities: [0.6, 0.7, 0.8], first: 2,
+})]
+#[case::rated_starts_cheap(Case { streamed: false, qualities: [0.7, 0.9, 0.99], first: 0 })]
+#[case::rated_skips_the_useless(Case { streamed: false, qualities: [0.05, 0.9, 0.99], first: 1 })]
+fn first_model_follows_what_was_learned(#[case] case: Case) {
+    let snapshot = three_models();
+    let router = Adaptive::with_seed(6);
+    teach(&router, &case.qualities);
+    let mut query = query(Instant::now());
+    query.streamed = case.streamed;
+    let plans: Vec<_> = (0..400).map(|_| router.plan(&snapshot, &query).unwrap()).collect();
+    let explored = plans.iter().filter(|plan| plan.candidates[0].explored).count();
+    assert!(explored <= 20, "{explored} of 400 explored");
+    for plan in plans.iter().filter(|plan| !plan.candidates[0].explored) {
+        assert_eq!(plan.candidates[0].release, release(case.first));
+    }
+}
+
+#[test]
+fn ratings_out_make_a_request_go_to_a_model_that_is_good_enough_at_once() {
+    let snapshot = three_models();
+    let router = Adaptive::with_seed(1);
+    teach(&router, &[0.7, 0.9, 0.99]);
+    let now = Instant::now();
+    for _ in 0..3 {
+        router.unrated(now);
+    }
+    let plan = router.plan(&snapshot, &query(now)).unwrap();
+    assert_eq!((plan.candidates[0].release.clone(), plan.steps), (release(2), 1));
+    assert_eq!(plan.candidates.len(), 3, "the others stay as a last resort");
+}
+
+fn withdraw(snapshot: &mut Snapshot, release: &Release) {
+    let mut config = (*snapshot.config).clone();
+    let model = config.models.get_mut(&release.model).unwrap();
+    model.versions.get_mut(&release.version).unwrap().state = State::Withdrawn;
+    snapshot.config = Arc::new(config);
+}
+
+fn suspend(snapshot: &mut Snapshot, release: &Release) {
+    snapshot.suspended = Arc::from([release.clone()]);
+}
+
+#[rstest]
+#[case::withdrawn(withdraw)]
+#[case::suspended(suspend)]
+fn no_work_goes_to(#[case] end: fn(&mut Snapshot, &Release)) {
+    let mut snapshot = three_models();
+    end(&mut snapshot, &release(0));
+    let router = Adaptive::with_seed(6);
+    teach(&router, &[1.0, 0.9, 0.99]);
+    let mut query = query(Instant::now());
+    for _ in 0..500 {
+        let plan = router.plan(&snapshot, &query).unwrap();
+        assert!(plan.candidates.iter().all(|one| one.release != release(0)));
+    }
+    assert_eq!(router.choose(&snapshot, &query, &release(0), &[]), Err(Refusal::NoVersion));
+    query.pinned = Some(release(0));
+    assert_eq!(router.plan(&snapshot, &query), Err(Refusal::NoVersion));
+}
+
+#[test]
+fn pinned_session_has_one_candidate_and_never_explores() {
+    let snapshot = three_models();
+    let router = Adaptive::with_seed(6);
+    let mut query = query(Instant::now());
+    query.pinned = Some(release(1));
+    for _ in 0..500 {
+        let plan = router.plan(&snapshot, &query).unwrap();
+        assert_eq!(plan.candidates.len(), 1);
+        assert_eq!(plan.candidates[0].release, release(1));
+        assert!(!plan.candidates[0].explored);
+    }
+}
