--- a/crates/hawthornmount-bench/src/experiment/decision.rs
+++ b/crates/hawthornmount-bench/src/experiment/decision.rs
@@ -76,11 +76,17 @@
     let router = Adaptive::with_seed(seed);
     let config = Arc::new(config());
     let mut snapshot = snapshot(&config, servers, &mut rng);
+    let reload = |one: &Backend, rng: &mut SmallRng| Backend {
+        load: rng.random_range(0..SLOTS),
+        reported: Some(Instant::now()),
+        ..one.clone()
+    };
     let mut running = std::collections::VecDeque::new();
     let mut spent = Duration::ZERO;
     for number in 0..DECISIONS {
         if number % DECISIONS_PER_SNAPSHOT == 0 {
-            snapshot = self::snapshot(&config, servers, &mut rng);
+            let backends = snapshot.backends.iter().map(|one| reload(one, &mut rng)).collect();
+            snapshot = Snapshot { backends, ..snapshot };
         }
         let query = query(&mut rng);
         let started = Instant::now();
--- a/crates/hawthornmount-policy/src/adaptive/mod.rs
+++ b/crates/hawthornmount-policy/src/adaptive/mod.rs
@@ -77,20 +77,18 @@
     }
 
     fn tiers(&self, snapshot: &Snapshot, query: &Query, releases: &[Release]) -> Vec<Tier> {
+        let tokens = (query.prompt_tokens + query.max_tokens) as f64;
         let pool = self.pool.lock();
-        let learned = self.learned.lock();
-        let tokens = query.prompt_tokens + query.max_tokens;
-        releases
-            .iter()
-            .map(|release| {
-                let price = snapshot.config.models.get(&release.model).map_or(0, |one| one.price);
-                let cost = price as f64 * tokens as f64 / PRICED_TOKENS as f64;
-                let seconds = pool.seconds(release, query.max_tokens);
-                let mut tier = Tier { cost, quality: 0.0, spread: 0.0, seconds };
-                learned.learner.fill(&query.account, &query.task, release, &mut tier);
-                tier
-            })
-            .collect()
+        let tier = |release: &Release| {
+            let price = snapshot.config.models.get(&release.model).map_or(0, |one| one.price);
+            let cost = price as f64 * tokens / PRICED_TOKENS as f64;
+            let seconds = pool.seconds(release, query.max_tokens);
+            Tier { cost, quality: 0.0, spread: 0.0, seconds }
+        };
+        let mut tiers: Vec<Tier> = releases.iter().map(tier).collect();
+        drop(pool);
+        self.learned.lock().learner.fill(&query.account, &query.task, releases, &mut tiers);
+        tiers
     }
 
     fn is_rated_in_line(&self, query: &Query) -> bool {
--- a/crates/hawthornmount-policy/src/cascade/learner.rs
+++ b/crates/hawthornmount-policy/src/cascade/learner.rs
@@ -8,35 +8,34 @@
 
 /// Chance of a good answer before any rating.
 const FIRST_QUALITY: f64 = 0.8;
-/// Keys that are kept; beyond, the one that was used longest ago is dropped.
-const MAX_KEYS: usize = 4_096;
-
-/// What one belief is about.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Key {
-    account: AccountId,
-    task: Arc<str>,
-    release: Release,
-}
+/// Pairs of account and task that are kept; beyond, the one that was rated longest ago is dropped.
+const MAX_SUBJECTS: usize = 1_024;
 
+/// Belief about one version.
 #[derive(Clone, Debug)]
 struct Entry {
-    key: Key,
+    release: Release,
     belief: Belief,
-    used: u64,
 }
 
+/// Beliefs about versions in order.
+#[derive(Clone, Debug, Default)]
+struct Entries(Vec<Entry>);
+
+/// Beliefs on the tasks of one kind of one account.
 #[derive(Clone, Debug)]
-struct Overall {
-    release: Release,
-    belief: Belief,
+struct Subject {
+    account: AccountId,
+    task: Arc<str>,
+    entries: Entries,
+    used: u64,
 }
 
-/// Beliefs in order of their keys.
+/// Beliefs in order of account and task.
 #[derive(Clone, Debug, Default)]
 pub struct Learner {
-    entries: Vec<Entry>,
-    overall: Vec<Overall>,
+    subjects: Vec<Subject>,
+    overall: Entries,
     uses: u64,
 }
 
@@ -44,60 +43,58 @@
     /// Takes a rating.
     pub fn observe(&mut self, account: &AccountId, task: &str, release: &Release, rating: f64) {
         self.uses += 1;
-        match self.find(account, task, release) {
-            Ok(at) => {
-                self.entries[at].belief.observe(rating);
-                self.entries[at].used = self.uses;
-            }
-            Err(at) => self.add(at, account, task, release, rating),
-        }
-        let found = self.overall.binary_search_by(|one| one.release.cmp(release));
+        self.overall.observe(release, rating);
+        let found = self.find(account, task);
         let at = found.unwrap_or_else(|at| {
-            self.overall
-                .insert(at, Overall { release: release.clone(), belief: Belief::default() });
+            let (account, task) = (account.clone(), Arc::from(task));
+            let entries = Entries::default();
+            self.subjects.insert(at, Subject { account, task, entries, used: self.uses });
             at
         });
-        self.overall[at].belief.observe(rating);
+        self.subjects[at].used = self.uses;
+        self.subjects[at].entries.observe(release, rating);
+        self.drop_oldest();
     }
 
-    /// Sets the quality and its uncertainty in `tier`.
-    pub fn fill(&self, account: &AccountId, task: &str, release: &Release, tier: &mut Tier) {
-        let overall = self.overall.binary_search_by(|one| one.release.cmp(release)).ok();
-        let prior =
-            overall.map_or(FIRST_QUALITY, |at| self.overall[at].belief.quality(FIRST_QUALITY));
-        let found = self.find(account, task, release).ok();
-        let belief = found.map_or_else(Belief::default, |at| self.entries[at].belief);
-        tier.quality = belief.quality(prior);
-        tier.spread = belief.spread(prior);
+    /// Sets the quality and its uncertainty in the tiers of `releases`.
+    pub fn fill(&self, account: &str, task: &str, releases: &[Release], tiers: &mut [Tier]) {
+        let subject = self.find(account, task).ok().map(|at| &self.subjects[at].entries);
+        for (release, tier) in releases.iter().zip(tiers) {
+            let prior = self.overall.get(release).quality(FIRST_QUALITY);
+            let belief = subject.map_or_else(Belief::default, |entries| entries.get(release));
+            tier.quality = belief.quality(prior);
+            tier.spread = belief.spread(prior);
+        }
     }
 
-    /// Returns the number of keys.
-    pub fn len(&self) -> usize {
-        self.entries.len()
+    fn drop_oldest(&mut self) {
+        if self.subjects.len() <= MAX_SUBJECTS {
+            return;
+        }
+        let oldest = self.subjects.iter().enumerate().min_by_key(|(_, subject)| subject.used);
+        if let Some(at) = oldest.map(|(at, _)| at) {
+            self.subjects.remove(at);
+        }
     }
 
-    /// Tells whether there is no key.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+    fn find(&self, account: &str, task: &str) -> Result<usize, usize> {
+        self.subjects
+            .binary_search_by(|subject| (&*subject.account, &*subject.task).cmp(&(account, task)))
     }
+}
 
-    fn add(&mut self, at: usize, account: &AccountId, task: &str, release: &Release, rating: f64) {
-        let key = Key { account: account.clone(), task: task.into(), release: release.clone() };
-        let mut belief = Belief::default();
-        belief.observe(rating);
-        self.entries.insert(at, Entry { key, belief, used: self.uses });
-        if self.entries.len() > MAX_KEYS {
-            let oldest = self.entries.iter().enumerate().min_by_key(|(_, entry)| entry.used);
-            if let Some(at) = oldest.map(|(at, _)| at) {
-                self.entries.remove(at);
-            }
-        }
+impl Entries {
+    fn observe(&mut self, release: &Release, rating: f64) {
+        let found = self.0.binary_search_by(|entry| entry.release.cmp(release));
+        let at = found.unwrap_or_else(|at| {
+            self.0.insert(at, Entry { release: release.clone(), belief: Belief::default() });
+            at
+        });
+        self.0[at].belief.observe(rating);
     }
 
-    fn find(&self, account: &str, task: &str, release: &Release) -> Result<usize, usize> {
-        self.entries.binary_search_by(|entry| {
-            let key = &entry.key;
-            (&*key.account, &*key.task, &key.release).cmp(&(account, task, release))
-        })
+    fn get(&self, release: &Release) -> Belief {
+        let found = self.0.binary_search_by(|entry| entry.release.cmp(release));
+        found.map_or_else(|_| Belief::default(), |at| self.0[at].belief)
     }
 }
--- a/crates/hawthornmount-policy/src/server/index.rs
+++ b/crates/hawthornmount-policy/src/server/index.rs
@@ -86,6 +86,18 @@
             && self.data_centre == *data_centre
     }
 
+    /// Takes a snapshot in which at most the load has changed; tells whether it is one.
+    pub fn take(&mut self, snapshot: &Snapshot, data_centre: &DataCentreId) -> bool {
+        let same = Arc::ptr_eq(&self.config, &snapshot.config)
+            && self.data_centre == *data_centre
+            && self.backends.len() == snapshot.backends.len()
+            && self.backends.iter().zip(snapshot.backends.iter()).all(|(a, b)| is_alike(a, b));
+        if same {
+            self.backends = snapshot.backends.clone();
+        }
+        same
+    }
+
     /// Returns the positions of the servers of a class that are up.
     pub fn up(&self, class: Class) -> &[usize] {
         match class {
@@ -123,6 +135,24 @@
     }
 }
 
+/// Tells whether two looks at a server differ at most in its load.
+fn is_alike(a: &Backend, b: &Backend) -> bool {
+    a.health == b.health
+        && is_same(&a.id, &b.id)
+        && a.data_centre == b.data_centre
+        && a.region == b.region
+        && a.loaded.len() == b.loaded.len()
+        && a.loaded
+            .iter()
+            .zip(&b.loaded)
+            .all(|(a, b)| is_same(&a.model, &b.model) && is_same(&a.version, &b.version))
+}
+
+/// Compares two ids, which mostly share their memory.
+fn is_same(a: &Arc<str>, b: &Arc<str>) -> bool {
+    Arc::ptr_eq(a, b) || a == b
+}
+
 fn distance(backend: &Backend, data_centre: &DataCentreId, region: &RegionId) -> Distance {
     if backend.data_centre == *data_centre {
         Distance::Local
--- a/crates/hawthornmount-policy/src/server/mod.rs
+++ b/crates/hawthornmount-policy/src/server/mod.rs
@@ -92,16 +92,30 @@
         if self.index.as_ref().is_some_and(|index| index.is_of(snapshot, &query.data_centre)) {
             return;
         }
+        let index = self.index.as_mut();
+        if index.is_some_and(|index| index.take(snapshot, &query.data_centre)) {
+            for (server, backend) in self.servers.iter_mut().zip(snapshot.backends.iter()) {
+                server.take(backend, query.now);
+            }
+        } else {
+            self.replace_servers(snapshot, query.now);
+            self.index = Some(Index::new(snapshot, &query.data_centre, &query.region));
+        }
+        self.fade_reports(snapshot, query);
+    }
+
+    /// Takes other servers, and keeps what was learned of those that stay.
+    fn replace_servers(&mut self, snapshot: &Snapshot, now: Instant) {
         let mut old = std::mem::take(&mut self.servers).into_iter().peekable();
         for backend in snapshot.backends.iter() {
             while old.peek().is_some_and(|server| server.id < backend.id) {
                 old.next();
             }
             let known = old.next_if(|server| server.id == backend.id);
-            self.servers.push(server(backend, known, query));
+            let mut server = known.unwrap_or_else(|| Server::new(backend));
+            server.take(backend, now);
+            self.servers.push(server);
         }
-        self.fade_reports(snapshot, query);
-        self.index = Some(Index::new(snapshot, &query.data_centre, &query.region));
     }
 
     /// Draws the others' load towards the mean as far as its report is old, so that a server that
@@ -337,16 +351,23 @@
     }
 }
 
-fn server(backend: &Backend, known: Option<Server>, query: &Query) -> Server {
-    let mut record = known.map_or_else(|| Record::new(backend.slots), |server| server.record);
-    record.mark(query.now);
-    let own = backend.reported.map_or(0, |at| record.in_flight_at(at));
-    Server {
-        id: backend.id.clone(),
-        hash: hash(&backend.id),
-        slots: backend.slots,
-        others: f64::from(backend.load.saturating_sub(own)),
-        record,
+impl Server {
+    fn new(backend: &Backend) -> Self {
+        Self {
+            id: backend.id.clone(),
+            hash: hash(&backend.id),
+            slots: backend.slots,
+            others: 0.0,
+            record: Record::new(backend.slots),
+        }
+    }
+
+    /// Takes a report: what ran there at its time without the own requests.
+    fn take(&mut self, backend: &Backend, now: Instant) {
+        self.slots = backend.slots;
+        self.record.mark(now);
+        let own = backend.reported.map_or(0, |at| self.record.in_flight_at(at));
+        self.others = f64::from(backend.load.saturating_sub(own));
     }
 }
 
