--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -9,15 +9,22 @@
         clock::{self, Clock},
         metrics::Metrics,
         settings::Settings,
-        snapshot::{Cell, Liveness, Member},
+        snapshot::Cell,
+    },
+    hawthornmount_fleet::{
+        Fleet,
+        mesh::{self, Mesh},
+        position::Position,
+        seed::{Platform, Source},
+        wire::{Record, Standing},
     },
-    hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, direct::Direct},
     hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Judge, quiet::Quiet},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
+    rand::RngExt,
     std::{
         sync::{
             Arc,
@@ -45,6 +52,8 @@
     pub ledger: Arc<dyn Ledger>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
+    /// The other instances over UDP and TCP, which the control thread runs.
+    pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
     /// Demand of accounts here and at the other instances.
@@ -66,7 +75,6 @@
     settings: Settings,
     store: Option<Arc<dyn Store>>,
     ledger: Option<Arc<dyn Ledger>>,
-    fleet: Option<Arc<dyn Fleet>>,
     router: Option<Arc<dyn Router>>,
     judge: Option<Arc<dyn Judge>>,
 }
@@ -74,7 +82,7 @@
 impl Builder {
     /// Creates a builder for an instance with `settings`.
     pub const fn new(settings: Settings) -> Self {
-        Self { settings, store: None, ledger: None, fleet: None, router: None, judge: None }
+        Self { settings, store: None, ledger: None, router: None, judge: None }
     }
 
     /// Sets another store.
@@ -91,13 +99,6 @@
         self
     }
 
-    /// Sets other instances.
-    #[must_use]
-    pub fn fleet(mut self, fleet: Arc<dyn Fleet>) -> Self {
-        self.fleet = Some(fleet);
-        self
-    }
-
     /// Sets another router.
     #[must_use]
     pub fn router(mut self, router: Arc<dyn Router>) -> Self {
@@ -121,12 +122,15 @@
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
         };
+        let metrics = Metrics::new();
+        let mesh = Arc::new(mesh(&settings, metrics.clone()));
         Parts {
             clock: Arc::new(clock::System),
-            metrics: Metrics::new(),
+            metrics,
             cell: Cell::new(),
             client: Client::new(),
-            fleet: self.fleet.unwrap_or_else(|| Arc::new(Local::new(member(&settings)))),
+            fleet: mesh.clone(),
+            mesh,
             router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
             demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| Arc::new(Quiet)),
@@ -141,14 +145,26 @@
     }
 }
 
-fn member(settings: &Settings) -> Member {
+fn mesh(settings: &Settings, metrics: Metrics) -> Mesh {
+    let source = |address| -> Arc<dyn Source> { Arc::new(Platform::new(address)) };
+    Mesh::new(mesh::Options {
+        local: record(settings),
+        secret: settings.fleet_key.clone(),
+        seeds: settings.instance_list.map(source),
+        position: Arc::new(Position::new()),
+        metrics,
+        seed: rand::rng().random(),
+    })
+}
+
+fn record(settings: &Settings) -> Record {
     let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    Member {
+    Record {
         id: settings.instance.clone(),
         incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        refutation: 0,
+        standing: Standing::Alive,
         data_centre: settings.data_centre.clone(),
         address: settings.fleet,
-        liveness: Liveness::Alive,
-        revision: 0,
     }
 }
