--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: it owns all control state and publishes it as one snapshot.
 
+mod demand;
 mod load;
 mod rollout;
 mod state;
@@ -75,6 +76,7 @@
     tokio::spawn(parts.mesh.clone().run());
     tokio::spawn(follow_config(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
+    tokio::spawn(demand::share(parts.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
     rollout::start(parts);
     let mut state = State::new(parts);
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -20,7 +20,7 @@
     },
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
-    hawthornmount_policy::{Router, basic::Basic},
+    hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
@@ -56,6 +56,8 @@
     pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
+    /// Demand of accounts here and at the other instances.
+    pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
     /// Evidence on versions, suspensions and the progress of roll-outs.
@@ -147,7 +149,8 @@
             client: Client::new(),
             fleet,
             mesh,
-            router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
+            router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
+            demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| keeper.clone()),
             keeper,
             role: Arc::default(),
--- /dev/null
+++ b/crates/hawthornmount-entry/tests/ran.rs
@@ -0,0 +1,59 @@
+//! A refusal that says "not run" is true.
+
+use {
+    async_trait::async_trait,
+    hawthornmount_core::{
+        problem::{Problem, Ran},
+        reason::Refusal,
+        snapshot::Snapshot,
+    },
+    hawthornmount_entry::{
+        Exchange, Filter,
+        exchange::Kind,
+        filter::{self, Flow},
+    },
+    hawthornmount_http::HeaderMap,
+    rstest::rstest,
+    std::sync::Arc,
+};
+
+/// Sends the request to a server, or not.
+struct Send(bool);
+
+/// Ends the request with a problem of its own, which knows nothing of earlier attempts.
+struct Refuse;
+
+#[async_trait]
+impl Filter for Send {
+    fn name(&self) -> &'static str {
+        "send"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
+        exchange.reached |= self.0;
+        Ok(Flow::Next)
+    }
+}
+
+#[async_trait]
+impl Filter for Refuse {
+    fn name(&self) -> &'static str {
+        "refuse"
+    }
+
+    async fn apply(&self, _exchange: &mut Exchange) -> Result<Flow, Problem> {
+        Err(Problem::new(Refusal::NoServer, "no server is up: try later"))
+    }
+}
+
+#[rstest]
+#[case::after_a_server_was_reached(true, Ran::Unknown)]
+#[case::before_any_server_was_reached(false, Ran::No)]
+#[tokio::test]
+async fn refusal_tells_whether_the_request_may_have_run(#[case] sent: bool, #[case] ran: Ran) {
+    let snapshot = Arc::new(Snapshot::empty());
+    let mut exchange = Exchange::new(snapshot, "req-1".into(), Kind::Models, HeaderMap::new());
+    let path: Vec<Box<dyn Filter>> = vec![Box::new(Send(sent)), Box::new(Refuse)];
+    let problem = filter::run(&path, &mut exchange).await.expect_err("it is refused");
+    assert_eq!(problem.ran, ran);
+}
