--- a/crates/hawthornmount-entry/src/api/deliver.rs
+++ b/crates/hawthornmount-entry/src/api/deliver.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         answer::{self, Answer, Content, End, Usage, events::Reader},
-        exchange::{Exchange, REQUEST_HEADER},
+        exchange::{Exchange, REQUEST_HEADER, TOKEN_HEADER},
         instance::Parts,
     },
     bytes::Bytes,
@@ -20,6 +20,8 @@
 
 /// Header of an answer that repeats the outcome of an earlier call with the same key.
 const REPLAYED_HEADER: &str = "idempotency-replayed";
+/// Header that tells how often the session had to move.
+const GENERATION_HEADER: &str = "x-session-generation";
 /// Events that wait for a slow caller.
 const EVENT_BACKLOG: usize = 16;
 /// Content type of problem documents.
@@ -58,8 +60,11 @@
         Content::Whole(bytes) => whole(parts, exchange, status, content_type, bytes).await,
         Content::Events(reader) => {
             let (sender, body) = body::channel(EVENT_BACKLOG);
-            let response =
-                session_headers(respond(status, &content_type, &exchange.id, body), &exchange);
+            let response = session_headers(
+                parts,
+                respond(status, &content_type, &exchange.id, body),
+                &exchange,
+            );
             let relay = Relay { parts: parts.clone(), exchange, reader: *reader, content_type };
             tokio::spawn(relay.run(sender));
             response
@@ -87,7 +92,7 @@
         return problem(parts, exchange, &refused);
     }
     let response = respond(status, &content_type, &exchange.id, Body::from(bytes));
-    let response = session_headers(response, &exchange);
+    let response = session_headers(parts, response, &exchange);
     exchange.trace.outcome = "answered".into();
     close(parts, exchange, "answered");
     response
@@ -104,6 +109,7 @@
 impl Relay {
     async fn run(mut self, sender: mpsc::Sender<Chunk>) {
         let outcome = self.copy(&sender).await;
+        self.clean_up().await;
         self.exchange.trace.outcome = outcome.into();
         close(&self.parts, self.exchange, outcome);
     }
@@ -118,6 +124,7 @@
             let event = match event {
                 Ok(event) => event,
                 Err(error) => {
+                    self.parts.metrics.drop_one("answer", error.cause());
                     let detail = format!("the answer is not whole: {error}");
                     let problem = Problem::new(Refusal::BadAnswer, detail).ran_unknown();
                     return self.fail(sender, &problem).await;
@@ -142,14 +149,26 @@
     }
 
     async fn finish(&mut self) -> Result<(), Problem> {
-        let end = End {
+        let end = self.end(self.reader.usage());
+        finish(&mut self.exchange, &end).await
+    }
+
+    /// Does what the filters left for an answer that did not reach its end.
+    async fn clean_up(&mut self) {
+        let end = self.end(self.reader.usage_so_far());
+        for finisher in std::mem::take(&mut self.exchange.finishers) {
+            finisher.cut(&end).await;
+        }
+    }
+
+    fn end(&self, usage: Usage) -> End {
+        End {
             status: StatusCode::OK.as_u16(),
             content_type: self.content_type.clone(),
             body: None,
-            usage: self.reader.usage(),
+            usage,
             text: self.reader.text().into(),
-        };
-        finish(&mut self.exchange, &end).await
+        }
     }
 
     /// Ends the stream with an explicit error event and no terminal event.
@@ -212,7 +231,7 @@
 }
 
 /// Tells the caller which version answered and whether its session had to move.
-fn session_headers(mut response: Response, exchange: &Exchange) -> Response {
+fn session_headers(parts: &Parts, mut response: Response, exchange: &Exchange) -> Response {
     let headers = response.headers_mut();
     if exchange.replayed {
         headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
@@ -222,6 +241,13 @@
     {
         headers.insert("x-answered-by", value);
     }
+    if let Some(pin) = &exchange.pin {
+        headers.insert(GENERATION_HEADER, HeaderValue::from(pin.generation));
+        let token = parts.sessions.sign(pin);
+        if let Some(Ok(value)) = token.map(|token| HeaderValue::from_str(&token)) {
+            headers.insert(TOKEN_HEADER, value);
+        }
+    }
     if let Some(release) = &exchange.moved_from
         && let Ok(value) = HeaderValue::from_str(&format!("{}@{}", release.model, release.version))
     {
--- a/crates/hawthornmount-entry/src/exchange/mod.rs
+++ b/crates/hawthornmount-entry/src/exchange/mod.rs
@@ -15,11 +15,14 @@
         units::MicroCost,
     },
     hawthornmount_http::HeaderMap,
-    hawthornmount_ledger::Ticket,
+    hawthornmount_ledger::{Pin, Ticket},
     hawthornmount_policy::{Plan, Query},
     std::{
         any::Any,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -68,20 +71,22 @@
     pub account: AccountId,
     /// Session of the caller.
     pub session: Option<SessionId>,
+    /// Pin of the session as far as it is known.
+    pub pin: Option<Pin>,
     /// Release that the session keeps.
     pub pinned: Option<Release>,
     /// Release that the session had to leave.
     pub moved_from: Option<Release>,
     /// Whether the answer repeats the outcome of an earlier call with the same key.
     pub replayed: bool,
+    /// Attempts that may have run so far.
+    pub runs: Arc<AtomicUsize>,
     /// Right to run a non-idempotent call.
     pub ticket: Option<Ticket>,
     /// Models to try.
     pub plan: Plan,
     /// Release that answered.
     pub answered_by: Option<Release>,
-    /// Whether a server may have run the request, whatever came of it.
-    pub reached: bool,
     /// Price of everything that ran so far.
     pub cost: MicroCost,
     /// Answer for the caller.
@@ -111,13 +116,14 @@
             kind,
             account: "".into(),
             session,
+            pin: None,
             pinned: None,
             moved_from: None,
             replayed: false,
+            runs: Arc::default(),
             ticket: None,
             plan: Plan::default(),
             answered_by: None,
-            reached: false,
             cost: 0,
             answer: None,
             finishers: Vec::new(),
@@ -147,9 +153,10 @@
         Ok(left)
     }
 
-    /// Corrects a problem that says "not run" although a server may have run the request.
+    /// Corrects what `problem` says of whether the request ran: an attempt may have, even if the
+    /// last one did not.
     pub fn correct(&self, problem: Problem) -> Problem {
-        if self.reached { problem.ran_unknown() } else { problem }
+        if self.runs.load(Ordering::SeqCst) > 0 { problem.ran_unknown() } else { problem }
     }
 
     /// Returns the question that the policy answers.
@@ -177,6 +184,8 @@
 
 /// Header that names the session.
 pub const SESSION_HEADER: &str = "x-session-id";
+/// Header that carries the session's token.
+pub const TOKEN_HEADER: &str = "x-session-token";
 /// Header that names the kind of task.
 pub const TASK_HEADER: &str = "x-task-kind";
 /// Header that names the deadline, in milliseconds from now.
--- a/crates/hawthornmount-entry/src/filter/send/flight.rs
+++ b/crates/hawthornmount-entry/src/filter/send/flight.rs
@@ -31,13 +31,6 @@
     pub hedge: bool,
 }
 
-impl Landed {
-    /// Tells whether a server may have run this attempt or the other copy of it.
-    pub fn may_have_run(&self) -> bool {
-        self.hedge || !matches!(&self.result, Err(failure) if failure.is_unsent())
-    }
-}
-
 impl Flight {
     /// Runs the attempt to its end.
     pub async fn run(self, hedge: bool) -> Landed {
