fleet: follow the accepted configuration without ever going back

Cause: every instance watched the store by itself, a silent or compacted watch was never noticed, a new instance needed the store, and a full queue could lose a revision for good.

Change: two instances of a data centre watch (rendezvous hashing over live members, two substitutes when no confirmation came for 10 s); the rest fetch from a peer whose frames show a newer revision. A new instance hears the store and up to five peers before it publishes its first revision. The watch is checked every 2 s against a small head key that is written together with the configuration; a compacted watch goes on from the oldest kept revision after a read. Confirmation travels with acknowledgements and counts from the time of asking. The control thread reads the newest revision from a cell that can't overflow. `apply` sends a lost commit again under its guard and reads the outcome from the ids in the record.

Measured: `cargo test -p hawthornmount-fleet`, 43 cases on paused time pass: lost answers, silent watch, compaction, stale read, outage of 300 s, restart with the store down, pause, partition, a value over 1 MiB. The first run of the compaction case showed that it did not reach a compacted watch; the case now waits for the watches to open again and asserts that they met the compaction.

Conclusion: points 2 and 3 stand at the size of the tests; 370 instances are to be measured.

--- a/crates/hawthornmount-entry/src/admin/mod.rs
+++ b/crates/hawthornmount-entry/src/admin/mod.rs
@@ -1,7 +1,7 @@
 //! The operators' interface: metrics, health, status and explanations.
 
 use {
-    crate::instance::Parts,
+    crate::{control::status, instance::Parts},
     async_trait::async_trait,
     hawthornmount_core::id::{InstanceId, Revision},
     hawthornmount_http::{
@@ -90,6 +90,7 @@
             "/metrics" => server::text(StatusCode::OK, self.parts.metrics.text()),
             "/healthz" => server::text(StatusCode::OK, "ok\n".to_owned()),
             "/readyz" => ready(&self.parts),
+            "/fleet" => server::json(StatusCode::OK, &status::rows(&self.parts).await),
             "/status" => server::json(StatusCode::OK, &self.status()),
             _ => not_found("see docs/operators for the paths"),
         }
--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -1,16 +1,18 @@
 //! The control thread: it owns all control state and publishes it as one snapshot.
 
+pub mod status;
+
 mod load;
 mod state;
 
 use {
     crate::instance::Parts,
-    hawthornmount_fleet::{config, transport::net::Net},
+    hawthornmount_fleet::{Topic, config, transport::net::Net},
     state::State,
     std::{io, sync::Arc, thread, time::Duration},
     tokio::{
         runtime,
-        sync::{mpsc, oneshot},
+        sync::{mpsc, oneshot, watch},
     },
 };
 
@@ -21,8 +23,6 @@
 
 /// A change of the control state.
 enum Change {
-    /// A newer configuration was accepted.
-    Config(config::Accepted),
     /// A server reported its load, or did not answer.
     Load(load::Seen),
     /// The platform's list names servers that are leaving.
@@ -51,6 +51,8 @@
 /// thread.
 pub fn start(parts: &Arc<Parts>) -> io::Result<Handle> {
     let (stop, stopped) = oneshot::channel();
+    let source = status::Source(Arc::downgrade(parts));
+    parts.fleet.respond_with(Topic::Status, Arc::new(source));
     let parts = parts.clone();
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     {
@@ -71,20 +73,22 @@
 
 async fn run(parts: &Arc<Parts>) {
     let (sender, mut changes) = mpsc::channel(CHANGE_BACKLOG);
+    let mut accepted = follow_config(parts);
     tokio::spawn(parts.mesh.clone().run());
-    tokio::spawn(follow_config(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
     let mut state = State::new(parts);
     let mut publish = tokio::time::interval(PUBLISH_PAUSE);
     loop {
         tokio::select! {
-            change = changes.recv() => match change {
-                Some(Change::Config(accepted)) => {
+            Ok(()) = accepted.changed() => {
+                if let Some(accepted) = accepted.borrow_and_update().clone() {
                     log::info!("configuration in force; revision={}", accepted.revision);
                     state.take_config(accepted);
                     state.publish(parts);
                 }
+            }
+            change = changes.recv() => match change {
                 Some(Change::Load(seen)) => state.take_load(seen),
                 Some(Change::Leaving(servers)) => state.take_leaving(servers),
                 None => return,
@@ -94,11 +98,15 @@
     }
 }
 
-async fn follow_config(parts: Arc<Parts>, sender: mpsc::Sender<Change>) {
-    config::follow(&*parts.store, |accepted| {
-        if sender.try_send(Change::Config(accepted)).is_err() {
-            parts.metrics.drop_one("control", "backlog");
-        }
-    })
-    .await;
+/// Starts to follow the configuration; the receiver shows the newest accepted one.
+fn follow_config(parts: &Parts) -> watch::Receiver<Option<config::Accepted>> {
+    let follower = config::Follower::new(
+        parts.store.clone(),
+        parts.fleet.clone(),
+        parts.mesh.position().clone(),
+        parts.metrics.clone(),
+    );
+    let accepted = follower.subscribe();
+    tokio::spawn(async move { follower.run().await });
+    accepted
 }
--- a/crates/hawthornmount-entry/src/control/state.rs
+++ b/crates/hawthornmount-entry/src/control/state.rs
@@ -30,7 +30,7 @@
     config: Arc<Config>,
     known: Table<Known>,
     leaving: Vec<ServerId>,
-    confirmed: Instant,
+    started: Instant,
 }
 
 impl State {
@@ -40,7 +40,7 @@
             config: Arc::default(),
             known: Table::new(),
             leaving: Vec::new(),
-            confirmed: parts.clock.now(),
+            started: parts.clock.now(),
         }
     }
 
@@ -79,11 +79,17 @@
             backends: self.backends(),
             suspended: parts.judge.suspended().into(),
             shares: parts.judge.shares().into(),
-            confirmed: self.confirmed,
+            confirmed: self.confirmed(parts),
             freshness_limit: DEFAULT_FRESHNESS_LIMIT,
         });
     }
 
+    /// Returns when the configuration was last known to be the newest; before any confirmation,
+    /// when the instance started.
+    fn confirmed(&self, parts: &Parts) -> Instant {
+        parts.mesh.position().confirmed().map_or(self.started, tokio::time::Instant::into_std)
+    }
+
     fn backends(&self) -> Arc<[Backend]> {
         self.config.servers.iter().map(|row| self.backend(&row.id, &row.value)).collect()
     }
--- a/crates/hawthornmount-fleet/src/mesh/mod.rs
+++ b/crates/hawthornmount-fleet/src/mesh/mod.rs
@@ -33,6 +33,9 @@
     },
 };
 
+/// Time in which a peer answers a question or never.
+pub const ASK_TIMEOUT: std::time::Duration = ask::TIMEOUT;
+
 /// Part under which drops are counted.
 const PART: &str = "fleet";
 
--- a/crates/hawthornmount-fleet/src/position/mod.rs
+++ b/crates/hawthornmount-fleet/src/position/mod.rs
@@ -75,6 +75,13 @@
         *confirmed = (*confirmed).max(Some(at));
     }
 
+    /// Notes that `revision` was the newest at `at`, which counts if it is the held one.
+    pub fn confirm_revision(&self, revision: Revision, at: Instant) {
+        if revision > 0 && revision == self.held() {
+            self.confirm(at);
+        }
+    }
+
     /// Notes that a peer holds `revision`.
     pub fn hint(&self, peer: &InstanceId, revision: Revision) {
         if revision <= self.held() {
--- a/crates/hawthornmount-fleet/tests/support/mod.rs
+++ b/crates/hawthornmount-fleet/tests/support/mod.rs
@@ -1,13 +1,17 @@
 //! Instances of the fleet part on a network inside the process.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod store;
+
 use {
     hawthornmount_core::{
+        id::Revision,
         metrics::Metrics,
         snapshot::{Liveness, Member},
     },
     hawthornmount_fleet::{
         Fleet,
+        config::{self, Accepted, Follower},
         mesh::{Mesh, Options},
         position::Position,
         seed::{Fixed, Seed},
@@ -17,24 +21,32 @@
         },
         wire::{Record, Standing},
     },
+    serde_json::{Value, json},
     std::{
         net::{Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
-    tokio::task::JoinHandle,
+    store::Faulty,
+    tokio::{sync::watch, task::JoinHandle},
 };
 
+pub const DATA_CENTRES: [&str; 3] = ["attica-a", "macedonia-a", "crete-a"];
 pub const SECRET: &str = "secret of the tests' fleet";
 
 pub struct Node {
     pub mesh: Arc<Mesh>,
     pub metrics: Metrics,
     pub address: SocketAddr,
+    pub accepted: watch::Receiver<Option<Accepted>>,
     task: JoinHandle<()>,
 }
 
 impl Node {
+    pub fn revision(&self) -> Revision {
+        self.accepted.borrow().as_ref().map_or(0, |accepted| accepted.revision)
+    }
+
     pub fn sees(&self, id: &str) -> Option<Member> {
         self.mesh.members().iter().find(|member| *member.id == *id).cloned()
     }
@@ -56,12 +68,18 @@
 pub struct World {
     pub network: Network,
     pub faults: Faults,
+    pub store: Arc<Faulty>,
     pub nodes: Vec<Node>,
 }
 
 impl World {
     pub fn new(count: usize) -> Self {
-        let mut world = Self { network: Network::new(), faults: Faults::new(1), nodes: Vec::new() };
+        let mut world = Self {
+            network: Network::new(),
+            faults: Faults::new(1),
+            store: Arc::new(Faulty::default()),
+            nodes: Vec::new(),
+        };
         for number in 0..count {
             let node = world.start(&name(number), 1, SECRET, address(number));
             world.nodes.push(node);
@@ -76,7 +94,7 @@
             incarnation,
             refutation: 0,
             standing: Standing::Alive,
-            data_centre: "attica-a".into(),
+            data_centre: DATA_CENTRES[usize::from(address.port()) % DATA_CENTRES.len()].into(),
             address,
         };
         let seed = Seed { id: name(0), address: self::address(0) };
@@ -90,8 +108,35 @@
         }));
         let memory = Arc::new(self.network.bind(address));
         mesh.attach(Arc::new(Fault::new(memory, self.faults.clone())));
-        let task = tokio::spawn(mesh.clone().run());
-        Node { mesh, metrics, address, task }
+        let follower = Follower::new(
+            self.store.clone(),
+            mesh.clone(),
+            mesh.position().clone(),
+            metrics.clone(),
+        );
+        let accepted = follower.subscribe();
+        let run = mesh.clone().run();
+        let task = tokio::spawn(async move {
+            tokio::join!(run, follower.run());
+        });
+        Node { mesh, metrics, address, accepted, task }
+    }
+
+    pub fn all_hold(&self, revision: Revision) -> bool {
+        self.nodes.iter().all(|node| node.revision() == revision)
+    }
+
+    /// Counts what the followers dropped for one cause.
+    pub fn dropped(&self, cause: &str) -> u64 {
+        let dropped =
+            |node: &Node| node.metrics.dropped.with_label_values(&["config", cause]).get();
+        self.nodes.iter().map(dropped).sum()
+    }
+
+    /// Accepts a configuration that tells the revisions apart by a limit.
+    pub async fn accept(&self, base: Revision) -> Revision {
+        let id = format!("apply-{base}");
+        config::apply(&*self.store, value(base), base, &id).await.expect("accepted")
     }
 
     pub fn all_alive(&self) -> bool {
@@ -125,3 +170,7 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+pub fn value(number: u64) -> Value {
+    json!({ "limits": { "body_bytes": 1_000 + number } })
+}
--- /dev/null
+++ b/crates/hawthornmount-fleet/tests/support/store.rs
@@ -0,0 +1,102 @@
+//! Store that fails as it is told to.
+
+use {
+    async_trait::async_trait,
+    futures::StreamExt,
+    hawthornmount_core::id::Revision,
+    hawthornmount_fleet::config::KEY,
+    hawthornmount_store::{
+        Commit, Entry, Error, LeaseId, Page, Result, Store, Txn, Watch, memory::Memory,
+    },
+    parking_lot::Mutex,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst},
+        },
+        time::Duration,
+    },
+};
+
+#[derive(Default)]
+pub struct Faulty {
+    pub memory: Memory,
+    pub down: AtomicBool,
+    pub watch_silent: Arc<AtomicBool>,
+    pub stale: Mutex<Option<Entry>>,
+    /// Commits that take effect and whose answer is lost.
+    pub lose_answers: AtomicU32,
+    /// Commits that are lost on their way.
+    pub lose_commits: AtomicU32,
+    pub calls: AtomicU64,
+    pub delay: Mutex<Duration>,
+}
+
+impl Faulty {
+    async fn call(&self) -> Result<()> {
+        self.calls.fetch_add(1, SeqCst);
+        let delay = *self.delay.lock();
+        tokio::time::sleep(delay).await;
+        if self.down.load(SeqCst) {
+            return Err(Error::Unreachable { cause: "down".into() });
+        }
+        Ok(())
+    }
+}
+
+fn lost() -> Error {
+    Error::Lost { cause: "cut".into() }
+}
+
+fn take(left: &AtomicU32) -> bool {
+    left.fetch_update(SeqCst, SeqCst, |left| left.checked_sub(1)).is_ok()
+}
+
+#[async_trait]
+impl Store for Faulty {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        self.call().await?;
+        let stale = self.stale.lock().clone();
+        match stale {
+            Some(entry) if key.starts_with(KEY) => Ok(Some(entry)),
+            _ => self.memory.get(key).await,
+        }
+    }
+
+    async fn list(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page> {
+        self.call().await?;
+        self.memory.list(prefix, after, limit).await
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit> {
+        self.call().await?;
+        if take(&self.lose_commits) {
+            return Err(lost());
+        }
+        let commit = self.memory.commit(txn).await?;
+        if take(&self.lose_answers) { Err(lost()) } else { Ok(commit) }
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
+        self.memory.grant(ttl).await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<Duration> {
+        self.memory.keep_alive(lease).await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        self.memory.revoke(lease).await
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch> {
+        self.call().await?;
+        let silent = self.watch_silent.clone();
+        let watch = self.memory.watch(prefix, from).await?;
+        let heard = watch.filter(move |_| {
+            let heard = !silent.load(SeqCst);
+            async move { heard }
+        });
+        Ok(heard.boxed())
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod demo;
+mod fleet;
 mod guide;
 mod problems;
 mod serve;
