--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod status;
 
 mod load;
+mod rollout;
 mod state;
 
 use {
@@ -77,6 +78,7 @@
     tokio::spawn(parts.mesh.clone().run());
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
+    rollout::start(parts);
     let mut state = State::new(parts);
     let mut publish = tokio::time::interval(PUBLISH_PAUSE);
     loop {
@@ -94,6 +96,7 @@
                 None => return,
             },
             _ = publish.tick() => state.publish(parts),
+            () = parts.judge.changed() => state.publish(parts),
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod problems;
 mod serve;
 mod stream;
+mod version;
