config: every problem with file, line, path and remedy; apply settles by reading back

Cause: `check` stopped at the first broken key without its place; duplicate keys in a file, dangling references of accounts, cascades, roll-outs and services, the order of a cascade and two roll-outs of a model went unseen; `merge` could not tell who set a value; a conflict showed no difference.

`apply` reads back after each lost answer before it sends again.

With every commit's answer lost, `apply` said "not known" before and now settles.

--- a/crates/hawthornmount-core/src/config/check.rs
+++ b/crates/hawthornmount-core/src/config/check.rs
@@ -1,6 +1,13 @@
 //! Checks of the merged configuration as a whole.
 
-use {super::Config, std::sync::Arc};
+use {
+    super::{Account, Allowance, Cascade, Config, Rollout, Server},
+    crate::table::Row,
+    std::{fmt::Display, sync::Arc},
+};
+
+/// Characters of a key's hash.
+const HASH_CHARS: usize = 64;
 
 /// Something wrong in the configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -9,53 +16,232 @@
     pub path: Arc<str>,
     /// What is wrong.
     pub what: Arc<str>,
-    /// What mends it.
+    /// What corrects it.
     pub remedy: Arc<str>,
 }
 
 /// Returns everything that is wrong in the configuration.
 pub fn check(config: &Config) -> Vec<Finding> {
-    let mut findings = Vec::new();
-    check_models(config, &mut findings);
-    check_accounts(config, &mut findings);
-    check_servers(config, &mut findings);
-    findings
+    let mut check = Check { config, findings: Vec::new() };
+    check.models();
+    config.accounts.iter().for_each(|row| check.account(row));
+    check.key_hashes();
+    config.cascades.iter().for_each(|row| check.cascade(row));
+    config.rollouts.iter().for_each(|row| check.rollout(row));
+    check.one_rollout_a_model();
+    config.servers.iter().for_each(|row| check.server(row));
+    check.limits();
+    check.findings
+}
+
+struct Check<'a> {
+    config: &'a Config,
+    findings: Vec<Finding>,
 }
 
-fn check_models(config: &Config, findings: &mut Vec<Finding>) {
-    for row in &config.models {
-        if !row.value.versions.contains(&row.value.stable) {
-            findings.push(Finding {
-                path: format!("/models/{}/stable", row.id).into(),
-                what: format!("version {} does not exist", row.value.stable).into(),
-                remedy: "name one of the model's versions".into(),
-            });
+impl Check<'_> {
+    fn models(&mut self) {
+        for row in &self.config.models {
+            if !row.value.versions.contains(&row.value.stable) {
+                let what = format!("version {} does not exist", row.value.stable);
+                let path = path(&["models", &row.id, "stable"]);
+                self.add(path, what, "name one of the model's versions");
+            }
         }
     }
-}
 
-fn check_accounts(config: &Config, findings: &mut Vec<Finding>) {
-    for row in &config.accounts {
-        for allowance in &row.value.allow {
-            if !config.models.contains(&allowance.model) {
-                findings.push(Finding {
-                    path: format!("/accounts/{}/allow", row.id).into(),
-                    what: format!("model {} does not exist", allowance.model).into(),
-                    remedy: "add the model or take it from the list".into(),
-                });
+    fn account(&mut self, row: &Row<Account>) {
+        let account = &row.value;
+        for (at, allowance) in account.allow.iter().enumerate() {
+            self.allowance(&path(&["accounts", &row.id, "allow", &at.to_string()]), allowance);
+        }
+        for (at, service) in account.services.iter().enumerate() {
+            if !self.config.services.contains(service) {
+                let path = path(&["accounts", &row.id, "services", &at.to_string()]);
+                let what = format!("service {service} does not exist");
+                self.add(path, what, "add it under services or take it from the list");
             }
         }
+        self.account_cascade(row);
+        if !(0.0..=1.0).contains(&account.quality_target) {
+            let path = path(&["accounts", &row.id, "quality_target"]);
+            self.add(path, "is not between 0 and 1", "give a chance from 0 to 1");
+        }
+        if account.weight == 0 {
+            let path = path(&["accounts", &row.id, "weight"]);
+            self.add(path, "is 0", "give at least 1");
+        }
     }
-}
 
-fn check_servers(config: &Config, findings: &mut Vec<Finding>) {
-    for row in &config.servers {
-        if !config.data_centres.contains(&row.value.data_centre) {
-            findings.push(Finding {
-                path: format!("/servers/{}/data_centre", row.id).into(),
-                what: format!("data centre {} does not exist", row.value.data_centre).into(),
-                remedy: "add it under data_centres".into(),
-            });
+    fn allowance(&mut self, path: &str, allowance: &Allowance) {
+        let Some(model) = self.config.models.get(&allowance.model) else {
+            let what = format!("model {} does not exist", allowance.model);
+            return self.add(format!("{path}/model"), what, "add it under models or remove it");
+        };
+        for (at, version) in allowance.versions.iter().flatten().enumerate() {
+            if !model.versions.contains(version) {
+                let what = format!("version {version} of {} does not exist", allowance.model);
+                let path = format!("{path}/versions/{at}");
+                self.add(path, what, "name one of the model's versions");
+            }
         }
     }
+
+    fn account_cascade(&mut self, row: &Row<Account>) {
+        let Some(id) = &row.value.cascade else { return };
+        let path = path(&["accounts", &row.id, "cascade"]);
+        let Some(cascade) = self.config.cascades.get(id) else {
+            let what = format!("cascade {id} does not exist");
+            return self.add(path, what, "add it under cascades or name another");
+        };
+        for model in &cascade.models {
+            if !row.value.allow.iter().any(|allowance| allowance.model == *model) {
+                let what =
+                    format!("cascade {id} names model {model}, which the account may not use");
+                self.add(path.clone(), what, "allow the model or name another cascade");
+            }
+        }
+    }
+
+    fn key_hashes(&mut self) {
+        let mut uses: Vec<KeyUse> = self.config.accounts.iter().flat_map(key_uses).collect();
+        for key in &uses {
+            let is_hex = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+            if key.hash.len() != HASH_CHARS || !key.hash.chars().all(is_hex) {
+                let remedy = "give the output of `hawthornmount config key-hash KEY`";
+                self.add(key.path(), "is not a hash of a key", remedy);
+            }
+        }
+        uses.sort();
+        for pair in uses.windows(2).filter(|pair| pair[0].hash == pair[1].hash) {
+            let what = format!("stands at {} too", pair[0].path());
+            self.add(pair[1].path(), what, "give each account keys of its own");
+        }
+    }
+
+    fn cascade(&mut self, row: &Row<Cascade>) {
+        let models = &row.value.models;
+        if models.is_empty() {
+            let path = path(&["cascades", &row.id, "models"]);
+            self.add(path, "is empty", "name at least one model");
+        }
+        let mut dearest = None;
+        for (at, id) in models.iter().enumerate() {
+            let path = path(&["cascades", &row.id, "models", &at.to_string()]);
+            let Some(model) = self.config.models.get(id) else {
+                let what = format!("model {id} does not exist");
+                self.add(path, what, "add it under models or take it from the cascade");
+                continue;
+            };
+            if models[..at].contains(id) {
+                self.add(path, format!("model {id} stands twice"), "remove one of them");
+            } else if dearest.is_some_and(|price| model.price < price) {
+                let what = format!("model {id} is cheaper than one before it");
+                self.add(path, what, "order the models from cheap to costly");
+            }
+            dearest = dearest.max(Some(model.price));
+        }
+    }
+
+    fn rollout(&mut self, row: &Row<Rollout>) {
+        let rollout = &row.value;
+        match self.config.models.get(&rollout.model) {
+            None => {
+                let path = path(&["rollouts", &row.id, "model"]);
+                let what = format!("model {} does not exist", rollout.model);
+                self.add(path, what, "add it under models or remove the roll-out");
+            }
+            Some(model) if !model.versions.contains(&rollout.to) => {
+                let path = path(&["rollouts", &row.id, "to"]);
+                let what = format!("version {} of {} does not exist", rollout.to, rollout.model);
+                self.add(path, what, "name one of the model's versions");
+            }
+            Some(_) => {}
+        }
+        let in_range = rollout.steps.iter().all(|step| *step > 0.0 && *step <= 1.0);
+        let grows = rollout.steps.windows(2).all(|pair| pair[0] < pair[1]);
+        if rollout.steps.is_empty() || !in_range || !grows {
+            let path = path(&["rollouts", &row.id, "steps"]);
+            let what = "is not a growing list of parts above 0 and up to 1";
+            self.add(path, what, "give parts such as [0.05, 0.25, 1]");
+        }
+    }
+
+    fn one_rollout_a_model(&mut self) {
+        let rollouts: Vec<_> = self.config.rollouts.iter().collect();
+        for (at, row) in rollouts.iter().enumerate() {
+            let model = &row.value.model;
+            if let Some(first) = rollouts[..at].iter().find(|other| other.value.model == *model) {
+                let path = path(&["rollouts", &row.id, "model"]);
+                let what = format!("model {model} is rolled out by {} too", first.id);
+                self.add(path, what, "end one roll-out before the next, or remove one");
+            }
+        }
+    }
+
+    fn server(&mut self, row: &Row<Server>) {
+        let server = &row.value;
+        if !self.config.data_centres.contains(&server.data_centre) {
+            let path = path(&["servers", &row.id, "data_centre"]);
+            let what = format!("data centre {} does not exist", server.data_centre);
+            self.add(path, what, "add it under data_centres");
+        }
+        for (at, model) in server.models.iter().enumerate() {
+            if !self.config.models.contains(model) {
+                let path = path(&["servers", &row.id, "models", &at.to_string()]);
+                let what = format!("model {model} does not exist");
+                self.add(path, what, "add it under models or take it from the list");
+            }
+        }
+        for (at, service) in server.services.iter().enumerate() {
+            if !self.config.services.contains(service) {
+                let path = path(&["servers", &row.id, "services", &at.to_string()]);
+                let what = format!("service {service} does not exist");
+                self.add(path, what, "add it under services or take it from the list");
+            }
+        }
+        if server.slots == 0 {
+            self.add(path(&["servers", &row.id, "slots"]), "is 0", "give at least 1");
+        }
+    }
+
+    fn limits(&mut self) {
+        let limits = &self.config.limits;
+        if limits.body_bytes == 0 {
+            self.add("/limits/body_bytes", "is 0", "give at least 1");
+        }
+        if limits.deadline.is_zero() {
+            self.add("/limits/deadline_ms", "is 0", "give at least 1");
+        }
+    }
+
+    fn add(&mut self, path: impl Into<Arc<str>>, what: impl Display, remedy: &str) {
+        let what = what.to_string().into();
+        self.findings.push(Finding { path: path.into(), what, remedy: remedy.into() });
+    }
+}
+
+/// A key's hash with the account that lists it.
+#[derive(Eq, Ord, PartialEq, PartialOrd)]
+struct KeyUse {
+    hash: Arc<str>,
+    account: Arc<str>,
+    at: usize,
+}
+
+impl KeyUse {
+    fn path(&self) -> String {
+        path(&["accounts", &self.account, "key_hashes", &self.at.to_string()])
+    }
+}
+
+fn key_uses(row: &Row<Account>) -> impl Iterator<Item = KeyUse> {
+    let hashes = row.value.key_hashes.iter().enumerate();
+    hashes.map(|(at, hash)| KeyUse { hash: hash.clone(), account: row.id.clone(), at })
+}
+
+/// Returns the JSON pointer of a path.
+fn path(keys: &[&str]) -> String {
+    let escaped = keys.iter().map(|key| key.replace('~', "~0").replace('/', "~1"));
+    escaped.fold(String::new(), |pointer, key| pointer + "/" + &key)
 }
--- a/crates/hawthornmount-core/src/merge/mod.rs
+++ b/crates/hawthornmount-core/src/merge/mod.rs
@@ -1,9 +1,20 @@
 //! Merge of the operators' folder of small files into one configuration (RFC 7396).
 
+mod diff;
+mod form;
+mod node;
+mod problem;
+
+pub use {
+    diff::{Difference, diff},
+    node::Place,
+    problem::Problem,
+};
+
 use {
-    crate::config::{self, Config, Finding},
+    crate::config::{self, Config},
     derive_more::{Display, Error},
-    jsonc_parser::ParseOptions,
+    node::{Content, Node},
     serde_json::Value,
     std::{
         fs, io,
@@ -24,6 +35,17 @@
     pub text: Arc<str>,
 }
 
+/// A value of the merged result with the place that set it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Origin {
+    /// JSON pointer of the value.
+    pub pointer: String,
+    /// The value: a scalar, an array or an empty object.
+    pub value: Value,
+    /// Place that set it.
+    pub place: Place,
+}
+
 /// Why a folder gives no configuration.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -35,36 +57,90 @@
         /// Cause.
         source: io::Error,
     },
-    /// A file is not JSON with comments.
-    #[display("{file}: {message}: mend the syntax")]
-    Syntax {
-        /// Name of the file.
-        file: Arc<str>,
-        /// Message of the parser.
-        message: Arc<str>,
-    },
-    /// The merged value does not have the form of a configuration.
-    #[display("{message}: correct the key or the type of the value")]
-    Form {
-        /// Message of the reader.
-        message: Arc<str>,
-    },
-    /// The merged configuration contradicts itself.
-    #[display("{} problems: run `hawthornmount config check` and mend each", findings.len())]
+    /// Files are broken or the merged configuration is not valid.
+    #[display("{}", problem::summary(problems))]
     Invalid {
         /// Each problem.
         #[error(not(source))]
-        findings: Vec<Finding>,
+        problems: Vec<Problem>,
     },
 }
 
+/// The merged folder.
+pub struct Merged {
+    root: Node,
+}
+
+impl Merged {
+    /// Merges files in the order given.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of every file if one of them is broken.
+    pub fn new(sources: &[Source]) -> Result<Self, Error> {
+        let mut problems = Vec::new();
+        let nodes: Vec<Node> =
+            sources.iter().filter_map(|source| node::parse(source, &mut problems)).collect();
+        if !problems.is_empty() {
+            return Err(Error::Invalid { problems });
+        }
+        let mut root = Node::empty();
+        nodes.into_iter().for_each(|node| root.merge(node));
+        Ok(Self { root })
+    }
+
+    /// Returns the merged value.
+    pub fn value(&self) -> Value {
+        self.root.to_value()
+    }
+
+    /// Reads the merged value as a configuration and checks it as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem with the place that set the value.
+    pub fn config(&self) -> Result<Config, Error> {
+        checked(&self.value()).map_err(|findings| {
+            let located = findings.into_iter().map(|finding| {
+                let place = self.root.place_of(&finding.path).clone();
+                Problem::new(finding, Some(place))
+            });
+            Error::Invalid { problems: located.collect() }
+        })
+    }
+
+    /// Returns each value with the place that set it.
+    pub fn origins(&self) -> Vec<Origin> {
+        let mut origins = Vec::new();
+        collect(&self.root, String::new(), &mut origins);
+        origins
+    }
+}
+
+fn collect(node: &Node, pointer: String, origins: &mut Vec<Origin>) {
+    match &node.content {
+        Content::Object(members) if !members.is_empty() => {
+            for member in members {
+                collect(&member.node, node::join(&pointer, &member.key), origins);
+            }
+        }
+        _ => origins.push(Origin { pointer, value: node.to_value(), place: node.place.clone() }),
+    }
+}
+
+fn checked(value: &Value) -> Result<Config, Vec<config::Finding>> {
+    let config = form::read(value)?;
+    let findings = config::check(&config);
+    if findings.is_empty() { Ok(config) } else { Err(findings) }
+}
+
 /// Reads and merges the folder and checks the result as a whole.
 ///
 /// # Errors
 ///
 /// Returns an error if a file can't be read or parsed, or if the merged result is not valid.
 pub fn folder(path: &Path) -> Result<Config, Error> {
-    from_value(merge(path)?)
+    Merged::new(&read(path)?)?.config()
 }
 
 /// Reads a merged value as a configuration and checks it as a whole.
@@ -72,11 +148,12 @@
 /// # Errors
 ///
 /// Returns an error if the value is not a valid configuration.
+#[expect(clippy::needless_pass_by_value, reason = "callers hand over a value they are done with")]
 pub fn from_value(value: Value) -> Result<Config, Error> {
-    let config: Config = serde_json::from_value(value)
-        .map_err(|error| Error::Form { message: error.to_string().into() })?;
-    let findings = config::check(&config);
-    if findings.is_empty() { Ok(config) } else { Err(Error::Invalid { findings }) }
+    checked(&value).map_err(|findings| {
+        let problems = findings.into_iter().map(|finding| Problem::new(finding, None)).collect();
+        Error::Invalid { problems }
+    })
 }
 
 /// Reads the folder's files in byte order of their names and merges them.
@@ -110,17 +187,7 @@
 ///
 /// Returns an error if a file can't be parsed.
 pub fn merge_sources(sources: &[Source]) -> Result<Value, Error> {
-    let mut merged = Value::Object(serde_json::Map::new());
-    for source in sources {
-        json_patch::merge(&mut merged, &parse(&source.name, &source.text)?);
-    }
-    Ok(merged)
-}
-
-fn parse(name: &str, text: &str) -> Result<Value, Error> {
-    let value: Value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-        .map_err(|error| Error::Syntax { file: name.into(), message: error.to_string().into() })?;
-    Ok(value)
+    Merged::new(sources).map(|merged| merged.value())
 }
 
 fn files(path: &Path) -> Result<Vec<PathBuf>, Error> {
--- a/crates/hawthornmount-fleet/src/config/apply.rs
+++ b/crates/hawthornmount-fleet/src/config/apply.rs
@@ -59,8 +59,8 @@
 
 /// Publishes a merged value if `base` is still the accepted revision; 0 means that there is none.
 ///
-/// A commit whose answer was lost is sent again: its guard on the base lets it take effect once,
-/// and the ids in the accepted record tell whose change it was.
+/// After a lost answer the store is read back. While the base still stands, the commit is sent again:
+/// its guard lets it take effect once. The ids in the accepted record tell whose change it was.
 ///
 /// # Errors
 ///
@@ -79,22 +79,29 @@
     };
     let guarded = if base == 0 { Txn::new().absent(KEY) } else { Txn::new().unchanged(KEY, base) };
     let txn = guarded.put(KEY, record.encode()).put(HEAD, apply_id.as_bytes().to_vec());
-    commit(store, &txn, apply_id).await
+    commit(store, &txn, base, apply_id).await
 }
 
-async fn commit(store: &dyn Store, txn: &Txn, apply_id: &str) -> Result<Revision, ApplyError> {
+async fn commit(
+    store: &dyn Store,
+    txn: &Txn,
+    base: Revision,
+    apply_id: &str,
+) -> Result<Revision, ApplyError> {
     let mut pause = PAUSE;
     let mut lost = None;
     for _ in 0..TRIES {
         match store.commit(txn.clone()).await {
             Ok(commit) if commit.applied => return Ok(commit.revision),
-            Ok(_) => match read(store).await {
-                Ok(accepted) => return settle(accepted, apply_id),
-                Err(error) => lost = Some(error),
-            },
+            Ok(_) => {}
             Err(error) if lost.is_some() || error.may_have_applied() => lost = Some(error),
             Err(source) => return Err(ApplyError::Refused { source }),
         }
+        match read(store).await {
+            Ok(accepted) if revision_of(&accepted) != base => return settle(accepted, apply_id),
+            Ok(_) => {}
+            Err(error) => lost = Some(error),
+        }
         tokio::time::sleep(pause).await;
         pause *= 2;
     }
@@ -102,6 +109,10 @@
     Err(ApplyError::Unknown { apply_id: apply_id.into(), source })
 }
 
+fn revision_of(accepted: &Option<(Revision, Record)>) -> Revision {
+    accepted.as_ref().map_or(0, |(revision, _)| *revision)
+}
+
 /// Tells by the accepted record what became of a change whose guard no longer holds.
 fn settle(accepted: Option<(Revision, Record)>, apply_id: &str) -> Result<Revision, ApplyError> {
     match accepted {
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -2,22 +2,31 @@
 
 use {
     super::{Error, Result, asks_help, refuse_rest},
-    hawthornmount_core::{id, merge},
-    hawthornmount_fleet::config,
+    hawthornmount_core::{
+        id,
+        merge::{self, Merged},
+    },
+    hawthornmount_fleet::config::{self, ApplyError},
     hawthornmount_store::etcd::Etcd,
     pico_args::Arguments,
-    std::{net::SocketAddr, path::PathBuf, process::ExitCode},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
 };
 
 const HELP: &str = "\
 Usage: hawthornmount config check DIR
-       hawthornmount config merge DIR
+       hawthornmount config merge DIR [--origin]
        hawthornmount config diff DIR --store ADDRESS
        hawthornmount config apply DIR --store ADDRESS [--base REVISION]
        hawthornmount config show --store ADDRESS
        hawthornmount config key-hash KEY
 
 Options:
+  --origin         Show the file and line that set each value
   --store ADDRESS  Address of the store's gateway
   --base REVISION  Revision that the change is based on [default: the accepted one]
   -h, --help       Show help
@@ -58,24 +67,29 @@
     refuse_rest(arguments, &["--help"])?;
     match merge::folder(&folder) {
         Ok(_) => Ok(ExitCode::SUCCESS),
-        Err(merge::Error::Invalid { findings }) => {
-            for finding in findings {
-                println!("{}: {}: {}", finding.path, finding.what, finding.remedy);
+        Err(merge::Error::Invalid { problems }) => {
+            for problem in problems {
+                println!("{problem}");
             }
             Ok(ExitCode::FAILURE)
         }
-        Err(error) => {
-            println!("{error}");
-            Ok(ExitCode::FAILURE)
-        }
+        Err(error) => Err(Error::failed("the folder can't be checked")(error)),
     }
 }
 
 fn merged(mut arguments: Arguments) -> Result<ExitCode> {
+    let origin = arguments.contains("--origin");
     let folder: PathBuf = arguments.free_from_str().map_err(Error::usage)?;
-    refuse_rest(arguments, &["--help"])?;
-    let value = merge::merge(&folder).map_err(Error::failed("the folder can't be merged"))?;
-    println!("{value:#}");
+    refuse_rest(arguments, &["--origin", "--help"])?;
+    let merged = merge_folder(&folder)?;
+    if origin {
+        for origin in merged.origins() {
+            let place = &origin.place;
+            println!("{}:{}: {}: {}", place.file, place.line, origin.pointer, origin.value);
+        }
+    } else {
+        println!("{:#}", merged.value());
+    }
     Ok(ExitCode::SUCCESS)
 }
 
@@ -83,14 +97,14 @@
     let store = store(&mut arguments)?;
     let folder: PathBuf = arguments.free_from_str().map_err(Error::usage)?;
     refuse_rest(arguments, &["--store", "--help"])?;
-    let wanted = merge::merge(&folder).map_err(Error::failed("the folder can't be merged"))?;
+    let wanted = merge_folder(&folder)?.value();
     let accepted = config::read(&store).await.map_err(Error::failed("the store can't be read"))?;
-    let accepted = accepted.map(|(_, record)| record.value).unwrap_or_default();
-    let same = accepted == wanted;
-    if !same {
-        println!("{}", serde_json::json!({ "accepted": accepted, "folder": wanted }));
+    let accepted = accepted.map_or_else(|| json!({}), |(_, record)| record.value);
+    let differences = merge::diff(&accepted, &wanted);
+    for difference in &differences {
+        println!("{difference}");
     }
-    Ok(if same { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if differences.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 async fn apply(mut arguments: Arguments) -> Result<ExitCode> {
@@ -98,8 +112,8 @@
     let base: Option<u64> = arguments.opt_value_from_str("--base").map_err(Error::usage)?;
     let folder: PathBuf = arguments.free_from_str().map_err(Error::usage)?;
     refuse_rest(arguments, &["--store", "--base", "--help"])?;
-    let value = merge::merge(&folder).map_err(Error::failed("the folder can't be merged"))?;
-    merge::from_value(value.clone()).map_err(Error::failed("the folder is not valid"))?;
+    let merged = merge_folder(&folder)?;
+    merged.config().map_err(Error::failed("the folder is not valid; nothing was changed"))?;
     let base = match base {
         Some(base) => base,
         None => config::read(&store)
@@ -107,11 +121,27 @@
             .map_err(Error::failed("the store can't be read; nothing was changed"))?
             .map_or(0, |(revision, _)| revision),
     };
-    let revision = config::apply(&store, value, base, &id::fresh("apply"))
-        .await
-        .map_err(Error::failed("the configuration was not accepted"))?;
-    println!("{revision}");
-    Ok(ExitCode::SUCCESS)
+    let wanted = merged.value();
+    match config::apply(&store, wanted.clone(), base, &id::fresh("apply")).await {
+        Ok(revision) => {
+            println!("{revision}");
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(error) => {
+            if let ApplyError::Conflict { value, .. } = &error {
+                print_conflict(value, &wanted);
+            }
+            Err(Error::failed("the configuration was not applied")(error))
+        }
+    }
+}
+
+/// Prints what the folder would change in the configuration that another operator put in force.
+fn print_conflict(accepted: &Value, wanted: &Value) {
+    eprintln!("difference from the accepted configuration to the folder:");
+    for difference in merge::diff(accepted, wanted) {
+        eprintln!("{difference}");
+    }
 }
 
 async fn show(mut arguments: Arguments) -> Result<ExitCode> {
@@ -120,7 +150,13 @@
     let accepted = config::read(&store).await.map_err(Error::failed("the store can't be read"))?;
     match accepted {
         Some((revision, record)) => {
-            println!("{:#}", serde_json::json!({ "revision": revision, "value": record.value }));
+            let shown = json!({
+                "revision": revision,
+                "apply_id": record.apply_id,
+                "history": record.history,
+                "value": record.value,
+            });
+            println!("{shown:#}");
             Ok(ExitCode::SUCCESS)
         }
         None => {
@@ -130,6 +166,12 @@
     }
 }
 
+fn merge_folder(folder: &Path) -> Result<Merged> {
+    merge::read(folder)
+        .and_then(|sources| Merged::new(&sources))
+        .map_err(Error::failed("the folder can't be merged"))
+}
+
 fn key_hash(mut arguments: Arguments) -> Result<ExitCode> {
     let key: String = arguments.free_from_str().map_err(Error::usage)?;
     refuse_rest(arguments, &["--help"])?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: real instances over loopback against the stand-ins.
 
 mod command_line;
+mod config;
 mod demo;
 mod fleet;
 mod guide;
