--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments and what they have in common.
 
 pub mod at_most_once;
+mod decision;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -66,6 +67,11 @@
         summary: "the same with checks switched off, which has to show",
         run: at_most_once::run_off,
     },
+    Experiment {
+        name: "decision",
+        summary: "time of a routing decision over the size of the fleet",
+        run: decision::run,
+    },
     Experiment {
         name: at_most_once::NAME_WAYS,
         summary: "writes and latency of the ways to keep claims and usage",
--- a/crates/hawthornmount-entry/src/filter/send/attempt.rs
+++ b/crates/hawthornmount-entry/src/filter/send/attempt.rs
@@ -36,6 +36,11 @@
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// When a caller whose request failed should come back, unless the server says so.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a server may send callers away.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Debug, Display, Error)]
 pub enum Failure {
@@ -44,7 +49,7 @@
     Unreachable,
     /// The server said that it refused before running.
     #[display("the server refused before running")]
-    Refused,
+    Refused(#[error(not(source))] Option<Duration>),
     /// The server failed.
     #[display("the server failed with status {_0}")]
     Status(#[error(not(source))] u16),
@@ -62,14 +67,14 @@
 impl Failure {
     /// Tells whether the request can't have run.
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused)
+        matches!(self, Self::Unreachable | Self::Refused(_))
     }
 
     /// Returns the reason of a retry after this failure.
     pub const fn retry(&self) -> Retry {
         match self {
             Self::Unreachable => Retry::Connect,
-            Self::Refused => Retry::ServerRefused,
+            Self::Refused(_) => Retry::ServerRefused,
             Self::Status(_) => Retry::ServerError,
             Self::Broken => Retry::CutAnswer,
             Self::Timeout => Retry::ServerTimeout,
@@ -80,7 +85,7 @@
     /// Returns how counters name an answer that was dropped, if there may have been one.
     const fn dropped(&self) -> Option<&'static str> {
         match self {
-            Self::Unreachable | Self::Refused | Self::Status(_) => None,
+            Self::Unreachable | Self::Refused(_) | Self::Status(_) => None,
             Self::Broken => Some("cut"),
             Self::Timeout => Some("late"),
             Self::BadAnswer(_) => Some("not_its_own"),
@@ -90,7 +95,7 @@
     /// Returns what the caller gets.
     pub fn problem(&self, idempotent: bool) -> Problem {
         let reason = match self {
-            Self::Unreachable | Self::Refused => Refusal::NoServer,
+            Self::Unreachable | Self::Refused(_) => Refusal::NoServer,
             Self::Status(_) | Self::Broken => Refusal::ServerFailed,
             Self::Timeout => Refusal::Deadline,
             Self::BadAnswer(_) => Refusal::BadAnswer,
@@ -100,7 +105,11 @@
         } else {
             "ask the service for the state before you send it again"
         };
-        let problem = Problem::new(reason, format!("{self}: {remedy}"));
+        let after = match self {
+            Self::Refused(Some(after)) => *after,
+            _ => RETRY_AFTER,
+        };
+        let problem = Problem::new(reason, format!("{self}: {remedy}")).retry_after(after);
         if self.is_unsent() { problem } else { problem.ran_unknown() }
     }
 }
@@ -194,7 +203,7 @@
         })?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
             self.runs.fetch_sub(1, Ordering::SeqCst);
-            return Err(Failure::Refused);
+            return Err(Failure::Refused(retry_after(&response)));
         }
         check_id(&response, &self.id)?;
         let status = response.status();
@@ -232,6 +241,12 @@
     Err(Failure::BadAnswer("the answer is for another request"))
 }
 
+/// Returns the seconds of a `Retry-After` header.
+fn retry_after(response: &Response) -> Option<Duration> {
+    let seconds = text_header(response, header::RETRY_AFTER.as_str()).trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).min(MAX_RETRY_AFTER))
+}
+
 fn text_header<'a>(response: &'a Response, name: &str) -> &'a str {
     response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
