Agree on a session's first version while an owner is paused, and pass over owners that don't answer

The owner of the shard was paused; the wishes of all instances waited at it and took all its connections, so the home of the session could not be asked, and a late look at the ledger was stale.

Change: the homes of the whole fleet are asked before the ledger, a later home's pin holds if the first could not be reached, and the ledger's pin replaces one that it does not have. An owner that gives no answer is passed over for a second and the next one by the hash takes its shards; an owner holds a peer's wish only as long as the peer waits. The fleet's rate of usage writes is 150 a second, so that with two shards all writes stay under 300.

--- a/crates/hawthornmount-entry/src/session/mod.rs
+++ b/crates/hawthornmount-entry/src/session/mod.rs
@@ -3,8 +3,7 @@
 //! A pin travels three ways: in a token that the caller brings along, at instances that rendezvous
 //! hashing names for the session (two of the data centre, and two of the whole fleet), and in the
 //! ledger. The highest generation holds; a generation grows only when a session has to leave its
-//! version. While the ledger is out of reach, the first instance that the whole fleet names decides
-//! between first answers that come at the same time.
+//! version.
 
 pub mod token;
 
@@ -138,25 +137,33 @@
     }
 
     /// Makes a pin hold, or returns the one that held already.
+    ///
+    /// The first reachable home of the whole fleet decides between first answers that come at the
+    /// same time, so that they agree while the ledger is out of reach or slow; where the ledger
+    /// knows better, it is right.
     pub async fn settle(&self, wish: Pin) -> Pin {
-        let pin = match tokio::time::timeout(LEDGER_TIMEOUT, self.ledger.pin(wish.clone())).await {
-            Ok(Ok(pin)) => {
-                self.pins.lock().put(pin.clone(), true);
-                pin
-            }
-            Ok(Err(_)) | Err(_) => {
-                let pin = self.decide_without_ledger(wish).await;
-                self.pins.lock().put(pin, false)
-            }
+        let held = self.decide(wish).await;
+        let recorded = self.ledger.pin(held.clone());
+        let pin = match tokio::time::timeout(LEDGER_TIMEOUT, recorded).await {
+            Ok(Ok(pin)) => self.pins.lock().put(pin, true),
+            Ok(Err(_)) | Err(_) => self.pins.lock().put(held, false),
         };
         self.tell_homes(&pin);
         pin
     }
 
-    /// Lets the first reachable home of the whole fleet decide which pin holds.
-    async fn decide_without_ledger(&self, wish: Pin) -> Pin {
+    /// Asks the homes of the whole fleet: a pin that a later one has, because the first could not
+    /// be reached, holds; else the first that answers decides.
+    async fn decide(&self, wish: Pin) -> Pin {
+        let homes = self.far_homes(&wish.account, &wish.session);
+        let later = homes.get(1..).unwrap_or_default();
+        if let Some(pin) = self.find_at(later, &wish.account, &wish.session).await
+            && pin.generation >= wish.generation
+        {
+            return pin;
+        }
         let local = self.fleet.local();
-        for home in self.far_homes(&wish.account, &wish.session) {
+        for home in homes {
             if home == local {
                 return self.pins.lock().put(wish, false);
             }
@@ -253,12 +260,14 @@
         self.position(account, session).ok().map(|at| &self.rows[at])
     }
 
-    /// Puts in a pin unless one of the same or a later generation stands; returns what holds.
+    /// Puts in a pin unless one of the same or a later generation stands; of the same generation,
+    /// the one that the ledger has is right. Returns what holds.
     fn put(&mut self, pin: Pin, recorded: bool) -> Pin {
         match self.position(&pin.account, &pin.session) {
             Ok(at) => {
                 let row = &mut self.rows[at];
-                if row.pin.generation < pin.generation {
+                let is_same = row.pin.generation == pin.generation;
+                if row.pin.generation < pin.generation || is_same && recorded && !row.recorded {
                     *row = Known { pin, recorded };
                 } else if row.pin == pin {
                     row.recorded |= recorded;
--- a/crates/hawthornmount-ledger/src/billing/pace.rs
+++ b/crates/hawthornmount-ledger/src/billing/pace.rs
@@ -3,7 +3,7 @@
 use {std::time::Duration, tokio::time::Instant};
 
 /// Writes of usage records a second, all instances together.
-const FLEET_RATE: f64 = 160.0;
+const FLEET_RATE: f64 = 150.0;
 /// Writes that an idle instance saves up.
 const BURST: f64 = 8.0;
 
--- a/crates/hawthornmount-ledger/src/log/mod.rs
+++ b/crates/hawthornmount-ledger/src/log/mod.rs
@@ -27,11 +27,15 @@
     hawthornmount_fleet::{Fleet, Message, Responder, Topic},
     hawthornmount_store::Store,
     journal::Journal,
+    parking_lot::Mutex,
     record::{Answer, Reply, Settle, Wish, decode, encode},
     shard::Shard,
     std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
 };
 
+/// Time for which an instance that gave no answer is not asked again.
+const AVOID_FOR: Duration = Duration::from_secs(1);
 /// Pause between looks at what still waits.
 const FLUSH_PAUSE: Duration = Duration::from_millis(10);
 
@@ -40,6 +44,13 @@
     shards: Arc<[Arc<Shard>]>,
     fleet: Arc<dyn Fleet>,
     options: Options,
+    avoided: Mutex<Vec<Avoided>>,
+}
+
+/// An instance that gave no answer as an owner, and until when it is passed over.
+struct Avoided {
+    id: InstanceId,
+    until: Instant,
 }
 
 impl Log {
@@ -55,8 +66,8 @@
             Shard::new(journal, clock.clone(), options)
         };
         let shards: Arc<[Arc<Shard>]> = (0..options.shards.max(1)).map(shard).collect();
-        fleet.respond_with(Topic::Claim, Arc::new(Owner { shards: shards.clone() }));
-        Self { shards, fleet, options }
+        fleet.respond_with(Topic::Claim, Arc::new(Owner { shards: shards.clone(), options }));
+        Self { shards, fleet, options, avoided: Mutex::default() }
     }
 
     /// Claims the only run of a non-idempotent call.
@@ -133,13 +144,13 @@
     ///
     /// Returns an error if records still wait after `bound`.
     pub async fn flush(&self, bound: Duration) -> Result<(), Error> {
-        let ends = tokio::time::Instant::now() + bound;
+        let ends = Instant::now() + bound;
         loop {
             let waiting: usize = self.shards.iter().map(|shard| shard.waiting()).sum();
             if waiting == 0 {
                 return Ok(());
             }
-            if tokio::time::Instant::now() >= ends {
+            if Instant::now() >= ends {
                 return Err(Error::Backlog { waiting });
             }
             tokio::time::sleep(FLUSH_PAUSE).await;
@@ -156,11 +167,33 @@
         let asked = Request { shard: number, wish: wish.clone() };
         match self.ask(&owner, &asked).await {
             Some(Ok(reply)) => Ok(reply),
-            Some(Err(_)) | None => match shard.grant(wish).await {
-                Err(Error::Unavailable { cause }) => Err(Error::Unknown { cause }),
-                answer => answer,
-            },
+            answer => self.grant_alone(shard, wish, &owner, answer.is_none()).await,
+        }
+    }
+
+    /// Writes a wish itself, because the owner could not grant it.
+    async fn grant_alone(
+        &self,
+        shard: &Arc<Shard>,
+        wish: Wish,
+        owner: &InstanceId,
+        silent: bool,
+    ) -> Answer {
+        if silent {
+            self.avoid(owner);
         }
+        match shard.grant(wish).await {
+            Err(Error::Unavailable { cause }) => Err(Error::Unknown { cause }),
+            answer => answer,
+        }
+    }
+
+    /// Passes an instance over for a while, so that the next one by its hash owns its shards.
+    fn avoid(&self, id: &InstanceId) {
+        let now = Instant::now();
+        let mut avoided = self.avoided.lock();
+        avoided.retain(|one| one.until > now && one.id != *id);
+        avoided.push(Avoided { id: id.clone(), until: now + AVOID_FOR });
     }
 
     async fn ask(&self, owner: &InstanceId, request: &Request) -> Option<Answer> {
@@ -181,7 +214,13 @@
     fn owner(&self, shard: u32) -> InstanceId {
         let members = self.fleet.members();
         let weight = |id: &InstanceId| hash(format!("{shard}/{id}").as_bytes());
-        let live = members.iter().filter(|member| member.liveness == Liveness::Alive);
+        let now = Instant::now();
+        let avoided = self.avoided.lock();
+        let is_avoided =
+            |id: &InstanceId| avoided.iter().any(|one| one.id == *id && one.until > now);
+        let live = members
+            .iter()
+            .filter(|member| member.liveness == Liveness::Alive && !is_avoided(&member.id));
         live.map(|member| member.id.clone())
             .max_by_key(weight)
             .unwrap_or_else(|| self.fleet.local())
@@ -198,6 +237,15 @@
 /// Answers the wishes of peers.
 struct Owner {
     shards: Arc<[Arc<Shard>]>,
+    options: Options,
+}
+
+impl Owner {
+    /// Grants a wish as long as the peer waits for it.
+    async fn grant(&self, shard: &Arc<Shard>, wish: Wish) -> Answer {
+        let granted = tokio::time::timeout(self.options.forward_timeout, shard.grant(wish)).await;
+        granted.unwrap_or_else(|_| Err(Error::unknown("the shard's owner is too slow")))
+    }
 }
 
 #[async_trait]
@@ -205,7 +253,7 @@
     async fn respond(&self, message: Message) -> Bytes {
         let answer = match decode::<Request>(&message.payload) {
             Ok(request) => match self.shards.get(request.shard as usize) {
-                Some(shard) => shard.grant(request.wish).await,
+                Some(shard) => self.grant(shard, request.wish).await,
                 None => Err(Error::form("no such shard")),
             },
             Err(error) => Err(error),
