Bound how long an answer waits for its claim's end; count writes on their way when flushing

Cause: in an outage an answer waited for the record of how its call ended as long as the ledger was patient (5 s). A flush at a planned stop did not see a batch that was on its way.

Change: the answer goes out after 500 ms at the latest and the record follows. Flushes count the write on its way.

--- a/crates/hawthornmount-entry/src/filter/claim.rs
+++ b/crates/hawthornmount-entry/src/filter/claim.rs
@@ -25,6 +25,8 @@
 /// When a caller should ask again for a call that still runs.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Longest time that an answer waits for the record of how its call ended.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after its deadline in which an attempt still records how it ended.
 const END_MARGIN: Duration = Duration::from_secs(5);
 
@@ -88,7 +90,7 @@
             Ran::No => Outcome::NotRun,
             Ran::Unknown => Outcome::Unknown,
         };
-        settle(&*self.ledger, &ticket, outcome).await;
+        settle(&self.ledger, &ticket, outcome).await;
     }
 }
 
@@ -160,14 +162,20 @@
             digest: blake3::hash(&body).to_hex().as_str().into(),
             body: (body.len() <= MAX_KEPT_BODY).then(|| body.to_vec()),
         };
-        settle(&*self.ledger, &self.ticket, outcome).await;
+        settle(&self.ledger, &self.ticket, outcome).await;
         Ok(())
     }
 }
 
-async fn settle(ledger: &dyn Ledger, ticket: &Ticket, outcome: Outcome) {
-    if let Err(error) = ledger.settle(ticket, outcome).await {
-        let attempt = &ticket.claim.attempt;
-        log::warn!("the end of a call is not recorded; request={attempt} cause={error}");
-    }
+/// Records how the call ended. An answer does not wait for a slow store; the record is written
+/// behind its back then.
+async fn settle(ledger: &Arc<dyn Ledger>, ticket: &Ticket, outcome: Outcome) {
+    let (ledger, ticket) = (ledger.clone(), ticket.clone());
+    let settled = tokio::spawn(async move {
+        if let Err(error) = ledger.settle(&ticket, outcome).await {
+            let attempt = &ticket.claim.attempt;
+            log::warn!("the end of a call is not recorded; request={attempt} cause={error}");
+        }
+    });
+    let _ = tokio::time::timeout(SETTLE_TIMEOUT, settled).await;
 }
--- a/crates/hawthornmount-ledger/src/billing/mod.rs
+++ b/crates/hawthornmount-ledger/src/billing/mod.rs
@@ -191,7 +191,7 @@
         loop {
             let waiting = {
                 let state = self.state.lock();
-                state.waiting_records() + state.queue.len()
+                state.waiting_records() + state.queue.len() + usize::from(state.driven)
             };
             if waiting == 0 {
                 return Ok(());
--- a/crates/hawthornmount-ledger/src/log/shard.rs
+++ b/crates/hawthornmount-ledger/src/log/shard.rs
@@ -124,10 +124,10 @@
         self.drive();
     }
 
-    /// Returns how many wishes and given-up attempts wait.
+    /// Returns how many wishes and given-up attempts wait, with one for a write on its way.
     pub fn waiting(&self) -> usize {
         let queue = self.queue.lock();
-        queue.items.len() + queue.voids.len()
+        queue.items.len() + queue.voids.len() + usize::from(queue.driven)
     }
 
     /// Starts a writer if there is none.
--- a/crates/hawthornmount-ledger/src/log/tests.rs
+++ b/crates/hawthornmount-ledger/src/log/tests.rs
@@ -209,6 +209,20 @@
     assert_eq!(rig.race("k").await, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_gives_no_answer_is_passed_over() {
+    let rig = Rig::new(false, Options { shards: 1, ..options() });
+    let owner = rig.logs[0].owner(0);
+    rig.mesh.cut(&owner, true);
+    let asker = NAMES.iter().position(|name| **name != *owner).expect("another instance");
+    let log = &rig.logs[asker];
+    let claimed = log.claim(claim("k", "a")).await;
+    assert!(matches!(claimed, Ok(Claimed::First(_))), "{claimed:?}");
+    assert_ne!(log.owner(0), owner);
+    tokio::time::sleep(super::AVOID_FOR).await;
+    assert_eq!(log.owner(0), owner);
+}
+
 #[tokio::test(start_paused = true)]
 async fn compaction_keeps_every_claim_and_idle_shards_write_nothing() {
     let mut rig = Rig::new(true, options());
