--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod status;
 
+mod demand;
 mod load;
 mod rollout;
 mod state;
@@ -77,6 +78,7 @@
     let mut accepted = follow_config(parts);
     tokio::spawn(parts.mesh.clone().run());
     tokio::spawn(load::watch_servers(parts.clone(), sender.clone()));
+    tokio::spawn(demand::share(parts.clone()));
     tokio::spawn(load::watch_list(parts.clone(), sender));
     rollout::start(parts);
     let mut state = State::new(parts);
--- a/crates/hawthornmount-entry/src/filter/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/mod.rs
@@ -84,6 +84,7 @@
             Ok(Flow::Next) => {}
             Ok(Flow::Answered) => return Ok(()),
             Err(problem) => {
+                let problem = exchange.correct(problem);
                 for applied in path[..at].iter().rev() {
                     applied.failed(exchange, &problem).await;
                 }
