--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,9 @@
 //! The experiments and what they have in common.
 
+mod config_propagation;
 mod decision;
+mod fleet;
+mod membership_cost;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -55,11 +58,23 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "decision",
-    summary: "time of a routing decision over the size of the fleet",
-    run: decision::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
+    },
+    Experiment {
+        name: "decision",
+        summary: "time of a routing decision over the size of the fleet",
+        run: decision::run,
+    },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
