--- a/crates/hawthornmount-fleet/src/config/watch.rs
+++ b/crates/hawthornmount-fleet/src/config/watch.rs
@@ -10,7 +10,7 @@
 };
 
 /// Pause between two looks past the watch, which may have broken silently.
-const VERIFY_PAUSE: Duration = Duration::from_secs(2);
+const VERIFY_PAUSE: Duration = Duration::from_secs(1);
 /// Pause before a broken watch is opened again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause before a broken watch is opened again.
--- a/crates/hawthornmount-fleet/src/mesh/mod.rs
+++ b/crates/hawthornmount-fleet/src/mesh/mod.rs
@@ -117,9 +117,9 @@
         self.state.lock().traffic
     }
 
-    /// Tells whether the instance has exchanged members with at least one other.
+    /// Tells whether the instance knows another one that is not given up.
     pub fn has_joined(&self) -> bool {
-        self.state.lock().last_sync.is_some()
+        !self.state.lock().roster.reachable().is_empty()
     }
 
     /// Announces that this instance leaves.
--- a/crates/hawthornmount-fleet/tests/follow.rs
+++ b/crates/hawthornmount-fleet/tests/follow.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    hawthornmount_core::id::Revision,
+    hawthornmount_core::{id::Revision, snapshot::Liveness},
     hawthornmount_fleet::{
         Fleet,
         config::{self, KEY},
@@ -212,6 +212,37 @@
     assert!(world.all_hold(newest));
 }
 
+#[rstest]
+#[case::short(Duration::from_secs(3))]
+#[case::long(Duration::from_secs(60))]
+#[tokio::test(start_paused = true)]
+async fn instance_whose_clock_stood_still_wakes_up_honest(#[case] pause: Duration) {
+    let (world, first) = joined(6).await;
+    tokio::time::sleep(JOIN).await;
+    let sleeper = &world.nodes[4];
+    sleeper.gate.pause();
+    let slept_from = tokio::time::Instant::now();
+    tokio::time::sleep(pause / 2).await;
+    let second = world.accept(first).await;
+    tokio::time::sleep(pause / 2).await;
+    let confirmed = sleeper.mesh.position().confirmed().expect("confirmed before");
+    assert!(confirmed <= slept_from, "nothing was confirmed meanwhile");
+    sleeper.gate.resume();
+    for _ in 0..200 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let members = sleeper.mesh.members();
+        let dead = members.iter().filter(|member| member.liveness == Liveness::Dead).count();
+        assert_eq!(dead, 0, "it gave up a member that lives");
+        let others = world.nodes.iter().filter(|node| node.address != sleeper.address);
+        assert!(others.clone().all(|node| node.revision() == second));
+        if sleeper.revision() == first {
+            let age = sleeper.mesh.position().confirmed().expect("confirmed").elapsed();
+            assert!(age >= pause / 2, "an old revision was confirmed {age:?} ago");
+        }
+    }
+    assert!(world.all_alive() && world.all_hold(second));
+}
+
 #[tokio::test(start_paused = true)]
 async fn calls_to_the_store_do_not_grow_with_the_data_centre() {
     let mut rates = Vec::new();
--- a/crates/hawthornmount-fleet/tests/mesh.rs
+++ b/crates/hawthornmount-fleet/tests/mesh.rs
@@ -50,6 +50,7 @@
     let delay = Duration::from_millis(case.delay_ms);
     world.faults.set_delay(delay, Duration::from_millis(case.jitter_ms));
     until(JOIN * 2, "all joined", || world.all_alive()).await;
+    assert!(world.nodes.iter().all(|node| node.mesh.has_joined()), "also those that were asked");
     let mut receivers = Vec::new();
     for node in &mut world.nodes {
         let (sender, receiver) = mpsc::channel(64);
--- a/crates/hawthornmount-fleet/tests/support/mod.rs
+++ b/crates/hawthornmount-fleet/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Instances of the fleet part on a network inside the process.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod gate;
 pub mod store;
 
 use {
+    gate::Gate,
     hawthornmount_core::{
         id::Revision,
         metrics::Metrics,
@@ -39,6 +41,7 @@
     pub metrics: Metrics,
     pub address: SocketAddr,
     pub accepted: watch::Receiver<Option<Accepted>>,
+    pub gate: Gate,
     task: JoinHandle<()>,
 }
 
@@ -116,10 +119,11 @@
         );
         let accepted = follower.subscribe();
         let run = mesh.clone().run();
-        let task = tokio::spawn(async move {
+        let gate = Gate::default();
+        let task = tokio::spawn(gate.guard(async move {
             tokio::join!(run, follower.run());
-        });
-        Node { mesh, metrics, address, accepted, task }
+        }));
+        Node { mesh, metrics, address, accepted, gate, task }
     }
 
     pub fn all_hold(&self, revision: Revision) -> bool {
--- /dev/null
+++ b/crates/hawthornmount-fleet/tests/wire.rs
@@ -0,0 +1,102 @@
+//! Frames: what is not whole and genuine is refused, and nothing makes the reader panic.
+
+use {
+    hawthornmount_fleet::wire::{
+        Body, Digest, Frame, Key, MAX_DATAGRAM, Record, Reject, Rumour, Standing,
+    },
+    proptest::prelude::*,
+    rstest::rstest,
+    std::{net::Ipv4Addr, time::Duration},
+};
+
+fn key() -> Key {
+    Key::new("secret of the tests' fleet")
+}
+
+fn record(number: u64) -> Record {
+    Record {
+        id: format!("attica-a-{number}").into(),
+        incarnation: number,
+        refutation: 7,
+        standing: Standing::Suspect,
+        data_centre: "attica-a".into(),
+        address: (Ipv4Addr::LOCALHOST, 7_000).into(),
+    }
+}
+
+fn frame() -> Frame {
+    Frame {
+        from: record(u64::MAX),
+        to: "attica-a-2".into(),
+        digest: Digest { revision: 12, age: Some(Duration::from_millis(345)), roster: 9 },
+        body: Body::Ping(3),
+        rumours: vec![Rumour::Member(record(1))],
+    }
+}
+
+struct Case {
+    change: fn(&mut Vec<u8>),
+    reject: Reject,
+}
+
+#[rstest]
+#[case::other_version(Case { change: |bytes| bytes[0] += 1, reject: Reject::Version })]
+#[case::other_hash(Case { change: |bytes| bytes[5] ^= 1, reject: Reject::Hash })]
+#[case::other_body(Case { change: |bytes| bytes[30] ^= 1, reject: Reject::Hash })]
+#[case::cut(Case { change: |bytes| bytes.truncate(40), reject: Reject::Hash })]
+#[case::head_only(Case { change: |bytes| bytes.truncate(16), reject: Reject::TooShort })]
+#[case::longer(Case { change: |bytes| bytes.push(0), reject: Reject::Hash })]
+#[case::too_large(Case { change: |bytes| bytes.resize(1_201, 0), reject: Reject::TooLarge })]
+fn changed_frame_is_refused(#[case] case: Case) {
+    let mut bytes = key().seal(&frame());
+    (case.change)(&mut bytes);
+    let opened = key().open::<Frame>(&bytes, MAX_DATAGRAM);
+    assert_eq!(opened.expect_err("refused"), case.reject);
+}
+
+#[test]
+fn genuine_frame_of_another_form_is_refused() {
+    let bytes = key().seal(&"text");
+    assert_eq!(key().open::<Frame>(&bytes, MAX_DATAGRAM).expect_err("refused"), Reject::Form);
+    let mut trailing = postcard::to_stdvec(&frame()).expect("encodes");
+    trailing.push(0);
+    let bytes = key().seal(&Raw(trailing));
+    assert_eq!(key().open::<Frame>(&bytes, MAX_DATAGRAM).expect_err("refused"), Reject::Form);
+}
+
+/// Bytes that are encoded as they are.
+struct Raw(Vec<u8>);
+
+impl serde::Serialize for Raw {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        use serde::ser::SerializeTuple;
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        self.0.iter().try_for_each(|byte| tuple.serialize_element(byte))?;
+        tuple.end()
+    }
+}
+
+#[test]
+fn frame_reads_back_and_fits_the_budget() {
+    let bytes = key().seal(&frame());
+    assert_eq!(key().open::<Frame>(&bytes, MAX_DATAGRAM).expect("genuine"), frame());
+    assert!(bytes.len() < 200, "{} bytes", bytes.len());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_body_under_the_right_key_is_read_or_refused(
+        body in proptest::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let bytes = key().seal(&Raw(body));
+        if let Ok(read) = key().open::<Frame>(&bytes, MAX_DATAGRAM) {
+            prop_assert_eq!(key().seal(&read).is_empty(), false);
+        }
+    }
+}
