--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -66,7 +66,7 @@
             }
             tried => tried?,
         };
-        let (answer, release) = match pin::confirm(&*self.parts.ledger, exchange, &release).await {
+        let (answer, release) = match pin::confirm(&self.parts.sessions, exchange, &release).await {
             None => (answer, release),
             Some(kept) => {
                 self.charge(exchange, &answer, &release);
@@ -169,7 +169,6 @@
         loop {
             let landed = self.fly(exchange, release, history).await?;
             let reason = if landed.hedge { Some(Retry::Hedge) } else { history.reason };
-            exchange.reached |= landed.may_have_run();
             self.observe(release, &landed);
             note(exchange, release, &landed, reason);
             let Landed { choice, result, running, .. } = landed;
