--- a/crates/hawthornmount-bench/src/experiment/fleet.rs
+++ b/crates/hawthornmount-bench/src/experiment/fleet.rs
@@ -134,6 +134,7 @@
                 address,
             },
             secret: "secret of the experiment's fleet".into(),
+            other_secrets: Vec::new(),
             seeds: Some(Arc::new(Fixed(self.seeds()))),
             position: Arc::new(Position::new()),
             metrics: metrics.clone(),
--- a/crates/hawthornmount-core/src/settings/check.rs
+++ b/crates/hawthornmount-core/src/settings/check.rs
@@ -54,6 +54,10 @@
         let remedy = format!("give at least {MIN_KEY_CHARS} characters");
         problems.push(problem("fleet_key", "is too short", &remedy));
     }
+    if settings.old_fleet_keys.iter().any(|key| key.chars().count() < MIN_KEY_CHARS) {
+        let remedy = format!("give at least {MIN_KEY_CHARS} characters each");
+        problems.push(problem("old_fleet_keys", "holds a key that is too short", &remedy));
+    }
     if settings.traffic_threads == 0 || settings.traffic_threads > MAX_THREADS {
         let remedy = format!("give 1 to {MAX_THREADS}");
         problems.push(problem("traffic_threads", "is out of range", &remedy));
--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -42,7 +42,7 @@
     pub weight_store: Option<SocketAddr>,
     /// Secret that the instances of the fleet share, at least 16 characters.
     pub fleet_key: Arc<str>,
-    /// Earlier values of `fleet_key` whose session tokens are still taken.
+    /// Other values of `fleet_key` whose session tokens and frames are still taken.
     #[serde(default)]
     pub old_fleet_keys: Vec<Arc<str>>,
     /// Threads for traffic.
--- a/crates/hawthornmount-core/tests/settings.rs
+++ b/crates/hawthornmount-core/tests/settings.rs
@@ -49,6 +49,11 @@
     to: "short",
     problems: &["fleet_key: is too short"],
 })]
+#[case::short_old_key(Case {
+    from: "\"fleet_key\":",
+    to: "\"old_fleet_keys\": [\"\"], \"fleet_key\":",
+    problems: &["old_fleet_keys: holds a key that is too short"],
+})]
 #[case::several(Case {
     from: "\"store\": [\"127.0.0.1:4\"], \"fleet_key\": \"0123456789abcdef\",",
     to: "\"store\": [], \"log\": \"loud\", \"drain_ms\": \"long\", \"threads\": 1",
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -175,6 +175,7 @@
     Mesh::new(mesh::Options {
         local,
         secret: settings.fleet_key.clone(),
+        other_secrets: settings.old_fleet_keys.clone(),
         seeds: settings.instance_list.map(source),
         position: Arc::new(Position::new()),
         metrics,
--- a/crates/hawthornmount-fleet/src/mesh/mod.rs
+++ b/crates/hawthornmount-fleet/src/mesh/mod.rs
@@ -45,6 +45,8 @@
     pub local: Record,
     /// Secret that the fleet shares.
     pub secret: Arc<str>,
+    /// Other secrets whose frames are taken, while the fleet changes its secret.
+    pub other_secrets: Vec<Arc<str>>,
     /// Where to learn of others; none for an instance that stands alone until others find it.
     pub seeds: Option<Arc<dyn Source>>,
     /// Position in the sequence of configurations.
@@ -84,7 +86,8 @@
     pub fn new(options: Options) -> Self {
         Self {
             id: options.local.id.clone(),
-            key: Key::new(&options.secret),
+            key: Key::new(&options.secret)
+                .with_others(options.other_secrets.iter().map(|secret| &**secret)),
             seeds: options.seeds,
             position: options.position,
             metrics: options.metrics,
--- a/crates/hawthornmount-fleet/src/wire/mod.rs
+++ b/crates/hawthornmount-fleet/src/wire/mod.rs
@@ -47,14 +47,26 @@
     Form,
 }
 
-/// Key that the instances of a fleet share.
+/// Keys that the instances of a fleet share: one seals, all open.
 #[derive(Clone)]
-pub struct Key([u8; blake3::KEY_LEN]);
+pub struct Key {
+    present: Secret,
+    others: Vec<Secret>,
+}
+
+type Secret = [u8; blake3::KEY_LEN];
 
 impl Key {
     /// Derives the key from the secret of the settings.
     pub fn new(secret: &str) -> Self {
-        Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes()))
+        Self { present: derive(secret), others: Vec::new() }
+    }
+
+    /// Opens frames of these secrets too, so that a fleet can change its secret while it runs.
+    #[must_use]
+    pub fn with_others<'a>(mut self, secrets: impl IntoIterator<Item = &'a str>) -> Self {
+        self.others.extend(secrets.into_iter().map(derive));
+        self
     }
 
     /// Encodes a body with version and hash.
@@ -96,22 +108,30 @@
     }
 
     fn hash(&self, body: &[u8]) -> [u8; HASH_BYTES] {
-        let mut hash = [0; HASH_BYTES];
-        hash.copy_from_slice(&self.whole_hash(body).as_bytes()[..HASH_BYTES]);
-        hash
+        hash(&self.present, body)
     }
 
-    fn whole_hash(&self, body: &[u8]) -> blake3::Hash {
-        let mut hasher = blake3::Hasher::new_keyed(&self.0);
-        hasher.update(&[VERSION]);
-        hasher.update(body);
-        hasher.finalize()
+    fn is_genuine(&self, given: &[u8], body: &[u8]) -> bool {
+        let mut secrets = std::iter::once(&self.present).chain(&self.others);
+        secrets.any(|secret| is_equal(&hash(secret, body), given))
     }
+}
 
-    /// Compares in constant time.
-    fn is_genuine(&self, hash: &[u8], body: &[u8]) -> bool {
-        let wanted = self.hash(body);
-        let differing = wanted.iter().zip(hash).fold(0, |acc, (a, b)| acc | (a ^ b));
-        differing == 0 && hash.len() == HASH_BYTES
-    }
+fn derive(secret: &str) -> Secret {
+    blake3::derive_key(KEY_CONTEXT, secret.as_bytes())
+}
+
+fn hash(secret: &Secret, body: &[u8]) -> [u8; HASH_BYTES] {
+    let mut hasher = blake3::Hasher::new_keyed(secret);
+    hasher.update(&[VERSION]);
+    hasher.update(body);
+    let mut hash = [0; HASH_BYTES];
+    hash.copy_from_slice(&hasher.finalize().as_bytes()[..HASH_BYTES]);
+    hash
+}
+
+/// Compares in constant time.
+fn is_equal(wanted: &[u8; HASH_BYTES], given: &[u8]) -> bool {
+    let differing = wanted.iter().zip(given).fold(0, |differing, (a, b)| differing | (a ^ b));
+    differing == 0 && given.len() == HASH_BYTES
 }
--- a/crates/hawthornmount-fleet/tests/mesh.rs
+++ b/crates/hawthornmount-fleet/tests/mesh.rs
@@ -206,3 +206,18 @@
     assert!(world.nodes[0].dropped("hash") > 0);
     assert_eq!((world.nodes[0].alive(), stranger.alive()), (2, 1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn fleet_changes_its_key_while_it_runs() {
+    let mut world = World::new(4);
+    until(JOIN, "all joined", || world.all_alive()).await;
+    for number in 0..3 {
+        world.nodes[number].kill();
+        // The old key is one of the others of the new one.
+        let node = world.start_rotated(&name(number), 2, address(number));
+        world.nodes[number] = node;
+        let is_whole = || world.all_alive() && world.seen_as(number, Liveness::Alive) == 4;
+        until(DETECTION, "whole again", is_whole).await;
+    }
+    assert!(world.nodes.iter().all(|node| node.dropped("hash") == 0));
+}
--- a/crates/hawthornmount-fleet/tests/support/mod.rs
+++ b/crates/hawthornmount-fleet/tests/support/mod.rs
@@ -34,6 +34,8 @@
 };
 
 pub const DATA_CENTRES: [&str; 3] = ["attica-a", "macedonia-a", "crete-a"];
+/// Secret whose frames every instance takes too.
+pub const NEXT_SECRET: &str = "next secret of the tests' fleet";
 pub const SECRET: &str = "secret of the tests' fleet";
 
 pub struct Node {
@@ -90,7 +92,23 @@
         world
     }
 
+    /// Starts an instance that seals with the next secret and takes frames of the present one.
+    pub fn start_rotated(&self, id: &str, incarnation: u64, address: SocketAddr) -> Node {
+        self.start_with(id, incarnation, [NEXT_SECRET, SECRET], address)
+    }
+
+    /// Starts an instance that takes frames of the next secret too.
     pub fn start(&self, id: &str, incarnation: u64, secret: &str, address: SocketAddr) -> Node {
+        self.start_with(id, incarnation, [secret, NEXT_SECRET], address)
+    }
+
+    fn start_with(
+        &self,
+        id: &str,
+        incarnation: u64,
+        [secret, other]: [&str; 2],
+        address: SocketAddr,
+    ) -> Node {
         let metrics = Metrics::new();
         let local = Record {
             id: id.into(),
@@ -104,6 +122,7 @@
         let mesh = Arc::new(Mesh::new(Options {
             local,
             secret: secret.into(),
+            other_secrets: vec![other.into()],
             seeds: Some(Arc::new(Fixed(vec![seed]))),
             position: Arc::new(Position::new()),
             metrics: metrics.clone(),
