fleet: send urgent news before what is told again and again

Cause: a full queue of news dropped its least sent entry, and a suspension waited its turn behind the periodic payloads of its own instance.

Change: claims of members go first, then payloads of events, then demand, evidence and load; a full queue drops the last of that order.

Conclusion: a flood of payloads costs itself.

--- a/crates/hawthornmount-fleet/src/mesh/gossip.rs
+++ b/crates/hawthornmount-fleet/src/mesh/gossip.rs
@@ -59,7 +59,7 @@
         if state.queue.is_empty() {
             return None;
         }
-        state.queue.sort_by_key(|queued| std::cmp::Reverse(queued.rounds));
+        state.sort_queue();
         let mut room = MAX_DATAGRAM - HEAD_ROOM;
         let mut rumours = Vec::new();
         for queued in &mut state.queue {
--- a/crates/hawthornmount-fleet/src/mesh/state.rs
+++ b/crates/hawthornmount-fleet/src/mesh/state.rs
@@ -3,12 +3,13 @@
 use {
     super::Traffic,
     crate::{
+        Topic,
         roster::Roster,
         wire::{Payload, Record, Rumour},
     },
     hawthornmount_core::id::{Incarnation, InstanceId},
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::collections::VecDeque,
+    std::{cmp::Reverse, collections::VecDeque},
     tokio::{sync::oneshot, time::Instant},
 };
 
@@ -85,11 +86,17 @@
         self.queue.push(Queued { rumour, rounds });
         let overflow = self.queue.len() > MAX_QUEUED;
         if overflow {
-            self.queue.remove(0);
+            self.sort_queue();
+            self.queue.pop();
         }
         !overflow
     }
 
+    /// Puts urgent news first, and the least sent among news of the same urgency.
+    pub fn sort_queue(&mut self) {
+        self.queue.sort_by_key(|queued| Reverse((urgency(&queued.rumour), queued.rounds)));
+    }
+
     /// Notes a payload and tells whether it is new.
     pub fn remember(&mut self, payload: &Payload) -> bool {
         let id = PayloadId {
@@ -131,6 +138,24 @@
     }
 }
 
+/// Returns how urgent news is; what is told again and again is least so.
+const fn urgency(rumour: &Rumour) -> u8 {
+    match rumour {
+        Rumour::Member(_) => 2,
+        Rumour::Payload(payload) => match payload.topic {
+            Topic::Demand | Topic::Evidence | Topic::Load => 0,
+            Topic::Suspension
+            | Topic::Rollout
+            | Topic::Session
+            | Topic::Usage
+            | Topic::Claim
+            | Topic::Explain
+            | Topic::Status
+            | Topic::Config => 1,
+        },
+    }
+}
+
 fn is_about(rumour: &Rumour, id: &InstanceId) -> bool {
     matches!(rumour, Rumour::Member(record) if record.id == *id)
 }
--- a/crates/hawthornmount-fleet/tests/mesh.rs
+++ b/crates/hawthornmount-fleet/tests/mesh.rs
@@ -221,3 +221,21 @@
     }
     assert!(world.nodes.iter().all(|node| node.dropped("hash") == 0));
 }
+
+#[tokio::test(start_paused = true)]
+async fn flood_of_periodic_payloads_does_not_hold_up_a_suspension() {
+    const FLOOD: usize = 3_000;
+    let world = World::new(6);
+    until(JOIN, "all joined", || world.all_alive()).await;
+    let (sender, mut receiver) = mpsc::channel(4);
+    world.nodes[5].mesh.subscribe(Topic::Suspension, sender);
+    let spread = |topic, payload: Vec<u8>| {
+        world.nodes[0].mesh.spread(topic, payload.into()).expect("fits");
+    };
+    (0..FLOOD / 2).for_each(|_| spread(Topic::Demand, vec![0; 400]));
+    spread(Topic::Suspension, vec![1]);
+    (0..FLOOD / 2).for_each(|_| spread(Topic::Demand, vec![0; 400]));
+    let heard = tokio::time::timeout(Duration::from_secs(1), receiver.recv()).await;
+    assert_eq!(&*heard.expect("in time").expect("open").payload, &[1]);
+    assert!(world.nodes[0].dropped("rumour_backlog") > 0, "the flood is bounded and counted");
+}
