--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,7 +1,10 @@
 //! The experiments and what they have in common.
 
 pub mod at_most_once;
+mod config_propagation;
 mod decision;
+mod fleet;
+mod membership_cost;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -67,6 +70,11 @@
         summary: "the same with checks switched off, which has to show",
         run: at_most_once::run_off,
     },
+    Experiment {
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
+    },
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
@@ -77,6 +85,11 @@
         summary: "writes and latency of the ways to keep claims and usage",
         run: at_most_once::run_ways,
     },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
 ];
 
 /// Returns the experiment with this name.
--- a/crates/hawthornmount-fleet/tests/support/mod.rs
+++ b/crates/hawthornmount-fleet/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Instances of the fleet part on a network inside the process.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod gate;
 pub mod store;
 
 use {
+    gate::Gate,
     hawthornmount_core::{
         id::Revision,
         metrics::Metrics,
@@ -32,6 +34,8 @@
 };
 
 pub const DATA_CENTRES: [&str; 3] = ["attica-a", "macedonia-a", "crete-a"];
+/// Secret whose frames every instance takes too.
+pub const NEXT_SECRET: &str = "next secret of the tests' fleet";
 pub const SECRET: &str = "secret of the tests' fleet";
 
 pub struct Node {
@@ -39,6 +43,7 @@
     pub metrics: Metrics,
     pub address: SocketAddr,
     pub accepted: watch::Receiver<Option<Accepted>>,
+    pub gate: Gate,
     task: JoinHandle<()>,
 }
 
@@ -87,7 +92,23 @@
         world
     }
 
+    /// Starts an instance that seals with the next secret and takes frames of the present one.
+    pub fn start_rotated(&self, id: &str, incarnation: u64, address: SocketAddr) -> Node {
+        self.start_with(id, incarnation, [NEXT_SECRET, SECRET], address)
+    }
+
+    /// Starts an instance that takes frames of the next secret too.
     pub fn start(&self, id: &str, incarnation: u64, secret: &str, address: SocketAddr) -> Node {
+        self.start_with(id, incarnation, [secret, NEXT_SECRET], address)
+    }
+
+    fn start_with(
+        &self,
+        id: &str,
+        incarnation: u64,
+        [secret, other]: [&str; 2],
+        address: SocketAddr,
+    ) -> Node {
         let metrics = Metrics::new();
         let local = Record {
             id: id.into(),
@@ -101,6 +122,7 @@
         let mesh = Arc::new(Mesh::new(Options {
             local,
             secret: secret.into(),
+            other_secrets: vec![other.into()],
             seeds: Some(Arc::new(Fixed(vec![seed]))),
             position: Arc::new(Position::new()),
             metrics: metrics.clone(),
@@ -116,10 +138,11 @@
         );
         let accepted = follower.subscribe();
         let run = mesh.clone().run();
-        let task = tokio::spawn(async move {
+        let gate = Gate::default();
+        let task = tokio::spawn(gate.guard(async move {
             tokio::join!(run, follower.run());
-        });
-        Node { mesh, metrics, address, accepted, task }
+        }));
+        Node { mesh, metrics, address, accepted, gate, task }
     }
 
     pub fn all_hold(&self, revision: Revision) -> bool {
