Measure the cascade's cost, latency and overload on loopback instances

Cause: The targets of the policy had no experiment. Change: The stand-in engine batches, caches prefixes, limits memory, reports late and fixes quality by a seed; a lab starts instances and engines; experiments cascade-cost, latency, overload. Four servers are compared in place of two, and a slowness under 1.5 no longer counts.

--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,9 @@
 //! The experiments and what they have in common.
 
+mod cascade_cost;
 mod decision;
+mod latency;
+mod overload;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -55,11 +58,28 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "decision",
-    summary: "time of a routing decision over the size of the fleet",
-    run: decision::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "cascade-cost",
+        summary: "cost at the quality target against fixed choices and an oracle",
+        run: cascade_cost::run,
+    },
+    Experiment {
+        name: "decision",
+        summary: "time of a routing decision over the size of the fleet",
+        run: decision::run,
+    },
+    Experiment {
+        name: "latency",
+        summary: "server choice against simple rules with late reports and a slow server",
+        run: latency::run,
+    },
+    Experiment {
+        name: "overload",
+        summary: "goodput under overload, after a spike, and by account",
+        run: overload::run,
+    },
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- /dev/null
+++ b/crates/hawthornmount-bench/src/lab/mod.rs
@@ -0,0 +1,228 @@
+//! Entry instances and stand-ins on loopback for experiments on the policy.
+
+mod caller;
+mod config;
+
+pub use {
+    caller::{Asked, Caller, Reply},
+    config::{ACCOUNT_KEY, AccountPlan, ModelPlan},
+};
+
+use {
+    crate::experiment::Failure,
+    hawthornmount_core::{id, merge, settings::Settings, snapshot::Health},
+    hawthornmount_entry::{Instance, instance::Builder},
+    hawthornmount_fleet::config as accepted,
+    hawthornmount_policy::Router,
+    hawthornmount_standin::{
+        engine::{Behaviour, Engine, Limits, Loaded},
+        list::{Kind, List, Listed, State},
+        rating::Rating,
+        store::Store,
+    },
+    hawthornmount_store::etcd::Etcd,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time in which the instances have to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A data centre of an experiment.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Name.
+    pub id: &'static str,
+    /// Region.
+    pub region: &'static str,
+    /// Entry instances there.
+    pub instances: usize,
+    /// Engines there.
+    pub engines: usize,
+}
+
+/// What an experiment starts.
+#[derive(Clone)]
+pub struct Plan {
+    /// Data centres.
+    pub places: Vec<Place>,
+    /// Models from cheap to costly.
+    pub models: Vec<ModelPlan>,
+    /// Accounts.
+    pub accounts: Vec<AccountPlan>,
+    /// Requests that an engine runs at a time.
+    pub slots: u32,
+    /// How the engines batch.
+    pub limits: Limits,
+    /// Time between two load reports of an engine.
+    pub report_period: Duration,
+    /// Makes the router of an instance; none takes the product's own.
+    pub router: Option<fn() -> Arc<dyn Router>>,
+}
+
+/// An engine with its name.
+pub struct Server {
+    /// Name.
+    pub id: Arc<str>,
+    /// Data centre.
+    pub place: &'static str,
+    /// The engine; none once it was killed.
+    pub engine: Option<Engine>,
+}
+
+/// Entry instances and stand-ins on loopback.
+pub struct Lab {
+    /// The platform's key-value service.
+    pub store: Store,
+    /// The rating service.
+    pub rating: Rating,
+    /// The engines.
+    pub servers: Vec<Server>,
+    /// The entry instances.
+    pub instances: Vec<Instance>,
+    list: List,
+}
+
+impl Lab {
+    /// Starts everything and waits until the instances are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if something can't start or is not ready in time.
+    pub async fn start(plan: &Plan) -> Result<Self, Failure> {
+        let mut lab = Self {
+            store: Store::start(any_port()).await.map_err(|error| Failure::new(&error))?,
+            rating: Rating::start(any_port()).await.map_err(|error| Failure::new(&error))?,
+            list: List::start(any_port()).await.map_err(|error| Failure::new(&error))?,
+            servers: servers(plan).await?,
+            instances: Vec::new(),
+        };
+        lab.publish(plan).await?;
+        for place in &plan.places {
+            for number in 1..=place.instances {
+                let settings = lab.settings(*place, number);
+                let mut builder = Builder::new(settings);
+                if let Some(router) = plan.router {
+                    builder = builder.router(router());
+                }
+                let instance = Instance::start_with(builder.build());
+                lab.instances.push(instance.map_err(|error| Failure::new(&error))?);
+            }
+        }
+        lab.list.set(lab.listed());
+        lab.wait_ready().await?;
+        Ok(lab)
+    }
+
+    /// Returns the addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(Instance::callers).collect()
+    }
+
+    /// Returns the engines that were not killed.
+    pub fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.servers.iter().filter_map(|server| server.engine.as_ref())
+    }
+
+    /// Returns the runs of all engines that were not killed.
+    pub fn runs(&self) -> usize {
+        self.engines().map(|engine| engine.runs().len()).sum()
+    }
+
+    async fn publish(&self, plan: &Plan) -> Result<(), Failure> {
+        let value = config::value(plan, &self.servers);
+        merge::from_value(value.clone()).map_err(|error| Failure::new(&error))?;
+        let store = Etcd::new(vec![self.store.address()]);
+        let apply = accepted::apply(&store, value, 0, &id::fresh("apply")).await;
+        apply.map(|_| ()).map_err(|error| Failure::new(&error))
+    }
+
+    fn settings(&self, place: Place, number: usize) -> Settings {
+        Settings {
+            instance: format!("{}-{number}", place.id).into(),
+            data_centre: place.id.into(),
+            region: place.region.into(),
+            listen: any_port(),
+            admin: any_port(),
+            fleet: any_port(),
+            store: vec![self.store.address()],
+            instance_list: Some(self.list.address()),
+            rating: Some(self.rating.address()),
+            weight_store: None,
+            fleet_key: "the key of the experiment".into(),
+            traffic_threads: 1,
+            drain: Duration::from_secs(5),
+            log: "warn".into(),
+        }
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        let entry = |instance: &Instance| Listed {
+            id: instance.parts().settings.instance.clone(),
+            kind: Kind::Entry,
+            address: instance.frames(),
+            data_centre: instance.parts().settings.data_centre.clone(),
+            state: State::Live,
+        };
+        self.instances.iter().map(entry).collect()
+    }
+
+    async fn wait_ready(&self) -> Result<(), Failure> {
+        let bound = Instant::now() + READY_TIMEOUT;
+        while !self.instances.iter().all(|instance| self.is_ready(instance)) {
+            if Instant::now() > bound {
+                return Err(Failure::text("the instances are not ready in time"));
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, instance: &Instance) -> bool {
+        let snapshot = instance.parts().cell.load();
+        let up = snapshot.backends.iter().filter(|backend| backend.health == Health::Up).count();
+        up == self.servers.len() && snapshot.members.len() == self.instances.len()
+    }
+}
+
+async fn servers(plan: &Plan) -> Result<Vec<Server>, Failure> {
+    let mut servers = Vec::new();
+    for place in &plan.places {
+        for number in 1..=place.engines {
+            let engine = engine(plan).await?;
+            let id = format!("engine-{}-{number:02}", place.id).into();
+            servers.push(Server { id, place: place.id, engine: Some(engine) });
+        }
+    }
+    Ok(servers)
+}
+
+async fn engine(plan: &Plan) -> Result<Engine, Failure> {
+    let loaded: Vec<Loaded> = plan.models.iter().map(ModelPlan::loaded).collect();
+    let engine = Engine::start(any_port(), plan.slots, true, loaded).await;
+    let engine = engine.map_err(|error| Failure::new(&error))?;
+    engine.set_limits(plan.limits);
+    engine.set_report_period(plan.report_period);
+    for model in &plan.models {
+        engine.set_behaviour(
+            model.id,
+            config::VERSION,
+            Behaviour {
+                quality: model.quality,
+                error_rate: 0.0,
+                first_token: model.first_token,
+                per_token: model.per_token,
+            },
+        );
+    }
+    Ok(engine)
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- a/crates/hawthornmount-policy/src/server/mod.rs
+++ b/crates/hawthornmount-policy/src/server/mod.rs
@@ -18,17 +18,17 @@
     rand::{Rng, RngExt},
     std::{
         hash::{DefaultHasher, Hash, Hasher},
-        ops::RangeInclusive,
         time::{Duration, Instant},
     },
 };
 
 /// Servers at each distance that are compared.
-const SAMPLES: usize = 2;
+const SAMPLES: usize = 4;
 /// Time constant with which the others' reported load fades to the mean.
 const REPORT_FADE: Duration = Duration::from_secs(2);
-/// Slowness that is taken as none, so that idle servers share the requests.
-const USUAL_SLOWNESS: RangeInclusive<f64> = 0.8..=1.25;
+/// Slowness up to which a server is taken as usual; it is within what a full batch explains, which
+/// the load tells already.
+const USUAL_SLOWNESS: f64 = 1.5;
 /// Load over the mean up to which a server keeps its prefixes.
 const AFFINITY_BOUND: f64 = 1.25;
 /// Load under which a server always keeps its prefixes, as a part of its slots.
@@ -243,7 +243,7 @@
         let server = &self.servers[at];
         let load = server.others + f64::from(server.record.in_flight()) + 1.0;
         let slowness = server.record.slowness(query.now);
-        let slowness = if USUAL_SLOWNESS.contains(&slowness) { 1.0 } else { slowness };
+        let slowness = if slowness <= USUAL_SLOWNESS { 1.0 } else { slowness };
         slowness * load / f64::from(server.slots.max(1))
     }
 
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -1,7 +1,10 @@
 //! Completions of the stand-in engine.
 
 use {
-    super::{Loaded, Run, Shared},
+    super::{
+        Loaded, Run, Shared,
+        batch::{MIN_SLICE, SLICES},
+    },
     crate::http::empty,
     bytes::Bytes,
     hawthornmount_http::{
@@ -43,6 +46,12 @@
     content: String,
 }
 
+impl Completion {
+    fn prompt(&self) -> String {
+        self.messages.iter().map(|message| message.content.as_str()).collect()
+    }
+}
+
 /// Tokens of a completion.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Usage {
@@ -74,11 +83,16 @@
     let Ok(permit) = shared.slots.clone().acquire_owned().await else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
-    tokio::time::sleep(behaviour.first_token).await;
+    let prompt = completion.prompt();
+    let prompt_tokens = (prompt.len() / CHARS_PER_TOKEN) as u64;
+    let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let memory = shared.batch.reserve(prompt_tokens + answer_tokens).await;
+    let first_token = shared.batch.first_token(behaviour.first_token, &prompt, prompt_tokens);
+    tokio::time::sleep(first_token).await;
     if rand::rng().random_bool(behaviour.error_rate) {
         return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
     }
-    let good = rand::rng().random_bool(behaviour.quality);
+    let good = shared.quality.is_good(&prompt, &loaded, behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
     shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
     let work = Work { id, loaded, quality, behaviour_per_token: behaviour.per_token, completion };
@@ -87,13 +101,12 @@
         let response = streamed(body, &work.id);
         tokio::spawn(async move {
             work.send_events(&shared, sender).await;
-            drop(load);
-            drop(permit);
+            drop((load, permit, memory));
         });
         return response;
     }
-    let response = work.whole().await;
-    drop(permit);
+    let response = work.whole(&shared).await;
+    drop((permit, memory));
     response
 }
 
@@ -142,10 +155,21 @@
         }
     }
 
-    async fn whole(&self) -> Response {
+    /// Returns the time between two tokens at the present size of the batch.
+    fn per_token(&self, shared: &Shared) -> Duration {
+        let running = shared.load.load(Ordering::SeqCst);
+        shared.batch.per_token(self.behaviour_per_token, running, shared.slot_count)
+    }
+
+    async fn whole(&self, shared: &Shared) -> Response {
         let tokens = self.tokens();
-        tokio::time::sleep(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX))
-            .await;
+        let whole = self.behaviour_per_token.mul_f64(tokens as f64);
+        let slices = u32::try_from((whole.as_millis() / MIN_SLICE.as_millis()).clamp(1, SLICES));
+        let slices = slices.unwrap_or(1);
+        for _ in 0..slices {
+            let slice = tokens as f64 / f64::from(slices);
+            tokio::time::sleep(self.per_token(shared).mul_f64(slice)).await;
+        }
         let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
         let body = serde_json::json!({
             "id": &*self.id,
@@ -169,7 +193,7 @@
                 return;
             }
             if at > 0 {
-                tokio::time::sleep(self.behaviour_per_token).await;
+                tokio::time::sleep(self.per_token(shared)).await;
             }
             let delta = serde_json::json!({ "content": self.word(at) });
             if sender.send(self.event(&delta, None)).await.is_err() {
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -1,25 +1,34 @@
 //! Stand-in for a model engine: the OpenAI-compatible API, versions with a speed and a quality of
 //! their own, a limited number of slots, a load page, and orders to load and unload versions.
 
+mod batch;
 mod completion;
+mod lag;
 mod order;
+mod quality;
 
 pub use {
+    batch::{Hits, Limits},
     completion::{Usage, quality_mark},
     order::{Order, OrderAnswer},
+    quality::{draw, task_mark},
 };
 
 use {
     crate::http::{empty, header, json},
     async_trait::async_trait,
+    batch::Batch,
     completion::Completion,
     hawthornmount_core::table::Table,
     hawthornmount_http::{
         Request, Response, StatusCode,
         server::{self, Handler, ListenError, Server},
     },
+    lag::Lag,
     parking_lot::Mutex,
+    quality::Quality,
     serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
     std::{
         net::SocketAddr,
         sync::{
@@ -54,10 +63,15 @@
 }
 
 /// What an engine reports of itself.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
     /// Requests that run or wait.
     pub load: u32,
+    /// Age of the load.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default, rename = "age_ms")]
+    pub age: Duration,
     /// Requests that can run at a time.
     pub slots: u32,
     /// Whether the engine is leaving.
@@ -95,6 +109,9 @@
     checks_fencing: bool,
     fence: AtomicU64,
     cut_after: AtomicU32,
+    batch: Batch,
+    quality: Quality,
+    lag: Lag,
 }
 
 impl Engine {
@@ -121,6 +138,9 @@
             checks_fencing,
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
+            batch: Batch::new(),
+            quality: Quality::default(),
+            lag: Lag::default(),
         });
         let server = Server::start(address, Arc::new(Api(shared.clone()))).await?;
         Ok(Self { server, shared })
@@ -136,6 +156,41 @@
         self.shared.behaviours.lock().insert(behaviour_key(model, version), behaviour);
     }
 
+    /// Sets how the engine batches and what it can hold.
+    pub fn set_limits(&self, limits: Limits) {
+        self.shared.batch.set(limits);
+    }
+
+    /// Returns how the engine batches and what it can hold.
+    pub fn limits(&self) -> Limits {
+        self.shared.batch.limits()
+    }
+
+    /// Returns the use of the prefix cache so far.
+    pub fn hits(&self) -> Hits {
+        self.shared.batch.hits()
+    }
+
+    /// Fixes the quality of every answer by a seed, the prompt and the version.
+    pub fn set_quality_seed(&self, seed: u64) {
+        self.shared.quality.set_seed(seed);
+    }
+
+    /// Sets the chance of a good answer for prompts that start with the mark of a kind of task.
+    pub fn set_task_quality(&self, loaded: &Loaded, task: &str, chance: f64) {
+        self.shared.quality.set_task(loaded, task, chance);
+    }
+
+    /// Sets the time between two load reports.
+    pub fn set_report_period(&self, period: Duration) {
+        self.shared.lag.set_period(period);
+    }
+
+    /// Returns the requests that run or wait.
+    pub fn load(&self) -> u32 {
+        self.shared.load.load(Ordering::SeqCst)
+    }
+
     /// Returns the runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().clone()
@@ -182,12 +237,15 @@
     }
 
     fn report(&self) -> Report {
-        Report {
+        let mut report = Report {
             load: self.load.load(Ordering::SeqCst),
+            age: Duration::ZERO,
             slots: self.slot_count,
             leaving: self.leaving.load(Ordering::SeqCst) > 0,
             loaded: self.loaded.lock().clone(),
-        }
+        };
+        self.lag.apply(&mut report);
+        report
     }
 }
 
