--- a/crates/hawthornmount-bench/src/lab/mod.rs
+++ b/crates/hawthornmount-bench/src/lab/mod.rs
@@ -10,7 +10,12 @@
 
 use {
     crate::experiment::Failure,
-    hawthornmount_core::{id, merge, settings::Settings, snapshot::Health},
+    hawthornmount_core::{
+        id::{self, Revision},
+        merge,
+        settings::Settings,
+        snapshot::Health,
+    },
     hawthornmount_entry::{Instance, instance::Builder},
     hawthornmount_fleet::config as accepted,
     hawthornmount_policy::Router,
@@ -21,6 +26,7 @@
         store::Store,
     },
     hawthornmount_store::etcd::Etcd,
+    serde_json::Value,
     std::{
         net::{Ipv4Addr, SocketAddr},
         sync::Arc,
@@ -152,11 +158,34 @@
         self.engines().map(|engine| engine.runs().len()).sum()
     }
 
+    /// Withdraws the only version of a model and waits until every instance obeys.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if the configuration is not accepted or not in force in time.
+    pub async fn withdraw(&self, plan: &Plan, model: &str) -> Result<(), Failure> {
+        let base = self.instances.first().map_or(0, |one| one.parts().cell.load().revision);
+        let mut value = config::value(plan, &self.servers);
+        value["models"][model]["versions"][config::VERSION]["state"] = "withdrawn".into();
+        self.apply(value, base).await?;
+        let bound = Instant::now() + READY_TIMEOUT;
+        while self.instances.iter().any(|one| one.parts().cell.load().revision <= base) {
+            if Instant::now() > bound {
+                return Err(Failure::text("the withdrawal is not in force in time"));
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
     async fn publish(&self, plan: &Plan) -> Result<(), Failure> {
-        let value = config::value(plan, &self.servers);
+        self.apply(config::value(plan, &self.servers), 0).await
+    }
+
+    async fn apply(&self, value: Value, base: Revision) -> Result<(), Failure> {
         merge::from_value(value.clone()).map_err(|error| Failure::new(&error))?;
         let store = Etcd::new(vec![self.store.address()]);
-        let apply = accepted::apply(&store, value, 0, &id::fresh("apply")).await;
+        let apply = accepted::apply(&store, value, base, &id::fresh("apply")).await;
         apply.map(|_| ()).map_err(|error| Failure::new(&error))
     }
 
--- a/crates/hawthornmount-policy/src/cascade/learner.rs
+++ b/crates/hawthornmount-policy/src/cascade/learner.rs
@@ -6,8 +6,8 @@
     std::sync::Arc,
 };
 
-/// Chance of a good answer before any rating.
-const FIRST_QUALITY: f64 = 0.8;
+/// Chance of a good answer of the cheapest and of the costliest model before any rating.
+const FIRST_QUALITY: (f64, f64) = (0.7, 0.9);
 /// Pairs of account and task that are kept; beyond, the one that was rated longest ago is dropped.
 const MAX_SUBJECTS: usize = 1_024;
 
@@ -56,11 +56,14 @@
         self.drop_oldest();
     }
 
-    /// Sets the quality and its uncertainty in the tiers of `releases`.
+    /// Sets the quality and its uncertainty in the tiers of `releases`, from cheap to costly.
     pub fn fill(&self, account: &str, task: &str, releases: &[Release], tiers: &mut [Tier]) {
         let subject = self.find(account, task).ok().map(|at| &self.subjects[at].entries);
-        for (release, tier) in releases.iter().zip(tiers) {
-            let prior = self.overall.get(release).quality(FIRST_QUALITY);
+        let step =
+            (FIRST_QUALITY.1 - FIRST_QUALITY.0) / releases.len().max(2).saturating_sub(1) as f64;
+        for (at, (release, tier)) in releases.iter().zip(tiers).enumerate() {
+            let first = FIRST_QUALITY.0 + step * at as f64;
+            let prior = self.overall.get(release).quality(first);
             let belief = subject.map_or_else(Belief::default, |entries| entries.get(release));
             tier.quality = belief.quality(prior);
             tier.spread = belief.spread(prior);
