--- a/crates/hawthornmount-bench/src/experiment/decision.rs
+++ b/crates/hawthornmount-bench/src/experiment/decision.rs
@@ -124,7 +124,7 @@
     let mut config = Config::default();
     let models: Vec<Arc<str>> = (0..MODELS).map(|at| release(at).model).collect();
     for (at, model) in models.iter().enumerate() {
-        let version = Version { state: State::Proven, weights: None };
+        let version = Version { state: State::Proven, weights: None, generation: 0 };
         let versions = [(Arc::from("v1"), version)].into_iter().collect();
         let price = 100 * (at as u64 + 1);
         config.models.insert(model.clone(), Model { price, versions, stable: "v1".into() });
--- a/crates/hawthornmount-bench/src/lab/mod.rs
+++ b/crates/hawthornmount-bench/src/lab/mod.rs
@@ -202,6 +202,7 @@
             rating: Some(self.rating.address()),
             weight_store: None,
             fleet_key: "the key of the experiment".into(),
+            old_fleet_keys: Vec::new(),
             traffic_threads: 1,
             drain: Duration::from_secs(5),
             log: "warn".into(),
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -58,8 +58,15 @@
     async fn complete(&self, exchange: &mut Exchange) -> Result<(), Problem> {
         let plan = std::mem::take(&mut exchange.plan);
         let mut history = History::default();
-        let (answer, release) = self.try_candidates(exchange, &plan, &mut history).await?;
-        let (answer, release) = match pin::confirm(&*self.parts.ledger, exchange, &release).await {
+        let tried = self.try_candidates(exchange, &plan, &mut history).await;
+        let (answer, release) = match tried {
+            Err(problem) if problem.reason == Refusal::NoVersion => {
+                let plan = self.plan_again(exchange)?;
+                self.try_candidates(exchange, &plan, &mut history).await?
+            }
+            tried => tried?,
+        };
+        let (answer, release) = match pin::confirm(&self.parts.sessions, exchange, &release).await {
             None => (answer, release),
             Some(kept) => {
                 self.charge(exchange, &answer, &release);
@@ -72,6 +79,18 @@
         Ok(())
     }
 
+    /// Plans on the present control state when every version of the first plan was withdrawn or
+    /// suspended after it was made.
+    fn plan_again(&self, exchange: &mut Exchange) -> Result<Plan, Problem> {
+        exchange.snapshot = self.parts.cell.load();
+        if let Some(pinned) = exchange.pinned.take() {
+            exchange.moved_from = Some(pinned);
+        }
+        exchange.trace.step("every version of the plan was withdrawn meanwhile; planned again");
+        let query = self.query(exchange);
+        self.parts.router.plan(&exchange.snapshot, &query).map_err(withdrawn)
+    }
+
     /// Tries the candidates in order; an answer that rates below the target is kept only for the
     /// case that the next candidates give none.
     async fn try_candidates(
@@ -228,10 +247,12 @@
         let snapshot = self.parts.cell.load();
         let query = self.query(exchange);
         let router = &self.parts.router;
+        if let Some(release) = release
+            && !rule::is_usable(&snapshot, &exchange.account, release)
+        {
+            return Err(withdrawn(Refusal::NoVersion));
+        }
         let chosen = match (release, &exchange.kind) {
-            (Some(release), _) if !rule::is_usable(&snapshot, &exchange.account, release) => {
-                Err(Refusal::NoVersion)
-            }
             (Some(release), _) => router.choose(&snapshot, &query, release, &history.tried),
             (None, Kind::Service(call)) => {
                 router.choose_service(&snapshot, &query, &call.service, &history.tried)
@@ -284,6 +305,10 @@
     }
 }
 
+fn withdrawn(reason: Refusal) -> Problem {
+    Problem::new(reason, "no version that the account may use can answer: ask your operator")
+}
+
 const fn is_idempotent(kind: &Kind) -> bool {
     match kind {
         Kind::Completion(_) | Kind::Models => true,
--- a/crates/hawthornmount-policy/src/version/mod.rs
+++ b/crates/hawthornmount-policy/src/version/mod.rs
@@ -30,7 +30,7 @@
 }
 
 /// Returns the version of `model` for a new session: the one under roll-out for its share of the
-/// sessions, else the stable one.
+/// sessions, else the stable one, else the newest proven one.
 pub fn choose(snapshot: &Snapshot, account: &str, model: &ModelId) -> Option<Release> {
     let row = snapshot.config.models.get(model)?;
     let rolled = snapshot.shares.iter().find(|share| share.release.model == *model);
@@ -41,5 +41,6 @@
         return Some(share.release.clone());
     }
     let stable = Release { model: model.clone(), version: row.stable.clone() };
-    rule::is_usable(snapshot, account, &stable).then_some(stable)
+    let usable = rule::is_usable(snapshot, account, &stable).then_some(stable);
+    usable.or_else(|| rule::fallback(snapshot, account, model))
 }
--- a/crates/hawthornmount-policy/tests/policy/fleet.rs
+++ b/crates/hawthornmount-policy/tests/policy/fleet.rs
@@ -41,7 +41,7 @@
     let mut config = Config::default();
     let names: Vec<Arc<str>> = (0..models).map(|at| release(at).model).collect();
     for (at, name) in names.iter().enumerate() {
-        let version = Version { state: State::Proven, weights: None };
+        let version = Version { state: State::Proven, weights: None, generation: 0 };
         let versions = [(Arc::from("v1"), version)].into_iter().collect();
         let price = 100 * 3_u64.pow(u32::try_from(at.min(8)).unwrap_or(8));
         config.models.insert(name.clone(), Model { price, versions, stable: "v1".into() });
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,8 +1,11 @@
 //! End-to-end tests: real instances over loopback against the stand-ins.
 
 mod command_line;
+mod config;
 mod demo;
+mod fleet;
 mod guide;
 mod problems;
 mod serve;
 mod stream;
+mod version;
