--- a/crates/hawthornmount-bench/src/experiment/overload.rs
+++ b/crates/hawthornmount-bench/src/experiment/overload.rs
@@ -86,8 +86,7 @@
     outcome = outcome.at_least("goodput_at_2_over_peak", at_double / peak.max(1.0), 0.95);
     let lab = Lab::start(&plan()).await?;
     let before = load(&lab, USUAL, BEFORE, options.seed).await;
-    let spike = load_from(&lab, SPIKE, SPIKED, options.seed + 1);
-    let spike = spike.await;
+    let spike = load(&lab, SPIKE, SPIKED, options.seed + 1).await;
     let after = load(&lab, USUAL, AFTER, options.seed + 2).await;
     outcome = outcome
         .figure("in_time_before_spike", part(&before))
@@ -130,11 +129,6 @@
     ENGINES as f64 * f64::from(SLOTS) / SERVICE.as_secs_f64()
 }
 
-async fn load_from(lab: &Lab, load: f64, duration: Duration, seed: u64) -> Vec<Done> {
-    // Requests of the spike that still wait go on into the time after it.
-    self::load(lab, load, duration, seed).await
-}
-
 async fn load(lab: &Lab, load: f64, duration: Duration, seed: u64) -> Vec<Done> {
     let rate = capacity() * load;
     let open = Open { rate, duration, seed, in_flight: 4_000, timeout: DEADLINE * 2 };
@@ -166,8 +160,7 @@
         }
     })
     .await;
-    let done = done.lock().clone();
-    done
+    std::mem::take(&mut *done.lock())
 }
 
 /// Returns an account by a number from 0 to 1.
