--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,10 +1,14 @@
 //! The experiments and what they have in common.
 
 pub mod at_most_once;
+mod cascade_cost;
 mod config_propagation;
 mod decision;
+mod faults;
 mod fleet;
+mod latency;
 mod membership_cost;
+mod overload;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -75,6 +79,11 @@
         summary: "time until a change is in force at all instances",
         run: config_propagation::run,
     },
+    Experiment {
+        name: "cascade-cost",
+        summary: "cost at the quality target against fixed choices and an oracle",
+        run: cascade_cost::run,
+    },
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
@@ -90,6 +99,21 @@
         summary: "what members and configuration cost an instance over the fleet's size",
         run: membership_cost::run,
     },
+    Experiment {
+        name: "faults",
+        summary: "goodput and latency before, during and after faults",
+        run: faults::run,
+    },
+    Experiment {
+        name: "latency",
+        summary: "server choice against simple rules with late reports and a slow server",
+        run: latency::run,
+    },
+    Experiment {
+        name: "overload",
+        summary: "goodput under overload, after a spike, and by account",
+        run: overload::run,
+    },
 ];
 
 /// Returns the experiment with this name.
