Sharpen the tests on ratings and in mid season

Cause: bets on the difference of ratings stake too little, evidence waited for its turn, and leaving out a data centre lost a third of it. Change: ratings are rounded by chance and judged by the same exact test of blocks as failures; what got worse is told within 40 ms; a place's fault is refuted by what the others say without it; the reference learns until the version is in doubt.

--- a/crates/hawthornmount-rollout/src/evidence/bet.rs
+++ b/crates/hawthornmount-rollout/src/evidence/bet.rs
@@ -8,23 +8,21 @@
 /// Logarithms of the wealth of each stake.
 pub type Wealth = [f64; STAKES];
 
-/// Odds ratios that the bets on failures and on slow answers expect of a bad version.
-const ODDS: Wealth = [4.0, 12.0, 40.0, 120.0];
-/// Parts of the wealth that the bets on ratings stake.
-const PARTS: Wealth = [0.2, 0.45, 0.7, 0.9];
-/// Drop of the mean rating that is tolerated.
-const RATING_MARGIN: f64 = 0.02;
-
 /// Returns what a block of one answer of the candidate and `size - 1` of the stable version adds,
 /// when `bad` of all were bad. Given `bad`, chance decides whose it was: a fault that hits both
-/// versions adds nothing. `tolerated` is the odds ratio that is not held against the candidate.
-pub fn odds(candidate_bad: bool, bad: usize, size: usize, tolerated: f64) -> Wealth {
+/// versions adds nothing. `tolerated` is the odds ratio that is not held against the candidate,
+/// and `expected` has those that a bad version may have.
+pub fn block(
+    candidate_bad: bool,
+    bad: usize,
+    size: usize,
+    tolerated: f64,
+    expected: &Wealth,
+) -> Wealth {
     let (bad, good) = (bad as f64, size.saturating_sub(bad) as f64);
-    ODDS.map(|ratio| {
+    expected.map(|ratio| {
         if candidate_bad {
-            let (expected, chance) =
-                (ratio / (ratio * bad + good), tolerated / (tolerated * bad + good));
-            (expected / chance).ln()
+            (ratio * (tolerated * bad + good) / (tolerated * (ratio * bad + good))).ln()
         } else if good > 0.0 {
             ((tolerated * bad + good) / (ratio * bad + good)).ln()
         } else {
@@ -33,10 +31,13 @@
     })
 }
 
-/// Returns what a rating of the candidate adds beside the mean of ratings of the stable version.
-pub fn rating(candidate: f64, stable: f64) -> Wealth {
-    let drop = stable - candidate - RATING_MARGIN;
-    PARTS.map(|part| (part * drop).ln_1p())
+/// Returns what `bad` of `seen` answers add against a rate of bad answers of at most `limit`, for
+/// bets on rates whose odds are larger by `expected`.
+pub fn rate(bad: f64, seen: f64, limit: f64, expected: &Wealth) -> Wealth {
+    expected.map(|ratio| {
+        let rate = ratio * limit / (1.0 - limit + ratio * limit);
+        bad * (rate / limit).ln() + (seen - bad) * ((1.0 - rate) / (1.0 - limit)).ln()
+    })
 }
 
 /// Returns the logarithm of the mean wealth over the stakes.
--- a/crates/hawthornmount-rollout/src/evidence/mod.rs
+++ b/crates/hawthornmount-rollout/src/evidence/mod.rs
@@ -113,8 +113,9 @@
         cells.map(|cell| cell.tally.counts[signal as usize].seen).sum()
     }
 
-    /// Returns the logarithm of the e-value against a release, without the server that speaks most
-    /// against it when others know the release too: one bad server condemns no version.
+    /// Returns the logarithm of the e-value against a release. Where several servers know the
+    /// release, half of it has to stay without the server that speaks most against it: one bad
+    /// server condemns no version.
     pub fn against(&self, release: &Release, generation: u64, signal: Signal) -> f64 {
         let mut total: Wealth = [0.0; STAKES];
         let mut servers: Vec<(&ServerId, Wealth)> = Vec::new();
@@ -139,7 +140,7 @@
             bet::add(&mut rest, &part.map(|one| -one));
             bet::mean(&rest)
         });
-        without.fold(f64::INFINITY, f64::min)
+        bet::mean(&total).min(2.0 * without.fold(f64::INFINITY, f64::min))
     }
 
     /// Forgets what is of none of `kept`.
--- a/crates/hawthornmount-rollout/src/evidence/pair.rs
+++ b/crates/hawthornmount-rollout/src/evidence/pair.rs
@@ -15,8 +15,14 @@
 const MAX_CANDIDATE: usize = 16;
 /// Odds ratio of failures that is not held against a candidate.
 const TOLERATED_FAILURES: f64 = 1.5;
+/// Odds ratio of bad ratings that is not held against a candidate.
+const TOLERATED_RATINGS: f64 = 1.15;
 /// Odds ratio of slow answers that is not held against a candidate.
 const TOLERATED_SLOWNESS: f64 = 3.0;
+/// Odds ratios of failures and slow answers that a bad version may have.
+const EXPECTED: Wealth = [4.0, 12.0, 40.0, 120.0];
+/// Odds ratios of bad ratings that a bad version may have.
+const EXPECTED_RATINGS: Wealth = [1.8, 3.0, 5.0, 12.0];
 
 /// Answers of one server that wait for their counterpart.
 #[derive(Debug)]
@@ -35,7 +41,7 @@
 }
 
 impl Pairs {
-    /// Takes an answer's badness, from 0 to 1, and returns what a block that became whole adds.
+    /// Takes whether an answer was bad, as 0 or 1, and returns what a block that became whole adds.
     pub fn take(
         &mut self,
         candidate: &Release,
@@ -85,12 +91,12 @@
 }
 
 fn block(signal: Signal, fresh: f64, stable: &[f64]) -> Wealth {
-    let sum: f64 = stable.iter().sum();
-    let bad = stable.iter().filter(|one| **one > 0.5).count() + usize::from(fresh > 0.5);
-    let size = stable.len() + 1;
-    match signal {
-        Signal::Rating => bet::rating(1.0 - fresh, 1.0 - sum / stable.len() as f64),
-        Signal::Failure => bet::odds(fresh > 0.5, bad, size, TOLERATED_FAILURES),
-        Signal::Latency => bet::odds(fresh > 0.5, bad, size, TOLERATED_SLOWNESS),
-    }
+    let is_bad = |badness: f64| badness > 0.5;
+    let bad = stable.iter().filter(|one| is_bad(**one)).count() + usize::from(is_bad(fresh));
+    let (tolerated, expected) = match signal {
+        Signal::Failure => (TOLERATED_FAILURES, EXPECTED),
+        Signal::Rating => (TOLERATED_RATINGS, EXPECTED_RATINGS),
+        Signal::Latency => (TOLERATED_SLOWNESS, EXPECTED),
+    };
+    bet::block(is_bad(fresh), bad, stable.len() + 1, tolerated, &expected)
 }
--- a/crates/hawthornmount-rollout/src/evidence/season.rs
+++ b/crates/hawthornmount-rollout/src/evidence/season.rs
@@ -1,9 +1,11 @@
 //! Detector of a version that turns bad in the middle of a season, against its own past.
 //!
-//! A reference is learned from the first observations. After it, each observation multiplies a
-//! wealth that gets a small deposit beforehand, so that it can start to grow at any time. The
-//! expected wealth after `HORIZON` observations is at most 1 while the version is as it was. One
-//! group of servers can't condemn: the wealth is counted without each group in turn.
+//! A reference is learned from the first observations, and again at each doubling of them while the
+//! version is steady. Each later observation multiplies a wealth that gets a small deposit
+//! beforehand, so that it can start to grow at any time: after `HORIZON` observations of a version
+//! that is as bad as the reference's upper limit, its expectation is at most 1; a version as good as
+//! the reference itself stays far below. One group of servers can't condemn: the wealth without it
+//! has to agree.
 
 use {
     super::{
@@ -16,20 +18,28 @@
 /// Observations from which the reference is learned.
 const REFERENCE: u64 = 400;
 /// Observations over which the chance of a false alarm is bounded.
-const HORIZON: f64 = 20_000.0;
+const HORIZON: f64 = 2_000.0;
 /// Least rate of failures that is held against a version.
 const LEAST_FAILURES: f64 = 0.02;
+/// Largest rate of bad answers that a reference may have.
+const LARGEST_LIMIT: f64 = 0.95;
 /// Rise of the mean badness of ratings that is tolerated.
-const RATING_MARGIN: f64 = 0.05;
-/// Rates of failures that the bets expect of a bad version.
-const RATES: Wealth = [0.08, 0.2, 0.5, 0.95];
-/// Parts of the wealth that the bets on ratings stake, in units of the largest valid stake.
-const PARTS: Wealth = [0.1, 0.25, 0.45, 0.7];
-
+const RATING_MARGIN: f64 = 0.02;
+/// Odds ratios of failures, against the limit, that a bad version may have.
+const EXPECTED: Wealth = [4.0, 12.0, 50.0, 900.0];
+/// Odds ratios of bad ratings, against the limit, that a bad version may have.
+const EXPECTED_RATINGS: Wealth = [1.6, 2.5, 5.0, 20.0];
+/// Logarithm of the wealth without any one group that a condemnation needs.
+const AGREED: f64 = 5.0;
 /// Logarithm of the wealth from which on it counts as rising.
 const RISING: f64 = -5.0;
+/// Logarithm of the wealth below which a release counts as it was.
+const STEADY: f64 = -1.0;
+/// Logarithm of the wealth below which the reference goes on learning. It is high, because to leave
+/// out what looks a little bad would bend the reference.
+const LEARNING: f64 = 2.0;
 /// Batches that show whether a release is as it was.
-const SHOWING: usize = 10;
+const SHOWING: usize = 8;
 /// Largest logarithm of a wealth; it stays far above every threshold.
 const MAX_LOG: f64 = 600.0;
 
@@ -54,6 +64,7 @@
 pub struct Season {
     signal: Signal,
     past: Batch,
+    learn_at: u64,
     limit: Option<f64>,
     all: Wealth,
     rests: Vec<Rest>,
@@ -68,6 +79,7 @@
         Self {
             signal,
             past: Batch::default(),
+            learn_at: REFERENCE,
             limit: None,
             all: empty,
             rests: Vec::new(),
@@ -83,12 +95,8 @@
             return;
         }
         let Some(limit) = self.limit else {
-            self.past.seen += batch.seen;
-            self.past.bad += batch.bad;
             self.note(group);
-            if self.past.seen >= REFERENCE {
-                self.limit = Some(self.reference());
-            }
+            self.learn(batch);
             return;
         };
         self.note(group);
@@ -98,6 +106,9 @@
             grow(&mut rest.wealth, &gain, batch.seen);
         }
         self.mark(sequence);
+        if bet::mean(&self.all) < LEARNING {
+            self.learn(batch);
+        }
     }
 
     /// Returns the sequence since which the wealth has been rising, if it is.
@@ -108,7 +119,7 @@
     /// Tells whether enough observations after `sequence` show the release as it was.
     pub fn is_steady_after(&self, sequence: u64) -> bool {
         let showed = self.last.front().is_some_and(|first| *first > sequence);
-        showed && self.last.len() == SHOWING && self.rising_since.is_none()
+        showed && self.last.len() == SHOWING && bet::mean(&self.all) < STEADY
     }
 
     fn mark(&mut self, sequence: u64) {
@@ -120,13 +131,21 @@
         }
     }
 
-    /// Returns the logarithm of the wealth against the release, without the group that speaks most
-    /// against it; none while there is only one group or no reference.
+    /// Returns the logarithm of the wealth against the release; none while there is only one group,
+    /// no reference, or a group without which the others do not agree.
     pub fn against(&self) -> f64 {
-        if self.limit.is_none() || self.rests.len() < 2 {
-            return f64::NEG_INFINITY;
+        let without = self.rests.iter().map(|rest| bet::mean(&rest.wealth));
+        let agreed = self.rests.len() > 1 && without.fold(f64::INFINITY, f64::min) >= AGREED;
+        if agreed && self.limit.is_some() { bet::mean(&self.all) } else { f64::NEG_INFINITY }
+    }
+
+    fn learn(&mut self, batch: Batch) {
+        self.past.seen += batch.seen;
+        self.past.bad += batch.bad;
+        if self.past.seen >= self.learn_at {
+            self.learn_at *= 2;
+            self.limit = Some(self.reference());
         }
-        self.rests.iter().map(|rest| bet::mean(&rest.wealth)).fold(f64::INFINITY, f64::min)
     }
 
     fn note(&mut self, group: &Arc<str>) {
@@ -142,28 +161,18 @@
         match self.signal {
             Signal::Failure | Signal::Latency => {
                 let upper = (self.past.bad + 2.0 * (self.past.bad + 1.0).sqrt() + 1.0) / seen;
-                upper.max(LEAST_FAILURES)
+                upper.clamp(LEAST_FAILURES, LARGEST_LIMIT)
             }
             Signal::Rating => mean + 2.0 * (mean * (1.0 - mean) / seen).sqrt() + RATING_MARGIN,
         }
     }
 
     fn gain(&self, limit: f64, batch: Batch) -> Wealth {
-        let (seen, bad) = (batch.seen as f64, batch.bad);
-        match self.signal {
-            Signal::Failure | Signal::Latency => RATES.map(|rate| {
-                if rate <= limit {
-                    return 0.0;
-                }
-                bad * (rate / limit).ln() + (seen - bad) * ((1.0 - rate) / (1.0 - limit)).ln()
-            }),
-            Signal::Rating => PARTS.map(|part| {
-                let stake = part / limit.max(f64::EPSILON);
-                let worst = (stake * (1.0 - limit)).ln_1p();
-                let best = (-part).ln_1p();
-                bad * worst + (seen - bad) * best
-            }),
-        }
+        let expected = match self.signal {
+            Signal::Failure | Signal::Latency => &EXPECTED,
+            Signal::Rating => &EXPECTED_RATINGS,
+        };
+        bet::rate(batch.bad, batch.seen as f64, limit, expected)
     }
 }
 
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -28,6 +28,7 @@
     },
     latency::Latency,
     parking_lot::Mutex,
+    rand::RngExt,
     std::{
         sync::Arc,
         time::{Duration, SystemTime},
@@ -57,6 +58,7 @@
     members: usize,
     evidence: Evidence,
     fresh: Vec<Key>,
+    urgent: bool,
     pairs: Pairs,
     latency: Latency,
     seasons: Vec<(Release, [Season; 3])>,
@@ -77,6 +79,7 @@
             members: 1,
             evidence: Evidence::default(),
             fresh: Vec::new(),
+            urgent: false,
             pairs: Pairs::default(),
             latency: Latency::default(),
             seasons: Vec::new(),
@@ -138,6 +141,7 @@
     /// Returns up to `limit` tallies of this instance that changed since the last call.
     pub fn fresh_evidence(&self, limit: usize) -> Vec<Cell> {
         let mut inner = self.inner.lock();
+        inner.urgent = false;
         let count = inner.fresh.len().min(limit);
         let keys: Vec<Key> = inner.fresh.drain(..count).collect();
         let tally = |key: Key| {
@@ -147,6 +151,11 @@
         keys.into_iter().filter_map(tally).collect()
     }
 
+    /// Tells whether there are tallies that got worse and should not wait.
+    pub fn is_urgent(&self) -> bool {
+        self.inner.lock().urgent
+    }
+
     /// Returns the suspensions that this instance made and that were not told yet.
     pub fn fresh_suspensions(&self) -> Vec<Suspension> {
         std::mem::take(&mut self.inner.lock().unsent)
@@ -202,6 +211,9 @@
         let mut inner = self.inner.lock();
         let changed = inner.observe(&sample, self.now_ms());
         self.tell(changed);
+        if inner.urgent {
+            self.news.notify_one();
+        }
     }
 
     fn suspended(&self) -> Vec<Release> {
@@ -227,7 +239,7 @@
         let observed = match sample.seen {
             Seen::Unreachable => return false,
             Seen::Failed => [Some((Signal::Failure, 1.0)), None],
-            Seen::Rated(rating) => [Some((Signal::Rating, 1.0 - rating.clamp(0.0, 1.0))), None],
+            Seen::Rated(rating) => [Some((Signal::Rating, round(1.0 - rating))), None],
             Seen::Answered(elapsed) => {
                 let slow = self.slow(sample, elapsed).map(|slow| (Signal::Latency, slow));
                 [Some((Signal::Failure, 0.0)), slow]
@@ -312,13 +324,15 @@
         let Some(before) = self.evidence.merge(cell) else { return false };
         if own {
             let worse = before.as_ref().is_none_or(|before| is_worse(before, &tally));
+            self.urgent |= worse;
             self.note_fresh(key.clone(), worse);
         }
         if generation != self.config.generation(&release.model, &release.version) {
             return false;
         }
         self.feed_season(&release, &key.server, before.as_ref(), &tally);
-        self.judge(&release, generation, now_ms)
+        let rose = before.as_ref().is_none_or(|before| rose(before, &tally));
+        rose && self.judge(&release, generation, now_ms)
     }
 
     /// Notes that a tally has to be told; one that got worse goes first.
@@ -484,8 +498,20 @@
     }
 }
 
+/// Rounds a badness to 0 or 1 by chance, so that its mean stays.
+fn round(badness: f64) -> f64 {
+    if rand::rng().random_bool(badness.clamp(0.0, 1.0)) { 1.0 } else { 0.0 }
+}
+
 fn is_worse(before: &Tally, now: &Tally) -> bool {
-    before.counts.iter().zip(&now.counts).any(|(before, now)| now.bad > before.bad + 0.5)
+    before.counts.iter().zip(&now.counts).any(|(before, now)| now.bad > before.bad)
+}
+
+/// Tells whether anything in a tally speaks more against its release than before.
+fn rose(before: &Tally, now: &Tally) -> bool {
+    let grew = |before: &Wealth, now: &Wealth| before.iter().zip(now).any(|(old, new)| new > old);
+    let pairs = before.counts.iter().zip(&now.counts);
+    is_worse(before, now) || pairs.into_iter().any(|(old, new)| grew(&old.wealth, &new.wealth))
 }
 
 fn bet(count: &mut Count, block: Option<Wealth>) {
--- a/crates/hawthornmount-rollout/src/share/mod.rs
+++ b/crates/hawthornmount-rollout/src/share/mod.rs
@@ -14,6 +14,8 @@
 
 /// Pause between two frames of evidence.
 const EVIDENCE_PAUSE: Duration = Duration::from_millis(200);
+/// Least pause before a frame of evidence that got worse.
+const URGENT_PAUSE: Duration = Duration::from_millis(40);
 /// Tallies in a frame, so that it fits a datagram.
 const FRAME_CELLS: usize = 5;
 /// Messages that wait to be taken.
@@ -39,7 +41,8 @@
     let mut evidence = subscribe(&*fleet, Topic::Evidence);
     let mut suspensions = subscribe(&*fleet, Topic::Suspension);
     let mut progress = subscribe(&*fleet, Topic::Rollout);
-    let mut tick = tokio::time::interval(EVIDENCE_PAUSE);
+    let mut tick = tokio::time::interval(URGENT_PAUSE);
+    let mut last = Instant::now();
     let mut told: Vec<Told<Suspension>> = Vec::new();
     loop {
         tokio::select! {
@@ -51,9 +54,14 @@
                 keeper.merge_progress(read::<Progress>(&message));
             }
             () = keeper.news() => {}
-            _ = tick.tick() => spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(FRAME_CELLS)),
+            _ = tick.tick() => {}
         }
         let now = Instant::now();
+        let pause = if keeper.is_urgent() { URGENT_PAUSE } else { EVIDENCE_PAUSE };
+        if now >= last + pause {
+            last = now;
+            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(FRAME_CELLS));
+        }
         let fresh = keeper.fresh_suspensions().into_iter();
         told.extend(fresh.map(|item| Told { item, count: 0, next: now }));
         repeat(&*fleet, &mut told, now);
