--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments and what they have in common.
 
 mod bad_version;
+mod decision;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -55,7 +56,14 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[bad_version::EXPERIMENT];
+pub const ALL: &[Experiment] = &[
+    bad_version::EXPERIMENT,
+    Experiment {
+        name: "decision",
+        summary: "time of a routing decision over the size of the fleet",
+        run: decision::run,
+    },
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/crates/hawthornmount-entry/src/exchange/mod.rs
+++ b/crates/hawthornmount-entry/src/exchange/mod.rs
@@ -80,6 +80,8 @@
     pub plan: Plan,
     /// Release that answered.
     pub answered_by: Option<Release>,
+    /// Whether a server may have run the request, whatever came of it.
+    pub reached: bool,
     /// Price of everything that ran so far.
     pub cost: MicroCost,
     /// Answer for the caller.
@@ -115,6 +117,7 @@
             ticket: None,
             plan: Plan::default(),
             answered_by: None,
+            reached: false,
             cost: 0,
             answer: None,
             finishers: Vec::new(),
@@ -144,6 +147,11 @@
         Ok(left)
     }
 
+    /// Corrects a problem that says "not run" although a server may have run the request.
+    pub fn correct(&self, problem: Problem) -> Problem {
+        if self.reached { problem.ran_unknown() } else { problem }
+    }
+
     /// Returns the question that the policy answers.
     pub fn query(&self, data_centre: &Arc<str>, region: &Arc<str>) -> Query {
         let completion = match &self.kind {
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -9,15 +9,22 @@
         clock::{self, Clock},
         metrics::Metrics,
         settings::Settings,
-        snapshot::{Cell, Liveness, Member},
+        snapshot::Cell,
+    },
+    hawthornmount_fleet::{
+        Fleet,
+        mesh::{self, Mesh},
+        position::Position,
+        seed::{Platform, Source},
+        wire::{Record, Standing},
     },
-    hawthornmount_fleet::{Fleet, local::Local},
     hawthornmount_http::client::Client,
-    hawthornmount_ledger::{Ledger, direct::Direct},
-    hawthornmount_policy::{Router, basic::Basic},
+    hawthornmount_ledger::{Ledger, Product, log::Options},
+    hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
+    rand::RngExt,
     std::{
         sync::{
             Arc,
@@ -45,8 +52,12 @@
     pub ledger: Arc<dyn Ledger>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
+    /// The other instances over UDP and TCP, which the control thread runs.
+    pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
+    /// Demand of accounts here and at the other instances.
+    pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
     /// Evidence on versions, suspensions and the progress of roll-outs.
@@ -68,6 +79,7 @@
     settings: Settings,
     store: Option<Arc<dyn Store>>,
     ledger: Option<Arc<dyn Ledger>>,
+    fleet: Option<Arc<dyn Fleet>>,
     router: Option<Arc<dyn Router>>,
     judge: Option<Arc<dyn Judge>>,
 }
@@ -75,7 +87,7 @@
 impl Builder {
     /// Creates a builder for an instance with `settings`.
     pub const fn new(settings: Settings) -> Self {
-        Self { settings, store: None, ledger: None, router: None, judge: None }
+        Self { settings, store: None, ledger: None, fleet: None, router: None, judge: None }
     }
 
     /// Sets another store.
@@ -92,6 +104,13 @@
         self
     }
 
+    /// Sets another fleet.
+    #[must_use]
+    pub fn fleet(mut self, fleet: Arc<dyn Fleet>) -> Self {
+        self.fleet = Some(fleet);
+        self
+    }
+
     /// Sets another router.
     #[must_use]
     pub fn router(mut self, router: Arc<dyn Router>) -> Self {
@@ -110,21 +129,28 @@
     pub fn build(self) -> Parts {
         let settings = self.settings;
         let store = self.store.unwrap_or_else(|| Arc::new(Etcd::new(settings.store.clone())));
-        let ledger = self.ledger.unwrap_or_else(|| Arc::new(Direct::new(store.clone())));
+        let clock: Arc<dyn Clock> = Arc::new(clock::System);
+        let metrics = Metrics::new();
+        let local = record(&settings);
+        let keeper = Arc::new(Keeper::new(local.id.clone(), local.incarnation, clock.clone()));
+        let mesh = Arc::new(mesh(&settings, local, metrics.clone()));
+        let fleet = self.fleet.unwrap_or_else(|| mesh.clone());
+        let ledger = self
+            .ledger
+            .unwrap_or_else(|| Arc::new(Product::new(&store, &fleet, &clock, Options::default())));
         let rater: Arc<dyn Rater> = match settings.rating {
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
         };
-        let clock: Arc<dyn Clock> = Arc::new(clock::System);
-        let member = member(&settings);
-        let keeper = Arc::new(Keeper::new(member.id.clone(), member.incarnation, clock.clone()));
         Parts {
             clock,
-            metrics: Metrics::new(),
+            metrics,
             cell: Cell::new(),
             client: Client::new(),
-            fleet: Arc::new(Local::new(member)),
-            router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
+            fleet,
+            mesh,
+            router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
+            demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| keeper.clone()),
             keeper,
             role: Arc::default(),
@@ -139,14 +165,26 @@
     }
 }
 
-fn member(settings: &Settings) -> Member {
+fn mesh(settings: &Settings, local: Record, metrics: Metrics) -> Mesh {
+    let source = |address| -> Arc<dyn Source> { Arc::new(Platform::new(address)) };
+    Mesh::new(mesh::Options {
+        local,
+        secret: settings.fleet_key.clone(),
+        seeds: settings.instance_list.map(source),
+        position: Arc::new(Position::new()),
+        metrics,
+        seed: rand::rng().random(),
+    })
+}
+
+fn record(settings: &Settings) -> Record {
     let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    Member {
+    Record {
         id: settings.instance.clone(),
         incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        refutation: 0,
+        standing: Standing::Alive,
         data_centre: settings.data_centre.clone(),
         address: settings.fleet,
-        liveness: Liveness::Alive,
-        revision: 0,
     }
 }
