--- a/crates/hawthornmount-entry/src/admin/mod.rs
+++ b/crates/hawthornmount-entry/src/admin/mod.rs
@@ -1,36 +1,23 @@
 //! The operators' interface: metrics, health, status and explanations.
 
+mod explain;
+mod status;
+
+pub use {
+    explain::{Explanation, Missing},
+    status::{MemberStatus, ServerStatus, Status},
+};
+
 use {
     crate::instance::Parts,
     async_trait::async_trait,
-    hawthornmount_core::id::{InstanceId, Revision},
     hawthornmount_http::{
         Request, Response, StatusCode,
         server::{self, Handler},
     },
-    serde::{Deserialize, Serialize},
     std::sync::{Arc, atomic::Ordering},
 };
 
-/// Status of one instance.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Status {
-    /// Name of the instance.
-    pub instance: InstanceId,
-    /// Configuration revision in force.
-    pub revision: Revision,
-    /// Whether the instance takes requests.
-    pub ready: bool,
-    /// Requests in flight.
-    pub in_flight: usize,
-    /// Members of the fleet.
-    pub members: Vec<InstanceId>,
-    /// Servers that take requests.
-    pub servers_up: usize,
-    /// Suspended versions.
-    pub suspended: Vec<Arc<str>>,
-}
-
 /// The operators' interface.
 pub struct Admin {
     parts: Arc<Parts>,
@@ -39,28 +26,10 @@
 impl Admin {
     /// Creates the interface.
     pub fn new(parts: &Arc<Parts>) -> Self {
+        explain::answer_peers(parts);
         Self { parts: parts.clone() }
     }
 
-    fn status(&self) -> Status {
-        let snapshot = self.parts.cell.load();
-        let name = |release: &hawthornmount_core::snapshot::Release| {
-            format!("{}@{}", release.model, release.version).into()
-        };
-        let up = |one: &&hawthornmount_core::snapshot::Backend| {
-            one.health == hawthornmount_core::snapshot::Health::Up
-        };
-        Status {
-            instance: self.parts.settings.instance.clone(),
-            revision: snapshot.revision,
-            ready: is_ready(&self.parts),
-            in_flight: self.parts.in_flight.load(Ordering::SeqCst),
-            members: snapshot.members.iter().map(|member| member.id.clone()).collect(),
-            servers_up: snapshot.backends.iter().filter(up).count(),
-            suspended: snapshot.suspended.iter().map(name).collect(),
-        }
-    }
-
     async fn usage(&self, account: &str) -> Response {
         match self.parts.ledger.total(&account.into()).await {
             Ok(total) => server::json(StatusCode::OK, &total),
@@ -68,10 +37,13 @@
         }
     }
 
-    fn explain(&self, request: &str) -> Response {
-        match self.parts.journal.find(request) {
-            Some(trace) => server::json(StatusCode::OK, &trace),
-            None => not_found("the request is not in the journal: ask soon after its end"),
+    async fn explain(&self, request: &str) -> Response {
+        match explain::find(&self.parts, &request.into()).await {
+            Ok(explanation) => server::json(StatusCode::OK, &explanation),
+            Err(missing @ Missing::Unknown { .. }) => not_found(&missing.to_string()),
+            Err(missing @ Missing::Silent { .. }) => {
+                server::text(StatusCode::SERVICE_UNAVAILABLE, format!("{missing}\n"))
+            }
         }
     }
 }
@@ -84,13 +56,13 @@
             return self.usage(account).await;
         }
         if let Some(id) = path.strip_prefix("/explain/") {
-            return self.explain(id);
+            return self.explain(id).await;
         }
         match path {
             "/metrics" => server::text(StatusCode::OK, self.parts.metrics.text()),
             "/healthz" => server::text(StatusCode::OK, "ok\n".to_owned()),
             "/readyz" => ready(&self.parts),
-            "/status" => server::json(StatusCode::OK, &self.status()),
+            "/status" => server::json(StatusCode::OK, &status::of(&self.parts)),
             _ => not_found("see docs/operators for the paths"),
         }
     }
--- a/crates/hawthornmount-entry/src/filter/bill.rs
+++ b/crates/hawthornmount-entry/src/filter/bill.rs
@@ -14,17 +14,17 @@
         reason::Refusal,
         units::{MicroCost, PRICED_TOKENS},
     },
-    hawthornmount_ledger::{self as ledger, Ledger, Usage},
+    hawthornmount_ledger::{self as ledger, Usage},
     std::{sync::Arc, time::SystemTime},
 };
 
 pub struct Bill {
-    ledger: Arc<dyn Ledger>,
+    parts: Arc<Parts>,
 }
 
 impl Bill {
-    pub fn new(parts: &Parts) -> Self {
-        Self { ledger: parts.ledger.clone() }
+    pub fn new(parts: &Arc<Parts>) -> Self {
+        Self { parts: parts.clone() }
     }
 }
 
@@ -48,7 +48,7 @@
             _ => Price::Tokens(config.models.get(&model).map_or(0, |one| one.price)),
         };
         exchange.finishers.push(Box::new(Record {
-            ledger: self.ledger.clone(),
+            parts: self.parts.clone(),
             request: exchange.id.clone(),
             account: exchange.account.clone(),
             model,
@@ -66,7 +66,7 @@
 }
 
 struct Record {
-    ledger: Arc<dyn Ledger>,
+    parts: Arc<Parts>,
     request: RequestId,
     account: AccountId,
     model: ModelId,
@@ -94,7 +94,10 @@
             cost: self.earlier_cost + billed,
             at_ms: now_ms(),
         };
-        self.ledger.record(usage).await.map_err(|error| refused(&error))
+        let (billed, cost) = (usage.billed, usage.cost);
+        self.parts.ledger.record(usage).await.map_err(|error| refused(&error))?;
+        self.parts.journal.bill(&self.request, billed, cost);
+        Ok(())
     }
 }
 
--- a/crates/hawthornmount-entry/src/trace/mod.rs
+++ b/crates/hawthornmount-entry/src/trace/mod.rs
@@ -9,6 +9,8 @@
 
 /// Requests that the journal keeps.
 const CAPACITY: usize = 4_096;
+/// Ratings and bills that wait for their record.
+const EARLY_CAPACITY: usize = 256;
 
 /// One attempt at a server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -72,32 +74,79 @@
     }
 }
 
+/// What becomes known of a request apart from its record.
+#[derive(Clone, Debug)]
+enum Late {
+    Rating(f64),
+    Bill { billed: u64, cost: u64 },
+}
+
 /// Bounded journal of the last requests of this instance.
 #[derive(Debug, Default)]
 pub struct Journal {
-    traces: Mutex<VecDeque<Trace>>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    traces: VecDeque<Trace>,
+    early: VecDeque<(RequestId, Late)>,
 }
 
 impl Journal {
     /// Keeps a record and forgets the oldest one when the journal is full.
-    pub fn keep(&self, trace: Trace) {
-        let mut traces = self.traces.lock();
-        traces.push_back(trace);
-        if traces.len() > CAPACITY {
-            traces.pop_front();
+    pub fn keep(&self, mut trace: Trace) {
+        let mut inner = self.inner.lock();
+        inner.early.retain(|(request, late)| {
+            let other = *request != trace.request;
+            if !other {
+                late.apply(&mut trace);
+            }
+            other
+        });
+        inner.traces.push_back(trace);
+        if inner.traces.len() > CAPACITY {
+            inner.traces.pop_front();
         }
     }
 
     /// Returns the record of a request.
     pub fn find(&self, request: &str) -> Option<Trace> {
-        self.traces.lock().iter().rev().find(|trace| *trace.request == *request).cloned()
+        self.inner.lock().traces.iter().rev().find(|trace| *trace.request == *request).cloned()
     }
 
     /// Adds the late rating of a request's answer.
-    pub fn rate(&self, request: &str, rating: f64) {
-        let mut traces = self.traces.lock();
-        if let Some(trace) = traces.iter_mut().rev().find(|trace| *trace.request == *request) {
-            trace.rating = Some(rating);
+    pub fn rate(&self, request: &RequestId, rating: f64) {
+        self.add(request, Late::Rating(rating));
+    }
+
+    /// Adds the prices of a request.
+    pub fn bill(&self, request: &RequestId, billed: u64, cost: u64) {
+        self.add(request, Late::Bill { billed, cost });
+    }
+
+    /// Adds to a record, or waits for the record if it is not kept yet.
+    fn add(&self, request: &RequestId, late: Late) {
+        let mut inner = self.inner.lock();
+        if let Some(trace) = inner.traces.iter_mut().rev().find(|one| one.request == *request) {
+            late.apply(trace);
+            return;
+        }
+        inner.early.push_back((request.clone(), late));
+        if inner.early.len() > EARLY_CAPACITY {
+            inner.early.pop_front();
+        }
+    }
+}
+
+impl Late {
+    const fn apply(&self, trace: &mut Trace) {
+        match *self {
+            Self::Rating(rating) => trace.rating = Some(rating),
+            Self::Bill { billed, cost } => {
+                trace.billed = billed;
+                trace.cost = cost;
+            }
         }
     }
 }
--- a/crates/hawthornmount-rollout/src/driver/mod.rs
+++ b/crates/hawthornmount-rollout/src/driver/mod.rs
@@ -215,7 +215,12 @@
         };
         let txn = txn.unchanged(lease::KEY, fence).put(key, encode(&next));
         if self.store.commit(txn).await?.applied {
-            log::info!("roll-out moved; rollout={} step={}", next.rollout, next.step);
+            let what = format!(
+                "roll-out moved; rollout={} stage={:?} step={} cause={}",
+                next.rollout, next.stage, next.step, next.cause
+            );
+            log::info!("{what}");
+            self.keeper.note(what);
             self.keeper.merge_progress(vec![next]);
         }
         Ok(())
@@ -223,7 +228,13 @@
 
     fn note(&self, round: &Result<()>) {
         let mut role = self.role.lock();
-        role.fence = self.lease.fence(Duration::ZERO);
+        let fence = self.lease.fence(Duration::ZERO);
+        match (role.fence, fence) {
+            (None, Some(fence)) => self.keeper.note(format!("took the lease; fence={fence}")),
+            (Some(fence), None) => self.keeper.note(format!("left the lease; fence={fence}")),
+            _ => {}
+        }
+        role.fence = fence;
         role.store_error = round.as_ref().err().map(|error| error.to_string().into());
     }
 
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -4,7 +4,7 @@
 mod latency;
 mod report;
 
-pub use report::{Report, RolloutReport};
+pub use report::{Decision, Report, RolloutReport};
 
 use {
     crate::{
@@ -30,6 +30,7 @@
     parking_lot::Mutex,
     rand::RngExt,
     std::{
+        collections::VecDeque,
         sync::Arc,
         time::{Duration, SystemTime},
     },
@@ -42,6 +43,9 @@
 /// against its past.
 const WAYS: f64 = 6.0;
 
+/// Decisions that are kept.
+const DECISIONS: usize = 256;
+
 /// Judge of an instance.
 pub struct Keeper {
     inner: Mutex<Inner>,
@@ -66,6 +70,7 @@
     suspensions: Set,
     unsent: Vec<Suspension>,
     progress: Vec<Progress>,
+    decisions: VecDeque<Decision>,
 }
 
 impl Keeper {
@@ -87,6 +92,7 @@
             suspensions: Set::default(),
             unsent: Vec::new(),
             progress: Vec::new(),
+            decisions: VecDeque::new(),
         };
         Self { inner: Mutex::new(inner), changed: Notify::new(), news: Notify::new(), clock }
     }
@@ -121,7 +127,14 @@
         let mut inner = self.inner.lock();
         let mut changed = false;
         for suspension in suspensions {
-            changed |= inner.suspensions.merge(suspension);
+            let what = format!(
+                "heard of a suspension; release={}@{} by={}",
+                suspension.key.model, suspension.key.version, suspension.cause.by
+            );
+            if inner.suspensions.merge(suspension) {
+                inner.note(self.now_ms(), what.into());
+                changed = true;
+            }
         }
         self.tell(changed);
         changed
@@ -191,6 +204,12 @@
         report::build(&self.inner.lock(), self.now_ms())
     }
 
+    /// Keeps a decision for operators.
+    pub fn note(&self, what: impl Into<Arc<str>>) {
+        let at_ms = self.now_ms();
+        self.inner.lock().note(at_ms, what.into());
+    }
+
     fn tell(&self, changed: bool) {
         if changed {
             self.changed.notify_one();
@@ -389,7 +408,12 @@
         };
         let cause =
             Cause { revision: self.revision, text, by: self.instance.clone(), at_ms: now_ms };
-        log::warn!("version suspended; release={}@{} cause={}", key.model, key.version, cause.text);
+        let what = format!(
+            "version suspended; release={}@{} cause={}",
+            key.model, key.version, cause.text
+        );
+        log::warn!("{what}");
+        self.note(now_ms, what.into());
         let suspension = Suspension { key, cause };
         self.unsent.push(suspension.clone());
         self.suspensions.merge(suspension)
@@ -473,6 +497,13 @@
         }
     }
 
+    fn note(&mut self, at_ms: u64, what: Arc<str>) {
+        self.decisions.push_back(Decision { at_ms, what });
+        if self.decisions.len() > DECISIONS {
+            self.decisions.pop_front();
+        }
+    }
+
     fn stable_of(&self, release: &Release) -> Option<Release> {
         let model = self.config.models.get(&release.model)?;
         Some(Release { model: release.model.clone(), version: model.stable.clone() })
--- a/crates/hawthornmount-rollout/src/keeper/report.rs
+++ b/crates/hawthornmount-rollout/src/keeper/report.rs
@@ -20,6 +20,17 @@
     pub suspensions: Vec<Suspension>,
     /// Logarithm of the e-value that condemns a version.
     pub threshold: f64,
+    /// Last decisions, the newest at the end.
+    pub decisions: Vec<Decision>,
+}
+
+/// A decision of the control state.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Decision {
+    /// Milliseconds since the epoch.
+    pub at_ms: u64,
+    /// What was decided and why.
+    pub what: Arc<str>,
 }
 
 /// One roll-out with its evidence and next step.
@@ -56,6 +67,7 @@
         rollouts: inner.config.rollouts.iter().map(|row| rollout(inner, row, now_ms)).collect(),
         suspensions: held.into_iter().cloned().collect(),
         threshold: inner.threshold(),
+        decisions: inner.decisions.iter().cloned().collect(),
     }
 }
 
--- a/crates/hawthornmount-rollout/src/order/mod.rs
+++ b/crates/hawthornmount-rollout/src/order/mod.rs
@@ -128,6 +128,7 @@
             if may_load {
                 self.last_load = Some(now);
             }
+            keeper.note(format!("order; server={} loads={may_load}", backend.id));
             tasks.push(Task {
                 server: backend.id.clone(),
                 address: backend.address,
--- a/src/cmd/admin.rs
+++ b/src/cmd/admin.rs
@@ -15,8 +15,17 @@
     arguments.value_from_str("--admin").map_err(Error::usage)
 }
 
-/// Gets a path and prints the answer.
+/// Gets a path and prints the answer as it is.
 pub fn print(address: SocketAddr, path: &str) -> Result<ExitCode> {
+    show(address, path, |body| Ok(format!("{}\n", String::from_utf8_lossy(body))))
+}
+
+/// Gets a path and prints what `render` makes of the answer.
+pub fn show(
+    address: SocketAddr,
+    path: &str,
+    render: impl FnOnce(&[u8]) -> Result<String>,
+) -> Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -26,12 +35,11 @@
     let answer = runtime
         .block_on(Client::new().call(address, request, TIMEOUT))
         .map_err(Error::failed("the instance gives no answer"))?;
-    let text = String::from_utf8_lossy(&answer.body);
     if answer.status.is_success() {
-        println!("{text}");
+        print!("{}", render(&answer.body)?);
         Ok(ExitCode::SUCCESS)
     } else {
-        eprintln!("hawthornmount: {}", text.trim());
+        eprintln!("hawthornmount: {}", String::from_utf8_lossy(&answer.body).trim());
         Ok(ExitCode::FAILURE)
     }
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,15 +2,17 @@
 
 use {
     super::{Error, Result, admin, asks_help, refuse_rest},
+    hawthornmount_entry::admin::Explanation,
     pico_args::Arguments,
-    std::process::ExitCode,
+    std::{fmt::Write, process::ExitCode},
 };
 
 const HELP: &str = "\
-Usage: hawthornmount explain REQUEST-ID --admin ADDRESS
+Usage: hawthornmount explain REQUEST-ID --admin ADDRESS [--json]
 
 Options:
   --admin ADDRESS  Operators' interface of any instance
+  --json           Show JSON
   -h, --help       Show help
 
 Example:
@@ -22,8 +24,43 @@
     if asks_help(&mut arguments, HELP) {
         return Ok(ExitCode::SUCCESS);
     }
+    let json = arguments.contains("--json");
     let address = admin::address(&mut arguments)?;
     let request: String = arguments.free_from_str().map_err(Error::usage)?;
-    refuse_rest(arguments, &["--admin", "--help"])?;
-    admin::print(address, &format!("/explain/{request}"))
+    refuse_rest(arguments, &["--admin", "--json", "--help"])?;
+    let path = format!("/explain/{request}");
+    if json {
+        return admin::print(address, &path);
+    }
+    admin::show(address, &path, |body| {
+        let explanation: Explanation =
+            serde_json::from_slice(body).map_err(Error::failed("the answer can't be read"))?;
+        Ok(text(&explanation))
+    })
+}
+
+fn text(explanation: &Explanation) -> String {
+    let trace = &explanation.trace;
+    let mut text = String::new();
+    let _ = writeln!(text, "request   {}", trace.request);
+    let _ = writeln!(text, "instance  {}", explanation.instance);
+    let _ = writeln!(text, "account   {}", trace.account);
+    let _ = writeln!(text, "revision  {}", trace.revision);
+    for step in &trace.steps {
+        let _ = writeln!(text, "decision  {step}");
+    }
+    for one in &trace.attempts {
+        let reason = one.reason.as_ref().map_or_else(String::new, |why| format!(", after {why}"));
+        let _ = writeln!(
+            text,
+            "attempt   {}@{} at {}{reason}: {} in {} ms",
+            one.model, one.version, one.server, one.outcome, one.ms
+        );
+    }
+    let rating = trace.rating.map_or_else(|| "none".to_owned(), |rating| format!("{rating:.2}"));
+    let _ = writeln!(text, "outcome   {}", trace.outcome);
+    let _ = writeln!(text, "rating    {rating}");
+    let _ = writeln!(text, "cost      {} micro-units", trace.cost);
+    let _ = writeln!(text, "billed    {} micro-units", trace.billed);
+    text
 }
