--- a/crates/hawthornmount-entry/src/admin/mod.rs
+++ b/crates/hawthornmount-entry/src/admin/mod.rs
@@ -1,15 +1,15 @@
 //! The operators' interface: metrics, health, status and explanations.
 
 mod explain;
-mod status;
+mod report;
 
 pub use {
     explain::{Explanation, Missing},
-    status::{MemberStatus, ServerStatus, Status},
+    report::{MemberStatus, ServerStatus, Status},
 };
 
 use {
-    crate::instance::Parts,
+    crate::{control::status, instance::Parts},
     async_trait::async_trait,
     hawthornmount_http::{
         Request, Response, StatusCode,
@@ -62,7 +62,8 @@
             "/metrics" => server::text(StatusCode::OK, self.parts.metrics.text()),
             "/healthz" => server::text(StatusCode::OK, "ok\n".to_owned()),
             "/readyz" => ready(&self.parts),
-            "/status" => server::json(StatusCode::OK, &status::of(&self.parts)),
+            "/fleet" => server::json(StatusCode::OK, &status::rows(&self.parts).await),
+            "/status" => server::json(StatusCode::OK, &report::of(&self.parts)),
             _ => not_found("see docs/operators for the paths"),
         }
     }
--- a/crates/hawthornmount-entry/tests/ran.rs
+++ b/crates/hawthornmount-entry/tests/ran.rs
@@ -14,7 +14,7 @@
     },
     hawthornmount_http::HeaderMap,
     rstest::rstest,
-    std::sync::Arc,
+    std::sync::{Arc, atomic::Ordering},
 };
 
 /// Sends the request to a server, or not.
@@ -30,7 +30,7 @@
     }
 
     async fn apply(&self, exchange: &mut Exchange) -> Result<Flow, Problem> {
-        exchange.reached |= self.0;
+        exchange.runs.fetch_add(usize::from(self.0), Ordering::SeqCst);
         Ok(Flow::Next)
     }
 }
