Keep evidence small on the network

Cause: a frame of five tallies was larger than a datagram takes, and five frames a second of each instance are far over 2 KB/s a daemon. Change: tallies travel in single precision and without bets that never moved; what changed is told once a second, what speaks more against a version within 40 ms; too many items are split.

--- a/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
+++ b/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
@@ -41,12 +41,14 @@
 const CHECKED: u64 = 50;
 /// Seconds until a rating comes.
 const RATING_DELAY: f64 = 1.0;
-/// Seconds between two frames of evidence of an instance.
-const GOSSIP_PAUSE: f64 = 0.2;
+/// Seconds between two tellings of all that changed.
+const GOSSIP_PAUSE: f64 = 1.0;
 /// Seconds between two frames of evidence that got worse.
 const URGENT_PAUSE: f64 = 0.04;
-/// Tallies in a frame.
-const FRAME_CELLS: usize = 5;
+/// Tallies in a frame of those that got worse.
+const URGENT_CELLS: usize = 6;
+/// Tallies that are told at a time of all that changed.
+const CELLS: usize = 24;
 /// Seconds that a frame takes.
 const FRAME_DELAY: f64 = 0.03;
 /// Part of the frames that are lost.
@@ -229,6 +231,7 @@
     flights: Vec<Flight>,
     told: Vec<(f64, usize, Suspension)>,
     last: [f64; INSTANCES],
+    last_all: [f64; INSTANCES],
 }
 
 impl Judges {
@@ -245,6 +248,7 @@
             flights: Vec::new(),
             told: Vec::new(),
             last: [0.0; INSTANCES],
+            last_all: [0.0; INSTANCES],
         }
     }
 
@@ -292,10 +296,15 @@
             self.send(now, from, || Frame::Suspensions(vec![one.clone()]), rng);
         }
         for from in 0..INSTANCES {
-            let pause = if self.keepers[from].is_urgent() { URGENT_PAUSE } else { GOSSIP_PAUSE };
-            if now >= self.last[from] + pause {
+            let all = now >= self.last_all[from] + GOSSIP_PAUSE;
+            let urgent = self.keepers[from].is_urgent() && now >= self.last[from] + URGENT_PAUSE;
+            if all {
+                self.last_all[from] = now;
+            }
+            if all || urgent {
                 self.last[from] = now;
-                let cells = self.keepers[from].fresh_evidence(FRAME_CELLS);
+                let limit = if all { CELLS } else { URGENT_CELLS };
+                let cells = self.keepers[from].fresh_evidence(limit);
                 self.send(now, from, || Frame::Evidence(cells.clone()), rng);
             }
         }
--- a/crates/hawthornmount-rollout/src/evidence/mod.rs
+++ b/crates/hawthornmount-rollout/src/evidence/mod.rs
@@ -6,6 +6,8 @@
 pub mod season;
 pub mod signal;
 
+mod wire;
+
 pub use signal::Signal;
 
 use {
@@ -39,11 +41,12 @@
 pub struct Count {
     /// Observations.
     pub seen: u64,
-    /// Sum of their badness, each from 0 to 1.
-    pub bad: f64,
+    /// Bad ones of them.
+    pub bad: u64,
     /// Blocks that were bet on.
     pub blocks: u64,
     /// Logarithm of the wealth of each bet.
+    #[serde(with = "wire")]
     pub wealth: Wealth,
 }
 
--- a/crates/hawthornmount-rollout/src/evidence/season.rs
+++ b/crates/hawthornmount-rollout/src/evidence/season.rs
@@ -48,8 +48,8 @@
 pub struct Batch {
     /// Observations.
     pub seen: u64,
-    /// Sum of their badness.
-    pub bad: f64,
+    /// Bad ones of them.
+    pub bad: u64,
 }
 
 /// Wealth without one group.
@@ -157,10 +157,11 @@
     /// Returns the upper confidence limit of the past.
     fn reference(&self) -> f64 {
         let seen = self.past.seen as f64;
-        let mean = self.past.bad / seen;
+        let bad = self.past.bad as f64;
+        let mean = bad / seen;
         match self.signal {
             Signal::Failure | Signal::Latency => {
-                let upper = (self.past.bad + 2.0 * (self.past.bad + 1.0).sqrt() + 1.0) / seen;
+                let upper = (bad + 2.0 * (bad + 1.0).sqrt() + 1.0) / seen;
                 upper.clamp(LEAST_FAILURES, LARGEST_LIMIT)
             }
             Signal::Rating => mean + 2.0 * (mean * (1.0 - mean) / seen).sqrt() + RATING_MARGIN,
@@ -172,7 +173,7 @@
             Signal::Failure | Signal::Latency => &EXPECTED,
             Signal::Rating => &EXPECTED_RATINGS,
         };
-        bet::rate(batch.bad, batch.seen as f64, limit, expected)
+        bet::rate(batch.bad as f64, batch.seen as f64, limit, expected)
     }
 }
 
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -286,7 +286,7 @@
         let mut cell = self.own_cell(&sample.release, &sample.server, &sample.data_centre);
         let count = &mut cell.tally.counts[signal as usize];
         count.seen += 1;
-        count.bad += badness;
+        count.bad += u64::from(badness > 0.5);
         let mut changed = false;
         if let Some(stable) = self.stable_of(&sample.release) {
             let is_candidate = stable.version != sample.release.version;
@@ -342,7 +342,7 @@
         let (key, tally) = (cell.key.clone(), cell.tally.clone());
         let Some(before) = self.evidence.merge(cell) else { return false };
         if own {
-            let worse = before.as_ref().is_none_or(|before| is_worse(before, &tally));
+            let worse = before.as_ref().is_none_or(|before| rose(before, &tally));
             self.urgent |= worse;
             self.note_fresh(key.clone(), worse);
         }
@@ -384,7 +384,7 @@
             let now = new.counts[at_signal];
             let batch = Batch {
                 seen: now.seen.saturating_sub(before.seen),
-                bad: (now.bad - before.bad).max(0.0),
+                bad: now.bad.saturating_sub(before.bad),
             };
             self.seasons[at].1[at_signal].take(&group, batch, self.sequence);
         }
--- a/crates/hawthornmount-rollout/src/share/mod.rs
+++ b/crates/hawthornmount-rollout/src/share/mod.rs
@@ -3,7 +3,7 @@
 use {
     crate::{evidence::Cell, keeper::Keeper, progress::Progress, suspension::Suspension},
     bytes::Bytes,
-    hawthornmount_fleet::{Fleet, Message, Topic},
+    hawthornmount_fleet::{Error, Fleet, Message, Topic},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         sync::Arc,
@@ -13,11 +13,13 @@
 };
 
 /// Pause between two frames of evidence.
-const EVIDENCE_PAUSE: Duration = Duration::from_millis(200);
+const EVIDENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Least pause before a frame of evidence that got worse.
 const URGENT_PAUSE: Duration = Duration::from_millis(40);
-/// Tallies in a frame, so that it fits a datagram.
-const FRAME_CELLS: usize = 5;
+/// Tallies in a frame of those that got worse.
+const URGENT_CELLS: usize = 6;
+/// Tallies that are told at a time of all that changed.
+const CELLS: usize = 24;
 /// Messages that wait to be taken.
 const BACKLOG: usize = 1_024;
 /// Pauses after which a suspension is told again, in case frames were lost.
@@ -43,6 +45,7 @@
     let mut progress = subscribe(&*fleet, Topic::Rollout);
     let mut tick = tokio::time::interval(URGENT_PAUSE);
     let mut last = Instant::now();
+    let mut last_all = last;
     let mut told: Vec<Told<Suspension>> = Vec::new();
     loop {
         tokio::select! {
@@ -57,10 +60,12 @@
             _ = tick.tick() => {}
         }
         let now = Instant::now();
-        let pause = if keeper.is_urgent() { URGENT_PAUSE } else { EVIDENCE_PAUSE };
-        if now >= last + pause {
+        if now >= last_all + EVIDENCE_PAUSE {
+            (last, last_all) = (now, now);
+            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(CELLS));
+        } else if keeper.is_urgent() && now >= last + URGENT_PAUSE {
             last = now;
-            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(FRAME_CELLS));
+            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(URGENT_CELLS));
         }
         let fresh = keeper.fresh_suspensions().into_iter();
         told.extend(fresh.map(|item| Told { item, count: 0, next: now }));
@@ -97,13 +102,20 @@
     receiver
 }
 
+/// Spreads items in as few frames as they fit.
 fn spread<T: Serialize>(fleet: &dyn Fleet, topic: Topic, items: &[T]) {
     if items.is_empty() {
         return;
     }
     let Ok(bytes) = postcard::to_stdvec(items) else { return };
-    if let Err(error) = fleet.spread(topic, Bytes::from(bytes)) {
-        log::warn!("a message is not spread; topic={topic:?} cause={error}");
+    match fleet.spread(topic, Bytes::from(bytes)) {
+        Ok(()) => {}
+        Err(Error::TooLarge { .. }) if items.len() > 1 => {
+            let (first, second) = items.split_at(items.len() / 2);
+            spread(fleet, topic, first);
+            spread(fleet, topic, second);
+        }
+        Err(error) => log::warn!("a message is not spread; topic={topic:?} cause={error}"),
     }
 }
 
