Prove orders to both kinds of server

Cause: stale orders, paused holders and loads that fail had no test at an engine. Change: tests with a stand-in engine that checks fencing numbers and one that doesn't. Conclusion: a stale order is refused or repaired, a holder past its time orders nothing, and loads that don't succeed are paced.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod fleet;
 mod guide;
+mod orders;
 mod problems;
 mod serve;
 mod stream;
