Tell only what matters of stable versions

Cause: evidence on stable versions for each server, and a frame for each bad rating, cost the network more than the decision gains. Change: tallies of stable versions are kept for each data centre; bad news of them waits for the tick of 2 s unless their own past speaks against them.

--- a/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
+++ b/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
@@ -42,7 +42,7 @@
 /// Seconds until a rating comes.
 const RATING_DELAY: f64 = 1.0;
 /// Seconds between two tellings of all that changed.
-const GOSSIP_PAUSE: f64 = 1.0;
+const GOSSIP_PAUSE: f64 = 2.0;
 /// Seconds between two frames of evidence that got worse.
 const URGENT_PAUSE: f64 = 0.04;
 /// Tallies in a frame of those that got worse.
--- a/crates/hawthornmount-rollout/src/evidence/mod.rs
+++ b/crates/hawthornmount-rollout/src/evidence/mod.rs
@@ -28,7 +28,7 @@
     pub version: VersionId,
     /// Generation of the version; a raised one starts from nothing.
     pub generation: u64,
-    /// Server that answered.
+    /// Server that answered; the data centre, for a stable version where there are several.
     pub server: ServerId,
     /// Instance that observed.
     pub instance: InstanceId,
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -318,11 +318,13 @@
     }
 
     fn own_cell(&self, release: &Release, server: &ServerId, place: &DataCentreId) -> Cell {
+        let is_stable = self.stable_of(release).as_ref() == Some(release);
+        let group = if is_stable { self.group(place, server) } else { server.clone() };
         let key = Key {
             model: release.model.clone(),
             version: release.version.clone(),
             generation: self.config.generation(&release.model, &release.version),
-            server: server.clone(),
+            server: group,
             instance: self.instance.clone(),
             incarnation: self.incarnation,
         };
@@ -343,7 +345,6 @@
         let Some(before) = self.evidence.merge(cell) else { return false };
         if own {
             let worse = before.as_ref().is_none_or(|before| rose(before, &tally));
-            self.urgent |= worse;
             self.note_fresh(key.clone(), worse);
         }
         if generation != self.config.generation(&release.model, &release.version) {
@@ -351,9 +352,20 @@
         }
         self.feed_season(&release, &key.server, before.as_ref(), &tally);
         let rose = before.as_ref().is_none_or(|before| rose(before, &tally));
+        self.urgent |= own && rose && self.is_in_doubt(&release);
         rose && self.judge(&release, generation, now_ms)
     }
 
+    /// Tells whether bad news of a release should not wait: it is no stable version, or its own
+    /// past speaks against it.
+    fn is_in_doubt(&self, release: &Release) -> bool {
+        if self.stable_of(release).as_ref() != Some(release) {
+            return true;
+        }
+        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        found.is_ok_and(|at| self.seasons[at].1.iter().any(|one| one.rising_since().is_some()))
+    }
+
     /// Notes that a tally has to be told; one that got worse goes first.
     fn note_fresh(&mut self, key: Key, worse: bool) {
         match self.fresh.iter().position(|one| *one == key) {
--- a/crates/hawthornmount-rollout/src/share/mod.rs
+++ b/crates/hawthornmount-rollout/src/share/mod.rs
@@ -13,7 +13,7 @@
 };
 
 /// Pause between two frames of evidence.
-const EVIDENCE_PAUSE: Duration = Duration::from_secs(1);
+const EVIDENCE_PAUSE: Duration = Duration::from_secs(2);
 /// Least pause before a frame of evidence that got worse.
 const URGENT_PAUSE: Duration = Duration::from_millis(40);
 /// Tallies in a frame of those that got worse.
