--- /dev/null
+++ b/tests/testsuite/version/explain.rs
@@ -0,0 +1,40 @@
+//! Explanations and the status, asked of any instance.
+
+use {
+    super::{TIMEOUT, call, until},
+    hawthornmount_demo::world::World,
+    hawthornmount_entry::admin::{Explanation, Status},
+    hawthornmount_http::client::Client,
+    serde_json::Value,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn any_instance_explains_a_request_and_shows_the_status() {
+    let world = World::start().await.expect("the demo starts");
+    until("the instances know each other", || {
+        world.instances.iter().all(|one| one.parts().cell.load().members.len() == 4)
+    })
+    .await;
+    let client = Client::new();
+    let answer = call(&client, world.callers()[0]).await.expect("the instance answers");
+    let body: Value = serde_json::from_slice(&answer.body).expect("the answer is JSON");
+    let attempt = body["id"].as_str().expect("the answer has an id");
+    let (id, _) = attempt.rsplit_once('.').expect("the id names the attempt");
+    let last = world.instances.last().expect("there are instances").operators();
+    let explanation: Explanation = client
+        .get(last, &format!("/explain/{id}"), TIMEOUT)
+        .await
+        .expect("another instance explains");
+    assert_eq!(explanation.instance, world.instances[0].parts().settings.instance);
+    assert_eq!(&*explanation.trace.account, "municipal");
+    assert_eq!(explanation.trace.attempts.len(), 1);
+    assert!(explanation.trace.billed > 0);
+    let missing = client.get::<Explanation>(last, "/explain/req-unknown", TIMEOUT).await;
+    assert!(missing.is_err());
+    until("there is a holder", || world.instances[0].parts().role.lock().holder.is_some()).await;
+    let status: Status = client.get(last, "/status", TIMEOUT).await.expect("a status comes");
+    assert_eq!(status.members.len(), 4);
+    assert_eq!(status.servers.len(), 5);
+    assert_eq!(status.store_error, None);
+    assert!(status.revision > 0);
+}
