Judge on the control thread; start afresh after a lift

Cause: every answer judged its version on a traffic thread under a lock; and a version whose suspension was lifted kept the wealth against its past, so it would have been suspended again. Conclusion: traffic threads never wait for the judge.

--- a/crates/hawthornmount-entry/src/control/rollout.rs
+++ b/crates/hawthornmount-entry/src/control/rollout.rs
@@ -30,6 +30,7 @@
         Lease::new(name, parts.clock.clone()),
         parts.role.clone(),
     );
+    tokio::spawn(parts.inbox.clone().run());
     tokio::spawn(share::run(parts.keeper.clone(), parts.fleet.clone()));
     tokio::spawn(driver.run(Orders::new(Client::new())));
 }
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -22,7 +22,7 @@
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
     hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
-    hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
+    hawthornmount_rollout::{Judge, driver::Role, inbox::Inbox, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
     rand::RngExt,
@@ -63,6 +63,8 @@
     pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
+    /// Way of samples from the traffic threads to the keeper.
+    pub inbox: Arc<Inbox>,
     /// Evidence on versions, suspensions and the progress of roll-outs.
     pub keeper: Arc<Keeper>,
     /// What this instance knows of the holder that drives the roll-outs.
@@ -136,6 +138,7 @@
         let metrics = Metrics::new();
         let local = record(&settings);
         let keeper = Arc::new(Keeper::new(local.id.clone(), local.incarnation, clock.clone()));
+        let inbox = Arc::new(Inbox::new(keeper.clone(), metrics.clone()));
         let mesh = Arc::new(mesh(&settings, local, metrics.clone()));
         let fleet = self.fleet.unwrap_or_else(|| mesh.clone());
         let ledger = self
@@ -156,7 +159,8 @@
             sessions: Arc::new(sessions),
             router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
             demand: Mutex::default(),
-            judge: self.judge.unwrap_or_else(|| keeper.clone()),
+            judge: self.judge.unwrap_or_else(|| inbox.clone()),
+            inbox,
             keeper,
             role: Arc::default(),
             rater,
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -65,7 +65,7 @@
     urgent: bool,
     pairs: Pairs,
     latency: Latency,
-    seasons: Vec<(Release, [Season; 3])>,
+    seasons: Vec<(Release, u64, [Season; 3])>,
     sequence: u64,
     suspensions: Set,
     unsent: Vec<Suspension>,
@@ -362,8 +362,8 @@
         if self.stable_of(release).as_ref() != Some(release) {
             return true;
         }
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
-        found.is_ok_and(|at| self.seasons[at].1.iter().any(|one| one.rising_since().is_some()))
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        found.is_ok_and(|at| self.seasons[at].2.iter().any(|one| one.rising_since().is_some()))
     }
 
     /// Notes that a tally has to be told; one that got worse goes first.
@@ -385,9 +385,10 @@
     ) {
         let group = self.group(&new.data_centre, server);
         self.sequence += 1;
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
         let at = found.unwrap_or_else(|at| {
-            self.seasons.insert(at, (release.clone(), Signal::ALL.map(Season::new)));
+            let generation = self.config.generation(&release.model, &release.version);
+            self.seasons.insert(at, (release.clone(), generation, Signal::ALL.map(Season::new)));
             at
         });
         for signal in Signal::ALL {
@@ -398,7 +399,7 @@
                 seen: now.seen.saturating_sub(before.seen),
                 bad: now.bad.saturating_sub(before.bad),
             };
-            self.seasons[at].1[at_signal].take(&group, batch, self.sequence);
+            self.seasons[at].2[at_signal].take(&group, batch, self.sequence);
         }
     }
 
@@ -453,8 +454,8 @@
         if signal == Signal::Latency {
             return f64::NEG_INFINITY;
         }
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
-        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].1[signal as usize].against())
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].2[signal as usize].against())
     }
 
     /// Tells whether ratings may have fallen for every model at once, which is the rating service's
@@ -463,11 +464,11 @@
         if signal != Signal::Rating {
             return false;
         }
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
-        let own = found.ok().map(|at| &self.seasons[at].1[signal as usize]);
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        let own = found.ok().map(|at| &self.seasons[at].2[signal as usize]);
         let since = own.and_then(Season::rising_since).unwrap_or(self.sequence);
-        let others = self.seasons.iter().filter(|(one, _)| one.model != release.model);
-        !others.into_iter().any(|(_, season)| season[signal as usize].is_steady_after(since))
+        let others = self.seasons.iter().filter(|(one, ..)| one.model != release.model);
+        !others.into_iter().any(|(_, _, season)| season[signal as usize].is_steady_after(since))
     }
 
     /// Returns the logarithm of the e-value that condemns.
@@ -531,6 +532,9 @@
     /// Forgets what belongs to versions and generations that are gone.
     fn forget(&mut self) {
         let config = self.config.clone();
+        self.seasons.retain(|(release, generation, _)| {
+            config.generation(&release.model, &release.version) == *generation
+        });
         self.evidence.retain(|key| {
             let exists = config
                 .models
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod driver;
 pub mod evidence;
+pub mod inbox;
 pub mod keeper;
 pub mod order;
 pub mod progress;
--- a/crates/hawthornmount-rollout/tests/evidence.rs
+++ b/crates/hawthornmount-rollout/tests/evidence.rs
@@ -13,7 +13,7 @@
     },
     proptest::prelude::*,
     rstest::rstest,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 fn cells(world: &mut World, answers: usize) -> Vec<Cell> {
@@ -233,3 +233,26 @@
         assert_eq!(keeper.suspended(), vec![release("v2"), release("v3")]);
     }
 }
+
+#[test]
+fn a_lifted_version_starts_afresh() {
+    let mut world = World::new(2, 9);
+    for round in 0..1_200 {
+        let failures = if round < 1_000 { 0.01 } else { 1.0 };
+        world.serve("v1", &Kind { failures, ..GOOD });
+        world.gossip();
+    }
+    assert!(world.keepers.iter().all(|keeper| keeper.suspended() == vec![release("v1")]));
+    let mut lifted = common::config(0);
+    let model = lifted.models.get_mut("m").expect("the model exists");
+    model.versions.get_mut("v1").expect("the version exists").generation = 1;
+    let lifted = Arc::new(lifted);
+    for keeper in &world.keepers {
+        keeper.configure(2, &lifted, 2);
+    }
+    for _ in 0..1_000 {
+        world.serve("v1", &GOOD);
+        world.gossip();
+    }
+    assert!(world.keepers.iter().all(|keeper| keeper.suspended().is_empty()));
+}
