--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments and what they have in common.
 
 pub mod at_most_once;
+mod bad_version;
 mod cascade_cost;
 mod config_propagation;
 mod decision;
@@ -84,6 +85,7 @@
         summary: "cost at the quality target against fixed choices and an oracle",
         run: cascade_cost::run,
     },
+    bad_version::EXPERIMENT,
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
--- a/crates/hawthornmount-entry/src/filter/rate.rs
+++ b/crates/hawthornmount-entry/src/filter/rate.rs
@@ -19,7 +19,7 @@
 };
 
 /// Part of the answers that are rated.
-const SAMPLED: f64 = 0.5;
+pub const SAMPLED: f64 = 0.5;
 /// Time that a late rating may take.
 const RATING_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/hawthornmount-rollout/src/evidence/mod.rs
+++ b/crates/hawthornmount-rollout/src/evidence/mod.rs
@@ -6,6 +6,8 @@
 pub mod season;
 pub mod signal;
 
+mod wire;
+
 pub use signal::Signal;
 
 use {
@@ -26,7 +28,7 @@
     pub version: VersionId,
     /// Generation of the version; a raised one starts from nothing.
     pub generation: u64,
-    /// Server that answered.
+    /// Server that answered; the data centre, for a stable version where there are several.
     pub server: ServerId,
     /// Instance that observed.
     pub instance: InstanceId,
@@ -39,11 +41,12 @@
 pub struct Count {
     /// Observations.
     pub seen: u64,
-    /// Sum of their badness, each from 0 to 1.
-    pub bad: f64,
+    /// Bad ones of them.
+    pub bad: u64,
     /// Blocks that were bet on.
     pub blocks: u64,
     /// Logarithm of the wealth of each bet.
+    #[serde(with = "wire")]
     pub wealth: Wealth,
 }
 
@@ -113,8 +116,9 @@
         cells.map(|cell| cell.tally.counts[signal as usize].seen).sum()
     }
 
-    /// Returns the logarithm of the e-value against a release, without the server that speaks most
-    /// against it when others know the release too: one bad server condemns no version.
+    /// Returns the logarithm of the e-value against a release. Where several servers know the
+    /// release, half of it has to stay without the server that speaks most against it: one bad
+    /// server condemns no version.
     pub fn against(&self, release: &Release, generation: u64, signal: Signal) -> f64 {
         let mut total: Wealth = [0.0; STAKES];
         let mut servers: Vec<(&ServerId, Wealth)> = Vec::new();
@@ -139,7 +143,7 @@
             bet::add(&mut rest, &part.map(|one| -one));
             bet::mean(&rest)
         });
-        without.fold(f64::INFINITY, f64::min)
+        bet::mean(&total).min(2.0 * without.fold(f64::INFINITY, f64::min))
     }
 
     /// Forgets what is of none of `kept`.
--- a/tests/testsuite/version.rs
+++ b/tests/testsuite/version/mod.rs
@@ -1,9 +1,16 @@
 //! Withdrawals, suspensions and orders, through real instances and engines.
 
+mod cut_off;
+mod explain;
+mod lossy;
+
 use {
     hawthornmount_demo::world::World,
     hawthornmount_fleet::config,
-    hawthornmount_http::{Body, Method, client::Client},
+    hawthornmount_http::{
+        Body, Method,
+        client::{Client, Error, Whole},
+    },
     hawthornmount_rollout::Judge,
     hawthornmount_standin::{
         engine::{Behaviour, Loaded},
@@ -40,7 +47,19 @@
     config::apply(&store, value, revision, "patch").await.expect("the change is accepted");
 }
 
+/// Returns the patch that withdraws the stable version of the small model.
+fn withdrawal() -> Value {
+    json!({ "models": { "draft-small": {
+        "stable": "v2",
+        "versions": { "v1": { "state": "withdrawn" }, "v2": { "state": "proven" } },
+    } } })
+}
+
 async fn ask(client: &Client, address: SocketAddr) {
+    let _ = call(client, address).await;
+}
+
+async fn call(client: &Client, address: SocketAddr) -> Result<Whole, Error> {
     let body = json!({
         "model": "draft-small",
         "messages": [{ "role": "user", "content": "hello" }],
@@ -52,7 +71,7 @@
         .header("authorization", "Bearer demo-municipal")
         .body(Body::from(body.to_string()))
         .expect("the request is valid");
-    let _ = client.call(address, request, TIMEOUT).await;
+    client.call(address, request, TIMEOUT).await
 }
 
 /// Sends requests to every instance until it is dropped.
@@ -104,14 +123,7 @@
     let world = World::start().await.expect("the demo starts");
     let load = Load::start(&world);
     until("v1 runs", || runs(&world, "v1") > 20).await;
-    patch(
-        &world,
-        &json!({ "models": { "draft-small": {
-            "stable": "v2",
-            "versions": { "v1": { "state": "withdrawn" }, "v2": { "state": "proven" } },
-        } } }),
-    )
-    .await;
+    patch(&world, &withdrawal()).await;
     tokio::time::sleep(BOUND).await;
     let (before, other) = (runs(&world, "v1"), runs(&world, "v2"));
     tokio::time::sleep(Duration::from_secs(1)).await;
