Add the soak: nine instances, random faults from a seed, ten promises checked by name

Cause: nothing showed that the promises hold together while instances, store and versions fail. Conclusion: the promises are checked one by one; partitions are left until the fleet has them.

--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! The experiments and what they have in common.
 
+mod soak;
+
 use {
     crate::{figure::Result as Outcome, plot::Plot},
     derive_more::{Display, Error},
@@ -53,7 +55,11 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "soak",
+    summary: "every promise under a mixed load and random faults, nine instances",
+    run: soak::run,
+}];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- /dev/null
+++ b/crates/hawthornmount-bench/src/experiment/soak/fault.rs
@@ -0,0 +1,216 @@
+//! Random faults from a seed, one at a time or two at once.
+
+use {
+    super::{Fleet, Operator},
+    hawthornmount_core::table::Table,
+    hawthornmount_demo::{check::promise::Span, world::World},
+    hawthornmount_standin::engine::Behaviour,
+    parking_lot::Mutex,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Every how many rounds two faults come at once.
+const PAIR_EVERY: usize = 3;
+/// Time between two rounds.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Time that a server is listed as leaving.
+const LEAVING: Duration = Duration::from_millis(6_500);
+/// Time that the other faults last.
+const LASTING: Duration = Duration::from_millis(2_500);
+/// Delay of the store while it is well.
+const STORE_DELAY: Duration = Duration::from_millis(2);
+/// Delay of the store while it is slow.
+const SLOW_STORE_DELAY: Duration = Duration::from_millis(60);
+/// Answers that the store loses.
+const LOST_ANSWERS: u32 = 8;
+/// Model that turns bad.
+const MODEL: &str = "draft-small";
+/// Version that turns bad.
+const VERSION: &str = "v2";
+
+/// Kind of a fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// An instance is killed and replaced.
+    Kill,
+    /// An instance is stopped gracefully and replaced.
+    Stop,
+    /// The store refuses every call.
+    StoreDown,
+    /// The store's answers are lost after they took effect.
+    StoreLoses,
+    /// The store is slow.
+    StoreSlow,
+    /// Watches of the store say nothing.
+    WatchSilent,
+    /// The platform lists a server as leaving.
+    ServerLeaves,
+    /// A version turns bad.
+    BadVersion,
+    /// An operator changes the configuration.
+    ConfigChange,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 9] = [
+        Self::Kill,
+        Self::Stop,
+        Self::StoreDown,
+        Self::StoreLoses,
+        Self::StoreSlow,
+        Self::WatchSilent,
+        Self::ServerLeaves,
+        Self::BadVersion,
+        Self::ConfigChange,
+    ];
+
+    /// Returns the name for figures.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Kill => "kill",
+            Self::Stop => "stop",
+            Self::StoreDown => "store down",
+            Self::StoreLoses => "store loses answers",
+            Self::StoreSlow => "store slow",
+            Self::WatchSilent => "watch silent",
+            Self::ServerLeaves => "server leaves",
+            Self::BadVersion => "bad version",
+            Self::ConfigChange => "configuration change",
+        }
+    }
+}
+
+/// What was injected.
+#[derive(Clone, Debug, Default)]
+pub struct Injected {
+    /// Faults by kind.
+    pub counts: Table<u32>,
+    /// Times in which servers were listed as leaving.
+    pub leaving: Vec<Span>,
+    /// Times in which versions may have been suspended.
+    pub suspended: Vec<Span>,
+}
+
+/// Injects faults.
+pub struct Faults {
+    world: Arc<World>,
+    fleet: Arc<Fleet>,
+    operator: Arc<Operator>,
+    rng: SmallRng,
+    injected: Mutex<Injected>,
+}
+
+impl Faults {
+    /// Creates the faults of a seed.
+    pub fn new(world: Arc<World>, fleet: Arc<Fleet>, operator: Arc<Operator>, seed: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { world, fleet, operator, rng, injected: Mutex::default() }
+    }
+
+    /// Injects faults until `end`: each kind once in a shuffled order, then again.
+    pub async fn run(mut self, end: Instant) -> Injected {
+        let mut order: Vec<Kind> = Vec::new();
+        let mut round = 0;
+        while Instant::now() < end {
+            tokio::time::sleep(PAUSE).await;
+            round += 1;
+            let first = self.next(&mut order);
+            if round % PAIR_EVERY > 0 {
+                let mut rng = self.fork();
+                self.inject(first, &mut rng).await;
+                continue;
+            }
+            let second = self.next(&mut order);
+            let (mut one, mut other) = (self.fork(), self.fork());
+            tokio::join!(self.inject(first, &mut one), self.inject(second, &mut other));
+        }
+        self.injected.into_inner()
+    }
+
+    fn next(&mut self, order: &mut Vec<Kind>) -> Kind {
+        if order.is_empty() {
+            order.extend(Kind::ALL);
+            for at in (1..order.len()).rev() {
+                let other = self.rng.random_range(0..=at);
+                order.swap(at, other);
+            }
+        }
+        order.pop().unwrap_or(Kind::Kill)
+    }
+
+    fn fork(&mut self) -> SmallRng {
+        SmallRng::seed_from_u64(self.rng.random())
+    }
+
+    async fn inject(&self, kind: Kind, rng: &mut SmallRng) {
+        self.count(kind);
+        let store = self.world.store.faults();
+        match kind {
+            Kind::Kill => self.fleet.kill(rng).await,
+            Kind::Stop => self.fleet.stop(rng).await,
+            Kind::StoreDown => {
+                store.set_down(true);
+                tokio::time::sleep(LASTING).await;
+                store.set_down(false);
+            }
+            Kind::StoreLoses => store.lose_answers(LOST_ANSWERS),
+            Kind::StoreSlow => {
+                store.set_delay(SLOW_STORE_DELAY);
+                tokio::time::sleep(LASTING).await;
+                store.set_delay(STORE_DELAY);
+            }
+            Kind::WatchSilent => {
+                store.set_watch_silent(true);
+                tokio::time::sleep(LASTING).await;
+                store.set_watch_silent(false);
+            }
+            Kind::ServerLeaves => self.server_leaves(rng).await,
+            Kind::BadVersion => self.bad_version().await,
+            Kind::ConfigChange => self.operator.change().await,
+        }
+    }
+
+    async fn server_leaves(&self, rng: &mut SmallRng) {
+        let engines = &self.world.engines;
+        let server = engines[rng.random_range(0..engines.len())].id.clone();
+        let from = Instant::now();
+        self.fleet.set_leaving(&server, true);
+        tokio::time::sleep(LEAVING).await;
+        let until = Some(Instant::now());
+        self.fleet.set_leaving(&server, false);
+        self.injected.lock().leaving.push(Span { what: server, from, until });
+    }
+
+    async fn bad_version(&self) {
+        let what = format!("{MODEL}@{VERSION}").into();
+        let span = Span { what, from: Instant::now(), until: None };
+        self.injected.lock().suspended.push(span);
+        self.set_quality(0.05, 0.5);
+        tokio::time::sleep(LASTING).await;
+        self.set_quality(0.8, 0.01);
+    }
+
+    fn set_quality(&self, quality: f64, error_rate: f64) {
+        for named in &self.world.engines {
+            let behaviour = Behaviour {
+                quality,
+                error_rate,
+                first_token: Duration::from_millis(10),
+                per_token: Duration::from_millis(1),
+            };
+            named.engine.set_behaviour(MODEL, VERSION, behaviour);
+        }
+    }
+
+    fn count(&self, kind: Kind) {
+        let mut injected = self.injected.lock();
+        let name = kind.as_str();
+        let count = injected.counts.get(name).copied().unwrap_or(0);
+        injected.counts.insert(name.into(), count + 1);
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-bench/src/experiment/soak/traffic.rs
@@ -0,0 +1,87 @@
+//! The soak's mixed load.
+
+use {
+    super::Fleet,
+    crate::load::{Open, Outcome as Counted, Tally},
+    hawthornmount_demo::{
+        check::promise::Sent,
+        load::{Ask, Caller, Done, Kind, Outcome, asks},
+    },
+    parking_lot::Mutex,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Requests a second.
+const RATE: f64 = 120.0;
+/// Requests in flight at the most.
+const IN_FLIGHT: usize = 512;
+/// Time that one request may take with its repetitions.
+const TIMEOUT: Duration = Duration::from_secs(60);
+/// Requests after which callers begin new sessions.
+const SESSION_EVERY: usize = 600;
+/// Times that a caller sends a submission again that it has no answer to.
+const REPETITIONS: usize = 2;
+/// Pause before a submission is sent again.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Sends the load and returns each request with what came of it.
+pub async fn run(fleet: Arc<Fleet>, seed: u64, duration: Duration) -> (Vec<Sent>, Tally) {
+    let open = Open { rate: RATE, duration, seed, in_flight: IN_FLIGHT, timeout: TIMEOUT };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let asks = asks(&mut rng, open.arrivals().len());
+    let sent = Arc::new(Mutex::new(Vec::new()));
+    let caller = Caller::new();
+    let call = |number: u64| {
+        let at = usize::try_from(number).unwrap_or(usize::MAX);
+        let ask = renewed(&asks[at], at / SESSION_EVERY);
+        let rng = SmallRng::seed_from_u64(seed ^ number);
+        one(fleet.clone(), caller.clone(), ask, rng, sent.clone())
+    };
+    let tally = open.run(call).await;
+    let sent = std::mem::take(&mut *sent.lock());
+    (sent, tally)
+}
+
+/// Sends one request, and a submission again if no answer came.
+async fn one(
+    fleet: Arc<Fleet>,
+    caller: Caller,
+    ask: Ask,
+    mut rng: SmallRng,
+    sent: Arc<Mutex<Vec<Sent>>>,
+) -> Counted {
+    let mut counted = Counted::Failed;
+    for _ in 0..=REPETITIONS {
+        let Some(target) = fleet.pick(&mut rng) else { return Counted::Failed };
+        let at = Instant::now();
+        let done = caller.clone().ask(target.address, ask.clone()).await;
+        counted = count(&done, at);
+        sent.lock().push(Sent { instance: target.life, at, ended: Instant::now(), done });
+        let is_submission = matches!(ask.kind, Kind::Submission(_));
+        if !is_submission || matches!(counted, Counted::Answered { .. }) {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    counted
+}
+
+fn count(done: &Done, at: Instant) -> Counted {
+    match &done.outcome {
+        Outcome::Answered(answered) => {
+            Counted::Answered { first: Some((at + answered.first).into()) }
+        }
+        Outcome::Refused(_) => Counted::Refused,
+        Outcome::Failed => Counted::Failed,
+    }
+}
+
+/// Returns the request with the session's name of this part of the run.
+fn renewed(ask: &Ask, part: usize) -> Ask {
+    let session = ask.session.as_ref().map(|session| format!("{session}-{part}").into());
+    Ask { session, ..ask.clone() }
+}
--- a/crates/hawthornmount-demo/src/check/mod.rs
+++ b/crates/hawthornmount-demo/src/check/mod.rs
@@ -1,5 +1,7 @@
 //! Checks of what came of a load against what the stand-ins really did.
 
+pub mod promise;
+
 use {
     crate::{
         load::{Answered, Done, Kind, Outcome},
--- a/crates/hawthornmount-demo/src/load/caller.rs
+++ b/crates/hawthornmount-demo/src/load/caller.rs
@@ -5,12 +5,13 @@
         Done,
         plan::{Ask, Kind},
     },
-    hawthornmount_core::problem::Document,
+    hawthornmount_core::problem::{Document, Ran},
     hawthornmount_http::{
         Body, HeaderMap, Method, Request, Response, StatusCode,
         client::{self, Client},
     },
     http_body_util::BodyExt,
+    serde::Deserialize,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -47,6 +48,10 @@
 pub struct Refused {
     /// Stable reason.
     pub reason: Arc<str>,
+    /// Id that the instance gave to the request.
+    pub request: Arc<str>,
+    /// Whether the request may have run.
+    pub ran: Ran,
 }
 
 /// What came of a request.
@@ -54,23 +59,25 @@
 pub enum Outcome {
     /// An answer.
     Answered(Answered),
-    /// A refusal.
+    /// A refusal, or a stream that ended with an explicit error event.
     Refused(Refused),
-    /// Neither: the connection broke or the stream ended in an error.
+    /// Neither: the connection broke.
     Failed,
 }
 
 /// A caller with its connections.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Caller {
     client: Client,
 }
 
 impl Caller {
+    /// Creates a caller.
     pub fn new() -> Self {
         Self { client: Client::new() }
     }
 
+    /// Sends a request to an instance and reads what comes back.
     pub async fn ask(self, address: SocketAddr, ask: Ask) -> Done {
         let call = self.call(address, &ask);
         let outcome = tokio::time::timeout(TIMEOUT, call).await.unwrap_or(Outcome::Failed);
@@ -125,8 +132,10 @@
             read.text.contains("accepted") && (replayed || read.text.contains(&*request))
         }
     };
-    if matches!(ask.kind, Kind::Stream) && read.text.contains("event: error") {
-        return Outcome::Failed;
+    if matches!(ask.kind, Kind::Stream)
+        && let Some((_, event)) = read.text.split_once("event: error\n")
+    {
+        return error_event(event);
     }
     Outcome::Answered(Answered {
         request,
@@ -145,8 +154,24 @@
         return Outcome::Failed;
     };
     let document: Option<Document> = serde_json::from_slice(&body).ok();
-    document
-        .map_or(Outcome::Failed, |document| Outcome::Refused(Refused { reason: document.reason }))
+    document.map_or(Outcome::Failed, |document| Outcome::Refused(document.into()))
+}
+
+#[derive(Deserialize)]
+struct ErrorEvent {
+    error: Document,
+}
+
+fn error_event(event: &str) -> Outcome {
+    let data = event.lines().find_map(|line| line.strip_prefix("data:")).unwrap_or_default();
+    let event: Option<ErrorEvent> = serde_json::from_str(data).ok();
+    event.map_or(Outcome::Failed, |event| Outcome::Refused(event.error.into()))
+}
+
+impl From<Document> for Refused {
+    fn from(document: Document) -> Self {
+        Self { reason: document.reason, request: document.request_id, ran: document.ran }
+    }
 }
 
 fn request(ask: &Ask) -> Option<Request> {
@@ -158,7 +183,7 @@
     }
     let completion = |stream: bool| {
         let body = serde_json::json!({
-            "messages": [{ "role": "user", "content": "Draft a note on a stairlift grant." }],
+            "messages": [{ "role": "user", "content": prompt(ask.account.id) }],
             "max_tokens": ask.max_tokens,
             "stream": stream,
         });
@@ -181,6 +206,11 @@
     builder.body(body).ok()
 }
 
+/// Returns the prompt, which tells the account so that the engines' runs can be told apart.
+pub fn prompt(account: &str) -> String {
+    format!("For {account}: draft a note on a stairlift grant.")
+}
+
 fn quality(text: &str) -> Option<f64> {
     text.split_once("[quality ")?.1.split(']').next()?.parse().ok()
 }
--- a/crates/hawthornmount-demo/src/load/mod.rs
+++ b/crates/hawthornmount-demo/src/load/mod.rs
@@ -4,12 +4,11 @@
 mod plan;
 
 pub use {
-    caller::{Answered, Outcome, Refused},
-    plan::{ACCOUNTS, Account, Ask, Kind},
+    caller::{Answered, Caller, Outcome, Refused, prompt},
+    plan::{ACCOUNTS, Account, Ask, Kind, asks},
 };
 
 use {
-    caller::Caller,
     futures::{StreamExt, stream},
     rand::{SeedableRng, rngs::SmallRng},
     std::net::SocketAddr,
@@ -36,7 +35,7 @@
     mut progress: impl FnMut(usize),
 ) -> Vec<Done> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let asks = plan::asks(&mut rng, count);
+    let asks = asks(&mut rng, count);
     let caller = Caller::new();
     let calls: Vec<_> = asks
         .into_iter()
--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -23,12 +23,29 @@
     },
 };
 
-/// Data centres of the demo.
-pub const DATA_CENTRES: [&str; 2] = ["attica-a", "macedonia-a"];
-/// Entry instances in each data centre.
-const INSTANCES_EACH: usize = 2;
-/// Engines in each data centre.
-const ENGINES_EACH: usize = 2;
+/// Size of a [`World`].
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Data centres, one a region.
+    pub data_centres: &'static [&'static str],
+    /// Entry instances in each data centre.
+    pub instances_each: usize,
+    /// Engines in each data centre.
+    pub engines_each: usize,
+}
+
+impl Shape {
+    /// Two data centres with two instances each.
+    pub const DEMO: Self =
+        Self { data_centres: &["attica-a", "macedonia-a"], instances_each: 2, engines_each: 2 };
+    /// Three data centres with three instances each, the largest size of today.
+    pub const FLEET: Self = Self {
+        data_centres: &["attica-a", "macedonia-a", "crete-a"],
+        instances_each: 3,
+        engines_each: 2,
+    };
+}
+
 /// Requests that an engine runs at a time.
 pub(crate) const ENGINE_SLOTS: u32 = 16;
 /// Delay of the stand-in store.
@@ -70,6 +87,8 @@
 
 /// Stand-ins and entry instances, started together.
 pub struct World {
+    /// Size of the world.
+    pub shape: Shape,
     /// The platform's key-value service.
     pub store: Store,
     /// The platform's list of instances.
@@ -91,14 +110,24 @@
     ///
     /// Returns an error if something can't start or the instances do not become ready.
     pub async fn start() -> Result<Self, Error> {
+        Self::start_with(Shape::DEMO).await
+    }
+
+    /// Starts everything in another size and publishes the example folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something can't start or the instances do not become ready.
+    pub async fn start_with(shape: Shape) -> Result<Self, Error> {
         let store = Store::start(any_port()).await?;
         store.faults().set_delay(STORE_DELAY);
         let mut world = Self {
             list: List::start(any_port()).await?,
             rating: Rating::start(any_port()).await?,
             service: Service::start(any_port()).await?,
-            engines: engines().await?,
+            engines: engines(shape).await?,
             instances: Vec::new(),
+            shape,
             store,
         };
         world.publish().await?;
@@ -133,8 +162,17 @@
         self.instances.iter().map(Instance::callers).collect()
     }
 
+    /// Returns the merged value of the example folder with the started servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the example folder is not valid.
+    pub fn merged(&self) -> Result<serde_json::Value, Error> {
+        Ok(merge::merge_sources(&source::sources(self))?)
+    }
+
     async fn publish(&self) -> Result<(), Error> {
-        let value = merge::merge_sources(&source::sources(self))?;
+        let value = self.merged()?;
         merge::from_value(value.clone())?;
         let store = Etcd::new(vec![self.store.address()]);
         config::apply(&store, value, 0, &id::fresh("apply")).await?;
@@ -142,33 +180,28 @@
     }
 
     fn start_instances(&mut self) -> Result<(), Error> {
-        for data_centre in DATA_CENTRES {
-            for number in 1..=INSTANCES_EACH {
+        for data_centre in self.shape.data_centres {
+            for number in 1..=self.shape.instances_each {
                 self.instances.push(Instance::start(self.settings(data_centre, number))?);
             }
         }
         Ok(())
     }
 
-    fn listed(&self) -> Vec<Listed> {
-        let entries = self.instances.iter().map(|instance| {
-            let settings = &instance.parts().settings;
-            Listed {
-                id: settings.instance.clone(),
-                kind: Kind::Entry,
-                address: settings.fleet,
-                data_centre: settings.data_centre.clone(),
-                state: State::Live,
-            }
-        });
-        let servers = self.engines.iter().map(|named| Listed {
+    /// Returns what the platform lists while nothing leaves.
+    pub fn listed(&self) -> Vec<Listed> {
+        self.instances.iter().map(entry).chain(self.listed_servers()).collect()
+    }
+
+    /// Returns what the platform lists of the engines while none leaves.
+    pub fn listed_servers(&self) -> impl Iterator<Item = Listed> {
+        self.engines.iter().map(|named| Listed {
             id: named.id.clone(),
             kind: Kind::Server,
             address: named.engine.address(),
             data_centre: named.data_centre.clone(),
             state: State::Live,
-        });
-        entries.chain(servers).collect()
+        })
     }
 
     async fn wait_ready(&self) -> Result<(), Error> {
@@ -182,17 +215,30 @@
         Ok(())
     }
 
-    fn is_ready(&self, instance: &Instance) -> bool {
+    /// Tells whether an instance knows every server to be up.
+    pub fn is_ready(&self, instance: &Instance) -> bool {
         let backends = &instance.parts().cell.load().backends;
         let up = backends.iter().filter(|backend| backend.health == Health::Up).count();
         up == self.engines.len() + 1
     }
 }
 
-async fn engines() -> Result<Vec<NamedEngine>, Error> {
+/// Returns what the platform lists of a live instance.
+pub fn entry(instance: &Instance) -> Listed {
+    let settings = &instance.parts().settings;
+    Listed {
+        id: settings.instance.clone(),
+        kind: Kind::Entry,
+        address: settings.fleet,
+        data_centre: settings.data_centre.clone(),
+        state: State::Live,
+    }
+}
+
+async fn engines(shape: Shape) -> Result<Vec<NamedEngine>, Error> {
     let mut engines = Vec::new();
-    for data_centre in DATA_CENTRES {
-        for number in 1..=ENGINES_EACH {
+    for &data_centre in shape.data_centres {
+        for number in 1..=shape.engines_each {
             let loaded = [("draft-large", "v1"), ("draft-small", "v1"), ("draft-small", "v2")];
             let loaded = loaded
                 .map(|(model, version)| Loaded { model: model.into(), version: version.into() });
--- a/crates/hawthornmount-demo/src/world/source.rs
+++ b/crates/hawthornmount-demo/src/world/source.rs
@@ -1,16 +1,17 @@
 //! Files of the demo's configuration: the example folder and one with the started servers.
 
 use {
-    super::{ENGINE_SLOTS, World},
+    super::{ENGINE_SLOTS, Shape, World},
     hawthornmount_core::merge::Source,
     serde_json::{Map, Value, json},
-    std::net::SocketAddr,
 };
 
 const PLACES: &str = include_str!("../../../../examples/config/10-places.jsonc");
 const MODELS: &str = include_str!("../../../../examples/config/20-models.jsonc");
 const ACCOUNTS: &str = include_str!("../../../../examples/config/30-accounts.jsonc");
 
+/// Price of a megabyte to or from another region, in micro-units.
+const TRANSFER_PRICE: u64 = 20_000;
 /// Calls that the plain service runs at a time.
 const SERVICE_SLOTS: u32 = 64;
 
@@ -20,10 +21,20 @@
         source("10-places.jsonc", PLACES),
         source("20-models.jsonc", MODELS),
         source("30-accounts.jsonc", ACCOUNTS),
+        source("40-more-places.json", &places(world.shape).to_string()),
         source("90-servers.json", &servers(world).to_string()),
     ]
 }
 
+/// Returns the data centres, each in a region of its own.
+fn places(shape: Shape) -> Value {
+    let place = |name: &&str| {
+        let region = name.trim_end_matches("-a");
+        ((*name).to_owned(), json!({ "region": region, "transfer_price": TRANSFER_PRICE }))
+    };
+    json!({ "data_centres": shape.data_centres.iter().map(place).collect::<Map<_, _>>() })
+}
+
 fn source(name: &str, text: &str) -> Source {
     Source { name: name.into(), text: text.into() }
 }
@@ -40,14 +51,14 @@
         });
         servers.insert(named.id.to_string(), server);
     }
-    servers.insert("grant-portal-1".to_owned(), portal(world.service.address()));
+    servers.insert("grant-portal-1".to_owned(), portal(world));
     json!({ "servers": servers })
 }
 
-fn portal(address: SocketAddr) -> Value {
+fn portal(world: &World) -> Value {
     json!({
-        "address": address,
-        "data_centre": super::DATA_CENTRES[0],
+        "address": world.service.address(),
+        "data_centre": world.shape.data_centres[0],
         "slots": SERVICE_SLOTS,
         "services": ["grant-portal"],
     })
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -13,7 +13,7 @@
     serde::{Deserialize, Serialize},
     std::{
         sync::{Arc, atomic::Ordering},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::mpsc,
 };
@@ -22,6 +22,8 @@
 const DEFAULT_TOKENS: u64 = 16;
 /// Characters of a token, roughly.
 const CHARS_PER_TOKEN: usize = 4;
+/// Characters of the prompt that the record of a run keeps.
+const KEPT_PROMPT: usize = 80;
 /// Events that wait for a slow reader.
 const EVENT_BACKLOG: usize = 8;
 
@@ -65,6 +67,7 @@
     version: Arc<str>,
     completion: Completion,
 ) -> Response {
+    let at = Instant::now();
     let loaded = Loaded { model: completion.model.clone(), version };
     if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
         return not_run();
@@ -80,7 +83,9 @@
     }
     let good = rand::rng().random_bool(behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
-    shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
+    let run = Run { request: id.clone(), at, prompt: prompt(&completion), loaded, quality };
+    shared.runs.lock().push(run.clone());
+    let loaded = run.loaded;
     let work = Work { id, loaded, quality, behaviour_per_token: behaviour.per_token, completion };
     if work.completion.stream {
         let (sender, body) = body::channel(EVENT_BACKLOG);
@@ -97,6 +102,11 @@
     response
 }
 
+fn prompt(completion: &Completion) -> Arc<str> {
+    let first = completion.messages.first().map_or("", |message| &message.content);
+    first.chars().take(KEPT_PROMPT).collect::<String>().into()
+}
+
 struct Load(Arc<Shared>);
 
 impl Load {
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -26,7 +26,7 @@
             Arc,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::Semaphore,
 };
@@ -71,6 +71,10 @@
 pub struct Run {
     /// Request id that came with it.
     pub request: Arc<str>,
+    /// When it came.
+    pub at: Instant,
+    /// First characters of the prompt.
+    pub prompt: Arc<str>,
     /// Version that ran.
     pub loaded: Loaded,
     /// Quality of the answer, from 0 to 1.
