--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! The experiments and what they have in common.
 
+mod added_cost;
 mod soak;
 
 use {
@@ -55,11 +56,18 @@
 }
 
 /// Every experiment, in order of their names.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "soak",
-    summary: "every promise under a mixed load and random faults, nine instances",
-    run: soak::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "added-cost",
+        summary: "what the router adds to a completion against a bare pass-through",
+        run: added_cost::run,
+    },
+    Experiment {
+        name: "soak",
+        summary: "every promise under a mixed load and random faults, nine instances",
+        run: soak::run,
+    },
+];
 
 /// Returns the experiment with this name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -229,7 +229,7 @@
     Listed {
         id: settings.instance.clone(),
         kind: Kind::Entry,
-        address: settings.fleet,
+        address: instance.frames(),
         data_centre: settings.data_centre.clone(),
         state: State::Live,
     }
--- a/crates/hawthornmount-demo/tests/promise.rs
+++ b/crates/hawthornmount-demo/tests/promise.rs
@@ -160,6 +160,7 @@
         replayed: false,
         whole: true,
         quality: None,
+        tokens: None,
         first: Duration::ZERO,
         total: Duration::ZERO,
     })
