--- a/crates/hawthornmount-bench/src/experiment/soak/operator.rs
+++ b/crates/hawthornmount-bench/src/experiment/soak/operator.rs
@@ -6,7 +6,7 @@
         check::promise::{Accept, Span},
         world::World,
     },
-    hawthornmount_fleet::config::{self, ApplyError},
+    hawthornmount_fleet::config,
     hawthornmount_store::etcd::Etcd,
     serde_json::{Value, json},
     std::time::{Duration, Instant},
@@ -97,9 +97,6 @@
         if *record.apply_id == *apply_id {
             return Some(base);
         }
-        match config::apply(&self.store, value.clone(), base, apply_id).await {
-            Ok(revision) => Some(revision),
-            Err(ApplyError::Conflict { .. } | ApplyError::Store { .. }) => None,
-        }
+        config::apply(&self.store, value.clone(), base, apply_id).await.ok()
     }
 }
--- a/crates/hawthornmount-demo/tests/promise.rs
+++ b/crates/hawthornmount-demo/tests/promise.rs
@@ -160,7 +160,7 @@
         replayed: false,
         whole: true,
         quality: None,
-        tokens: None,
+        tokens: 0,
         first: Duration::ZERO,
         total: Duration::ZERO,
     })
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -77,7 +77,7 @@
     let Ok(permit) = shared.slots.clone().acquire_owned().await else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
-    tokio::time::sleep(behaviour.first_token).await;
+    pause(behaviour.first_token).await;
     if rand::rng().random_bool(behaviour.error_rate) {
         return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
     }
@@ -107,6 +107,13 @@
     first.chars().take(KEPT_PROMPT).collect::<String>().into()
 }
 
+/// Waits; the timer's resolution is a millisecond, so no time at all has to pass it by.
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        tokio::time::sleep(duration).await;
+    }
+}
+
 struct Load(Arc<Shared>);
 
 impl Load {
@@ -154,8 +161,7 @@
 
     async fn whole(&self) -> Response {
         let tokens = self.tokens();
-        tokio::time::sleep(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX))
-            .await;
+        pause(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX)).await;
         let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
         let body = serde_json::json!({
             "id": &*self.id,
@@ -179,7 +185,7 @@
                 return;
             }
             if at > 0 {
-                tokio::time::sleep(self.behaviour_per_token).await;
+                pause(self.behaviour_per_token).await;
             }
             let delta = serde_json::json!({ "content": self.word(at) });
             if sender.send(self.event(&delta, None)).await.is_err() {
