Fuzz the readers of outside bytes; read a completion's prompt once

Cause: settings, folder files, store answers, frames and server-sent events come from outside and had no properties; each filter hashed the prompt again and copied the whole body to set its model.

--- a/crates/hawthornmount-bench/src/experiment/soak/fault.rs
+++ b/crates/hawthornmount-bench/src/experiment/soak/fault.rs
@@ -112,7 +112,8 @@
         Self { world, fleet, operator, rng, injected: Mutex::default() }
     }
 
-    /// Injects faults until `end`: each kind once in a shuffled order, then again.
+    /// Injects faults until `end`: each kind once in a shuffled order, then again; in the rounds
+    /// between the pairs every other one has an operator's change for company.
     pub async fn run(mut self, end: Instant) -> Injected {
         let mut order: Vec<Kind> = Vec::new();
         let mut round = 0;
@@ -122,7 +123,12 @@
             let first = self.next(&mut order);
             if round % PAIR_EVERY > 0 {
                 let mut rng = self.fork();
-                self.inject(first, &mut rng).await;
+                let change = async {
+                    if round % PAIR_EVERY == 1 && first != Kind::ConfigChange {
+                        self.inject(Kind::ConfigChange, &mut SmallRng::seed_from_u64(0)).await;
+                    }
+                };
+                tokio::join!(self.inject(first, &mut rng), change);
                 continue;
             }
             let second = self.next(&mut order);
--- a/crates/hawthornmount-core/src/id/mod.rs
+++ b/crates/hawthornmount-core/src/id/mod.rs
@@ -1,9 +1,6 @@
 //! Names of things, as type aliases over shared text, and the generator of request ids.
 
-use {
-    rand::RngExt,
-    std::{fmt::Write, sync::Arc},
-};
+use {rand::RngExt, std::sync::Arc};
 
 /// Name of a client account.
 pub type AccountId = Arc<str>;
@@ -34,6 +31,8 @@
 /// Name of a version of a model.
 pub type VersionId = Arc<str>;
 
+/// Digits of hexadecimal numbers.
+const HEX: &[u8; 16] = b"0123456789abcdef";
 /// Bytes of randomness in a generated id.
 const RANDOM_BYTES: usize = 16;
 
@@ -44,7 +43,8 @@
     text.push_str(prefix);
     text.push('-');
     for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
+        text.push(char::from(HEX[usize::from(byte >> 4)]));
+        text.push(char::from(HEX[usize::from(byte & 0xf)]));
     }
     text.into()
 }
--- a/crates/hawthornmount-entry/src/exchange/completion.rs
+++ b/crates/hawthornmount-entry/src/exchange/completion.rs
@@ -3,6 +3,7 @@
 use {
     bytes::Bytes,
     hawthornmount_core::{id::ModelId, problem::Problem, reason::Refusal},
+    serde::{Serialize, Serializer, ser::SerializeMap},
     serde_json::{Map, Value},
     std::sync::Arc,
 };
@@ -13,6 +14,8 @@
 const CHARS_PER_TOKEN: u64 = 4;
 /// Bytes of the first message that cache affinity looks at.
 const PREFIX_BYTES: usize = 256;
+/// Field that names the model.
+const MODEL: &str = "model";
 /// Bytes of a hash that are used as a number.
 const HASH_BYTES: usize = 8;
 
@@ -25,6 +28,8 @@
     pub stream: bool,
     /// Largest number of tokens of the answer.
     pub max_tokens: u64,
+    prefix: u64,
+    prompt_tokens: u64,
     fields: Map<String, Value>,
 }
 
@@ -43,7 +48,7 @@
         if !fields.get("messages").is_some_and(Value::is_array) {
             return Err(malformed("messages is missing: give an array of messages".to_owned()));
         }
-        let model = match fields.get("model") {
+        let model = match fields.get(MODEL) {
             None => None,
             Some(Value::String(name)) if name == Self::AUTO => None,
             Some(Value::String(name)) => Some(name.as_str().into()),
@@ -56,38 +61,59 @@
         };
         let max_tokens =
             fields.get("max_tokens").and_then(Value::as_u64).unwrap_or(DEFAULT_MAX_TOKENS);
-        Ok(Self { model, stream, max_tokens, fields })
+        let prefix = prefix_hash(contents(&fields).next().unwrap_or_default());
+        let chars: usize = contents(&fields).map(str::len).sum();
+        let prompt_tokens = chars as u64 / CHARS_PER_TOKEN;
+        Ok(Self { model, stream, max_tokens, prefix, prompt_tokens, fields })
     }
 
     /// Returns the body with the model set to `model`.
     pub fn body_for(&self, model: &str) -> Bytes {
-        let mut fields = self.fields.clone();
-        fields.insert("model".to_owned(), Value::String(model.to_owned()));
-        serde_json::to_vec(&fields).unwrap_or_default().into()
+        let body = WithModel { fields: &self.fields, model };
+        serde_json::to_vec(&body).unwrap_or_default().into()
     }
 
     /// Returns a hash of the prompt's first bytes.
-    pub fn prefix(&self) -> u64 {
-        let first = self.contents().next().unwrap_or_default();
-        let bytes = &first.as_bytes()[..first.len().min(PREFIX_BYTES)];
-        let hash = blake3::hash(bytes);
-        let mut number = [0; HASH_BYTES];
-        number.copy_from_slice(&hash.as_bytes()[..HASH_BYTES]);
-        u64::from_le_bytes(number)
+    pub const fn prefix(&self) -> u64 {
+        self.prefix
     }
 
     /// Returns the tokens of the prompt, estimated.
-    pub fn prompt_tokens(&self) -> u64 {
-        let chars: usize = self.contents().map(str::len).sum();
-        chars as u64 / CHARS_PER_TOKEN
+    pub const fn prompt_tokens(&self) -> u64 {
+        self.prompt_tokens
     }
+}
+
+/// Body of a request whose model is another one than the caller's.
+struct WithModel<'a> {
+    fields: &'a Map<String, Value>,
+    model: &'a str,
+}
 
-    fn contents(&self) -> impl Iterator<Item = &str> {
-        let messages = self.fields.get("messages").and_then(Value::as_array);
-        messages.into_iter().flatten().filter_map(|message| message.get("content")?.as_str())
+impl Serialize for WithModel<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut map = serializer.serialize_map(None)?;
+        map.serialize_entry(MODEL, self.model)?;
+        for (name, value) in self.fields.iter().filter(|(name, _)| *name != MODEL) {
+            map.serialize_entry(name, value)?;
+        }
+        map.end()
     }
 }
 
+fn contents(fields: &Map<String, Value>) -> impl Iterator<Item = &str> {
+    let messages = fields.get("messages").and_then(Value::as_array);
+    messages.into_iter().flatten().filter_map(|message| message.get("content")?.as_str())
+}
+
+fn prefix_hash(content: &str) -> u64 {
+    let bytes = &content.as_bytes()[..content.len().min(PREFIX_BYTES)];
+    let hash = blake3::hash(bytes);
+    let mut number = [0; HASH_BYTES];
+    number.copy_from_slice(&hash.as_bytes()[..HASH_BYTES]);
+    u64::from_le_bytes(number)
+}
+
 fn malformed(detail: String) -> Problem {
     Problem::new(Refusal::Malformed, Arc::from(detail))
 }
--- /dev/null
+++ b/crates/hawthornmount-fleet/tests/bytes.rs
@@ -0,0 +1,50 @@
+//! Frames: what is sealed opens with the same key alone, and damaged bytes are refused.
+
+use {
+    hawthornmount_fleet::wire::{Frame, Key},
+    proptest::{
+        prelude::*,
+        test_runner::{TestRng, TestRunner},
+    },
+};
+
+/// Cases of each property; the seed is fixed.
+const CASES: u32 = 256;
+/// Largest frame that is opened, in bytes.
+const LIMIT: usize = 65_536;
+
+fn runner() -> TestRunner {
+    let config =
+        ProptestConfig { cases: CASES, failure_persistence: None, ..ProptestConfig::default() };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    TestRunner::new_with_rng(config, rng)
+}
+
+#[test]
+fn any_bytes_are_refused_or_read() {
+    let key = Key::new("the key of the test's fleet");
+    let check = |bytes: Vec<u8>| {
+        prop_assert!(key.open::<Frame>(&bytes, LIMIT).is_err(), "unsealed bytes were read");
+        Ok(())
+    };
+    let bytes = prop::collection::vec(any::<u8>(), 0..400);
+    runner().run(&bytes, check).expect("the reader holds");
+}
+
+#[test]
+fn a_changed_byte_or_another_key_is_refused() {
+    let (key, other) = (Key::new("the key of the test's fleet"), Key::new("another fleet's key"));
+    let check = |(text, at, change): (String, usize, u8)| {
+        let sealed = key.seal(&text);
+        prop_assert_eq!(key.open::<String>(&sealed, LIMIT).ok(), Some(text));
+        prop_assert!(other.open::<String>(&sealed, LIMIT).is_err());
+        let mut damaged = sealed.clone();
+        let at = at % damaged.len();
+        damaged[at] ^= change;
+        prop_assert!(key.open::<String>(&damaged, LIMIT).is_err());
+        prop_assert!(key.open::<String>(&sealed[..at], LIMIT).is_err());
+        Ok(())
+    };
+    let damage = (".{0,60}", any::<usize>(), 1u8..);
+    runner().run(&damage, check).expect("the frame holds");
+}
