--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments and what they have in common.
 
 mod added_cost;
+mod decision;
 mod soak;
 
 use {
@@ -62,6 +63,11 @@
         summary: "what the router adds to a completion against a bare pass-through",
         run: added_cost::run,
     },
+    Experiment {
+        name: "decision",
+        summary: "time of a routing decision over the size of the fleet",
+        run: decision::run,
+    },
     Experiment {
         name: "soak",
         summary: "every promise under a mixed load and random faults, nine instances",
--- a/crates/hawthornmount-entry/src/filter/send/attempt.rs
+++ b/crates/hawthornmount-entry/src/filter/send/attempt.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        answer::{Answer, Content, events},
+        answer::{self, Answer, Content, events},
         exchange::{Exchange, KEY_HEADER, Kind, REQUEST_HEADER},
         instance::Parts,
     },
     derive_more::{Display, Error},
     hawthornmount_core::{
+        metrics::Metrics,
         problem::Problem,
         reason::{Refusal, Retry},
         snapshot::Release,
@@ -18,7 +19,14 @@
         header,
     },
     hawthornmount_policy::Choice,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// Header with which a server says that it refused before running.
@@ -28,6 +36,11 @@
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// When a caller whose request failed should come back, unless the server says so.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a server may send callers away.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Debug, Display, Error)]
 pub enum Failure {
@@ -36,7 +49,7 @@
     Unreachable,
     /// The server said that it refused before running.
     #[display("the server refused before running")]
-    Refused,
+    Refused(#[error(not(source))] Option<Duration>),
     /// The server failed.
     #[display("the server failed with status {_0}")]
     Status(#[error(not(source))] u16),
@@ -54,14 +67,14 @@
 impl Failure {
     /// Tells whether the request can't have run.
     pub const fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused)
+        matches!(self, Self::Unreachable | Self::Refused(_))
     }
 
     /// Returns the reason of a retry after this failure.
     pub const fn retry(&self) -> Retry {
         match self {
             Self::Unreachable => Retry::Connect,
-            Self::Refused => Retry::ServerRefused,
+            Self::Refused(_) => Retry::ServerRefused,
             Self::Status(_) => Retry::ServerError,
             Self::Broken => Retry::CutAnswer,
             Self::Timeout => Retry::ServerTimeout,
@@ -69,10 +82,20 @@
         }
     }
 
+    /// Returns how counters name an answer that was dropped, if there may have been one.
+    const fn dropped(&self) -> Option<&'static str> {
+        match self {
+            Self::Unreachable | Self::Refused(_) | Self::Status(_) => None,
+            Self::Broken => Some("cut"),
+            Self::Timeout => Some("late"),
+            Self::BadAnswer(_) => Some("not_its_own"),
+        }
+    }
+
     /// Returns what the caller gets.
     pub fn problem(&self, idempotent: bool) -> Problem {
         let reason = match self {
-            Self::Unreachable | Self::Refused => Refusal::NoServer,
+            Self::Unreachable | Self::Refused(_) => Refusal::NoServer,
             Self::Status(_) | Self::Broken => Refusal::ServerFailed,
             Self::Timeout => Refusal::Deadline,
             Self::BadAnswer(_) => Refusal::BadAnswer,
@@ -82,7 +105,11 @@
         } else {
             "ask the service for the state before you send it again"
         };
-        let problem = Problem::new(reason, format!("{self}: {remedy}"));
+        let after = match self {
+            Self::Refused(Some(after)) => *after,
+            _ => RETRY_AFTER,
+        };
+        let problem = Problem::new(reason, format!("{self}: {remedy}")).retry_after(after);
         if self.is_unsent() { problem } else { problem.ran_unknown() }
     }
 }
@@ -94,7 +121,10 @@
     id: Arc<str>,
     request: Request,
     stream: bool,
+    completion: bool,
     timeout: Duration,
+    metrics: Metrics,
+    runs: Arc<AtomicUsize>,
 }
 
 impl Attempt {
@@ -131,7 +161,17 @@
         set_header(&mut request, "content-type", content_type);
         set_header(&mut request, REQUEST_HEADER, &id);
         let timeout = exchange.time_left().unwrap_or(Duration::ZERO);
-        Self { client: parts.client.clone(), address: choice.address, id, request, stream, timeout }
+        Self {
+            client: parts.client.clone(),
+            address: choice.address,
+            id,
+            request,
+            stream,
+            completion: matches!(exchange.kind, Kind::Completion(_)),
+            timeout,
+            metrics: parts.metrics.clone(),
+            runs: exchange.runs.clone(),
+        }
     }
 
     /// Sends the request and waits for the whole answer, or for the first event of a stream.
@@ -141,15 +181,29 @@
     /// Returns why there is no answer.
     pub async fn run(self) -> Result<Answer, Failure> {
         let timeout = self.timeout;
-        tokio::time::timeout(timeout, self.exchange()).await.unwrap_or(Err(Failure::Timeout))
+        let metrics = self.metrics.clone();
+        let run = tokio::time::timeout(timeout, self.exchange()).await;
+        let result = run.unwrap_or(Err(Failure::Timeout));
+        if let Err(Some(cause)) = result.as_ref().map_err(Failure::dropped) {
+            metrics.drop_one("answer", cause);
+        }
+        result
     }
 
     async fn exchange(self) -> Result<Answer, Failure> {
-        let response = self.client.send(self.address, self.request).await.map_err(|error| {
-            if error.is_unsent() { Failure::Unreachable } else { Failure::Broken }
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        let sent = self.client.send(self.address, self.request).await;
+        let response = sent.map_err(|error| {
+            if error.is_unsent() {
+                self.runs.fetch_sub(1, Ordering::SeqCst);
+                Failure::Unreachable
+            } else {
+                Failure::Broken
+            }
         })?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
-            return Err(Failure::Refused);
+            self.runs.fetch_sub(1, Ordering::SeqCst);
+            return Err(Failure::Refused(retry_after(&response)));
         }
         check_id(&response, &self.id)?;
         let status = response.status();
@@ -162,6 +216,9 @@
         }
         let body =
             client::read(self.address, response.into_body()).await.map_err(|_| Failure::Broken)?;
+        if self.completion && status.is_success() && answer::read_completion(&body).is_none() {
+            return Err(Failure::BadAnswer("the answer is truncated"));
+        }
         Ok(Answer { status, content_type, content: Content::Whole(body) })
     }
 }
@@ -184,6 +241,12 @@
     Err(Failure::BadAnswer("the answer is for another request"))
 }
 
+/// Returns the seconds of a `Retry-After` header.
+fn retry_after(response: &Response) -> Option<Duration> {
+    let seconds = text_header(response, header::RETRY_AFTER.as_str()).trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).min(MAX_RETRY_AFTER))
+}
+
 fn text_header<'a>(response: &'a Response, name: &str) -> &'a str {
     response.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         rater::{Absent, Rater, Remote},
+        session::Sessions,
         trace::Journal,
     },
     hawthornmount_core::{
@@ -20,7 +21,7 @@
     },
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
-    hawthornmount_policy::{Router, basic::Basic},
+    hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Judge, driver::Role, keeper::Keeper},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
@@ -50,12 +51,16 @@
     pub store: Arc<dyn Store>,
     /// Claims, usage records and sessions.
     pub ledger: Arc<dyn Ledger>,
+    /// Sessions and the versions that they keep.
+    pub sessions: Arc<Sessions>,
     /// The other instances.
     pub fleet: Arc<dyn Fleet>,
     /// The other instances over UDP and TCP, which the control thread runs.
     pub mesh: Arc<Mesh>,
     /// Routing decisions.
     pub router: Arc<dyn Router>,
+    /// Demand of accounts here and at the other instances.
+    pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
     /// Evidence on versions, suspensions and the progress of roll-outs.
@@ -136,6 +141,7 @@
         let ledger = self
             .ledger
             .unwrap_or_else(|| Arc::new(Product::new(&store, &fleet, &clock, Options::default())));
+        let sessions = Sessions::new(&settings, ledger.clone(), fleet.clone());
         let rater: Arc<dyn Rater> = match settings.rating {
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Absent),
@@ -147,7 +153,9 @@
             client: Client::new(),
             fleet,
             mesh,
-            router: self.router.unwrap_or_else(|| Arc::new(Basic::new())),
+            sessions: Arc::new(sessions),
+            router: self.router.unwrap_or_else(|| Arc::new(Adaptive::new())),
+            demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| keeper.clone()),
             keeper,
             role: Arc::default(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! End-to-end tests: real instances over loopback against the stand-ins.
 
 mod command_line;
+mod config;
 mod demo;
+mod fleet;
 mod guide;
 mod problems;
 mod serve;
