--- a/crates/hawthornmount-bench/src/experiment/added_cost/path.rs
+++ b/crates/hawthornmount-bench/src/experiment/added_cost/path.rs
@@ -136,6 +136,7 @@
         rating: Some(rating.address()),
         weight_store: None,
         fleet_key: "the key of the experiment's fleet".into(),
+        old_fleet_keys: Vec::new(),
         traffic_threads: THREADS,
         drain: Duration::from_secs(1),
         log: "warn".into(),
--- a/crates/hawthornmount-demo/tests/promise.rs
+++ b/crates/hawthornmount-demo/tests/promise.rs
@@ -1,7 +1,7 @@
 //! Each check of a promise finds a planted breach and passes the same evidence without it.
 
 use {
-    hawthornmount_core::{merge, problem::Ran as MayHaveRun},
+    hawthornmount_core::{config, merge, problem::Ran as MayHaveRun},
     hawthornmount_demo::{
         check::promise::{self, Accept, Evidence, Ran, Sent, Sight, Span, Stop},
         load::{ACCOUNTS, Answered, Ask, Done, Kind, Outcome, Refused, prompt},
@@ -104,7 +104,7 @@
 
 fn evidence() -> Evidence {
     let account = json!({
-        "key_hashes": ["00"],
+        "key_hashes": [&*config::key_hash(ACCOUNTS[0].key)],
         "cascade": "drafting",
         "allow": [{ "model": "draft-small", "versions": ["v1"] }],
     });
