--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
 mod guide;
 mod problems;
 mod serve;
+mod session;
 mod stream;
 mod version;
