--- a/crates/hawthornmount-demo/src/load/caller.rs
+++ b/crates/hawthornmount-demo/src/load/caller.rs
@@ -5,12 +5,17 @@
         Done,
         plan::{Ask, Kind},
     },
-    hawthornmount_core::problem::{Document, Ran},
+    hawthornmount_core::{
+        problem::{Document, Ran},
+        table::Table,
+    },
+    hawthornmount_entry::exchange::TOKEN_HEADER,
     hawthornmount_http::{
-        Body, HeaderMap, Method, Request, Response, StatusCode,
+        Body, HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
         client::{self, Client},
     },
     http_body_util::BodyExt,
+    parking_lot::Mutex,
     serde::Deserialize,
     std::{
         net::SocketAddr,
@@ -71,12 +76,13 @@
 #[derive(Clone, Default)]
 pub struct Caller {
     client: Client,
+    tokens: Arc<Mutex<Table<HeaderValue>>>,
 }
 
 impl Caller {
     /// Creates a caller.
     pub fn new() -> Self {
-        Self { client: Client::new() }
+        Self { client: Client::new(), tokens: Arc::default() }
     }
 
     /// Sends a request to an instance and reads what comes back.
@@ -88,7 +94,8 @@
 
     async fn call(&self, address: SocketAddr, ask: &Ask) -> Outcome {
         let started = Instant::now();
-        let Some(request) = request(ask) else { return Outcome::Failed };
+        let Some(mut request) = request(ask) else { return Outcome::Failed };
+        self.bring_token(ask, &mut request);
         let Ok(response) = self.client.send(address, request).await else {
             return Outcome::Failed;
         };
@@ -96,9 +103,31 @@
             return refused(address, response).await;
         }
         let headers = response.headers().clone();
+        self.keep_token(ask, &headers);
         let Some(read) = read(response, started).await else { return Outcome::Failed };
         answered(ask, &headers, &read, started)
     }
+
+    /// Sends the last token of the session along, as the callers' guide asks.
+    fn bring_token(&self, ask: &Ask, request: &mut Request) {
+        let Some(session) = session(ask) else { return };
+        if let Some(token) = self.tokens.lock().get(&session) {
+            request.headers_mut().insert(TOKEN_HEADER, token.clone());
+        }
+    }
+
+    fn keep_token(&self, ask: &Ask, headers: &HeaderMap) {
+        let Some(session) = session(ask) else { return };
+        if let Some(token) = headers.get(TOKEN_HEADER) {
+            self.tokens.lock().insert(session, token.clone());
+        }
+    }
+}
+
+/// Returns the session's name among those of all accounts.
+fn session(ask: &Ask) -> Option<Arc<str>> {
+    let session = ask.session.as_ref()?;
+    Some(format!("{}/{session}", ask.account.id).into())
 }
 
 struct Read {
--- a/crates/hawthornmount-demo/tests/promise.rs
+++ b/crates/hawthornmount-demo/tests/promise.rs
@@ -43,6 +43,14 @@
         answered(&mut evidence.sent[1]).moved = true;
     },
 })]
+#[case::session_without_reason_while_another_answer_is_under_way(Case {
+    name: "a session keeps its version",
+    plant: |evidence| {
+        answered(&mut evidence.sent[1]).release = "draft-large@v1".into();
+        evidence.sent[0].ended = start() + Duration::from_secs(1);
+        evidence.sent[1].ended = start() + Duration::from_secs(2);
+    },
+})]
 #[case::unbilled(Case {
     name: "each request is billed once",
     plant: |evidence| evidence.bills -= 1,
