--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments and what they have in common.
 
 mod added_cost;
+mod control_cost;
 mod decision;
 mod soak;
 
@@ -63,6 +64,11 @@
         summary: "what the router adds to a completion against a bare pass-through",
         run: added_cost::run,
     },
+    Experiment {
+        name: "control-cost",
+        summary: "control thread, bytes and store calls of an instance over the number of servers",
+        run: control_cost::run,
+    },
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
