--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -17,7 +17,7 @@
     serde::{Deserialize, Serialize},
     std::{
         sync::{Arc, atomic::Ordering},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::mpsc,
 };
@@ -26,6 +26,8 @@
 const DEFAULT_TOKENS: u64 = 16;
 /// Characters of a token, roughly.
 const CHARS_PER_TOKEN: usize = 4;
+/// Characters of the prompt that the record of a run keeps.
+const KEPT_PROMPT: usize = 80;
 /// Events that wait for a slow reader.
 const EVENT_BACKLOG: usize = 8;
 
@@ -75,6 +77,7 @@
     version: Arc<str>,
     completion: Completion,
 ) -> Response {
+    let at = Instant::now();
     let loaded = Loaded { model: completion.model.clone(), version };
     if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
         return not_run();
@@ -89,13 +92,15 @@
     let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
     let memory = shared.batch.reserve(prompt_tokens + answer_tokens).await;
     let first_token = shared.batch.first_token(behaviour.first_token, &prompt, prompt_tokens);
-    tokio::time::sleep(first_token).await;
+    pause(first_token).await;
     if rand::rng().random_bool(behaviour.error_rate) {
         return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
     }
     let good = shared.quality.is_good(&prompt, &loaded, behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
-    shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
+    let prompt = prompt.chars().take(KEPT_PROMPT).collect::<String>().into();
+    let run = Run { request: id.clone(), at, prompt, loaded: loaded.clone(), quality };
+    shared.runs.lock().push(run);
     let fate = shared.faults.next();
     let named: Arc<str> = if fate == Fate::Cross { "req-of-another.1".into() } else { id.clone() };
     let work = Work {
@@ -123,6 +128,13 @@
     response
 }
 
+/// Waits; the timer's resolution is a millisecond, so no time at all has to pass it by.
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        tokio::time::sleep(duration).await;
+    }
+}
+
 struct Load(Arc<Shared>);
 
 impl Load {
@@ -197,7 +209,7 @@
         let slices = slices.unwrap_or(1);
         for _ in 0..slices {
             let slice = tokens as f64 / f64::from(slices);
-            tokio::time::sleep(self.per_token(shared).mul_f64(slice)).await;
+            pause(self.per_token(shared).mul_f64(slice)).await;
         }
         let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
         let body = serde_json::json!({
@@ -228,7 +240,7 @@
                 return;
             }
             if at > 0 {
-                tokio::time::sleep(self.per_token(shared)).await;
+                pause(self.per_token(shared)).await;
             }
             let delta = serde_json::json!({ "content": self.word(at) });
             if sender.send(self.event(&delta, None)).await.is_err() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod orders;
 mod problems;
 mod serve;
+mod session;
 mod stream;
 mod version;
--- a/tests/testsuite/version/cut_off.rs
+++ b/tests/testsuite/version/cut_off.rs
@@ -5,7 +5,7 @@
     async_trait::async_trait,
     futures::StreamExt,
     hawthornmount_core::{id::Revision, snapshot::Health},
-    hawthornmount_demo::world::{DATA_CENTRES, World},
+    hawthornmount_demo::world::{Shape, World},
     hawthornmount_entry::{Instance, instance::Builder},
     hawthornmount_http::client::Client,
     hawthornmount_store::{
@@ -76,7 +76,7 @@
 async fn instance_that_is_cut_off_is_refused_at_the_engines() {
     let mut world = World::start().await.expect("the demo starts");
     let cut = Arc::new(AtomicBool::new(false));
-    let mut settings = world.settings(DATA_CENTRES[0], 20);
+    let mut settings = world.settings(Shape::DEMO.data_centres[0], 20);
     settings.instance_list = None;
     let etcd = Etcd::new(settings.store.clone());
     let way = Way { store: etcd, cut: cut.clone() };
--- a/tests/testsuite/version/lossy.rs
+++ b/tests/testsuite/version/lossy.rs
@@ -6,7 +6,7 @@
         config::State as Use,
         snapshot::{Health, Release},
     },
-    hawthornmount_demo::world::{DATA_CENTRES, World},
+    hawthornmount_demo::world::{Shape, World},
     hawthornmount_entry::{Instance, instance::Builder},
     hawthornmount_fleet::transport::{
         fault::{Fault, Faults},
@@ -36,7 +36,7 @@
     faults.set_delay(Duration::from_millis(2), Duration::from_millis(20));
     let mut listed = Vec::new();
     for number in 0..LOSSY_INSTANCES {
-        let data_centre = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let data_centre = Shape::DEMO.data_centres[number % Shape::DEMO.data_centres.len()];
         let parts = Builder::new(world.settings(data_centre, 10 + number)).build();
         let net = Net::bind(parts.settings.fleet).expect("a port is free");
         parts.mesh.attach(Arc::new(Fault::new(Arc::new(net), faults.clone())));
