End a stream at its deadline with an explicit error event

Cause: after its first event a stream had no deadline, so an engine that stalled held the caller, its place under the limits and a graceful stop for as long as it liked. Change: the copying of events ends at the request's deadline with an error event; a caller that reads no more is waited for one second.

--- a/crates/hawthornmount-entry/src/api/deliver.rs
+++ b/crates/hawthornmount-entry/src/api/deliver.rs
@@ -14,7 +14,10 @@
         body::{self, Chunk},
         header,
     },
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc,
 };
 
@@ -22,6 +25,8 @@
 const REPLAYED_HEADER: &str = "idempotency-replayed";
 /// Header that tells how often the session had to move.
 const GENERATION_HEADER: &str = "x-session-generation";
+/// Time in which a caller has to take the last event of a stream that failed.
+const LAST_EVENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Events that wait for a slow caller.
 const EVENT_BACKLOG: usize = 16;
 /// Content type of problem documents.
@@ -108,7 +113,11 @@
 
 impl Relay {
     async fn run(mut self, sender: mpsc::Sender<Chunk>) {
-        let outcome = self.copy(&sender).await;
+        let deadline = self.exchange.deadline.into();
+        let outcome = match tokio::time::timeout_at(deadline, self.copy(&sender)).await {
+            Ok(outcome) => outcome,
+            Err(_) => self.run_late(&sender).await,
+        };
         self.clean_up().await;
         self.exchange.trace.outcome = outcome.into();
         close(&self.parts, self.exchange, outcome);
@@ -148,6 +157,14 @@
         }
     }
 
+    /// Ends a stream whose deadline has passed; a caller that reads no more is not waited for.
+    async fn run_late(&self, sender: &mpsc::Sender<Chunk>) -> &'static str {
+        let detail = "the answer is not whole at the deadline: allow more time";
+        let problem = Problem::new(Refusal::Deadline, detail).ran_unknown();
+        let told = tokio::time::timeout(LAST_EVENT_TIMEOUT, self.fail(sender, &problem));
+        told.await.unwrap_or(problem.reason.as_str())
+    }
+
     async fn finish(&mut self) -> Result<(), Problem> {
         let end = self.end(self.reader.usage());
         finish(&mut self.exchange, &end).await
--- a/tests/testsuite/stream.rs
+++ b/tests/testsuite/stream.rs
@@ -2,7 +2,8 @@
 
 use {
     hawthornmount_demo::world::World,
-    hawthornmount_http::{Body, Method, client::Client},
+    hawthornmount_http::{Body, Method, Response, client::Client},
+    hawthornmount_standin::engine::Behaviour,
     http_body_util::BodyExt,
     std::time::{Duration, Instant},
 };
@@ -12,9 +13,8 @@
 /// Least time between two tokens at the stand-in engine that answers.
 const PER_TOKEN: Duration = Duration::from_millis(1);
 
-#[tokio::test(flavor = "multi_thread")]
-async fn first_event_arrives_before_the_engine_sent_its_last() {
-    let world = World::start().await.expect("the demo starts");
+/// Asks the first instance for a stream that has to be whole within `timeout`.
+async fn stream(world: &World, timeout: Duration) -> Response {
     let body = serde_json::json!({
         "messages": [{ "role": "user", "content": "hello" }],
         "max_tokens": TOKENS,
@@ -24,11 +24,16 @@
         .method(Method::POST)
         .uri("/v1/chat/completions")
         .header("authorization", "Bearer demo-municipal")
+        .header("x-request-timeout-ms", timeout.as_millis().to_string())
         .body(Body::from(body.to_string()))
         .expect("the request is valid");
-    let response =
-        Client::new().send(world.callers()[0], request).await.expect("the instance answers");
-    let mut body = response.into_body();
+    Client::new().send(world.callers()[0], request).await.expect("the instance answers")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn first_event_arrives_before_the_engine_sent_its_last() {
+    let world = World::start().await.expect("the demo starts");
+    let mut body = stream(&world, Duration::from_secs(30)).await.into_body();
     let first = body.frame().await.expect("an event comes").expect("the stream is whole");
     let first_at = Instant::now();
     assert!(first.into_data().expect("an event is data").starts_with(b"data: "));
@@ -38,3 +43,28 @@
     let rest = first_at.elapsed();
     assert!(rest >= PER_TOKEN * TOKENS / 2, "all events came together, the rest in {rest:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_stalled_engine_ends_at_the_deadline_with_an_error() {
+    let world = World::start().await.expect("the demo starts");
+    for named in &world.engines {
+        for model in ["draft-small", "draft-large"] {
+            let stalls = Behaviour {
+                quality: 1.0,
+                error_rate: 0.0,
+                first_token: Duration::ZERO,
+                per_token: Duration::from_secs(60),
+            };
+            named.engine.set_behaviour(model, "v1", stalls);
+        }
+    }
+    let timeout = Duration::from_millis(800);
+    let started = Instant::now();
+    let response = stream(&world, timeout).await;
+    let whole = response.into_body().collect().await.expect("the stream ends").to_bytes();
+    let elapsed = started.elapsed();
+    let text = String::from_utf8_lossy(&whole);
+    assert!(text.contains("event: error") && text.contains("\"deadline\""), "{text}");
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert!(elapsed >= timeout && elapsed < timeout * 3, "{elapsed:?}");
+}
