--- a/crates/hawthornmount-rollout/src/keeper/report.rs
+++ b/crates/hawthornmount-rollout/src/keeper/report.rs
@@ -1,7 +1,7 @@
 //! What operators are shown of roll-outs and suspensions.
 
 use {
-    super::Inner,
+    super::state::Inner,
     crate::{
         evidence::Signal,
         progress::{self, Gate, Progress},
