--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! The experiments and what they have in common.
 
+pub mod at_most_once;
 mod bad_version;
 mod decision;
 
@@ -57,12 +58,27 @@
 
 /// Every experiment, in order of their names.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: at_most_once::NAME,
+        summary: "submissions run once, requests are billed once, answers are whole",
+        run: at_most_once::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_OFF,
+        summary: "the same with checks switched off, which has to show",
+        run: at_most_once::run_off,
+    },
     bad_version::EXPERIMENT,
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
         run: decision::run,
     },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
 ];
 
 /// Returns the experiment with this name.
--- a/crates/hawthornmount-standin/src/service/mod.rs
+++ b/crates/hawthornmount-standin/src/service/mod.rs
@@ -1,8 +1,13 @@
 //! Stand-in for a plain service with calls that may not be repeated.
 
+mod faults;
+
+pub use faults::Chances;
+
 use {
-    crate::http::{self, header},
+    crate::http::{self, empty, header},
     async_trait::async_trait,
+    faults::{Fate, Faults},
     hawthornmount_http::{
         HeaderValue, Method, Request, Response, StatusCode, body,
         server::{self, Handler, ListenError, Server},
@@ -42,6 +47,7 @@
     runs: Mutex<Vec<Run>>,
     delay_us: AtomicU64,
     lose_answers: AtomicBool,
+    faults: Faults,
 }
 
 impl Service {
@@ -72,6 +78,11 @@
         self.shared.delay_us.store(micros, Ordering::SeqCst);
     }
 
+    /// Sets the chances of faults and the seed of their choice.
+    pub fn set_faults(&self, chances: Chances, seed: u64) {
+        self.shared.faults.set(chances, seed);
+    }
+
     /// Runs calls and then answers with a cut body while `lose`.
     pub fn set_lose_answers(&self, lose: bool) {
         self.shared.lose_answers.store(lose, Ordering::SeqCst);
@@ -97,15 +108,25 @@
         };
         let is_read = request.method() == Method::GET;
         let _ = http::body(request).await;
+        let fate = self.0.faults.next();
+        if fate == Fate::Refuse {
+            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+            response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
+            return response;
+        }
         self.0.runs.lock().push(run.clone());
+        if let Fate::Late(by) = fate {
+            tokio::time::sleep(by).await;
+        }
         tokio::time::sleep(Duration::from_micros(self.0.delay_us.load(Ordering::SeqCst))).await;
-        if self.0.lose_answers.load(Ordering::SeqCst) {
+        if fate == Fate::Lose || self.0.lose_answers.load(Ordering::SeqCst) {
             return Response::new(body::broken("the connection was cut"));
         }
         let state = if is_read { "found" } else { "accepted" };
         let answer = serde_json::json!({ "state": state, "request": &*run.request });
         let mut response = server::json(StatusCode::OK, &answer);
-        if let Ok(value) = HeaderValue::from_str(&run.request) {
+        let id = if fate == Fate::Cross { "req-of-another.1" } else { &*run.request };
+        if let Ok(value) = HeaderValue::from_str(id) {
             response.headers_mut().insert("x-request-id", value);
         }
         response
