entry: versions under roll-out get no new sessions while the configuration is not confirmed

Cause: nothing read the time of the last confirmation, so a cut-off instance went on sending new sessions to a candidate that may have turned bad; a start from the store confirmed nothing, and an instance that never had a confirmation counted as fresh.

Conclusion: exposure to a candidate is bounded in a partition or an outage.

--- a/crates/hawthornmount-entry/src/control/mod.rs
+++ b/crates/hawthornmount-entry/src/control/mod.rs
@@ -6,6 +6,8 @@
 mod load;
 mod rollout;
 mod state;
+#[cfg(test)]
+mod tests;
 
 use {
     crate::instance::Parts,
--- a/crates/hawthornmount-entry/src/control/state.rs
+++ b/crates/hawthornmount-entry/src/control/state.rs
@@ -6,7 +6,7 @@
     hawthornmount_core::{
         config::{Config, Server},
         id::{Revision, ServerId},
-        snapshot::{Backend, DEFAULT_FRESHNESS_LIMIT, Health, Release, Snapshot},
+        snapshot::{Backend, DEFAULT_FRESHNESS_LIMIT, Health, Release, Share, Snapshot},
         table::Table,
     },
     hawthornmount_fleet::config::Accepted,
@@ -73,6 +73,8 @@
 
     pub fn publish(&self, parts: &Parts) {
         let members = parts.fleet.members();
+        let revision = i64::try_from(self.revision).unwrap_or(i64::MAX);
+        parts.metrics.gauges.with_label_values(&["config_revision"]).set(revision);
         parts.keeper.configure(self.revision, &self.config, members.len());
         parts.cell.publish(Snapshot {
             revision: self.revision,
@@ -80,12 +82,22 @@
             members,
             backends: self.backends(),
             suspended: parts.judge.suspended().into(),
-            shares: parts.judge.shares().into(),
+            shares: self.shares(parts).into(),
             confirmed: self.confirmed(parts),
             freshness_limit: DEFAULT_FRESHNESS_LIMIT,
         });
     }
 
+    /// Returns the shares of versions under roll-out; none while it is not known for too long
+    /// whether the configuration is still the newest, as a version may have turned bad meanwhile.
+    fn shares(&self, parts: &Parts) -> Vec<Share> {
+        let confirmed = parts.mesh.position().confirmed();
+        let age = confirmed.map(|at| parts.clock.now().saturating_duration_since(at.into_std()));
+        let is_fresh = age.is_some_and(|age| age <= DEFAULT_FRESHNESS_LIMIT);
+        parts.metrics.gauges.with_label_values(&["config_fresh"]).set(is_fresh.into());
+        if is_fresh { parts.judge.shares() } else { Vec::new() }
+    }
+
     /// Returns when the configuration was last known to be the newest; before any confirmation,
     /// when the instance started.
     fn confirmed(&self, parts: &Parts) -> Instant {
--- a/crates/hawthornmount-fleet/src/config/start.rs
+++ b/crates/hawthornmount-fleet/src/config/start.rs
@@ -5,6 +5,7 @@
     crate::role,
     futures::{StreamExt, stream::FuturesUnordered},
     hawthornmount_core::id::InstanceId,
+    hawthornmount_store::Entry,
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -24,6 +25,12 @@
 /// Longest pause between two tries.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
 
+/// What the store holds, and when it was asked.
+struct Stored {
+    entry: Entry,
+    asked: Instant,
+}
+
 impl Follower {
     /// Takes the first configuration. Both sources are heard before it is published, so that an
     /// instance never starts on an older revision than its peers hold.
@@ -34,8 +41,10 @@
             if let Some(peer) = best_peer {
                 self.fetch(&peer, FETCH_TIMEOUT).await;
             }
-            if let Some(entry) = stored {
-                self.take(entry.revision, entry.value);
+            if let Some(Stored { entry, asked }) = stored {
+                let revision = entry.revision;
+                self.take(revision, entry.value);
+                self.position.confirm_revision(revision, asked);
             }
             if self.position.held() > 0 {
                 return;
@@ -45,15 +54,10 @@
         }
     }
 
-    async fn stored(&self) -> Option<hawthornmount_store::Entry> {
+    async fn stored(&self) -> Option<Stored> {
         let asked = Instant::now();
         match tokio::time::timeout(STORE_TIMEOUT, self.store.get(KEY)).await {
-            Ok(Ok(entry)) => {
-                if let Some(entry) = &entry {
-                    self.position.confirm_revision(entry.revision, asked);
-                }
-                entry
-            }
+            Ok(Ok(entry)) => entry.map(|entry| Stored { entry, asked }),
             Ok(Err(error)) => {
                 log::warn!("the store gives no configuration; cause={error}");
                 None
--- a/crates/hawthornmount-fleet/tests/follow.rs
+++ b/crates/hawthornmount-fleet/tests/follow.rs
@@ -161,6 +161,10 @@
     accepted.changed().await.expect("published");
     let start = accepted.borrow().as_ref().map(|accepted| accepted.revision);
     assert_eq!(start, Some(second), "it first shows the newest revision");
+    // A stale read confirms nothing, and the peers' word is no younger than their own.
+    let confirmed = |node: &support::Node| node.mesh.position().confirmed();
+    let newest = world.nodes[..5].iter().filter_map(confirmed).max();
+    assert!(confirmed(&world.nodes[5]) <= newest, "a replacement makes nothing fresh");
 }
 
 #[tokio::test(start_paused = true)]
