--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! The experiments and what they have in common.
 
+pub mod at_most_once;
 mod config_propagation;
 mod decision;
 mod fleet;
@@ -59,6 +60,16 @@
 
 /// Every experiment, in order of their names.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: at_most_once::NAME,
+        summary: "submissions run once, requests are billed once, answers are whole",
+        run: at_most_once::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_OFF,
+        summary: "the same with checks switched off, which has to show",
+        run: at_most_once::run_off,
+    },
     Experiment {
         name: "config-propagation",
         summary: "time until a change is in force at all instances",
@@ -69,6 +80,11 @@
         summary: "time of a routing decision over the size of the fleet",
         run: decision::run,
     },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
     Experiment {
         name: "membership-cost",
         summary: "what members and configuration cost an instance over the fleet's size",
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -1,7 +1,7 @@
 //! Completions of the stand-in engine.
 
 use {
-    super::{Loaded, Run, Shared},
+    super::{Loaded, Run, Shared, faults::Fate},
     crate::http::empty,
     bytes::Bytes,
     hawthornmount_http::{
@@ -81,10 +81,20 @@
     let good = rand::rng().random_bool(behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
     shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
-    let work = Work { id, loaded, quality, behaviour_per_token: behaviour.per_token, completion };
+    let fate = shared.faults.next();
+    let named: Arc<str> = if fate == Fate::Cross { "req-of-another.1".into() } else { id.clone() };
+    let work = Work {
+        id,
+        named,
+        fate,
+        loaded,
+        quality,
+        behaviour_per_token: behaviour.per_token,
+        completion,
+    };
     if work.completion.stream {
         let (sender, body) = body::channel(EVENT_BACKLOG);
-        let response = streamed(body, &work.id);
+        let response = streamed(body, &work.named);
         tokio::spawn(async move {
             work.send_events(&shared, sender).await;
             drop(load);
@@ -92,7 +102,9 @@
         });
         return response;
     }
+    let mut watch = Watch { shared, finished: false };
     let response = work.whole().await;
+    watch.finished = true;
     drop(permit);
     response
 }
@@ -112,8 +124,24 @@
     }
 }
 
+/// Counts a whole answer whose caller hung up while it was made.
+struct Watch {
+    shared: Arc<Shared>,
+    finished: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.shared.cancelled.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
 struct Work {
     id: Arc<str>,
+    named: Arc<str>,
+    fate: Fate,
     loaded: Loaded,
     quality: f64,
     behaviour_per_token: Duration,
@@ -158,13 +186,19 @@
             }],
             "usage": self.usage(),
         });
-        with_id(server::json(StatusCode::OK, &body), &self.id)
+        if self.fate == Fate::Truncate {
+            let mut text = body.to_string();
+            text.truncate(text.len() / 2);
+            return with_id(server::text(StatusCode::OK, text), &self.named);
+        }
+        with_id(server::json(StatusCode::OK, &body), &self.named)
     }
 
     async fn send_events(&self, shared: &Shared, sender: mpsc::Sender<Chunk>) {
         let cut_after = shared.cut_after.load(Ordering::SeqCst);
         for at in 0..self.tokens().max(2) {
-            if cut_after > 0 && at >= u64::from(cut_after) {
+            let is_half = at >= self.tokens() / 2;
+            if cut_after > 0 && at >= u64::from(cut_after) || self.fate == Fate::Cut && is_half {
                 let _ = sender.send(Err("the engine was cut off".into())).await;
                 return;
             }
@@ -177,7 +211,10 @@
                 return;
             }
         }
-        let _ = sender.send(self.event(&serde_json::json!({}), Some("stop"))).await;
+        if self.fate != Fate::Truncate {
+            let end = self.event(&serde_json::json!({}), Some("stop"));
+            let _ = sender.send(end).await;
+        }
         let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
     }
 
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -2,10 +2,12 @@
 //! their own, a limited number of slots, a load page, and orders to load and unload versions.
 
 mod completion;
+mod faults;
 mod order;
 
 pub use {
     completion::{Usage, quality_mark},
+    faults::Chances,
     order::{Order, OrderAnswer},
 };
 
@@ -13,6 +15,7 @@
     crate::http::{empty, header, json},
     async_trait::async_trait,
     completion::Completion,
+    faults::Faults,
     hawthornmount_core::table::Table,
     hawthornmount_http::{
         Request, Response, StatusCode,
@@ -96,6 +99,7 @@
     checks_fencing: bool,
     fence: AtomicU64,
     cut_after: AtomicU32,
+    faults: Faults,
     room: AtomicU32,
     orders: AtomicU64,
     weights: Mutex<Option<SocketAddr>>,
@@ -126,6 +130,7 @@
             checks_fencing,
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
+            faults: Faults::default(),
             room: AtomicU32::new(u32::MAX),
             orders: AtomicU64::new(0),
             weights: Mutex::new(None),
@@ -186,6 +191,11 @@
         self.shared.leaving.store(u32::from(leaving), Ordering::SeqCst);
     }
 
+    /// Sets the chances of faulty answers and the seed of their choice.
+    pub fn set_faults(&self, chances: Chances, seed: u64) {
+        self.shared.faults.set(chances, seed);
+    }
+
     /// Cuts every streamed answer after `events` events; 0 cuts none.
     pub fn cut_after(&self, events: u32) {
         self.shared.cut_after.store(events, Ordering::SeqCst);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod fleet;
 mod guide;
+mod once;
 mod problems;
 mod serve;
 mod stream;
