fleet: repair a missed join within seconds

Cause: members were exchanged because of differing hashes at most every 20 s, so an instance that missed the news of a join showed it up to 20 s late; seen as a failure of `calls_to_the_store_do_not_grow_with_the_data_centre` (45 instances not joined in 8 s) in a run of the checks under load.

Change: two acknowledgements with a differing hash in a row lead to an exchange, after 1 s and then with doubling pauses up to 16 s; equal hashes start over.

Conclusion: the bound of the test stays as it was.

--- a/crates/hawthornmount-fleet/src/mesh/sync.rs
+++ b/crates/hawthornmount-fleet/src/mesh/sync.rs
@@ -16,8 +16,13 @@
 const SEED_PAUSE: Duration = Duration::from_secs(5);
 /// Seeds that are asked at a look.
 const SEEDS_AT_A_LOOK: usize = 3;
-/// Least time between two exchanges of members because of differing hashes.
-const REPAIR_PAUSE: Duration = Duration::from_secs(20);
+/// Acknowledgements with a differing hash in a row after which members are exchanged: gossip of the
+/// last change has ended by then.
+const REPAIR_AFTER: u32 = 2;
+/// Least time between two exchanges because of differing hashes; it doubles with each.
+const REPAIR_PAUSE: Duration = Duration::from_secs(1);
+/// Most doublings of [`REPAIR_PAUSE`].
+const REPAIR_DOUBLINGS: u32 = 4;
 /// Least time between two exchanges of members because one came back.
 const RETURN_PAUSE: Duration = Duration::from_secs(2);
 
@@ -47,10 +52,20 @@
         state.choose(unknown, SEEDS_AT_A_LOOK)
     }
 
-    /// Exchanges members with a peer whose hash of the members differs.
+    /// Exchanges members with a peer whose hash of the members differs time and again.
     pub(super) fn compare_rosters(self: &Arc<Self>, peer: &Record, digest: &Digest) {
-        let differs = self.state.lock().roster.hash() != digest.roster;
-        if differs && self.is_due(REPAIR_PAUSE) {
+        let doublings = {
+            let mut state = self.state.lock();
+            if state.roster.hash() == digest.roster {
+                state.mismatches = 0;
+                return;
+            }
+            state.mismatches += 1;
+            state.mismatches.checked_sub(REPAIR_AFTER)
+        };
+        let pause =
+            doublings.map(|doublings| REPAIR_PAUSE * (1 << doublings.min(REPAIR_DOUBLINGS)));
+        if pause.is_some_and(|pause| self.is_due(pause)) {
             self.spawn_exchange(peer.clone());
         }
     }
