Let the instances of the proof find each other

Cause: the proof left the demo's instances in the platform's list, so its own nine never found each other: each was the owner of every shard and the only home of its sessions.

Change: the list names the nine instances, and the proof starts when each knows all of them.

--- a/crates/hawthornmount-bench/src/experiment/at_most_once/site.rs
+++ b/crates/hawthornmount-bench/src/experiment/at_most_once/site.rs
@@ -17,6 +17,7 @@
         Claim, Claimed, Error, Ledger, Outcome, Pin, Product, Ticket, Total, Usage,
         log::{Mutation, Options},
     },
+    hawthornmount_standin::list::{Kind, Listed, State},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
     rand::{RngExt, rngs::StdRng},
@@ -96,6 +97,7 @@
                 site.seats.lock().push(seat);
             }
         }
+        site.publish();
         site.wait_ready().await?;
         Ok(site)
     }
@@ -174,6 +176,27 @@
         tokio::time::sleep(lasts / 2).await;
     }
 
+    /// Tells the platform's list of the instances, so that they find each other.
+    fn publish(&self) {
+        let seats = self.seats.lock();
+        let instances = seats.iter().filter_map(|seat| seat.instance.as_ref());
+        let entries = instances.map(|instance| Listed {
+            id: instance.parts().settings.instance.clone(),
+            kind: Kind::Entry,
+            address: instance.frames(),
+            data_centre: instance.parts().settings.data_centre.clone(),
+            state: State::Live,
+        });
+        let servers = self.world.engines.iter().map(|named| Listed {
+            id: named.id.clone(),
+            kind: Kind::Server,
+            address: named.engine.address(),
+            data_centre: named.data_centre.clone(),
+            state: State::Live,
+        });
+        self.world.list.set(entries.chain(servers).collect());
+    }
+
     /// Kills an instance and starts another in its place.
     fn replace(&self, at: usize) {
         let (old, data_centre) = {
@@ -185,7 +208,10 @@
             instance.kill();
         }
         match self.open(data_centre) {
-            Ok(seat) => self.seats.lock()[at] = seat,
+            Ok(seat) => {
+                self.seats.lock()[at] = seat;
+                self.publish();
+            }
             Err(error) => log::warn!("no instance in place of the killed one; cause={error}"),
         }
     }
@@ -229,7 +255,10 @@
         let servers = self.world.engines.len() + 1;
         self.seats.lock().iter().filter_map(|seat| seat.instance.as_ref()).all(|instance| {
             let backends = &instance.parts().cell.load().backends;
-            backends.iter().filter(|backend| backend.health == Health::Up).count() == servers
+            let up = backends.iter().filter(|backend| backend.health == Health::Up).count();
+            let members = instance.parts().fleet.members();
+            let alive = |member: &&Member| member.liveness == Liveness::Alive;
+            up == servers && members.iter().filter(alive).count() >= DATA_CENTRES.len() * EACH
         })
     }
 }
