Cut data centres off in the proof

Cause: the proof cut single instances off from the store, but no data centre from the others.

Change: the instances' frames pass through the fleet's faulty transport; a partition cuts one data centre off from the others and from the store. Attaching a second transport to a mesh has no effect any more, as its documentation says; it used to announce the second one's address.

--- a/crates/hawthornmount-bench/src/experiment/at_most_once/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/at_most_once/mod.rs
@@ -123,6 +123,7 @@
         .figure("faults_cut_off", faults.cut as f64)
         .figure("faults_outages", faults.outages as f64)
         .figure("faults_kills", faults.kills as f64)
+        .figure("faults_partitions", faults.partitions as f64)
         .figure("answered", found.answered as f64)
         .figure("refused_not_run", found.not_run as f64)
         .figure("failed_unknown", found.unknown as f64)
@@ -150,7 +151,7 @@
 
 /// Calls under faults and checks what came of it.
 async fn proof(seed: u64, off: Off, limit: u64) -> Result<Seen, Failure> {
-    let site = Arc::new(Site::start(off).await?);
+    let site = Arc::new(Site::start(off, seed).await?);
     set_server_faults(&site, seed);
     let config = site.world_config().ok_or_else(|| Failure::text("no instance lives"))?;
     let callers = Callers::new(config);
--- a/crates/hawthornmount-bench/src/experiment/at_most_once/site.rs
+++ b/crates/hawthornmount-bench/src/experiment/at_most_once/site.rs
@@ -12,7 +12,14 @@
     },
     hawthornmount_demo::world::World,
     hawthornmount_entry::{Instance, instance::Builder},
-    hawthornmount_fleet::{Fleet, local::Local},
+    hawthornmount_fleet::{
+        Fleet,
+        local::Local,
+        transport::{
+            fault::{Fault, Faults},
+            net::Net,
+        },
+    },
     hawthornmount_ledger::{
         Claim, Claimed, Error, Ledger, Outcome, Pin, Product, Ticket, Total, Usage,
         log::{Mutation, Options},
@@ -35,7 +42,7 @@
 /// Time in which the instances have to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Kinds of faults.
-const KINDS: u32 = 6;
+const KINDS: u32 = 7;
 /// The kind of fault that loses the store's answers.
 const LOST_ANSWERS: u32 = 0;
 /// Pause between two looks.
@@ -66,6 +73,7 @@
     off: Off,
     started: Mutex<usize>,
     killed: Mutex<Vec<SocketAddr>>,
+    network: Faults,
 }
 
 /// Counts of faults by kind.
@@ -77,11 +85,12 @@
     pub cut: u64,
     pub outages: u64,
     pub kills: u64,
+    pub partitions: u64,
 }
 
 impl Site {
     /// Starts nine instances on the demo's stand-ins.
-    pub async fn start(off: Off) -> Result<Self, Failure> {
+    pub async fn start(off: Off, seed: u64) -> Result<Self, Failure> {
         let mut world = World::start().await.map_err(|error| Failure::new(&error))?;
         world.instances.clear();
         let site = Self {
@@ -90,6 +99,7 @@
             off,
             started: Mutex::new(100),
             killed: Mutex::default(),
+            network: Faults::new(seed),
         };
         for data_centre in DATA_CENTRES {
             for _ in 0..EACH {
@@ -130,6 +140,7 @@
     /// Ends all faults.
     pub fn heal(&self) {
         self.world.store.faults().set_down(false);
+        self.network.heal();
         self.seats.lock().iter().for_each(|seat| seat.gate.heal());
     }
 
@@ -166,6 +177,10 @@
                 counts.outages += 1;
                 self.world.store.faults().set_down(true);
             }
+            5 => {
+                counts.partitions += 1;
+                self.cut_off(DATA_CENTRES[at % DATA_CENTRES.len()]);
+            }
             _ => {
                 counts.kills += 1;
                 self.replace(at);
@@ -176,6 +191,15 @@
         tokio::time::sleep(lasts / 2).await;
     }
 
+    /// Cuts a data centre off from the others and from the store.
+    fn cut_off(&self, data_centre: &str) {
+        let seats = self.seats.lock();
+        let inside = || seats.iter().filter(|seat| seat.data_centre == data_centre);
+        inside().for_each(|seat| seat.gate.faults.cut.store(true, Ordering::SeqCst));
+        let instances = inside().filter_map(|seat| seat.instance.as_ref());
+        self.network.isolate(instances.map(Instance::frames).collect());
+    }
+
     /// Tells the platform's list of the instances, so that they find each other.
     fn publish(&self) {
         let seats = self.seats.lock();
@@ -235,8 +259,10 @@
                 builder.ledger(Arc::new(alone(&settings.instance, &store, Some(check))))
             }
         };
-        let instance =
-            Instance::start_with(builder.build()).map_err(|error| Failure::new(&error))?;
+        let parts = builder.build();
+        let net = Net::bind(settings.fleet).map_err(|error| Failure::new(&error))?;
+        parts.mesh.attach(Arc::new(Fault::new(Arc::new(net), self.network.clone())));
+        let instance = Instance::start_with(parts).map_err(|error| Failure::new(&error))?;
         Ok(Seat { instance: Some(instance), gate, data_centre })
     }
 
--- a/crates/hawthornmount-fleet/src/mesh/mod.rs
+++ b/crates/hawthornmount-fleet/src/mesh/mod.rs
@@ -98,8 +98,10 @@
 
     /// Attaches the mesh to a network; a second call has no effect.
     pub fn attach(&self, transport: Arc<dyn Transport>) {
-        self.state.lock().roster.set_address(transport.address());
-        let _ = self.transport.set(transport);
+        let address = transport.address();
+        if self.transport.set(transport).is_ok() {
+            self.state.lock().roster.set_address(address);
+        }
     }
 
     /// Returns the address for frames.
