--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,7 +1,15 @@
 //! The experiments and what they have in common.
 
 pub mod at_most_once;
+mod bad_version;
+mod cascade_cost;
+mod config_propagation;
 mod decision;
+mod faults;
+mod fleet;
+mod latency;
+mod membership_cost;
+mod overload;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -67,6 +75,17 @@
         summary: "the same with checks switched off, which has to show",
         run: at_most_once::run_off,
     },
+    Experiment {
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
+    },
+    Experiment {
+        name: "cascade-cost",
+        summary: "cost at the quality target against fixed choices and an oracle",
+        run: cascade_cost::run,
+    },
+    bad_version::EXPERIMENT,
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
@@ -77,6 +96,26 @@
         summary: "writes and latency of the ways to keep claims and usage",
         run: at_most_once::run_ways,
     },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
+    Experiment {
+        name: "faults",
+        summary: "goodput and latency before, during and after faults",
+        run: faults::run,
+    },
+    Experiment {
+        name: "latency",
+        summary: "server choice against simple rules with late reports and a slow server",
+        run: latency::run,
+    },
+    Experiment {
+        name: "overload",
+        summary: "goodput under overload, after a spike, and by account",
+        run: overload::run,
+    },
 ];
 
 /// Returns the experiment with this name.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod guide;
 mod once;
+mod orders;
 mod problems;
 mod serve;
 mod stream;
