--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,8 +1,17 @@
 //! The experiments and what they have in common.
 
 mod added_cost;
+pub mod at_most_once;
+mod bad_version;
+mod cascade_cost;
+mod config_propagation;
 mod control_cost;
 mod decision;
+mod faults;
+mod fleet;
+mod latency;
+mod membership_cost;
+mod overload;
 mod soak;
 
 use {
@@ -64,6 +73,27 @@
         summary: "what the router adds to a completion against a bare pass-through",
         run: added_cost::run,
     },
+    Experiment {
+        name: at_most_once::NAME,
+        summary: "submissions run once, requests are billed once, answers are whole",
+        run: at_most_once::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_OFF,
+        summary: "the same with checks switched off, which has to show",
+        run: at_most_once::run_off,
+    },
+    bad_version::EXPERIMENT,
+    Experiment {
+        name: "cascade-cost",
+        summary: "cost at the quality target against fixed choices and an oracle",
+        run: cascade_cost::run,
+    },
+    Experiment {
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
+    },
     Experiment {
         name: "control-cost",
         summary: "control thread, bytes and store calls of an instance over the number of servers",
@@ -74,6 +104,31 @@
         summary: "time of a routing decision over the size of the fleet",
         run: decision::run,
     },
+    Experiment {
+        name: "faults",
+        summary: "goodput and latency before, during and after faults",
+        run: faults::run,
+    },
+    Experiment {
+        name: "latency",
+        summary: "server choice against simple rules with late reports and a slow server",
+        run: latency::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
+    Experiment {
+        name: "overload",
+        summary: "goodput under overload, after a spike, and by account",
+        run: overload::run,
+    },
     Experiment {
         name: "soak",
         summary: "every promise under a mixed load and random faults, nine instances",
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -6,7 +6,7 @@
 mod running;
 
 use {
-    super::{Filter, Flow, pin},
+    super::{Filter, Flow, pin, rate},
     crate::{
         answer::{self, Answer, Content},
         exchange::{Exchange, Kind},
@@ -25,6 +25,7 @@
     },
     hawthornmount_policy::{Plan, Query, budget, rule},
     hawthornmount_rollout::{Sample, sample::Seen},
+    rand::RngExt,
     running::Running,
     std::{
         sync::Arc,
@@ -146,9 +147,30 @@
         let query = exchange.query(&self.parts.settings.data_centre, &self.parts.settings.region);
         self.parts.router.rated(&exchange.account, &query.task, release, rating);
         exchange.trace.step(format!("{} rates {rating:.2}, target {target:.2}", release.model));
+        if rating < target {
+            self.judge_dropped(exchange, release, rating);
+        }
         rating >= target
     }
 
+    /// Tells the judge of the rating of an answer that is dropped. It is sampled as the late ratings
+    /// of the others are, so that dropping poor answers does not hide them.
+    fn judge_dropped(&self, exchange: &Exchange, release: &Release, rating: f64) {
+        if !rand::rng().random_bool(rate::SAMPLED) {
+            return;
+        }
+        let last = exchange.trace.attempts.last();
+        let server = last.map(|attempt| attempt.server.clone()).unwrap_or_default();
+        let snapshot = &exchange.snapshot;
+        let data_centre = snapshot.backend(&server).map(|one| one.data_centre.clone());
+        self.parts.judge.observe(Sample {
+            release: release.clone(),
+            server,
+            data_centre: data_centre.unwrap_or_default(),
+            seen: Seen::Rated(rating),
+        });
+    }
+
     /// Counts the cost of an answer that the caller does not get.
     fn charge(&self, exchange: &mut Exchange, answer: &Answer, release: &Release) {
         exchange.cost += cost(exchange, answer, release);
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/keeper/mod.rs
@@ -4,7 +4,7 @@
 mod latency;
 mod report;
 
-pub use report::{Report, RolloutReport};
+pub use report::{Decision, Report, RolloutReport};
 
 use {
     crate::{
@@ -28,7 +28,9 @@
     },
     latency::Latency,
     parking_lot::Mutex,
+    rand::RngExt,
     std::{
+        collections::VecDeque,
         sync::Arc,
         time::{Duration, SystemTime},
     },
@@ -41,6 +43,9 @@
 /// against its past.
 const WAYS: f64 = 6.0;
 
+/// Decisions that are kept.
+const DECISIONS: usize = 256;
+
 /// Judge of an instance.
 pub struct Keeper {
     inner: Mutex<Inner>,
@@ -57,13 +62,15 @@
     members: usize,
     evidence: Evidence,
     fresh: Vec<Key>,
+    urgent: bool,
     pairs: Pairs,
     latency: Latency,
-    seasons: Vec<(Release, [Season; 3])>,
+    seasons: Vec<(Release, u64, [Season; 3])>,
     sequence: u64,
     suspensions: Set,
     unsent: Vec<Suspension>,
     progress: Vec<Progress>,
+    decisions: VecDeque<Decision>,
 }
 
 impl Keeper {
@@ -77,6 +84,7 @@
             members: 1,
             evidence: Evidence::default(),
             fresh: Vec::new(),
+            urgent: false,
             pairs: Pairs::default(),
             latency: Latency::default(),
             seasons: Vec::new(),
@@ -84,6 +92,7 @@
             suspensions: Set::default(),
             unsent: Vec::new(),
             progress: Vec::new(),
+            decisions: VecDeque::new(),
         };
         Self { inner: Mutex::new(inner), changed: Notify::new(), news: Notify::new(), clock }
     }
@@ -118,7 +127,14 @@
         let mut inner = self.inner.lock();
         let mut changed = false;
         for suspension in suspensions {
-            changed |= inner.suspensions.merge(suspension);
+            let what = format!(
+                "heard of a suspension; release={}@{} by={}",
+                suspension.key.model, suspension.key.version, suspension.cause.by
+            );
+            if inner.suspensions.merge(suspension) {
+                inner.note(self.now_ms(), what.into());
+                changed = true;
+            }
         }
         self.tell(changed);
         changed
@@ -138,6 +154,7 @@
     /// Returns up to `limit` tallies of this instance that changed since the last call.
     pub fn fresh_evidence(&self, limit: usize) -> Vec<Cell> {
         let mut inner = self.inner.lock();
+        inner.urgent = false;
         let count = inner.fresh.len().min(limit);
         let keys: Vec<Key> = inner.fresh.drain(..count).collect();
         let tally = |key: Key| {
@@ -147,6 +164,11 @@
         keys.into_iter().filter_map(tally).collect()
     }
 
+    /// Tells whether there are tallies that got worse and should not wait.
+    pub fn is_urgent(&self) -> bool {
+        self.inner.lock().urgent
+    }
+
     /// Returns the suspensions that this instance made and that were not told yet.
     pub fn fresh_suspensions(&self) -> Vec<Suspension> {
         std::mem::take(&mut self.inner.lock().unsent)
@@ -182,6 +204,12 @@
         report::build(&self.inner.lock(), self.now_ms())
     }
 
+    /// Keeps a decision for operators.
+    pub fn note(&self, what: impl Into<Arc<str>>) {
+        let at_ms = self.now_ms();
+        self.inner.lock().note(at_ms, what.into());
+    }
+
     fn tell(&self, changed: bool) {
         if changed {
             self.changed.notify_one();
@@ -202,6 +230,9 @@
         let mut inner = self.inner.lock();
         let changed = inner.observe(&sample, self.now_ms());
         self.tell(changed);
+        if inner.urgent {
+            self.news.notify_one();
+        }
     }
 
     fn suspended(&self) -> Vec<Release> {
@@ -227,7 +258,7 @@
         let observed = match sample.seen {
             Seen::Unreachable => return false,
             Seen::Failed => [Some((Signal::Failure, 1.0)), None],
-            Seen::Rated(rating) => [Some((Signal::Rating, 1.0 - rating.clamp(0.0, 1.0))), None],
+            Seen::Rated(rating) => [Some((Signal::Rating, round(1.0 - rating))), None],
             Seen::Answered(elapsed) => {
                 let slow = self.slow(sample, elapsed).map(|slow| (Signal::Latency, slow));
                 [Some((Signal::Failure, 0.0)), slow]
@@ -255,7 +286,7 @@
         let mut cell = self.own_cell(&sample.release, &sample.server, &sample.data_centre);
         let count = &mut cell.tally.counts[signal as usize];
         count.seen += 1;
-        count.bad += badness;
+        count.bad += u64::from(badness > 0.5);
         let mut changed = false;
         if let Some(stable) = self.stable_of(&sample.release) {
             let is_candidate = stable.version != sample.release.version;
@@ -287,11 +318,13 @@
     }
 
     fn own_cell(&self, release: &Release, server: &ServerId, place: &DataCentreId) -> Cell {
+        let is_stable = self.stable_of(release).as_ref() == Some(release);
+        let group = if is_stable { self.group(place, server) } else { server.clone() };
         let key = Key {
             model: release.model.clone(),
             version: release.version.clone(),
             generation: self.config.generation(&release.model, &release.version),
-            server: server.clone(),
+            server: group,
             instance: self.instance.clone(),
             incarnation: self.incarnation,
         };
@@ -311,14 +344,26 @@
         let (key, tally) = (cell.key.clone(), cell.tally.clone());
         let Some(before) = self.evidence.merge(cell) else { return false };
         if own {
-            let worse = before.as_ref().is_none_or(|before| is_worse(before, &tally));
+            let worse = before.as_ref().is_none_or(|before| rose(before, &tally));
             self.note_fresh(key.clone(), worse);
         }
         if generation != self.config.generation(&release.model, &release.version) {
             return false;
         }
         self.feed_season(&release, &key.server, before.as_ref(), &tally);
-        self.judge(&release, generation, now_ms)
+        let rose = before.as_ref().is_none_or(|before| rose(before, &tally));
+        self.urgent |= own && rose && self.is_in_doubt(&release);
+        rose && self.judge(&release, generation, now_ms)
+    }
+
+    /// Tells whether bad news of a release should not wait: it is no stable version, or its own
+    /// past speaks against it.
+    fn is_in_doubt(&self, release: &Release) -> bool {
+        if self.stable_of(release).as_ref() != Some(release) {
+            return true;
+        }
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        found.is_ok_and(|at| self.seasons[at].2.iter().any(|one| one.rising_since().is_some()))
     }
 
     /// Notes that a tally has to be told; one that got worse goes first.
@@ -340,9 +385,10 @@
     ) {
         let group = self.group(&new.data_centre, server);
         self.sequence += 1;
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
         let at = found.unwrap_or_else(|at| {
-            self.seasons.insert(at, (release.clone(), Signal::ALL.map(Season::new)));
+            let generation = self.config.generation(&release.model, &release.version);
+            self.seasons.insert(at, (release.clone(), generation, Signal::ALL.map(Season::new)));
             at
         });
         for signal in Signal::ALL {
@@ -351,9 +397,9 @@
             let now = new.counts[at_signal];
             let batch = Batch {
                 seen: now.seen.saturating_sub(before.seen),
-                bad: (now.bad - before.bad).max(0.0),
+                bad: now.bad.saturating_sub(before.bad),
             };
-            self.seasons[at].1[at_signal].take(&group, batch, self.sequence);
+            self.seasons[at].2[at_signal].take(&group, batch, self.sequence);
         }
     }
 
@@ -375,7 +421,12 @@
         };
         let cause =
             Cause { revision: self.revision, text, by: self.instance.clone(), at_ms: now_ms };
-        log::warn!("version suspended; release={}@{} cause={}", key.model, key.version, cause.text);
+        let what = format!(
+            "version suspended; release={}@{} cause={}",
+            key.model, key.version, cause.text
+        );
+        log::warn!("{what}");
+        self.note(now_ms, what.into());
         let suspension = Suspension { key, cause };
         self.unsent.push(suspension.clone());
         self.suspensions.merge(suspension)
@@ -403,8 +454,8 @@
         if signal == Signal::Latency {
             return f64::NEG_INFINITY;
         }
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
-        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].1[signal as usize].against())
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].2[signal as usize].against())
     }
 
     /// Tells whether ratings may have fallen for every model at once, which is the rating service's
@@ -413,11 +464,11 @@
         if signal != Signal::Rating {
             return false;
         }
-        let found = self.seasons.binary_search_by(|(one, _)| one.cmp(release));
-        let own = found.ok().map(|at| &self.seasons[at].1[signal as usize]);
+        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        let own = found.ok().map(|at| &self.seasons[at].2[signal as usize]);
         let since = own.and_then(Season::rising_since).unwrap_or(self.sequence);
-        let others = self.seasons.iter().filter(|(one, _)| one.model != release.model);
-        !others.into_iter().any(|(_, season)| season[signal as usize].is_steady_after(since))
+        let others = self.seasons.iter().filter(|(one, ..)| one.model != release.model);
+        !others.into_iter().any(|(_, _, season)| season[signal as usize].is_steady_after(since))
     }
 
     /// Returns the logarithm of the e-value that condemns.
@@ -459,6 +510,13 @@
         }
     }
 
+    fn note(&mut self, at_ms: u64, what: Arc<str>) {
+        self.decisions.push_back(Decision { at_ms, what });
+        if self.decisions.len() > DECISIONS {
+            self.decisions.pop_front();
+        }
+    }
+
     fn stable_of(&self, release: &Release) -> Option<Release> {
         let model = self.config.models.get(&release.model)?;
         Some(Release { model: release.model.clone(), version: model.stable.clone() })
@@ -474,6 +532,9 @@
     /// Forgets what belongs to versions and generations that are gone.
     fn forget(&mut self) {
         let config = self.config.clone();
+        self.seasons.retain(|(release, generation, _)| {
+            config.generation(&release.model, &release.version) == *generation
+        });
         self.evidence.retain(|key| {
             let exists = config
                 .models
@@ -484,8 +545,20 @@
     }
 }
 
+/// Rounds a badness to 0 or 1 by chance, so that its mean stays.
+fn round(badness: f64) -> f64 {
+    if rand::rng().random_bool(badness.clamp(0.0, 1.0)) { 1.0 } else { 0.0 }
+}
+
 fn is_worse(before: &Tally, now: &Tally) -> bool {
-    before.counts.iter().zip(&now.counts).any(|(before, now)| now.bad > before.bad + 0.5)
+    before.counts.iter().zip(&now.counts).any(|(before, now)| now.bad > before.bad)
+}
+
+/// Tells whether anything in a tally speaks more against its release than before.
+fn rose(before: &Tally, now: &Tally) -> bool {
+    let grew = |before: &Wealth, now: &Wealth| before.iter().zip(now).any(|(old, new)| new > old);
+    let pairs = before.counts.iter().zip(&now.counts);
+    is_worse(before, now) || pairs.into_iter().any(|(old, new)| grew(&old.wealth, &new.wealth))
 }
 
 fn bet(count: &mut Count, block: Option<Wealth>) {
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -1,7 +1,11 @@
 //! Completions of the stand-in engine.
 
 use {
-    super::{Loaded, Run, Shared},
+    super::{
+        Loaded, Run, Shared,
+        batch::{MIN_SLICE, SLICES},
+        faults::Fate,
+    },
     crate::http::empty,
     bytes::Bytes,
     hawthornmount_http::{
@@ -45,6 +49,12 @@
     content: String,
 }
 
+impl Completion {
+    fn prompt(&self) -> String {
+        self.messages.iter().map(|message| message.content.as_str()).collect()
+    }
+}
+
 /// Tokens of a completion.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Usage {
@@ -77,36 +87,47 @@
     let Ok(permit) = shared.slots.clone().acquire_owned().await else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
-    pause(behaviour.first_token).await;
+    let prompt = completion.prompt();
+    let prompt_tokens = (prompt.len() / CHARS_PER_TOKEN) as u64;
+    let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let memory = shared.batch.reserve(prompt_tokens + answer_tokens).await;
+    let first_token = shared.batch.first_token(behaviour.first_token, &prompt, prompt_tokens);
+    pause(first_token).await;
     if rand::rng().random_bool(behaviour.error_rate) {
         return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
     }
-    let good = rand::rng().random_bool(behaviour.quality);
+    let good = shared.quality.is_good(&prompt, &loaded, behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
-    let run = Run { request: id.clone(), at, prompt: prompt(&completion), loaded, quality };
-    shared.runs.lock().push(run.clone());
-    let loaded = run.loaded;
-    let work = Work { id, loaded, quality, behaviour_per_token: behaviour.per_token, completion };
+    let kept = prompt.chars().take(KEPT_PROMPT).collect::<String>().into();
+    let run = Run { request: id.clone(), at, prompt: kept, loaded: loaded.clone(), quality };
+    shared.runs.lock().push(run);
+    let fate = shared.faults.next();
+    let named: Arc<str> = if fate == Fate::Cross { "req-of-another.1".into() } else { id.clone() };
+    let work = Work {
+        id,
+        named,
+        fate,
+        loaded,
+        quality,
+        behaviour_per_token: behaviour.per_token,
+        completion,
+    };
     if work.completion.stream {
         let (sender, body) = body::channel(EVENT_BACKLOG);
-        let response = streamed(body, &work.id);
+        let response = streamed(body, &work.named);
         tokio::spawn(async move {
             work.send_events(&shared, sender).await;
-            drop(load);
-            drop(permit);
+            drop((load, permit, memory));
         });
         return response;
     }
-    let response = work.whole().await;
-    drop(permit);
+    let mut watch = Watch { shared: shared.clone(), finished: false };
+    let response = work.whole(&shared).await;
+    watch.finished = true;
+    drop((permit, memory));
     response
 }
 
-fn prompt(completion: &Completion) -> Arc<str> {
-    let first = completion.messages.first().map_or("", |message| &message.content);
-    first.chars().take(KEPT_PROMPT).collect::<String>().into()
-}
-
 /// Waits; the timer's resolution is a millisecond, so no time at all has to pass it by.
 async fn pause(duration: Duration) {
     if !duration.is_zero() {
@@ -129,8 +150,24 @@
     }
 }
 
+/// Counts a whole answer whose caller hung up while it was made.
+struct Watch {
+    shared: Arc<Shared>,
+    finished: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.shared.cancelled.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
 struct Work {
     id: Arc<str>,
+    named: Arc<str>,
+    fate: Fate,
     loaded: Loaded,
     quality: f64,
     behaviour_per_token: Duration,
@@ -159,9 +196,21 @@
         }
     }
 
-    async fn whole(&self) -> Response {
+    /// Returns the time between two tokens at the present size of the batch.
+    fn per_token(&self, shared: &Shared) -> Duration {
+        let running = shared.load.load(Ordering::SeqCst);
+        shared.batch.per_token(self.behaviour_per_token, running, shared.slot_count)
+    }
+
+    async fn whole(&self, shared: &Shared) -> Response {
         let tokens = self.tokens();
-        pause(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX)).await;
+        let whole = self.behaviour_per_token.mul_f64(tokens as f64);
+        let slices = u32::try_from((whole.as_millis() / MIN_SLICE.as_millis()).clamp(1, SLICES));
+        let slices = slices.unwrap_or(1);
+        for _ in 0..slices {
+            let slice = tokens as f64 / f64::from(slices);
+            pause(self.per_token(shared).mul_f64(slice)).await;
+        }
         let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
         let body = serde_json::json!({
             "id": &*self.id,
@@ -174,18 +223,24 @@
             }],
             "usage": self.usage(),
         });
-        with_id(server::json(StatusCode::OK, &body), &self.id)
+        if self.fate == Fate::Truncate {
+            let mut text = body.to_string();
+            text.truncate(text.len() / 2);
+            return with_id(server::text(StatusCode::OK, text), &self.named);
+        }
+        with_id(server::json(StatusCode::OK, &body), &self.named)
     }
 
     async fn send_events(&self, shared: &Shared, sender: mpsc::Sender<Chunk>) {
         let cut_after = shared.cut_after.load(Ordering::SeqCst);
         for at in 0..self.tokens().max(2) {
-            if cut_after > 0 && at >= u64::from(cut_after) {
+            let is_half = at >= self.tokens() / 2;
+            if cut_after > 0 && at >= u64::from(cut_after) || self.fate == Fate::Cut && is_half {
                 let _ = sender.send(Err("the engine was cut off".into())).await;
                 return;
             }
             if at > 0 {
-                pause(self.behaviour_per_token).await;
+                pause(self.per_token(shared)).await;
             }
             let delta = serde_json::json!({ "content": self.word(at) });
             if sender.send(self.event(&delta, None)).await.is_err() {
@@ -193,7 +248,10 @@
                 return;
             }
         }
-        let _ = sender.send(self.event(&serde_json::json!({}), Some("stop"))).await;
+        if self.fate != Fate::Truncate {
+            let end = self.event(&serde_json::json!({}), Some("stop"));
+            let _ = sender.send(end).await;
+        }
         let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,8 @@
 mod demo;
 mod fleet;
 mod guide;
+mod once;
+mod orders;
 mod problems;
 mod serve;
 mod session;
