--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -68,6 +68,11 @@
 
 /// Every experiment, in order of their names.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "added-cost",
+        summary: "what the router adds to a completion against a bare pass-through",
+        run: added_cost::run,
+    },
     Experiment {
         name: at_most_once::NAME,
         summary: "submissions run once, requests are billed once, answers are whole",
@@ -78,21 +83,16 @@
         summary: "the same with checks switched off, which has to show",
         run: at_most_once::run_off,
     },
-    Experiment {
-        name: "config-propagation",
-        summary: "time until a change is in force at all instances",
-        run: config_propagation::run,
-    },
+    bad_version::EXPERIMENT,
     Experiment {
         name: "cascade-cost",
         summary: "cost at the quality target against fixed choices and an oracle",
         run: cascade_cost::run,
     },
-    bad_version::EXPERIMENT,
     Experiment {
-        name: "added-cost",
-        summary: "what the router adds to a completion against a bare pass-through",
-        run: added_cost::run,
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
     },
     Experiment {
         name: "control-cost",
@@ -104,16 +104,6 @@
         summary: "time of a routing decision over the size of the fleet",
         run: decision::run,
     },
-    Experiment {
-        name: at_most_once::NAME_WAYS,
-        summary: "writes and latency of the ways to keep claims and usage",
-        run: at_most_once::run_ways,
-    },
-    Experiment {
-        name: "membership-cost",
-        summary: "what members and configuration cost an instance over the fleet's size",
-        run: membership_cost::run,
-    },
     Experiment {
         name: "faults",
         summary: "goodput and latency before, during and after faults",
@@ -124,6 +114,16 @@
         summary: "server choice against simple rules with late reports and a slow server",
         run: latency::run,
     },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
     Experiment {
         name: "overload",
         summary: "goodput under overload, after a spike, and by account",
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -98,8 +98,8 @@
     }
     let good = shared.quality.is_good(&prompt, &loaded, behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
-    let prompt = prompt.chars().take(KEPT_PROMPT).collect::<String>().into();
-    let run = Run { request: id.clone(), at, prompt, loaded: loaded.clone(), quality };
+    let kept = prompt.chars().take(KEPT_PROMPT).collect::<String>().into();
+    let run = Run { request: id.clone(), at, prompt: kept, loaded: loaded.clone(), quality };
     shared.runs.lock().push(run);
     let fate = shared.faults.next();
     let named: Arc<str> = if fate == Fate::Cross { "req-of-another.1".into() } else { id.clone() };
