standin: draw the faults of engines and services in one place

Cause: the sources of fates of the stand-in engine and service were the same 24 lines twice. Change: one generic draw from chances and a seed; each stand-in lists its faults.

--- a/crates/hawthornmount-standin/src/engine/faults.rs
+++ b/crates/hawthornmount-standin/src/engine/faults.rs
@@ -1,9 +1,6 @@
 //! Faults of the stand-in engine's answers.
 
-use {
-    parking_lot::Mutex,
-    rand::{RngExt, SeedableRng, rngs::StdRng},
-};
+use crate::chance::{self, Draw};
 
 /// Chances of faulty answers, each from 0 to 1.
 #[derive(Clone, Copy, Debug, Default)]
@@ -30,37 +27,13 @@
 }
 
 /// Source of fates.
-pub struct Faults {
-    state: Mutex<(Chances, StdRng)>,
-}
+pub type Faults = Draw<Chances>;
 
-impl Default for Faults {
-    fn default() -> Self {
-        Self { state: Mutex::new((Chances::default(), StdRng::seed_from_u64(0))) }
-    }
-}
-
-impl Faults {
-    /// Sets the chances and the seed.
-    pub fn set(&self, chances: Chances, seed: u64) {
-        *self.state.lock() = (chances, StdRng::seed_from_u64(seed));
-    }
+impl chance::Chances for Chances {
+    type Fate = Fate;
+    const WHOLE: Fate = Fate::Whole;
 
-    pub(super) fn next(&self) -> Fate {
-        let mut state = self.state.lock();
-        let (chances, rng) = &mut *state;
-        let mut left: f64 = rng.random();
-        let fates = [
-            (chances.cross, Fate::Cross),
-            (chances.truncate, Fate::Truncate),
-            (chances.cut, Fate::Cut),
-        ];
-        for (chance, fate) in fates {
-            if left < chance {
-                return fate;
-            }
-            left -= chance;
-        }
-        Fate::Whole
+    fn faults(self) -> impl IntoIterator<Item = (f64, Fate)> {
+        [(self.cross, Fate::Cross), (self.truncate, Fate::Truncate), (self.cut, Fate::Cut)]
     }
 }
--- a/crates/hawthornmount-standin/src/lib.rs
+++ b/crates/hawthornmount-standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod store;
 pub mod weights;
 
+mod chance;
 mod http;
--- a/crates/hawthornmount-standin/src/service/faults.rs
+++ b/crates/hawthornmount-standin/src/service/faults.rs
@@ -1,8 +1,7 @@
 //! Faults of the stand-in service.
 
 use {
-    parking_lot::Mutex,
-    rand::{RngExt, SeedableRng, rngs::StdRng},
+    crate::chance::{self, Draw},
     std::time::Duration,
 };
 
@@ -37,38 +36,18 @@
 }
 
 /// Source of fates.
-pub struct Faults {
-    state: Mutex<(Chances, StdRng)>,
-}
+pub type Faults = Draw<Chances>;
 
-impl Default for Faults {
-    fn default() -> Self {
-        Self { state: Mutex::new((Chances::default(), StdRng::seed_from_u64(0))) }
-    }
-}
-
-impl Faults {
-    /// Sets the chances and the seed.
-    pub fn set(&self, chances: Chances, seed: u64) {
-        *self.state.lock() = (chances, StdRng::seed_from_u64(seed));
-    }
+impl chance::Chances for Chances {
+    type Fate = Fate;
+    const WHOLE: Fate = Fate::Answer;
 
-    pub(super) fn next(&self) -> Fate {
-        let mut state = self.state.lock();
-        let (chances, rng) = &mut *state;
-        let mut left: f64 = rng.random();
-        let fates = [
-            (chances.refuse, Fate::Refuse),
-            (chances.lose, Fate::Lose),
-            (chances.cross, Fate::Cross),
-            (chances.late, Fate::Late(chances.late_by)),
-        ];
-        for (chance, fate) in fates {
-            if left < chance {
-                return fate;
-            }
-            left -= chance;
-        }
-        Fate::Answer
+    fn faults(self) -> impl IntoIterator<Item = (f64, Fate)> {
+        [
+            (self.refuse, Fate::Refuse),
+            (self.lose, Fate::Lose),
+            (self.cross, Fate::Cross),
+            (self.late, Fate::Late(self.late_by)),
+        ]
     }
 }
