--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,10 +1,18 @@
 //! The experiments and what they have in common.
 
+mod added_cost;
 pub mod at_most_once;
+mod bad_version;
+mod cascade_cost;
 mod config_propagation;
+mod control_cost;
 mod decision;
+mod faults;
 mod fleet;
+mod latency;
 mod membership_cost;
+mod overload;
+mod soak;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -75,6 +83,22 @@
         summary: "time until a change is in force at all instances",
         run: config_propagation::run,
     },
+    Experiment {
+        name: "cascade-cost",
+        summary: "cost at the quality target against fixed choices and an oracle",
+        run: cascade_cost::run,
+    },
+    bad_version::EXPERIMENT,
+    Experiment {
+        name: "added-cost",
+        summary: "what the router adds to a completion against a bare pass-through",
+        run: added_cost::run,
+    },
+    Experiment {
+        name: "control-cost",
+        summary: "control thread, bytes and store calls of an instance over the number of servers",
+        run: control_cost::run,
+    },
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
@@ -90,6 +114,26 @@
         summary: "what members and configuration cost an instance over the fleet's size",
         run: membership_cost::run,
     },
+    Experiment {
+        name: "faults",
+        summary: "goodput and latency before, during and after faults",
+        run: faults::run,
+    },
+    Experiment {
+        name: "latency",
+        summary: "server choice against simple rules with late reports and a slow server",
+        run: latency::run,
+    },
+    Experiment {
+        name: "overload",
+        summary: "goodput under overload, after a spike, and by account",
+        run: overload::run,
+    },
+    Experiment {
+        name: "soak",
+        summary: "every promise under a mixed load and random faults, nine instances",
+        run: soak::run,
+    },
 ];
 
 /// Returns the experiment with this name.
--- a/crates/hawthornmount-demo/src/load/caller.rs
+++ b/crates/hawthornmount-demo/src/load/caller.rs
@@ -5,12 +5,18 @@
         Done,
         plan::{Ask, Kind},
     },
-    hawthornmount_core::problem::Document,
+    hawthornmount_core::{
+        problem::{Document, Ran},
+        table::Table,
+    },
+    hawthornmount_entry::exchange::TOKEN_HEADER,
     hawthornmount_http::{
-        Body, HeaderMap, Method, Request, Response, StatusCode,
+        Body, HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
         client::{self, Client},
     },
     http_body_util::BodyExt,
+    parking_lot::Mutex,
+    serde::Deserialize,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -49,6 +55,10 @@
 pub struct Refused {
     /// Stable reason.
     pub reason: Arc<str>,
+    /// Id that the instance gave to the request.
+    pub request: Arc<str>,
+    /// Whether the request may have run.
+    pub ran: Ran,
 }
 
 /// What came of a request.
@@ -56,23 +66,26 @@
 pub enum Outcome {
     /// An answer.
     Answered(Answered),
-    /// A refusal.
+    /// A refusal, or a stream that ended with an explicit error event.
     Refused(Refused),
-    /// Neither: the connection broke or the stream ended in an error.
+    /// Neither: the connection broke.
     Failed,
 }
 
 /// A caller with its connections.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Caller {
     client: Client,
+    tokens: Arc<Mutex<Table<HeaderValue>>>,
 }
 
 impl Caller {
+    /// Creates a caller.
     pub fn new() -> Self {
-        Self { client: Client::new() }
+        Self { client: Client::new(), tokens: Arc::default() }
     }
 
+    /// Sends a request to an instance and reads what comes back.
     pub async fn ask(self, address: SocketAddr, ask: Ask) -> Done {
         let call = self.call(address, &ask);
         let outcome = tokio::time::timeout(TIMEOUT, call).await.unwrap_or(Outcome::Failed);
@@ -81,7 +94,8 @@
 
     async fn call(&self, address: SocketAddr, ask: &Ask) -> Outcome {
         let started = Instant::now();
-        let Some(request) = request(ask) else { return Outcome::Failed };
+        let Some(mut request) = request(ask) else { return Outcome::Failed };
+        self.bring_token(ask, &mut request);
         let Ok(response) = self.client.send(address, request).await else {
             return Outcome::Failed;
         };
@@ -89,9 +103,31 @@
             return refused(address, response).await;
         }
         let headers = response.headers().clone();
+        self.keep_token(ask, &headers);
         let Some(read) = read(response, started).await else { return Outcome::Failed };
         answered(ask, &headers, &read, started)
     }
+
+    /// Sends the last token of the session along, as the callers' guide asks.
+    fn bring_token(&self, ask: &Ask, request: &mut Request) {
+        let Some(session) = session(ask) else { return };
+        if let Some(token) = self.tokens.lock().get(&session) {
+            request.headers_mut().insert(TOKEN_HEADER, token.clone());
+        }
+    }
+
+    fn keep_token(&self, ask: &Ask, headers: &HeaderMap) {
+        let Some(session) = session(ask) else { return };
+        if let Some(token) = headers.get(TOKEN_HEADER) {
+            self.tokens.lock().insert(session, token.clone());
+        }
+    }
+}
+
+/// Returns the session's name among those of all accounts.
+fn session(ask: &Ask) -> Option<Arc<str>> {
+    let session = ask.session.as_ref()?;
+    Some(format!("{}/{session}", ask.account.id).into())
 }
 
 struct Read {
@@ -127,8 +163,10 @@
             read.text.contains("accepted") && (replayed || read.text.contains(&*request))
         }
     };
-    if matches!(ask.kind, Kind::Stream) && read.text.contains("event: error") {
-        return Outcome::Failed;
+    if matches!(ask.kind, Kind::Stream)
+        && let Some((_, event)) = read.text.split_once("event: error\n")
+    {
+        return error_event(event);
     }
     Outcome::Answered(Answered {
         request,
@@ -148,8 +186,24 @@
         return Outcome::Failed;
     };
     let document: Option<Document> = serde_json::from_slice(&body).ok();
-    document
-        .map_or(Outcome::Failed, |document| Outcome::Refused(Refused { reason: document.reason }))
+    document.map_or(Outcome::Failed, |document| Outcome::Refused(document.into()))
+}
+
+#[derive(Deserialize)]
+struct ErrorEvent {
+    error: Document,
+}
+
+fn error_event(event: &str) -> Outcome {
+    let data = event.lines().find_map(|line| line.strip_prefix("data:")).unwrap_or_default();
+    let event: Option<ErrorEvent> = serde_json::from_str(data).ok();
+    event.map_or(Outcome::Failed, |event| Outcome::Refused(event.error.into()))
+}
+
+impl From<Document> for Refused {
+    fn from(document: Document) -> Self {
+        Self { reason: document.reason, request: document.request_id, ran: document.ran }
+    }
 }
 
 fn request(ask: &Ask) -> Option<Request> {
@@ -161,7 +215,7 @@
     }
     let completion = |stream: bool| {
         let body = serde_json::json!({
-            "messages": [{ "role": "user", "content": "Draft a note on a stairlift grant." }],
+            "messages": [{ "role": "user", "content": prompt(ask.account.id) }],
             "max_tokens": ask.max_tokens,
             "stream": stream,
         });
@@ -184,6 +238,11 @@
     builder.body(body).ok()
 }
 
+/// Returns the prompt, which tells the account so that the engines' runs can be told apart.
+pub fn prompt(account: &str) -> String {
+    format!("For {account}: draft a note on a stairlift grant.")
+}
+
 fn tokens(text: &str) -> Option<u64> {
     let rest = text.split_once("\"total_tokens\":")?.1;
     rest.split(|one: char| !one.is_ascii_digit()).next()?.parse().ok()
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -1,7 +1,11 @@
 //! Completions of the stand-in engine.
 
 use {
-    super::{Loaded, Run, Shared, faults::Fate},
+    super::{
+        Loaded, Run, Shared,
+        batch::{MIN_SLICE, SLICES},
+        faults::Fate,
+    },
     crate::http::empty,
     bytes::Bytes,
     hawthornmount_http::{
@@ -13,7 +17,7 @@
     serde::{Deserialize, Serialize},
     std::{
         sync::{Arc, atomic::Ordering},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::mpsc,
 };
@@ -22,6 +26,8 @@
 const DEFAULT_TOKENS: u64 = 16;
 /// Characters of a token, roughly.
 const CHARS_PER_TOKEN: usize = 4;
+/// Characters of the prompt that the record of a run keeps.
+const KEPT_PROMPT: usize = 80;
 /// Events that wait for a slow reader.
 const EVENT_BACKLOG: usize = 8;
 
@@ -43,6 +49,12 @@
     content: String,
 }
 
+impl Completion {
+    fn prompt(&self) -> String {
+        self.messages.iter().map(|message| message.content.as_str()).collect()
+    }
+}
+
 /// Tokens of a completion.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Usage {
@@ -65,6 +77,7 @@
     version: Arc<str>,
     completion: Completion,
 ) -> Response {
+    let at = Instant::now();
     let loaded = Loaded { model: completion.model.clone(), version };
     if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
         return not_run();
@@ -74,13 +87,20 @@
     let Ok(permit) = shared.slots.clone().acquire_owned().await else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
-    tokio::time::sleep(behaviour.first_token).await;
+    let prompt = completion.prompt();
+    let prompt_tokens = (prompt.len() / CHARS_PER_TOKEN) as u64;
+    let answer_tokens = completion.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let memory = shared.batch.reserve(prompt_tokens + answer_tokens).await;
+    let first_token = shared.batch.first_token(behaviour.first_token, &prompt, prompt_tokens);
+    pause(first_token).await;
     if rand::rng().random_bool(behaviour.error_rate) {
         return with_id(empty(StatusCode::INTERNAL_SERVER_ERROR), &id);
     }
-    let good = rand::rng().random_bool(behaviour.quality);
+    let good = shared.quality.is_good(&prompt, &loaded, behaviour.quality);
     let quality = if good { 1.0 } else { 0.0 };
-    shared.runs.lock().push(Run { request: id.clone(), loaded: loaded.clone(), quality });
+    let prompt = prompt.chars().take(KEPT_PROMPT).collect::<String>().into();
+    let run = Run { request: id.clone(), at, prompt, loaded: loaded.clone(), quality };
+    shared.runs.lock().push(run);
     let fate = shared.faults.next();
     let named: Arc<str> = if fate == Fate::Cross { "req-of-another.1".into() } else { id.clone() };
     let work = Work {
@@ -97,18 +117,24 @@
         let response = streamed(body, &work.named);
         tokio::spawn(async move {
             work.send_events(&shared, sender).await;
-            drop(load);
-            drop(permit);
+            drop((load, permit, memory));
         });
         return response;
     }
-    let mut watch = Watch { shared, finished: false };
-    let response = work.whole().await;
+    let mut watch = Watch { shared: shared.clone(), finished: false };
+    let response = work.whole(&shared).await;
     watch.finished = true;
-    drop(permit);
+    drop((permit, memory));
     response
 }
 
+/// Waits; the timer's resolution is a millisecond, so no time at all has to pass it by.
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        tokio::time::sleep(duration).await;
+    }
+}
+
 struct Load(Arc<Shared>);
 
 impl Load {
@@ -170,10 +196,21 @@
         }
     }
 
-    async fn whole(&self) -> Response {
+    /// Returns the time between two tokens at the present size of the batch.
+    fn per_token(&self, shared: &Shared) -> Duration {
+        let running = shared.load.load(Ordering::SeqCst);
+        shared.batch.per_token(self.behaviour_per_token, running, shared.slot_count)
+    }
+
+    async fn whole(&self, shared: &Shared) -> Response {
         let tokens = self.tokens();
-        tokio::time::sleep(self.behaviour_per_token * u32::try_from(tokens).unwrap_or(u32::MAX))
-            .await;
+        let whole = self.behaviour_per_token.mul_f64(tokens as f64);
+        let slices = u32::try_from((whole.as_millis() / MIN_SLICE.as_millis()).clamp(1, SLICES));
+        let slices = slices.unwrap_or(1);
+        for _ in 0..slices {
+            let slice = tokens as f64 / f64::from(slices);
+            pause(self.per_token(shared).mul_f64(slice)).await;
+        }
         let content: String = (0..tokens.max(2)).map(|at| self.word(at)).collect();
         let body = serde_json::json!({
             "id": &*self.id,
@@ -203,7 +240,7 @@
                 return;
             }
             if at > 0 {
-                tokio::time::sleep(self.behaviour_per_token).await;
+                pause(self.per_token(shared)).await;
             }
             let delta = serde_json::json!({ "content": self.word(at) });
             if sender.send(self.event(&delta, None)).await.is_err() {
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -1,19 +1,25 @@
 //! Stand-in for a model engine: the OpenAI-compatible API, versions with a speed and a quality of
 //! their own, a limited number of slots, a load page, and orders to load and unload versions.
 
+mod batch;
 mod completion;
 mod faults;
+mod lag;
 mod order;
+mod quality;
 
 pub use {
+    batch::{Hits, Limits},
     completion::{Usage, quality_mark},
     faults::Chances,
     order::{Order, OrderAnswer},
+    quality::{draw, task_mark},
 };
 
 use {
     crate::http::{empty, header, json},
     async_trait::async_trait,
+    batch::Batch,
     completion::Completion,
     faults::Faults,
     hawthornmount_core::table::Table,
@@ -22,15 +28,18 @@
         client::Client,
         server::{self, Handler, ListenError, Server},
     },
+    lag::Lag,
     parking_lot::Mutex,
+    quality::Quality,
     serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
     std::{
         net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::Semaphore,
 };
@@ -58,10 +67,15 @@
 }
 
 /// What an engine reports of itself.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
     /// Requests that run or wait.
     pub load: u32,
+    /// Age of the load.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default, rename = "age_ms")]
+    pub age: Duration,
     /// Requests that can run at a time.
     pub slots: u32,
     /// Whether the engine is leaving.
@@ -75,6 +89,10 @@
 pub struct Run {
     /// Request id that came with it.
     pub request: Arc<str>,
+    /// When it came.
+    pub at: Instant,
+    /// First characters of the prompt.
+    pub prompt: Arc<str>,
     /// Version that ran.
     pub loaded: Loaded,
     /// Quality of the answer, from 0 to 1.
@@ -100,6 +118,9 @@
     fence: AtomicU64,
     cut_after: AtomicU32,
     faults: Faults,
+    batch: Batch,
+    quality: Quality,
+    lag: Lag,
     room: AtomicU32,
     orders: AtomicU64,
     weights: Mutex<Option<SocketAddr>>,
@@ -131,6 +152,9 @@
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
             faults: Faults::default(),
+            batch: Batch::new(),
+            quality: Quality::default(),
+            lag: Lag::default(),
             room: AtomicU32::new(u32::MAX),
             orders: AtomicU64::new(0),
             weights: Mutex::new(None),
@@ -150,6 +174,41 @@
         self.shared.behaviours.lock().insert(behaviour_key(model, version), behaviour);
     }
 
+    /// Sets how the engine batches and what it can hold.
+    pub fn set_limits(&self, limits: Limits) {
+        self.shared.batch.set(limits);
+    }
+
+    /// Returns how the engine batches and what it can hold.
+    pub fn limits(&self) -> Limits {
+        self.shared.batch.limits()
+    }
+
+    /// Returns the use of the prefix cache so far.
+    pub fn hits(&self) -> Hits {
+        self.shared.batch.hits()
+    }
+
+    /// Fixes the quality of every answer by a seed, the prompt and the version.
+    pub fn set_quality_seed(&self, seed: u64) {
+        self.shared.quality.set_seed(seed);
+    }
+
+    /// Sets the chance of a good answer for prompts that start with the mark of a kind of task.
+    pub fn set_task_quality(&self, loaded: &Loaded, task: &str, chance: f64) {
+        self.shared.quality.set_task(loaded, task, chance);
+    }
+
+    /// Sets the time between two load reports.
+    pub fn set_report_period(&self, period: Duration) {
+        self.shared.lag.set_period(period);
+    }
+
+    /// Returns the requests that run or wait.
+    pub fn load(&self) -> u32 {
+        self.shared.load.load(Ordering::SeqCst)
+    }
+
     /// Returns the runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().clone()
@@ -222,12 +281,15 @@
     }
 
     fn report(&self) -> Report {
-        Report {
+        let mut report = Report {
             load: self.load.load(Ordering::SeqCst),
+            age: Duration::ZERO,
             slots: self.slot_count,
             leaving: self.leaving.load(Ordering::SeqCst) > 0,
             loaded: self.loaded.lock().clone(),
-        }
+        };
+        self.lag.apply(&mut report);
+        report
     }
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -3,28 +3,29 @@
 use {
     super::{Error, Result, admin, asks_help, refuse_rest},
     hawthornmount_core::id::Revision,
-    hawthornmount_entry::control::status::Row,
+    hawthornmount_entry::{admin::Status, control::status::Row},
     hawthornmount_http::client::Client,
     pico_args::Arguments,
-    std::{net::SocketAddr, process::ExitCode, time::Duration},
+    std::{fmt::Write, net::SocketAddr, process::ExitCode, time::Duration},
     tokio::time::Instant,
 };
 
 const HELP: &str = "\
-Usage: hawthornmount status --admin ADDRESS [--fleet | --wait REVISION [--timeout SECONDS]]
+Usage: hawthornmount status --admin ADDRESS [--json | --fleet | --wait REVISION [--timeout S]]
 
 Options:
   --admin ADDRESS    Operators' interface of any instance
+  --json             Show JSON
   --fleet            Show the configuration that each instance has in force, and its age
   --wait REVISION    Return when all reachable live instances have this revision in force
-  --timeout SECONDS  Longest wait [default: 30]
+  --timeout S        Longest wait in seconds [default: 30]
   -h, --help         Show help
 
 Example:
   hawthornmount status --admin 127.0.0.1:9100
 ";
 
-const FLAGS: &[&str] = &["--admin", "--fleet", "--wait", "--timeout", "--help"];
+const FLAGS: &[&str] = &["--admin", "--json", "--fleet", "--wait", "--timeout", "--help"];
 
 /// Longest wait unless another is given, in seconds.
 const DEFAULT_WAIT: u64 = 30;
@@ -39,6 +40,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let address = admin::address(&mut arguments)?;
+    let json = arguments.contains("--json");
     let fleet = arguments.contains("--fleet");
     let revision: Option<Revision> =
         arguments.opt_value_from_str("--wait").map_err(Error::usage)?;
@@ -54,7 +56,12 @@
                 .block_on(wait(address, revision, bound))
         }
         None if fleet => admin::print(address, "/fleet"),
-        None => admin::print(address, "/status"),
+        None if json => admin::print(address, "/status"),
+        None => admin::show(address, "/status", |body| {
+            let status: Status =
+                serde_json::from_slice(body).map_err(Error::failed("the status can't be read"))?;
+            Ok(text(&status))
+        }),
     }
 }
 
@@ -91,3 +98,70 @@
         eprintln!("hawthornmount: {} gave no answer; its revision is not known", row.instance);
     }
 }
+
+fn text(status: &Status) -> String {
+    let mut text = String::new();
+    let ready = if status.ready { "ready" } else { "not ready" };
+    let store = status.store_error.as_ref().map_or("ok", |error| error);
+    let holder = status.holder.as_ref().map_or("none", |holder| holder);
+    let _ = writeln!(text, "instance   {} ({ready})", status.instance);
+    let _ = writeln!(text, "revision   {}", status.revision);
+    let _ = writeln!(text, "in flight  {}", status.in_flight);
+    let _ = writeln!(text, "store      {store}");
+    let _ = writeln!(text, "holder     {holder}");
+    for role in &status.roles {
+        let _ = writeln!(text, "role       {role}");
+    }
+    for one in &status.members {
+        let _ = writeln!(
+            text,
+            "member     {} in {}: {}, revision {}",
+            one.id, one.data_centre, one.state, one.revision
+        );
+    }
+    for one in &status.servers {
+        let loaded = one.loaded.join(" ");
+        let _ = writeln!(
+            text,
+            "server     {} in {}: {}, {} of {} slots, {loaded}",
+            one.id, one.data_centre, one.state, one.load, one.slots
+        );
+    }
+    versions(status, &mut text);
+    for one in &status.decisions {
+        let _ = writeln!(text, "decision   {} {}", one.at_ms, one.what);
+    }
+    text
+}
+
+fn versions(status: &Status, text: &mut String) {
+    for one in &status.rollouts {
+        let _ = writeln!(
+            text,
+            "roll-out   {} of {}: {:.0}% of new sessions, {}",
+            one.rollout,
+            one.release,
+            one.fraction * 100.0,
+            one.next
+        );
+        for signal in &one.evidence {
+            let _ = writeln!(
+                text,
+                "             {}: {} seen, ln e = {:.1} of {:.1}",
+                signal.signal, signal.seen, signal.against, status.threshold
+            );
+        }
+    }
+    for one in &status.suspensions {
+        let _ = writeln!(
+            text,
+            "suspended  {}@{} generation {}: {} (by {} at revision {})",
+            one.key.model,
+            one.key.version,
+            one.key.generation,
+            one.cause.text,
+            one.cause.by,
+            one.cause.revision
+        );
+    }
+}
