Say truly that a request may have run when a later attempt can't be made

Cause: A request whose first attempt failed at a server and whose retry found no other server was refused with ran: no, though it may have run; the same after an escalation or a second copy. Change: The history of a request remembers whether an attempt may have run and marks every refusal.

--- a/crates/hawthornmount-bench/src/experiment/latency.rs
+++ b/crates/hawthornmount-bench/src/experiment/latency.rs
@@ -147,7 +147,7 @@
 
 fn plan(lag: Duration, router: Option<fn() -> Arc<dyn Router>>) -> Plan {
     Plan {
-        places: vec![Place { id: "attica-a", region: "attica", instances: 3, engines: 8 }],
+        places: vec![Place { id: "attica-a", region: "attica", instances: 6, engines: 8 }],
         models: vec![ModelPlan {
             id: "draft",
             price: 100,
--- a/crates/hawthornmount-bench/src/lab/caller.rs
+++ b/crates/hawthornmount-bench/src/lab/caller.rs
@@ -3,6 +3,7 @@
 use {
     super::ACCOUNT_KEY,
     crate::load::Outcome,
+    hawthornmount_core::problem::Document,
     hawthornmount_http::{
         Body, Method, StatusCode,
         client::{self, Client},
@@ -40,6 +41,8 @@
     pub release: Arc<str>,
     /// Status of the answer, 0 if none came.
     pub status: u16,
+    /// The problem document of a refusal.
+    pub problem: Option<Document>,
 }
 
 /// Callers with their connections.
@@ -56,7 +59,8 @@
 
     /// Asks one instance.
     pub async fn ask(&self, address: SocketAddr, asked: Asked) -> Reply {
-        let failed = Reply { outcome: Outcome::Failed, release: "".into(), status: 0 };
+        let failed =
+            Reply { outcome: Outcome::Failed, release: "".into(), status: 0, problem: None };
         let Some(request) = request(&asked) else { return failed };
         let Ok(response) = self.client.send(address, request).await else { return failed };
         let status = response.status();
@@ -69,7 +73,8 @@
         if status != StatusCode::OK {
             let read = client::read(address, response.into_body()).await;
             let outcome = if read.is_ok() { Outcome::Refused } else { Outcome::Failed };
-            return Reply { outcome, release, status: status.as_u16() };
+            let problem = read.ok().and_then(|body| serde_json::from_slice(&body).ok());
+            return Reply { outcome, release, status: status.as_u16(), problem };
         }
         let mut body = response.into_body();
         let mut first = None;
@@ -84,7 +89,8 @@
         if asked.stream && !tail.ends_with(b"data: [DONE]\n\n") {
             return failed;
         }
-        Reply { outcome: Outcome::Answered { first }, release, status: status.as_u16() }
+        let outcome = Outcome::Answered { first };
+        Reply { outcome, release, status: status.as_u16(), problem: None }
     }
 }
 
--- a/crates/hawthornmount-bench/tests/path.rs
+++ b/crates/hawthornmount-bench/tests/path.rs
@@ -5,8 +5,10 @@
         lab::{AccountPlan, Asked, Caller, Lab, ModelPlan, Place, Plan},
         load::Outcome,
     },
+    hawthornmount_core::problem::Ran,
     hawthornmount_policy::adaptive::Adaptive,
-    hawthornmount_standin::engine::Limits,
+    hawthornmount_standin::engine::{Behaviour, Limits},
+    rstest::rstest,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -67,6 +69,42 @@
     assert_eq!(models, ["small".into()], "each run is of the version that may run");
 }
 
+struct Failing {
+    /// What happens to the only engine before the request.
+    change: fn(&mut Lab),
+    reason: &'static str,
+    ran: Ran,
+}
+
+#[rstest]
+#[case::fails_and_no_other_is_left(Failing {
+    change: |lab| {
+        let engine = lab.servers[0].engine.as_ref().expect("it runs");
+        let broken = Behaviour {
+            quality: 1.0,
+            error_rate: 1.0,
+            first_token: Duration::ZERO,
+            per_token: Duration::ZERO,
+        };
+        engine.set_behaviour("small", "v1", broken);
+    },
+    reason: "no_server",
+    ran: Ran::Unknown,
+})]
+#[case::can_not_be_reached(Failing {
+    change: |lab| lab.servers[0].kill(),
+    reason: "no_server",
+    ran: Ran::No,
+})]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_says_truly_whether_the_request_may_have_run(#[case] case: Failing) {
+    let mut lab = Lab::start(&plan(10)).await.expect("the lab starts");
+    (case.change)(&mut lab);
+    let reply = Caller::new().ask(lab.callers()[0], asked(Some("small"), 5_000)).await;
+    let problem = reply.problem.expect("it is refused");
+    assert_eq!((&*problem.reason, problem.ran), (case.reason, case.ran), "{problem:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_that_hang_up_give_their_places_back() {
     let lab = Lab::start(&plan(100)).await.expect("the lab starts");
--- a/crates/hawthornmount-entry/src/filter/send/flight.rs
+++ b/crates/hawthornmount-entry/src/filter/send/flight.rs
@@ -29,6 +29,8 @@
     pub elapsed: Duration,
     /// Whether it is the second copy of a slow request.
     pub hedge: bool,
+    /// Whether another copy may have run.
+    pub raced: bool,
 }
 
 impl Flight {
@@ -40,7 +42,7 @@
         let elapsed = started.elapsed();
         let mut running = overtaken.running.take().expect("it is taken only here");
         running.set(ended(&result, elapsed));
-        Landed { choice: self.choice, result, running, elapsed, hedge }
+        Landed { choice: self.choice, result, running, elapsed, hedge, raced: false }
     }
 }
 
@@ -76,7 +78,8 @@
         landed = &mut first => (landed, second.as_mut()),
         landed = &mut second => (landed, first.as_mut()),
     };
-    if landed.result.is_ok() { landed } else { other.await }
+    let landed = if landed.result.is_ok() { landed } else { other.await };
+    Landed { raced: true, ..landed }
 }
 
 trait SendFuture: Future<Output = Landed> + Send {}
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -47,6 +47,15 @@
     tried: Vec<ServerId>,
     attempts: usize,
     reason: Option<Retry>,
+    /// Whether an attempt may have run.
+    sent: bool,
+}
+
+impl History {
+    /// Marks a problem if an attempt may have run, whatever the last one met.
+    fn mark(&self, problem: Problem) -> Problem {
+        if self.sent { problem.ran_unknown() } else { problem }
+    }
 }
 
 impl Send {
@@ -70,7 +79,8 @@
             None => (answer, release),
             Some(kept) => {
                 self.charge(exchange, &answer, &release);
-                let again = self.serve(exchange, Some(&kept), &mut History::default()).await?;
+                let mut again = History { sent: true, ..History::default() };
+                let again = self.serve(exchange, Some(&kept), &mut again).await?;
                 (again, kept)
             }
         };
@@ -167,7 +177,9 @@
         history: &mut History,
     ) -> Result<Answer, Problem> {
         loop {
-            let landed = self.fly(exchange, release, history).await?;
+            let landed = self.fly(exchange, release, history).await;
+            let landed = landed.map_err(|problem| history.mark(problem))?;
+            history.sent |= !matches!(&landed.result, Err(failure) if failure.is_unsent());
             let reason = if landed.hedge { Some(Retry::Hedge) } else { history.reason };
             self.observe(release, &landed);
             note(exchange, release, &landed, reason);
@@ -187,7 +199,7 @@
             let safe = failure.is_unsent() || idempotent;
             let left = history.attempts < MAX_ATTEMPTS && exchange.time_left().is_ok();
             if !safe || !left || !self.parts.router.may_retry(Instant::now()) {
-                return Err(failure.problem(idempotent));
+                return Err(history.mark(failure.problem(idempotent)));
             }
             self.parts.metrics.retry(failure.retry());
             history.reason = Some(failure.retry());
@@ -218,7 +230,9 @@
             history.tried.pop();
             flight
         };
-        Ok(flight::race(first, after, second).await)
+        let landed = flight::race(first, after, second).await;
+        history.sent |= landed.raced;
+        Ok(landed)
     }
 
     /// Returns a second copy of a slow request, if a server and the retry budget have room.
