--- a/crates/hawthornmount-bench/tests/path.rs
+++ b/crates/hawthornmount-bench/tests/path.rs
@@ -16,6 +16,8 @@
 };
 
 const SLOTS: u32 = 2;
+/// Time in which the port of a killed engine closes.
+const PORT_CLOSE: Duration = Duration::from_millis(300);
 
 fn plan(first_token_ms: u64) -> Plan {
     let model = |id, price, quality| ModelPlan {
@@ -100,6 +102,7 @@
 async fn refusal_says_truly_whether_the_request_may_have_run(#[case] case: Failing) {
     let mut lab = Lab::start(&plan(10)).await.expect("the lab starts");
     (case.change)(&mut lab);
+    tokio::time::sleep(PORT_CLOSE).await;
     let reply = Caller::new().ask(lab.callers()[0], asked(Some("small"), 5_000)).await;
     let problem = reply.problem.expect("it is refused");
     assert_eq!((&*problem.reason, problem.ran), (case.reason, case.ran), "{problem:?}");
--- a/crates/hawthornmount-policy/src/adaptive/mod.rs
+++ b/crates/hawthornmount-policy/src/adaptive/mod.rs
@@ -23,6 +23,9 @@
 
 /// Part of the requests that try a model to learn about it.
 const EXPLORED: f64 = 0.02;
+/// Largest cost of a model that is tried to learn over that of the first choice; costlier ones are
+/// learned by escalation.
+const EXPLORED_COST: f64 = 5.0;
 /// Missing ratings in a row after which answers are taken to go out unrated.
 const MISSED_UNTIL_UNRATED: u32 = 3;
 /// Time after which ratings are counted on again.
@@ -110,7 +113,8 @@
             return (path, false);
         }
         let explored = rng.random_range(0..tiers.len());
-        if path.first() == Some(&explored) {
+        let Some(first) = path.first().copied() else { return (path, false) };
+        if first == explored || tiers[explored].cost > tiers[first].cost * EXPLORED_COST {
             return (path, false);
         }
         let rest = path.into_iter().filter(|at| *at != explored);
--- a/crates/hawthornmount-policy/src/server/mod.rs
+++ b/crates/hawthornmount-policy/src/server/mod.rs
@@ -13,7 +13,7 @@
     crate::plan::{Choice, Class, Ended, Query},
     hawthornmount_core::{
         id::ServerId,
-        snapshot::{Backend, Release, Snapshot},
+        snapshot::{Backend, Liveness, Member, Release, Snapshot},
     },
     rand::{Rng, RngExt},
     std::{
@@ -69,7 +69,12 @@
     id: ServerId,
     hash: u64,
     slots: u32,
+    /// Requests of the other instances at the time of the report, drawn to the mean.
     others: f64,
+    /// Own requests at the time of the report.
+    own: u32,
+    /// How far the report still holds, from 0 to 1.
+    kept: f64,
     record: Record,
 }
 
@@ -89,6 +94,8 @@
     paces: Vec<Pace>,
     /// Mean seconds of an answer.
     answer: f64,
+    /// Live instances besides this one.
+    peers: f64,
 }
 
 impl Pool {
@@ -106,6 +113,9 @@
             self.replace_servers(snapshot, query.now);
             self.index = Some(Index::new(snapshot, &query.data_centre, &query.region));
         }
+        let is_alive = |one: &&Member| one.liveness == Liveness::Alive;
+        let alive = snapshot.members.iter().filter(is_alive).count();
+        self.peers = alive.saturating_sub(1) as f64;
         self.fade_reports(snapshot, query);
     }
 
@@ -135,6 +145,7 @@
             let kept = (-age / REPORT_FADE).exp();
             let mean = mean * f64::from(server.slots);
             server.others = mean + (server.others - mean) * kept;
+            server.kept = kept;
         }
     }
 
@@ -248,8 +259,7 @@
     /// others' load is a whole number, so that nobody follows differences smaller than a request.
     fn score(&self, at: usize, query: &Query) -> f64 {
         let server = &self.servers[at];
-        let others = server.others.round();
-        let load = others + f64::from(server.record.in_flight()) + 1.0;
+        let load = server.load(self.peers) + 1.0;
         let slowness = server.record.slowness(query.now);
         let slowness = if slowness <= USUAL_SLOWNESS { 1.0 } else { slowness };
         slowness * load / f64::from(server.slots.max(1))
@@ -257,8 +267,7 @@
 
     fn utilisation(&self, at: usize) -> f64 {
         let server = &self.servers[at];
-        let load = server.others + f64::from(server.record.in_flight());
-        load / f64::from(server.slots.max(1))
+        server.load(self.peers) / f64::from(server.slots.max(1))
     }
 
     /// Returns what a distance adds to the score: delay and paid volume against the request's own
@@ -367,6 +376,8 @@
             hash: hash(&backend.id),
             slots: backend.slots,
             others: 0.0,
+            own: 0,
+            kept: 0.0,
             record: Record::new(backend.slots),
         }
     }
@@ -377,6 +388,15 @@
         self.record.mark(now);
         let own = backend.reported.map_or(0, |at| self.record.in_flight_at(at));
         self.others = f64::from(backend.load.saturating_sub(own));
+        self.own = own;
+    }
+
+    /// Returns the requests that run there, with those of `peers` other instances: they see the
+    /// same reports, so each is taken to have sent there since then what this instance has.
+    fn load(&self, peers: f64) -> f64 {
+        let now = f64::from(self.record.in_flight());
+        let others = self.others + self.kept * peers * (now - f64::from(self.own));
+        others.round().max(0.0) + now
     }
 }
 
