--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,9 +1,14 @@
 //! The experiments and what they have in common.
 
+pub mod at_most_once;
+mod bad_version;
 mod cascade_cost;
+mod config_propagation;
 mod decision;
 mod faults;
+mod fleet;
 mod latency;
+mod membership_cost;
 mod overload;
 
 use {
@@ -60,16 +65,42 @@
 
 /// Every experiment, in order of their names.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: at_most_once::NAME,
+        summary: "submissions run once, requests are billed once, answers are whole",
+        run: at_most_once::run,
+    },
+    Experiment {
+        name: at_most_once::NAME_OFF,
+        summary: "the same with checks switched off, which has to show",
+        run: at_most_once::run_off,
+    },
+    Experiment {
+        name: "config-propagation",
+        summary: "time until a change is in force at all instances",
+        run: config_propagation::run,
+    },
     Experiment {
         name: "cascade-cost",
         summary: "cost at the quality target against fixed choices and an oracle",
         run: cascade_cost::run,
     },
+    bad_version::EXPERIMENT,
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
         run: decision::run,
     },
+    Experiment {
+        name: at_most_once::NAME_WAYS,
+        summary: "writes and latency of the ways to keep claims and usage",
+        run: at_most_once::run_ways,
+    },
+    Experiment {
+        name: "membership-cost",
+        summary: "what members and configuration cost an instance over the fleet's size",
+        run: membership_cost::run,
+    },
     Experiment {
         name: "faults",
         summary: "goodput and latency before, during and after faults",
--- a/crates/hawthornmount-entry/src/filter/bill.rs
+++ b/crates/hawthornmount-entry/src/filter/bill.rs
@@ -14,17 +14,17 @@
         reason::Refusal,
         units::{MicroCost, PRICED_TOKENS},
     },
-    hawthornmount_ledger::{self as ledger, Ledger, Usage},
+    hawthornmount_ledger::{self as ledger, Usage},
     std::{sync::Arc, time::SystemTime},
 };
 
 pub struct Bill {
-    ledger: Arc<dyn Ledger>,
+    parts: Arc<Parts>,
 }
 
 impl Bill {
-    pub fn new(parts: &Parts) -> Self {
-        Self { ledger: parts.ledger.clone() }
+    pub fn new(parts: &Arc<Parts>) -> Self {
+        Self { parts: parts.clone() }
     }
 }
 
@@ -48,7 +48,7 @@
             _ => Price::Tokens(config.models.get(&model).map_or(0, |one| one.price)),
         };
         exchange.finishers.push(Box::new(Record {
-            ledger: self.ledger.clone(),
+            parts: self.parts.clone(),
             request: exchange.id.clone(),
             account: exchange.account.clone(),
             model,
@@ -66,7 +66,7 @@
 }
 
 struct Record {
-    ledger: Arc<dyn Ledger>,
+    parts: Arc<Parts>,
     request: RequestId,
     account: AccountId,
     model: ModelId,
@@ -79,13 +79,18 @@
 impl Finisher for Record {
     async fn finish(&self, end: &End) -> Result<(), Problem> {
         let price = self.price(end);
-        let usage = self.usage(end, price, self.earlier_cost + price);
-        self.ledger.record(usage).await.map_err(|error| refused(&error))
+        let cost = self.earlier_cost + price;
+        let usage = self.usage(end, price, cost);
+        self.parts.ledger.record(usage).await.map_err(|error| refused(&error))?;
+        self.parts.journal.bill(&self.request, price, cost);
+        Ok(())
     }
 
     async fn cut(&self, end: &End) {
-        let usage = self.usage(end, 0, self.earlier_cost + self.price(end));
-        if let Err(error) = self.ledger.record(usage).await {
+        let cost = self.earlier_cost + self.price(end);
+        let usage = self.usage(end, 0, cost);
+        self.parts.journal.bill(&self.request, 0, cost);
+        if let Err(error) = self.parts.ledger.record(usage).await {
             log::warn!("a cost is not recorded; request={} cause={error}", self.request);
         }
     }
--- a/crates/hawthornmount-fleet/tests/mesh.rs
+++ b/crates/hawthornmount-fleet/tests/mesh.rs
@@ -50,6 +50,7 @@
     let delay = Duration::from_millis(case.delay_ms);
     world.faults.set_delay(delay, Duration::from_millis(case.jitter_ms));
     until(JOIN * 2, "all joined", || world.all_alive()).await;
+    assert!(world.nodes.iter().all(|node| node.mesh.has_joined()), "also those that were asked");
     let mut receivers = Vec::new();
     for node in &mut world.nodes {
         let (sender, receiver) = mpsc::channel(64);
@@ -205,3 +206,36 @@
     assert!(world.nodes[0].dropped("hash") > 0);
     assert_eq!((world.nodes[0].alive(), stranger.alive()), (2, 1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn fleet_changes_its_key_while_it_runs() {
+    let mut world = World::new(4);
+    until(JOIN, "all joined", || world.all_alive()).await;
+    for number in 0..3 {
+        world.nodes[number].kill();
+        // The old key is one of the others of the new one.
+        let node = world.start_rotated(&name(number), 2, address(number));
+        world.nodes[number] = node;
+        let is_whole = || world.all_alive() && world.seen_as(number, Liveness::Alive) == 4;
+        until(DETECTION, "whole again", is_whole).await;
+    }
+    assert!(world.nodes.iter().all(|node| node.dropped("hash") == 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn flood_of_periodic_payloads_does_not_hold_up_a_suspension() {
+    const FLOOD: usize = 3_000;
+    let world = World::new(6);
+    until(JOIN, "all joined", || world.all_alive()).await;
+    let (sender, mut receiver) = mpsc::channel(4);
+    world.nodes[5].mesh.subscribe(Topic::Suspension, sender);
+    let spread = |topic, payload: Vec<u8>| {
+        world.nodes[0].mesh.spread(topic, payload.into()).expect("fits");
+    };
+    (0..FLOOD / 2).for_each(|_| spread(Topic::Demand, vec![0; 400]));
+    spread(Topic::Suspension, vec![1]);
+    (0..FLOOD / 2).for_each(|_| spread(Topic::Demand, vec![0; 400]));
+    let heard = tokio::time::timeout(Duration::from_secs(1), receiver.recv()).await;
+    assert_eq!(&*heard.expect("in time").expect("open").payload, &[1]);
+    assert!(world.nodes[0].dropped("rumour_backlog") > 0, "the flood is bounded and counted");
+}
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -3,6 +3,7 @@
 
 mod batch;
 mod completion;
+mod faults;
 mod lag;
 mod order;
 mod quality;
@@ -10,6 +11,7 @@
 pub use {
     batch::{Hits, Limits},
     completion::{Usage, quality_mark},
+    faults::Chances,
     order::{Order, OrderAnswer},
     quality::{draw, task_mark},
 };
@@ -19,6 +21,7 @@
     async_trait::async_trait,
     batch::Batch,
     completion::Completion,
+    faults::Faults,
     hawthornmount_core::table::Table,
     hawthornmount_http::{
         Request, Response, StatusCode,
@@ -110,6 +113,7 @@
     checks_fencing: bool,
     fence: AtomicU64,
     cut_after: AtomicU32,
+    faults: Faults,
     batch: Batch,
     quality: Quality,
     lag: Lag,
@@ -143,6 +147,7 @@
             checks_fencing,
             fence: AtomicU64::new(0),
             cut_after: AtomicU32::new(0),
+            faults: Faults::default(),
             batch: Batch::new(),
             quality: Quality::default(),
             lag: Lag::default(),
@@ -241,6 +246,11 @@
         self.shared.leaving.store(u32::from(leaving), Ordering::SeqCst);
     }
 
+    /// Sets the chances of faulty answers and the seed of their choice.
+    pub fn set_faults(&self, chances: Chances, seed: u64) {
+        self.shared.faults.set(chances, seed);
+    }
+
     /// Cuts every streamed answer after `events` events; 0 cuts none.
     pub fn cut_after(&self, events: u32) {
         self.shared.cut_after.store(events, Ordering::SeqCst);
