Take a refused connection as one on which no byte went out

Cause: The HTTP library reports a refused connection as a failed request and not as a failed connect, so a call to a killed server counted as one that may have run: a refusal said ran: unknown, and a non-idempotent call was not sent to another server. Change: The client looks for the operating system's refusal among the causes. Measured: path::can_not_be_reached failed before and passes. Conclusion: other causes still count as may have run.

--- a/crates/hawthornmount-http/src/client/mod.rs
+++ b/crates/hawthornmount-http/src/client/mod.rs
@@ -7,7 +7,7 @@
     http::header,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{error::Error as StdError, io, net::SocketAddr, sync::Arc, time::Duration},
     volo_http::{
         client::Client as VoloClient,
         error::client::{ClientError, ErrorKind},
@@ -200,11 +200,26 @@
 fn transport_error(address: SocketAddr, error: &ClientError) -> Error {
     let cause = error.to_string();
     match error.kind() {
+        _ if is_refused(error) => Error::Connect { address, cause: cause.into() },
         ErrorKind::Connect => Error::Connect { address, cause: cause.into() },
         _ => broken(address, &cause),
     }
 }
 
+/// Tells whether the server's host refused the connection, which only happens before any byte goes
+/// out.
+fn is_refused(error: &ClientError) -> bool {
+    let mut next: Option<&(dyn StdError + 'static)> = Some(error);
+    while let Some(error) = next {
+        let cause = error.downcast_ref::<io::Error>();
+        if cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        next = error.source();
+    }
+    false
+}
+
 fn broken(address: SocketAddr, cause: &str) -> Error {
     Error::Broken { address, cause: cause.into() }
 }
