--- a/crates/hawthornmount-bench/src/experiment/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/mod.rs
@@ -1,15 +1,18 @@
 //! The experiments and what they have in common.
 
+mod added_cost;
 pub mod at_most_once;
 mod bad_version;
 mod cascade_cost;
 mod config_propagation;
+mod control_cost;
 mod decision;
 mod faults;
 mod fleet;
 mod latency;
 mod membership_cost;
 mod overload;
+mod soak;
 
 use {
     crate::{figure::Result as Outcome, plot::Plot},
@@ -86,6 +89,16 @@
         run: cascade_cost::run,
     },
     bad_version::EXPERIMENT,
+    Experiment {
+        name: "added-cost",
+        summary: "what the router adds to a completion against a bare pass-through",
+        run: added_cost::run,
+    },
+    Experiment {
+        name: "control-cost",
+        summary: "control thread, bytes and store calls of an instance over the number of servers",
+        run: control_cost::run,
+    },
     Experiment {
         name: "decision",
         summary: "time of a routing decision over the size of the fleet",
@@ -116,6 +129,11 @@
         summary: "goodput under overload, after a spike, and by account",
         run: overload::run,
     },
+    Experiment {
+        name: "soak",
+        summary: "every promise under a mixed load and random faults, nine instances",
+        run: soak::run,
+    },
 ];
 
 /// Returns the experiment with this name.
