Tell every caller with an old token that its session has moved

Ruled out: a second move, the header's writing. A session that another answer had moved already was simply pinned to its new version; the caller of this request, whose token still named the old one, was not told. Change: the pin filter compares the version of the token that came with the version that is kept.

--- a/crates/hawthornmount-entry/src/filter/pin.rs
+++ b/crates/hawthornmount-entry/src/filter/pin.rs
@@ -53,6 +53,7 @@
             return Ok(Flow::Next);
         }
         let brought = self.brought(exchange);
+        let believed = brought.as_ref().map(release);
         let Some(session) = exchange.session.clone() else { return Ok(Flow::Next) };
         let account = exchange.account.clone();
         let mut held = match brought {
@@ -70,6 +71,9 @@
         if let Some(held) = held {
             keep(exchange, held);
         }
+        if exchange.pinned.is_some() && believed != exchange.pinned {
+            exchange.moved_from = believed;
+        }
         Ok(Flow::Next)
     }
 }
--- a/tests/testsuite/session.rs
+++ b/tests/testsuite/session.rs
@@ -1,10 +1,14 @@
-//! Sessions while the store is out of reach.
+//! Sessions while the store is out of reach, and after their version was withdrawn.
 
 use {
+    hawthornmount_core::{config::State, snapshot::Release},
     hawthornmount_demo::{
         load::{ACCOUNTS, Ask, Caller, Kind, Outcome},
         world::World,
     },
+    hawthornmount_fleet::config,
+    hawthornmount_http::{Body, Method, Response, client::Client},
+    hawthornmount_store::etcd::Etcd,
     std::{sync::Arc, time::Duration},
 };
 
@@ -44,3 +48,66 @@
     }
     assert!(moved.is_empty(), "{moved:?}");
 }
+
+/// Asks the first instance within a session, with its token if there is one.
+async fn ask_with(world: &World, session: &str, token: Option<&str>) -> Response {
+    let body = r#"{"messages":[{"role":"user","content":"hello"}],"max_tokens":4}"#;
+    let mut request = http::Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header("authorization", "Bearer demo-municipal")
+        .header("x-session-id", session);
+    if let Some(token) = token {
+        request = request.header("x-session-token", token);
+    }
+    let request = request.body(Body::from(body)).expect("the request is valid");
+    Client::new().send(world.callers()[0], request).await.expect("the instance answers")
+}
+
+fn header(response: &Response, name: &str) -> Option<String> {
+    Some(response.headers().get(name)?.to_str().ok()?.to_owned())
+}
+
+/// Withdraws the stable version of the small model and waits until it is in force.
+async fn withdraw(world: &World) {
+    let store = Etcd::new(vec![world.store.address()]);
+    let accepted = config::read(&store).await.expect("the store answers");
+    let (revision, record) = accepted.expect("there is a record");
+    let mut value = record.value;
+    let model = &mut value["models"]["draft-small"];
+    model["stable"] = "v2".into();
+    model["versions"]["v1"]["state"] = serde_json::json!(State::Withdrawn);
+    model["versions"]["v2"]["state"] = serde_json::json!(State::Proven);
+    let revision = config::apply(&store, value, revision, "withdraw").await.expect("accepted");
+    while world.instances[0].parts().cell.load().revision < revision {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A caller that still holds the token of the old version is told of the move, also when an
+/// answer that it never saw moved the session.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_caller_with_an_old_token_is_told_of_the_move() {
+    let world = World::start().await.expect("the world starts");
+    let old = Release { model: "draft-small".into(), version: "v1".into() };
+    let name = format!("{}@{}", old.model, old.version);
+    let mut found = None;
+    for number in 0..SESSIONS {
+        let session = format!("moving-{number}");
+        let response = ask_with(&world, &session, None).await;
+        if header(&response, "x-answered-by").as_ref() == Some(&name) {
+            let token = header(&response, "x-session-token").expect("the answer has a token");
+            found = Some((session, token));
+            break;
+        }
+    }
+    let (session, token) = found.expect("a session is answered by the version");
+    withdraw(&world).await;
+    for caller in ["first", "second"] {
+        let response = ask_with(&world, &session, Some(&token)).await;
+        assert!(response.status().is_success(), "{caller}");
+        assert_ne!(header(&response, "x-answered-by").as_ref(), Some(&name), "{caller}");
+        let from = header(&response, "x-session-moved-from");
+        assert_eq!(from.as_ref(), Some(&name), "the {caller} caller is not told");
+    }
+}
