--- a/crates/hawthornmount-bench/src/experiment/bad_version/baseline.rs
+++ b/crates/hawthornmount-bench/src/experiment/bad_version/baseline.rs
@@ -15,7 +15,7 @@
 const MAX_FAILURES: f64 = 0.1;
 /// Drop of the mean rating against the stable version's that stops a version.
 const MAX_DROP: f64 = 0.15;
-/// Mean rating that is expected of a version in mid season.
+/// Mean rating that is expected of a version in use.
 const EXPECTED_RATING: f64 = 0.85;
 /// Answers of a breaker's window.
 const BREAKER_WINDOW: usize = 20;
--- a/crates/hawthornmount-bench/src/experiment/bad_version/mod.rs
+++ b/crates/hawthornmount-bench/src/experiment/bad_version/mod.rs
@@ -68,7 +68,7 @@
     let wrong = false_stops(&good, BASELINE_GOOD_RUNS, options.seed, &|| Box::new(Breaker::new()));
     outcome = outcome.figure("breaker.false_per_1000", wrong * per_thousand);
     for bad in &BAD {
-        for when in [When::Rollout, When::Season] {
+        for when in [When::Rollout, When::InUse] {
             outcome = measure(outcome, bad, when, options.seed);
         }
     }
@@ -77,10 +77,10 @@
 
 fn measure(mut outcome: Outcome, bad: &Bad, when: When, seed: u64) -> Outcome {
     let scene = match when {
-        When::Season => Scene { candidate: GOOD, stable: GOOD, turned: bad.kind, when },
+        When::InUse => Scene { candidate: GOOD, stable: GOOD, turned: bad.kind, when },
         _ => Scene { candidate: bad.kind, stable: GOOD, turned: GOOD, when },
     };
-    let name = format!("{}.{}", if when == When::Season { "season" } else { "rollout" }, bad.name);
+    let name = format!("{}.{}", if when == When::InUse { "in_use" } else { "rollout" }, bad.name);
     let ends = endings(&scene, BAD_RUNS, seed, &|| Box::new(Judges::new()));
     let mut counts: Vec<f64> =
         ends.iter().map(|end| if bad.rated { end.rated } else { end.answers } as f64).collect();
--- a/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
+++ b/crates/hawthornmount-bench/src/experiment/bad_version/scene.rs
@@ -9,7 +9,7 @@
         snapshot::Release,
     },
     hawthornmount_rollout::{
-        Judge, Sample, evidence::Cell, keeper::Keeper, sample::Seen, suspension::Suspension,
+        Judge, Sample, evidence::Cell, monitor::Monitor, sample::Seen, suspension::Suspension,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{sync::Arc, time::Duration},
@@ -32,7 +32,7 @@
 /// Answers before a candidate comes.
 const WARM_UP: u64 = 3_000;
 /// Answers before a stable version turns bad.
-const SEASON: u64 = 20_000;
+const IN_USE: u64 = 20_000;
 /// Answers after which a run ends.
 const LONGEST: u64 = 60_000;
 /// Answers after which a run of good versions ends.
@@ -77,7 +77,7 @@
     /// The candidate is bad from its start.
     Rollout,
     /// The stable version turns bad, without a candidate.
-    Season,
+    InUse,
 }
 
 /// What happens in a run.
@@ -135,9 +135,9 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut late: Vec<Late> = Vec::new();
     let mut ending = Ending::default();
-    let bad = release(if scene.when == When::Season { "v1" } else { "v2" });
+    let bad = release(if scene.when == When::InUse { "v1" } else { "v2" });
     let longest = if scene.when == When::Good { LONGEST_GOOD } else { LONGEST };
-    let begins = if scene.when == When::Season { SEASON } else { WARM_UP };
+    let begins = if scene.when == When::InUse { IN_USE } else { WARM_UP };
     for number in 0..begins + longest {
         let now = number as f64 / RATE;
         let warm = number >= begins;
@@ -196,14 +196,14 @@
     if rng.random_bool(OTHER) {
         return release("other");
     }
-    let candidate = warm && scene.when != When::Season && rng.random_bool(SHARE);
+    let candidate = warm && scene.when != When::InUse && rng.random_bool(SHARE);
     release(if candidate { "v2" } else { "v1" })
 }
 
 fn kind(scene: &Scene, warm: bool, release: &Release) -> Kind {
     match release.version.as_bytes() {
         b"v2" => scene.candidate,
-        b"v1" if warm && matches!(scene.when, When::Season) => scene.turned,
+        b"v1" if warm && matches!(scene.when, When::InUse) => scene.turned,
         _ => scene.stable,
     }
 }
@@ -219,7 +219,7 @@
     Suspensions(Vec<Suspension>),
 }
 
-struct Flight {
+struct Delayed {
     at: f64,
     to: usize,
     frame: Frame,
@@ -227,8 +227,8 @@
 
 /// The product's judges, one for each instance, with gossip between them.
 pub struct Judges {
-    keepers: Vec<Keeper>,
-    flights: Vec<Flight>,
+    monitors: Vec<Monitor>,
+    delayed: Vec<Delayed>,
     told: Vec<(f64, usize, Suspension)>,
     last: [f64; INSTANCES],
     last_all: [f64; INSTANCES],
@@ -238,14 +238,14 @@
     /// Creates judges that have seen nothing.
     pub fn new() -> Self {
         let config = Arc::new(config());
-        let keepers = (0..INSTANCES).map(|at| {
-            let keeper = Keeper::new(format!("i{at}").into(), 1, Arc::new(System));
-            keeper.configure(1, &config, INSTANCES);
-            keeper
+        let monitors = (0..INSTANCES).map(|at| {
+            let monitor = Monitor::new(format!("i{at}").into(), 1, Arc::new(System));
+            monitor.configure(1, &config, INSTANCES);
+            monitor
         });
         Self {
-            keepers: keepers.collect(),
-            flights: Vec::new(),
+            monitors: monitors.collect(),
+            delayed: Vec::new(),
             told: Vec::new(),
             last: [0.0; INSTANCES],
             last_all: [0.0; INSTANCES],
@@ -255,7 +255,7 @@
     fn send(&mut self, now: f64, from: usize, frame: impl Fn() -> Frame, rng: &mut StdRng) {
         for to in (0..INSTANCES).filter(|to| *to != from) {
             if !rng.random_bool(FRAME_LOSS) {
-                self.flights.push(Flight { at: now + FRAME_DELAY, to, frame: frame() });
+                self.delayed.push(Delayed { at: now + FRAME_DELAY, to, frame: frame() });
             }
         }
     }
@@ -263,29 +263,29 @@
 
 impl Guard for Judges {
     fn observe(&mut self, instance: usize, sample: Sample) {
-        self.keepers[instance].observe(sample);
+        self.monitors[instance].observe(sample);
     }
 
     fn is_stopped(&self, instance: usize, release: &Release) -> bool {
-        self.keepers[instance].suspended().contains(release)
+        self.monitors[instance].suspended().contains(release)
     }
 
     fn any_stopped(&self) -> bool {
-        self.keepers.iter().any(|keeper| !keeper.suspended().is_empty())
+        self.monitors.iter().any(|monitor| !monitor.suspended().is_empty())
     }
 
     fn pass(&mut self, now: f64, rng: &mut StdRng) {
-        let arrived = self.flights.iter().take_while(|flight| flight.at <= now).count();
-        for flight in self.flights.drain(..arrived) {
-            match flight.frame {
-                Frame::Evidence(cells) => self.keepers[flight.to].merge_evidence(cells),
+        let arrived = self.delayed.iter().take_while(|frame| frame.at <= now).count();
+        for frame in self.delayed.drain(..arrived) {
+            match frame.frame {
+                Frame::Evidence(cells) => self.monitors[frame.to].merge_evidence(cells),
                 Frame::Suspensions(all) => {
-                    self.keepers[flight.to].merge_suspensions(all);
+                    self.monitors[frame.to].merge_suspensions(all);
                 }
             }
         }
         for from in 0..INSTANCES {
-            for one in self.keepers[from].fresh_suspensions() {
+            for one in self.monitors[from].fresh_suspensions() {
                 self.told.extend(REPEATS.map(|pause| (now + pause, from, one.clone())));
             }
         }
@@ -297,14 +297,14 @@
         }
         for from in 0..INSTANCES {
             let all = now >= self.last_all[from] + GOSSIP_PAUSE;
-            let urgent = self.keepers[from].is_urgent() && now >= self.last[from] + URGENT_PAUSE;
+            let urgent = self.monitors[from].is_urgent() && now >= self.last[from] + URGENT_PAUSE;
             if all {
                 self.last_all[from] = now;
             }
             if all || urgent {
                 self.last[from] = now;
                 let limit = if all { CELLS } else { URGENT_CELLS };
-                let cells = self.keepers[from].fresh_evidence(limit);
+                let cells = self.monitors[from].fresh_evidence(limit);
                 self.send(now, from, || Frame::Evidence(cells.clone()), rng);
             }
         }
--- a/crates/hawthornmount-entry/src/admin/report.rs
+++ b/crates/hawthornmount-entry/src/admin/report.rs
@@ -8,7 +8,7 @@
         snapshot::{Backend, Health, Liveness, Member, Release},
     },
     hawthornmount_rollout::{
-        keeper::{Decision, RolloutReport},
+        monitor::{Decision, RolloutReport},
         suspension::Suspension,
     },
     serde::{Deserialize, Serialize},
@@ -79,7 +79,7 @@
 /// Returns the status of the fleet as this instance sees it.
 pub fn of(parts: &Parts) -> Status {
     let snapshot = parts.cell.load();
-    let report = parts.keeper.report();
+    let report = parts.monitor.report();
     let role = parts.role.lock().clone();
     let drives = role.fence.map(|fence| format!("drives the roll-outs with fence {fence}").into());
     Status {
--- a/crates/hawthornmount-entry/src/control/load.rs
+++ b/crates/hawthornmount-entry/src/control/load.rs
@@ -16,8 +16,10 @@
     tokio::sync::mpsc,
 };
 
-/// Pause between two looks at a server.
+/// Pause between two looks at a server, or at the list, at the least.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Looks a second of one instance at the most, so that they don't grow with the fleet.
+const LOOKS_PER_SECOND: u32 = 120;
 /// Time that a look may take.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Looks at a time.
@@ -83,10 +85,16 @@
                 let _ = sender.send(Change::Load(seen)).await;
             })
             .await;
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(pause(config.servers.len())).await;
     }
 }
 
+/// Returns the pause between two rounds of looks at `servers` servers.
+fn pause(servers: usize) -> Duration {
+    let servers = u32::try_from(servers).unwrap_or(u32::MAX);
+    (Duration::from_secs(1) / LOOKS_PER_SECOND).saturating_mul(servers).max(PAUSE)
+}
+
 async fn look(client: Client, server: ServerId, address: SocketAddr) -> Seen {
     let report: Option<Report> = client.get(address, "/load", TIMEOUT).await.ok();
     let age = report.as_ref().map_or(Duration::ZERO, |report| report.age);
--- a/crates/hawthornmount-entry/src/control/rollout.rs
+++ b/crates/hawthornmount-entry/src/control/rollout.rs
@@ -23,7 +23,7 @@
 pub fn start(parts: &Arc<Parts>) {
     let name = id::fresh(&parts.settings.instance);
     let driver = Driver::new(
-        parts.keeper.clone(),
+        parts.monitor.clone(),
         parts.store.clone(),
         parts.fleet.clone(),
         Arc::new(Present(parts.clone())),
@@ -31,6 +31,6 @@
         parts.role.clone(),
     );
     tokio::spawn(parts.inbox.clone().run());
-    tokio::spawn(share::run(parts.keeper.clone(), parts.fleet.clone()));
+    tokio::spawn(share::run(parts.monitor.clone(), parts.fleet.clone()));
     tokio::spawn(driver.run(Orders::new(Client::new())));
 }
--- a/crates/hawthornmount-entry/src/control/state.rs
+++ b/crates/hawthornmount-entry/src/control/state.rs
@@ -75,7 +75,7 @@
         let members = parts.fleet.members();
         let revision = i64::try_from(self.revision).unwrap_or(i64::MAX);
         parts.metrics.gauges.with_label_values(&["config_revision"]).set(revision);
-        parts.keeper.configure(self.revision, &self.config, members.len());
+        parts.monitor.configure(self.revision, &self.config, members.len());
         parts.cell.publish(Snapshot {
             revision: self.revision,
             config: self.config.clone(),
--- a/crates/hawthornmount-entry/src/exchange/mod.rs
+++ b/crates/hawthornmount-entry/src/exchange/mod.rs
@@ -200,6 +200,6 @@
 }
 
 fn timeout(headers: &HeaderMap, default: Duration) -> Duration {
-    let wished = header(headers, TIMEOUT_HEADER).and_then(|text| text.parse().ok());
-    wished.map_or(default, |wished| Duration::from_millis(wished).min(default))
+    let requested = header(headers, TIMEOUT_HEADER).and_then(|text| text.parse().ok());
+    requested.map_or(default, |requested| Duration::from_millis(requested).min(default))
 }
--- a/crates/hawthornmount-entry/src/filter/pin.rs
+++ b/crates/hawthornmount-entry/src/filter/pin.rs
@@ -117,14 +117,14 @@
         return None;
     }
     let generation = exchange.pin.as_ref().map_or(0, |held| held.generation + 1);
-    let wish = Held {
+    let proposed = Held {
         account: exchange.account.clone(),
         session,
         model: answered.model.clone(),
         version: answered.version.clone(),
         generation,
     };
-    let held = sessions.settle(wish).await;
+    let held = sessions.settle(proposed).await;
     if release(&held) == *answered {
         exchange.pin = Some(held);
         return None;
--- a/crates/hawthornmount-entry/src/filter/send/flight.rs
+++ b/crates/hawthornmount-entry/src/filter/send/dispatch.rs
@@ -15,14 +15,14 @@
 };
 
 /// An attempt on its way to a server.
-pub struct Flight {
+pub struct Dispatch {
     pub choice: Choice,
     pub attempt: Attempt,
     pub running: Running,
 }
 
 /// An attempt that has ended.
-pub struct Landed {
+pub struct Completed {
     pub choice: Choice,
     pub result: Result<Answer, Failure>,
     pub running: Running,
@@ -33,16 +33,16 @@
     pub raced: bool,
 }
 
-impl Flight {
+impl Dispatch {
     /// Runs the attempt to its end.
-    pub async fn run(self, hedge: bool) -> Landed {
+    pub async fn run(self, hedge: bool) -> Completed {
         let started = Instant::now();
         let mut overtaken = Overtaken { running: Some(self.running), started };
         let result = self.attempt.run().await;
         let elapsed = started.elapsed();
         let mut running = overtaken.running.take().expect("it is taken only here");
         running.set(ended(&result, elapsed));
-        Landed { choice: self.choice, result, running, elapsed, hedge, raced: false }
+        Completed { choice: self.choice, result, running, elapsed, hedge, raced: false }
     }
 }
 
@@ -63,28 +63,28 @@
 /// Runs `first`, and the copy that `second` gives once `after` has passed; the first whole answer
 /// wins, and a copy that loses is dropped.
 pub async fn race(
-    first: Flight,
+    first: Dispatch,
     after: Duration,
-    second: impl FnOnce() -> Option<Flight>,
-) -> Landed {
+    second: impl FnOnce() -> Option<Dispatch>,
+) -> Completed {
     let mut first = pin!(first.run(false));
     tokio::select! {
-        landed = &mut first => return landed,
+        completed = &mut first => return completed,
         () = tokio::time::sleep(after) => {}
     }
     let Some(second) = second() else { return first.await };
     let mut second = pin!(second.run(true));
-    let (landed, other): (Landed, std::pin::Pin<&mut dyn SendFuture>) = tokio::select! {
-        landed = &mut first => (landed, second.as_mut()),
-        landed = &mut second => (landed, first.as_mut()),
+    let (completed, other): (Completed, std::pin::Pin<&mut dyn SendFuture>) = tokio::select! {
+        completed = &mut first => (completed, second.as_mut()),
+        completed = &mut second => (completed, first.as_mut()),
     };
-    let landed = if landed.result.is_ok() { landed } else { other.await };
-    Landed { raced: true, ..landed }
+    let completed = if completed.result.is_ok() { completed } else { other.await };
+    Completed { raced: true, ..completed }
 }
 
-trait SendFuture: Future<Output = Landed> + Send {}
+trait SendFuture: Future<Output = Completed> + Send {}
 
-impl<T: Future<Output = Landed> + Send> SendFuture for T {}
+impl<T: Future<Output = Completed> + Send> SendFuture for T {}
 
 fn ended(result: &Result<Answer, Failure>, elapsed: Duration) -> Ended {
     match result {
--- a/crates/hawthornmount-entry/src/filter/send/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/send/mod.rs
@@ -2,7 +2,7 @@
 //! is safe.
 
 mod attempt;
-mod flight;
+mod dispatch;
 mod running;
 
 use {
@@ -15,7 +15,7 @@
     },
     async_trait::async_trait,
     attempt::{Attempt, Failure, RETRY_AFTER},
-    flight::{Flight, Landed},
+    dispatch::{Completed, Dispatch},
     hawthornmount_core::{
         id::ServerId,
         problem::Problem,
@@ -199,13 +199,13 @@
         history: &mut History,
     ) -> Result<Answer, Problem> {
         loop {
-            let landed = self.fly(exchange, release, history).await;
-            let landed = landed.map_err(|problem| history.mark(problem))?;
-            history.sent |= !matches!(&landed.result, Err(failure) if failure.is_unsent());
-            let reason = if landed.hedge { Some(Retry::Hedge) } else { history.reason };
-            self.observe(release, &landed);
-            note(exchange, release, &landed, reason);
-            let Landed { choice, result, running, .. } = landed;
+            let completed = self.send_once(exchange, release, history).await;
+            let completed = completed.map_err(|problem| history.mark(problem))?;
+            history.sent |= !matches!(&completed.result, Err(failure) if failure.is_unsent());
+            let reason = if completed.hedge { Some(Retry::Hedge) } else { history.reason };
+            self.observe(release, &completed);
+            note(exchange, release, &completed, reason);
+            let Completed { choice, result, running, .. } = completed;
             let failure = match result {
                 Ok(answer) => {
                     if matches!(answer.content, Content::Events(_)) {
@@ -231,12 +231,12 @@
     }
 
     /// Sends one attempt, and a second copy if it is slow and the request is idempotent.
-    async fn fly(
+    async fn send_once(
         &self,
         exchange: &Exchange,
         release: Option<&Release>,
         history: &mut History,
-    ) -> Result<Landed, Problem> {
+    ) -> Result<Completed, Problem> {
         let first = self.prepare(exchange, release, history)?;
         let after = match (release, &exchange.kind) {
             (Some(release), Kind::Completion(one)) if !one.stream => {
@@ -248,13 +248,13 @@
         let first_server = first.choice.server.clone();
         let second = || {
             history.tried.push(first_server);
-            let flight = self.hedge(exchange, release, history);
+            let dispatch = self.hedge(exchange, release, history);
             history.tried.pop();
-            flight
+            dispatch
         };
-        let landed = flight::race(first, after, second).await;
-        history.sent |= landed.raced;
-        Ok(landed)
+        let completed = dispatch::race(first, after, second).await;
+        history.sent |= completed.raced;
+        Ok(completed)
     }
 
     /// Returns a second copy of a slow request, if a server and the retry budget have room.
@@ -263,13 +263,13 @@
         exchange: &Exchange,
         release: Option<&Release>,
         history: &mut History,
-    ) -> Option<Flight> {
+    ) -> Option<Dispatch> {
         if history.attempts >= MAX_ATTEMPTS || !self.parts.router.may_retry(Instant::now()) {
             return None;
         }
-        let flight = self.prepare(exchange, release, history).ok()?;
+        let dispatch = self.prepare(exchange, release, history).ok()?;
         self.parts.metrics.retry(Retry::Hedge);
-        Some(flight)
+        Some(dispatch)
     }
 
     /// Chooses a server by the newest control state, not by that of the request's arrival, so that
@@ -279,7 +279,7 @@
         exchange: &Exchange,
         release: Option<&Release>,
         history: &mut History,
-    ) -> Result<Flight, Problem> {
+    ) -> Result<Dispatch, Problem> {
         let snapshot = self.parts.cell.load();
         let query = self.query(exchange);
         let router = &self.parts.router;
@@ -299,24 +299,24 @@
         let running = Running::new(router, &choice, release);
         history.attempts += 1;
         let attempt = Attempt::new(&self.parts, exchange, release, &choice, history.attempts);
-        Ok(Flight { choice, attempt, running })
+        Ok(Dispatch { choice, attempt, running })
     }
 
     fn query(&self, exchange: &Exchange) -> Query {
         exchange.query(&self.parts.settings.data_centre, &self.parts.settings.region)
     }
 
-    fn observe(&self, release: Option<&Release>, landed: &Landed) {
+    fn observe(&self, release: Option<&Release>, completed: &Completed) {
         let Some(release) = release else { return };
-        let seen = match &landed.result {
-            Ok(_) => Seen::Answered(landed.elapsed),
+        let seen = match &completed.result {
+            Ok(_) => Seen::Answered(completed.elapsed),
             Err(Failure::Status(_) | Failure::BadAnswer(_)) => Seen::Failed,
             Err(_) => Seen::Unreachable,
         };
         self.parts.judge.observe(Sample {
             release: release.clone(),
-            server: landed.choice.server.clone(),
-            data_centre: landed.choice.data_centre.clone(),
+            server: completed.choice.server.clone(),
+            data_centre: completed.choice.data_centre.clone(),
             seen,
         });
     }
@@ -371,7 +371,7 @@
 fn note(
     exchange: &mut Exchange,
     release: Option<&Release>,
-    landed: &Landed,
+    completed: &Completed,
     reason: Option<Retry>,
 ) {
     let (model, version) = match (release, &exchange.kind) {
@@ -379,7 +379,7 @@
         (None, Kind::Service(call)) => (call.service.clone(), "".into()),
         (None, _) => ("".into(), "".into()),
     };
-    let outcome = match &landed.result {
+    let outcome = match &completed.result {
         Ok(answer) => format!("status {}", answer.status.as_u16()),
         Err(failure) => failure.to_string(),
     };
@@ -389,9 +389,9 @@
     exchange.trace.attempts.push(trace::Attempt {
         model,
         version,
-        server: landed.choice.server.clone(),
+        server: completed.choice.server.clone(),
         reason: reason.map(|reason| reason.as_str().into()),
         outcome: outcome.into(),
-        ms: u64::try_from(landed.elapsed.as_millis()).unwrap_or(u64::MAX),
+        ms: u64::try_from(completed.elapsed.as_millis()).unwrap_or(u64::MAX),
     });
 }
--- a/crates/hawthornmount-entry/src/instance/parts.rs
+++ b/crates/hawthornmount-entry/src/instance/parts.rs
@@ -22,7 +22,7 @@
     hawthornmount_http::client::Client,
     hawthornmount_ledger::{Ledger, Product, log::Options},
     hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
-    hawthornmount_rollout::{Judge, driver::Role, inbox::Inbox, keeper::Keeper},
+    hawthornmount_rollout::{Judge, driver::Role, inbox::Inbox, monitor::Monitor},
     hawthornmount_store::{Store, etcd::Etcd},
     parking_lot::Mutex,
     rand::RngExt,
@@ -63,10 +63,10 @@
     pub demand: Mutex<Demand>,
     /// Judge of versions.
     pub judge: Arc<dyn Judge>,
-    /// Way of samples from the traffic threads to the keeper.
+    /// Way of samples from the traffic threads to the monitor.
     pub inbox: Arc<Inbox>,
     /// Evidence on versions, suspensions and the progress of roll-outs.
-    pub keeper: Arc<Keeper>,
+    pub monitor: Arc<Monitor>,
     /// What this instance knows of the holder that drives the roll-outs.
     pub role: Arc<Mutex<Role>>,
     /// The service that rates answers.
@@ -137,8 +137,8 @@
         let clock: Arc<dyn Clock> = Arc::new(clock::System);
         let metrics = Metrics::new();
         let local = record(&settings);
-        let keeper = Arc::new(Keeper::new(local.id.clone(), local.incarnation, clock.clone()));
-        let inbox = Arc::new(Inbox::new(keeper.clone(), metrics.clone()));
+        let monitor = Arc::new(Monitor::new(local.id.clone(), local.incarnation, clock.clone()));
+        let inbox = Arc::new(Inbox::new(monitor.clone(), metrics.clone()));
         let mesh = Arc::new(mesh(&settings, local, metrics.clone()));
         let fleet = self.fleet.unwrap_or_else(|| mesh.clone());
         let ledger = self
@@ -161,7 +161,7 @@
             demand: Mutex::default(),
             judge: self.judge.unwrap_or_else(|| inbox.clone()),
             inbox,
-            keeper,
+            monitor,
             role: Arc::default(),
             rater,
             journal: Journal::default(),
--- a/crates/hawthornmount-entry/src/session/mod.rs
+++ b/crates/hawthornmount-entry/src/session/mod.rs
@@ -37,7 +37,7 @@
 
 /// Message between the instances of a data centre.
 #[derive(Debug, Deserialize, Serialize)]
-enum Word {
+enum Command {
     /// Remember the pin.
     Keep(Pin),
     /// Return the pin of a session.
@@ -107,10 +107,10 @@
         account: &Arc<str>,
         session: &Arc<str>,
     ) -> Option<Pin> {
-        let word = Word::Find { account: account.clone(), session: session.clone() };
+        let command = Command::Find { account: account.clone(), session: session.clone() };
         let local = self.fleet.local();
         for home in homes.iter().filter(|home| **home != local) {
-            if let Some(pin) = self.ask(home, &word).await {
+            if let Some(pin) = self.ask(home, &command).await {
                 return Some(self.pins.lock().put(pin, false));
             }
         }
@@ -141,8 +141,8 @@
     /// The first reachable home of the whole fleet decides between first answers that come at the
     /// same time, so that they agree while the ledger is out of reach or slow; where the ledger
     /// knows better, it is right.
-    pub async fn settle(&self, wish: Pin) -> Pin {
-        let held = self.decide(wish).await;
+    pub async fn settle(&self, proposed: Pin) -> Pin {
+        let held = self.decide(proposed).await;
         let recorded = self.ledger.pin(held.clone());
         let pin = match tokio::time::timeout(LEDGER_TIMEOUT, recorded).await {
             Ok(Ok(pin)) => self.pins.lock().put(pin, true),
@@ -154,24 +154,24 @@
 
     /// Asks the homes of the whole fleet: a pin that a later one has, because the first could not
     /// be reached, holds; else the first that answers decides.
-    async fn decide(&self, wish: Pin) -> Pin {
-        let homes = self.far_homes(&wish.account, &wish.session);
+    async fn decide(&self, proposed: Pin) -> Pin {
+        let homes = self.far_homes(&proposed.account, &proposed.session);
         let later = homes.get(1..).unwrap_or_default();
-        if let Some(pin) = self.find_at(later, &wish.account, &wish.session).await
-            && pin.generation >= wish.generation
+        if let Some(pin) = self.find_at(later, &proposed.account, &proposed.session).await
+            && pin.generation >= proposed.generation
         {
             return pin;
         }
         let local = self.fleet.local();
         for home in homes {
             if home == local {
-                return self.pins.lock().put(wish, false);
+                return self.pins.lock().put(proposed, false);
             }
-            if let Some(pin) = self.ask(&home, &Word::Keep(wish.clone())).await {
+            if let Some(pin) = self.ask(&home, &Command::Keep(proposed.clone())).await {
                 return pin;
             }
         }
-        wish
+        proposed
     }
 
     /// Remembers the pin that a request was answered under, and records it if the ledger was out
@@ -201,7 +201,7 @@
         homes.dedup();
         let local = self.fleet.local();
         for home in homes.into_iter().filter(|home| *home != local) {
-            let Ok(payload) = postcard::to_stdvec(&Word::Keep(pin.clone())) else { return };
+            let Ok(payload) = postcard::to_stdvec(&Command::Keep(pin.clone())) else { return };
             let fleet = self.fleet.clone();
             tokio::spawn(async move {
                 let told = fleet.ask(&home, Topic::Session, payload.into());
@@ -210,8 +210,8 @@
         }
     }
 
-    async fn ask(&self, home: &InstanceId, word: &Word) -> Option<Pin> {
-        let payload = postcard::to_stdvec(word).ok()?.into();
+    async fn ask(&self, home: &InstanceId, command: &Command) -> Option<Pin> {
+        let payload = postcard::to_stdvec(command).ok()?.into();
         let asked = self.fleet.ask(home, Topic::Session, payload);
         let answer = tokio::time::timeout(PEER_TIMEOUT, asked).await.ok()?.ok()?;
         postcard::from_bytes(&answer).ok()?
@@ -304,8 +304,8 @@
 impl Responder for Home {
     async fn respond(&self, message: Message) -> Bytes {
         let found = match postcard::from_bytes(&message.payload) {
-            Ok(Word::Keep(pin)) => Some(self.pins.lock().put(pin, false)),
-            Ok(Word::Find { account, session }) => {
+            Ok(Command::Keep(pin)) => Some(self.pins.lock().put(pin, false)),
+            Ok(Command::Find { account, session }) => {
                 self.pins.lock().get(&account, &session).map(|known| known.pin.clone())
             }
             Err(_) => None,
--- a/crates/hawthornmount-ledger/src/claim/mod.rs
+++ b/crates/hawthornmount-ledger/src/claim/mod.rs
@@ -6,14 +6,14 @@
     std::sync::Arc,
 };
 
-/// A wish to run a non-idempotent call.
+/// A request to run a non-idempotent call.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Claim {
     /// Account of the caller.
     pub account: AccountId,
     /// The caller's `Idempotency-Key`.
     pub key: Arc<str>,
-    /// Request that wishes to run, which is the attempt's id.
+    /// Request that is to run, which is the attempt's id.
     pub attempt: RequestId,
     /// BLAKE3 hash, in hexadecimal, of method, path and body.
     pub digest: Arc<str>,
--- a/crates/hawthornmount-ledger/src/direct/mod.rs
+++ b/crates/hawthornmount-ledger/src/direct/mod.rs
@@ -64,8 +64,8 @@
 impl Ledger for Direct {
     async fn claim(&self, claim: Claim) -> Result<Claimed, Error> {
         let key = claim_key(&claim);
-        let wish = Record { claim: claim.clone(), outcome: None };
-        let record = self.create(&key, &wish).await?;
+        let first = Record { claim: claim.clone(), outcome: None };
+        let record = self.create(&key, &first).await?;
         if record.claim.digest != claim.digest {
             return Ok(Claimed::Conflict);
         }
@@ -139,8 +139,8 @@
         if record.outcome != Some(Outcome::NotRun) {
             return Ok(Claimed::Running { attempt });
         }
-        let wish = Record { claim: claim.clone(), outcome: None };
-        if self.replace(key, &entry, &wish).await? {
+        let first = Record { claim: claim.clone(), outcome: None };
+        if self.replace(key, &entry, &first).await? {
             Ok(Claimed::First(Ticket { claim }))
         } else {
             Ok(Claimed::Running { attempt })
--- a/crates/hawthornmount-ledger/src/log/mod.rs
+++ b/crates/hawthornmount-ledger/src/log/mod.rs
@@ -1,6 +1,6 @@
 //! Claims and session pins in hashed shards, each a log of segments on the store.
 //!
-//! The owner of a shard, by rendezvous hashing over the live members, batches the wishes of all
+//! The owner of a shard, by rendezvous hashing over the live members, batches the operations of all
 //! instances. It is only a choice that saves writes: any instance may write at any time, and the
 //! store decides whose segment stands.
 
@@ -28,7 +28,7 @@
     hawthornmount_store::Store,
     journal::Journal,
     parking_lot::Mutex,
-    record::{Answer, Reply, Settle, Wish, decode, encode},
+    record::{Answer, Operation, Reply, Settle, decode, encode},
     shard::Shard,
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -76,12 +76,12 @@
     ///
     /// Returns an error if the claim is not known to be the first; it never holds its key then.
     pub async fn claim(&self, claim: Claim) -> Result<Claimed, Error> {
-        match self.grant(Wish::Claim(claim.clone())).await {
+        match self.grant(Operation::Claim(claim.clone())).await {
             Ok(Reply::Claimed(claimed)) => Ok(claimed),
             Ok(_) => Err(Error::form("not an answer to a claim")),
             Err(error) => {
                 if matches!(error, Error::Unknown { .. }) {
-                    self.shard_of(&Wish::Claim(claim.clone())).1.give_up(&claim);
+                    self.shard_of(&Operation::Claim(claim.clone())).1.give_up(&claim);
                 }
                 Err(error)
             }
@@ -102,9 +102,9 @@
             outcome,
         };
         let is_unrun = settle.outcome == Outcome::NotRun;
-        let settled = self.grant(Wish::Settle(settle)).await;
+        let settled = self.grant(Operation::Settle(settle)).await;
         if settled.is_err() && is_unrun {
-            self.shard_of(&Wish::Claim(claim.clone())).1.give_up(claim);
+            self.shard_of(&Operation::Claim(claim.clone())).1.give_up(claim);
         }
         settled.map(|_| ())
     }
@@ -115,7 +115,7 @@
     ///
     /// Returns an error if the store is out of reach.
     pub async fn pin(&self, pin: Pin) -> Result<Pin, Error> {
-        match self.grant(Wish::Pin(pin)).await? {
+        match self.grant(Operation::Pin(pin)).await? {
             Reply::Pin(Some(pin)) => Ok(pin),
             _ => Err(Error::form("not an answer to a pin")),
         }
@@ -131,8 +131,8 @@
         account: &AccountId,
         session: &SessionId,
     ) -> Result<Option<Pin>, Error> {
-        let wish = Wish::Pinned { account: account.clone(), session: session.clone() };
-        match self.grant(wish).await? {
+        let operation = Operation::Pinned { account: account.clone(), session: session.clone() };
+        match self.grant(operation).await? {
             Reply::Pin(pin) => Ok(pin),
             _ => Err(Error::form("not an answer to the question for a pin")),
         }
@@ -158,31 +158,31 @@
     }
 
     /// Asks the shard's owner, and writes itself if the owner gives no answer in time.
-    async fn grant(&self, wish: Wish) -> Answer {
-        let (number, shard) = self.shard_of(&wish);
+    async fn grant(&self, operation: Operation) -> Answer {
+        let (number, shard) = self.shard_of(&operation);
         let owner = self.owner(number);
         if owner == self.fleet.local() {
-            return shard.grant(wish).await;
+            return shard.grant(operation).await;
         }
-        let asked = Request { shard: number, wish: wish.clone() };
+        let asked = Request { shard: number, operation: operation.clone() };
         match self.ask(&owner, &asked).await {
             Some(Ok(reply)) => Ok(reply),
-            answer => self.grant_alone(shard, wish, &owner, answer.is_none()).await,
+            answer => self.grant_alone(shard, operation, &owner, answer.is_none()).await,
         }
     }
 
-    /// Writes a wish itself, because the owner could not grant it.
+    /// Writes an operation itself, because the owner could not grant it.
     async fn grant_alone(
         &self,
         shard: &Arc<Shard>,
-        wish: Wish,
+        operation: Operation,
         owner: &InstanceId,
         silent: bool,
     ) -> Answer {
         if silent {
             self.avoid(owner);
         }
-        match shard.grant(wish).await {
+        match shard.grant(operation).await {
             Err(Error::Unavailable { cause }) => Err(Error::Unknown { cause }),
             answer => answer,
         }
@@ -203,9 +203,9 @@
         decode(&answer).ok()
     }
 
-    fn shard_of(&self, wish: &Wish) -> (u32, &Arc<Shard>) {
+    fn shard_of(&self, operation: &Operation) -> (u32, &Arc<Shard>) {
         let count = u64::try_from(self.shards.len()).unwrap_or(1);
-        let number = hash(wish.subject().as_bytes()) % count;
+        let number = hash(operation.subject().as_bytes()) % count;
         let at = usize::try_from(number).unwrap_or(0);
         (u32::try_from(number).unwrap_or(0), &self.shards[at])
     }
@@ -227,23 +227,24 @@
     }
 }
 
-/// A wish on its way to the shard's owner.
+/// An operation on its way to the shard's owner.
 #[derive(serde::Deserialize, serde::Serialize)]
 struct Request {
     shard: u32,
-    wish: Wish,
+    operation: Operation,
 }
 
-/// Answers the wishes of peers.
+/// Answers the operations of peers.
 struct Owner {
     shards: Arc<[Arc<Shard>]>,
     options: Options,
 }
 
 impl Owner {
-    /// Grants a wish as long as the peer waits for it.
-    async fn grant(&self, shard: &Arc<Shard>, wish: Wish) -> Answer {
-        let granted = tokio::time::timeout(self.options.forward_timeout, shard.grant(wish)).await;
+    /// Grants an operation as long as the peer waits for it.
+    async fn grant(&self, shard: &Arc<Shard>, operation: Operation) -> Answer {
+        let granted =
+            tokio::time::timeout(self.options.forward_timeout, shard.grant(operation)).await;
         granted.unwrap_or_else(|_| Err(Error::unknown("the shard's owner is too slow")))
     }
 }
@@ -253,7 +254,7 @@
     async fn respond(&self, message: Message) -> Bytes {
         let answer = match decode::<Request>(&message.payload) {
             Ok(request) => match self.shards.get(request.shard as usize) {
-                Some(shard) => self.grant(shard, request.wish).await,
+                Some(shard) => self.grant(shard, request.operation).await,
                 None => Err(Error::form("no such shard")),
             },
             Err(error) => Err(error),
--- a/crates/hawthornmount-ledger/src/log/options.rs
+++ b/crates/hawthornmount-ledger/src/log/options.rs
@@ -11,7 +11,7 @@
     pub window: Duration,
     /// Time for which the end of a call waits for others to share its write.
     pub settle_window: Duration,
-    /// Time in which a wish has to be granted.
+    /// Time in which an operation has to be granted.
     pub patience: Duration,
     /// Time in which a shard's owner has to answer before the instance writes itself.
     pub forward_timeout: Duration,
--- a/crates/hawthornmount-ledger/src/log/record.rs
+++ b/crates/hawthornmount-ledger/src/log/record.rs
@@ -33,7 +33,7 @@
 
 /// What an instance asks of a shard.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Wish {
+pub enum Operation {
     /// To claim a key.
     Claim(Claim),
     /// To record the end of a claimed call.
@@ -49,7 +49,7 @@
     },
 }
 
-/// Answer of a shard to a [`Wish`].
+/// Answer of a shard to a [`Operation`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Reply {
     /// Answer to a claim.
@@ -72,7 +72,7 @@
     pub records: Vec<Record>,
 }
 
-impl Wish {
+impl Operation {
     /// Returns the text whose hash chooses the shard.
     pub fn subject(&self) -> String {
         match self {
--- a/crates/hawthornmount-ledger/src/log/shard.rs
+++ b/crates/hawthornmount-ledger/src/log/shard.rs
@@ -1,10 +1,10 @@
-//! Batches the wishes of one shard into segments.
+//! Batches the operations of one shard into segments.
 
 use {
     super::{
         journal::Journal,
         options::Options,
-        record::{Answer, Record, Settle, Wish},
+        record::{Answer, Operation, Record, Settle},
         state::Decision,
     },
     crate::{Claim, Error, Outcome},
@@ -20,7 +20,7 @@
     },
 };
 
-/// Wishes that one segment takes.
+/// Operations that one segment takes.
 const MAX_BATCH: usize = 64;
 /// Pause before the store is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -30,7 +30,7 @@
 const MAX_VOIDS: usize = 65_536;
 
 struct Item {
-    wish: Wish,
+    operation: Operation,
     due: Instant,
     gives_up: Instant,
     /// Whether a write that carried it may have taken effect.
@@ -66,22 +66,22 @@
         })
     }
 
-    /// Grants a wish, together with others that come at the same time.
+    /// Grants an operation, together with others that come at the same time.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not answer in time.
-    pub async fn grant(self: &Arc<Self>, wish: Wish) -> Answer {
-        if matches!(wish, Wish::Pinned { .. }) {
-            return self.read(&wish).await;
+    pub async fn grant(self: &Arc<Self>, operation: Operation) -> Answer {
+        if matches!(operation, Operation::Pinned { .. }) {
+            return self.read(&operation).await;
         }
         let now = Instant::now();
         let window =
-            if wish.is_urgent() { self.options.window } else { self.options.settle_window };
+            if operation.is_urgent() { self.options.window } else { self.options.settle_window };
         let (sender, receiver) = oneshot::channel();
         let gives_up = now + self.options.patience;
         self.queue.lock().items.push(Item {
-            wish,
+            operation,
             due: now + window,
             gives_up,
             touched: false,
@@ -92,13 +92,13 @@
         receiver.await.unwrap_or_else(|_| Err(Error::unknown("the writer of the ledger has ended")))
     }
 
-    /// Answers a wish that needs no write.
-    async fn read(&self, wish: &Wish) -> Answer {
+    /// Answers an operation that needs no write.
+    async fn read(&self, operation: &Operation) -> Answer {
         let mut journal = self.journal.lock().await;
         if !journal.is_loaded() {
             journal.catch_up().await?;
         }
-        match journal.state().decide(wish, self.now_ms()) {
+        match journal.state().decide(operation, self.now_ms()) {
             Decision::Final(reply) | Decision::Present(reply) => Ok(reply),
             Decision::Refused(error) => Err(error),
             Decision::Write(_) => Err(Error::form("a read that writes")),
@@ -124,7 +124,7 @@
         self.drive();
     }
 
-    /// Returns how many wishes and given-up attempts wait, with one for a write on its way.
+    /// Returns how many operations and given-up attempts wait, with one for a write on its way.
     pub fn waiting(&self) -> usize {
         let queue = self.queue.lock();
         queue.items.len() + queue.voids.len() + usize::from(queue.driven)
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Waits until a wish is due and takes all that wait with it.
+    /// Waits until an operation is due and takes all that wait with it.
     async fn next_batch(&self) -> Vec<Item> {
         loop {
             let due = {
@@ -223,7 +223,7 @@
         let mut rest = Vec::new();
         let mut stale = false;
         for item in std::mem::take(open) {
-            match journal.state().decide(&item.wish, now_ms) {
+            match journal.state().decide(&item.operation, now_ms) {
                 Decision::Final(reply) => drop(item.sender.send(Ok(reply))),
                 Decision::Refused(error) => drop(item.sender.send(Err(error))),
                 Decision::Present(reply) if *fresh => drop(item.sender.send(Ok(reply))),
@@ -303,12 +303,12 @@
     }
 }
 
-/// Answers the wishes whose time is over, or that need no further try, with `failure`.
+/// Answers the operations whose time is over, or that need no further try, with `failure`.
 fn answer_late(open: &mut Vec<Item>, failure: &Error) {
     let now = Instant::now();
     let mut rest = Vec::new();
     for item in std::mem::take(open) {
-        let hopeless = matches!(failure, Error::Unavailable { .. }) && item.wish.is_urgent();
+        let hopeless = matches!(failure, Error::Unavailable { .. }) && item.operation.is_urgent();
         if !hopeless && now < item.gives_up {
             rest.push(item);
             continue;
--- a/crates/hawthornmount-ledger/src/log/state.rs
+++ b/crates/hawthornmount-ledger/src/log/state.rs
@@ -1,7 +1,7 @@
 //! State of a shard: its records folded in the order of the log.
 
 use {
-    super::record::{Record, Reply, Segment, Settle, Wish, claim_id, pin_id, void_id},
+    super::record::{Operation, Record, Reply, Segment, Settle, claim_id, pin_id, void_id},
     crate::{Claim, Claimed, Error, Outcome, Pin, Ticket},
     hawthornmount_core::table::Table,
     serde::{Deserialize, Serialize},
@@ -40,7 +40,7 @@
 /// A slot with its id, as parts of a compacted log hold it.
 pub type Row = (Arc<str>, Slot);
 
-/// What has to be done for a wish.
+/// What has to be done for an operation.
 #[derive(Debug)]
 pub enum Decision {
     /// The answer stands and can't change any more.
@@ -49,7 +49,7 @@
     Present(Reply),
     /// The record has to be written first.
     Write(Record),
-    /// The wish can't be granted.
+    /// The operation can't be granted.
     Refused(Error),
 }
 
@@ -96,18 +96,18 @@
         }
     }
 
-    /// Decides on a wish at `now_ms`, in milliseconds since the epoch.
-    pub fn decide(&self, wish: &Wish, now_ms: u64) -> Decision {
-        match wish {
-            Wish::Claim(claim) => self.decide_claim(claim, now_ms),
-            Wish::Settle(settle) => self.decide_settle(settle),
-            Wish::Pin(pin) => match self.pin_of(&pin.account, &pin.session, now_ms) {
+    /// Decides on an operation at `now_ms`, in milliseconds since the epoch.
+    pub fn decide(&self, operation: &Operation, now_ms: u64) -> Decision {
+        match operation {
+            Operation::Claim(claim) => self.decide_claim(claim, now_ms),
+            Operation::Settle(settle) => self.decide_settle(settle),
+            Operation::Pin(pin) => match self.pin_of(&pin.account, &pin.session, now_ms) {
                 Some(held) if held.generation >= pin.generation => {
                     Decision::Present(Reply::Pin(Some(held.clone())))
                 }
                 _ => Decision::Write(Record::Pin(pin.clone())),
             },
-            Wish::Pinned { account, session } => {
+            Operation::Pinned { account, session } => {
                 Decision::Final(Reply::Pin(self.pin_of(account, session, now_ms).cloned()))
             }
         }
--- a/crates/hawthornmount-policy/src/server/mod.rs
+++ b/crates/hawthornmount-policy/src/server/mod.rs
@@ -187,7 +187,7 @@
             let server = &self.servers[*at];
             server.record.has_room(query.now) && !tried.contains(&server.id)
         };
-        if let Some(at) = self.keeper(query, group)
+        if let Some(at) = self.monitor(query, group)
             && open(&at)
         {
             return Some(at);
@@ -243,16 +243,16 @@
     }
 
     /// Returns the server that keeps the prompt's prefix, unless it is much busier than the mean.
-    fn keeper(&self, query: &Query, group: &Group) -> Option<usize> {
+    fn monitor(&self, query: &Query, group: &Group) -> Option<usize> {
         let near = group.at(Distance::Local);
         if query.prompt_tokens < AFFINITY_TOKENS || near.is_empty() {
             return None;
         }
         let mean = near.iter().map(|at| self.utilisation(*at)).sum::<f64>() / near.len() as f64;
         let weight = |at: &usize| mix(self.servers[*at].hash ^ query.prefix);
-        let keeper = near.iter().copied().max_by_key(weight)?;
+        let monitor = near.iter().copied().max_by_key(weight)?;
         let bound = (mean * AFFINITY_BOUND).max(AFFINITY_FREE);
-        (self.utilisation(keeper) <= bound).then_some(keeper)
+        (self.utilisation(monitor) <= bound).then_some(monitor)
     }
 
     /// Returns the expected requests per slot at a server with one more, by how slow it is. The
--- a/crates/hawthornmount-policy/tests/policy/server.rs
+++ b/crates/hawthornmount-policy/tests/policy/server.rs
@@ -189,10 +189,10 @@
     let mut long = query(now);
     long.prompt_tokens = 400;
     let ask = || router.choose(&snapshot, &long, &release(0), &[]).expect("a server is up");
-    let keeper = ask().server;
-    let kept = (0..3).filter(|_| ask().server == keeper).count();
+    let monitor = ask().server;
+    let kept = (0..3).filter(|_| ask().server == monitor).count();
     assert_eq!(kept, 3);
-    let spread = (0..12).filter(|_| ask().server != keeper).count();
+    let spread = (0..12).filter(|_| ask().server != monitor).count();
     assert!(spread >= 6, "only {spread} of 12 left the busy server");
 }
 
--- a/crates/hawthornmount-rollout/src/driver/mod.rs
+++ b/crates/hawthornmount-rollout/src/driver/mod.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        keeper::Keeper,
+        monitor::Monitor,
         order::Orders,
         progress::{self, Gate, Progress},
         share,
@@ -58,7 +58,7 @@
 
 /// Drives the roll-outs from one instance.
 pub struct Driver {
-    keeper: Arc<Keeper>,
+    monitor: Arc<Monitor>,
     store: Arc<dyn Store>,
     fleet: Arc<dyn Fleet>,
     view: Arc<dyn View>,
@@ -71,14 +71,14 @@
     /// Creates a driver. `lease` carries the name of this life of the instance, and `role` is kept
     /// up to date.
     pub fn new(
-        keeper: Arc<Keeper>,
+        monitor: Arc<Monitor>,
         store: Arc<dyn Store>,
         fleet: Arc<dyn Fleet>,
         view: Arc<dyn View>,
         lease: Lease,
         role: Arc<Mutex<Role>>,
     ) -> Self {
-        Self { keeper, store, fleet, view, lease, recorded: Vec::new(), role }
+        Self { monitor, store, fleet, view, lease, recorded: Vec::new(), role }
     }
 
     /// Drives the roll-outs and orders the engines; never returns.
@@ -93,7 +93,7 @@
                 self.note(&round);
                 next_round = now + self.pause();
             }
-            orders.round(&self.view.snapshot(), &self.keeper, &self.lease).await;
+            orders.round(&self.view.snapshot(), &self.monitor, &self.lease).await;
         }
     }
 
@@ -111,9 +111,9 @@
         self.record_suspensions().await?;
         self.lease.keep(&*self.store, holder).await?;
         if self.lease.fence(Duration::ZERO).is_some() {
-            share::tell_suspensions(&*self.fleet, &self.keeper.suspensions());
+            share::tell_suspensions(&*self.fleet, &self.monitor.suspensions());
             self.advance(&entries).await?;
-            share::tell_progress(&*self.fleet, &self.keeper.progress());
+            share::tell_progress(&*self.fleet, &self.monitor.progress());
         }
         Ok(())
     }
@@ -130,19 +130,19 @@
                 self.recorded.push(one.clone());
             }
         }
-        self.keeper.merge_suspensions(suspensions);
-        self.keeper.merge_progress(read(entries, PROGRESS));
+        self.monitor.merge_suspensions(suspensions);
+        self.monitor.merge_progress(read(entries, PROGRESS));
     }
 
     fn has_unrecorded(&self) -> bool {
         self.role.lock().store_error.is_none()
-            && self.keeper.suspensions().iter().any(|one| !self.recorded.contains(one))
+            && self.monitor.suspensions().iter().any(|one| !self.recorded.contains(one))
     }
 
     /// Records the suspensions that the store does not hold. The newest cause of a key wins there
     /// as it does at the instances.
     async fn record_suspensions(&mut self) -> Result<()> {
-        for one in self.keeper.suspensions() {
+        for one in self.monitor.suspensions() {
             if self.recorded.contains(&one) {
                 continue;
             }
@@ -188,9 +188,9 @@
         known: Option<Progress>,
     ) -> Option<Progress> {
         let release = progress::release(rollout);
-        let (rated, doubt) = self.keeper.standing(&release);
-        let now_ms = self.keeper.now_ms();
-        let against = self.keeper.against(&release);
+        let (rated, doubt) = self.monitor.standing(&release);
+        let now_ms = self.monitor.now_ms();
+        let against = self.monitor.against(&release);
         let capacity = capacity(snapshot, &release);
         let gate = Gate { now_ms, rated, against, doubt, capacity };
         match known {
@@ -220,8 +220,8 @@
                 next.rollout, next.stage, next.step, next.cause
             );
             log::info!("{what}");
-            self.keeper.note(what);
-            self.keeper.merge_progress(vec![next]);
+            self.monitor.note(what);
+            self.monitor.merge_progress(vec![next]);
         }
         Ok(())
     }
@@ -230,8 +230,8 @@
         let mut role = self.role.lock();
         let fence = self.lease.fence(Duration::ZERO);
         match (role.fence, fence) {
-            (None, Some(fence)) => self.keeper.note(format!("took the lease; fence={fence}")),
-            (Some(fence), None) => self.keeper.note(format!("left the lease; fence={fence}")),
+            (None, Some(fence)) => self.monitor.note(format!("took the lease; fence={fence}")),
+            (Some(fence), None) => self.monitor.note(format!("left the lease; fence={fence}")),
             _ => {}
         }
         role.fence = fence;
--- a/crates/hawthornmount-rollout/src/evidence/season.rs
+++ b/crates/hawthornmount-rollout/src/evidence/drift.rs
@@ -1,4 +1,4 @@
-//! Detector of a version that turns bad in the middle of a season, against its own past.
+//! Detector of a version that turns bad while it is in use, against its own past.
 //!
 //! A reference is learned from the first observations, and again at each doubling of them while the
 //! version is steady. Each later observation multiplies a wealth that gets a small deposit
@@ -61,7 +61,7 @@
 
 /// Detector of one release and signal.
 #[derive(Clone, Debug)]
-pub struct Season {
+pub struct Drift {
     signal: Signal,
     past: Batch,
     learn_at: u64,
@@ -72,7 +72,7 @@
     last: VecDeque<u64>,
 }
 
-impl Season {
+impl Drift {
     /// Creates a detector that has seen nothing.
     pub fn new(signal: Signal) -> Self {
         let empty = [f64::NEG_INFINITY; STAKES];
--- a/crates/hawthornmount-rollout/src/evidence/mod.rs
+++ b/crates/hawthornmount-rollout/src/evidence/mod.rs
@@ -2,8 +2,8 @@
 //! the fleet without double counting.
 
 pub mod bet;
+pub mod drift;
 pub mod pair;
-pub mod season;
 pub mod signal;
 
 mod wire;
--- a/crates/hawthornmount-rollout/src/inbox/mod.rs
+++ b/crates/hawthornmount-rollout/src/inbox/mod.rs
@@ -1,7 +1,7 @@
 //! Way of samples from the traffic threads to the judge on the control thread.
 
 use {
-    crate::{Judge, Sample, keeper::Keeper},
+    crate::{Judge, Sample, monitor::Monitor},
     async_trait::async_trait,
     hawthornmount_core::{
         metrics::Metrics,
@@ -19,26 +19,26 @@
 
 /// Judge that hands its samples to another thread; a full backlog drops and counts them.
 pub struct Inbox {
-    keeper: Arc<Keeper>,
+    monitor: Arc<Monitor>,
     metrics: Metrics,
     sender: Sender<Sample>,
     receiver: Mutex<Option<Receiver<Sample>>>,
 }
 
 impl Inbox {
-    /// Creates an inbox in front of `keeper`.
-    pub fn new(keeper: Arc<Keeper>, metrics: Metrics) -> Self {
+    /// Creates an inbox in front of `monitor`.
+    pub fn new(monitor: Arc<Monitor>, metrics: Metrics) -> Self {
         let (sender, receiver) = mpsc::channel(BACKLOG);
-        Self { keeper, metrics, sender, receiver: Mutex::new(Some(receiver)) }
+        Self { monitor, metrics, sender, receiver: Mutex::new(Some(receiver)) }
     }
 
-    /// Hands the samples to the keeper; never returns, but for a second call, which has no effect.
+    /// Hands the samples to the monitor; never returns, but for a second call, which has no effect.
     pub async fn run(self: Arc<Self>) {
         let receiver = self.receiver.lock().take();
         let Some(mut receiver) = receiver else { return };
         let mut samples = Vec::with_capacity(AT_A_TIME);
         while receiver.recv_many(&mut samples, AT_A_TIME).await > 0 {
-            samples.drain(..).for_each(|sample| self.keeper.observe(sample));
+            samples.drain(..).for_each(|sample| self.monitor.observe(sample));
             tokio::task::yield_now().await;
         }
     }
@@ -53,14 +53,14 @@
     }
 
     fn suspended(&self) -> Vec<Release> {
-        self.keeper.suspended()
+        self.monitor.suspended()
     }
 
     fn shares(&self) -> Vec<Share> {
-        self.keeper.shares()
+        self.monitor.shares()
     }
 
     async fn changed(&self) {
-        self.keeper.changed().await;
+        self.monitor.changed().await;
     }
 }
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod driver;
 pub mod evidence;
 pub mod inbox;
-pub mod keeper;
+pub mod monitor;
 pub mod order;
 pub mod progress;
 pub mod quiet;
--- a/crates/hawthornmount-rollout/src/keeper/mod.rs
+++ b/crates/hawthornmount-rollout/src/monitor/mod.rs
@@ -29,14 +29,14 @@
 };
 
 /// Judge of an instance.
-pub struct Keeper {
+pub struct Monitor {
     inner: Mutex<Inner>,
     changed: Notify,
     news: Notify,
     clock: Arc<dyn Clock>,
 }
 
-impl Keeper {
+impl Monitor {
     /// Creates a judge that has seen nothing.
     pub fn new(instance: InstanceId, incarnation: Incarnation, clock: Arc<dyn Clock>) -> Self {
         let inner = Inner {
@@ -50,7 +50,7 @@
             urgent: false,
             pairs: Pairs::default(),
             latency: Latency::default(),
-            seasons: Vec::new(),
+            drifts: Vec::new(),
             sequence: 0,
             suspensions: Set::default(),
             unsent: Vec::new(),
@@ -188,7 +188,7 @@
 }
 
 #[async_trait]
-impl Judge for Keeper {
+impl Judge for Monitor {
     fn observe(&self, sample: Sample) {
         let mut inner = self.inner.lock();
         let changed = inner.observe(&sample, self.now_ms());
--- a/crates/hawthornmount-rollout/src/keeper/state.rs
+++ b/crates/hawthornmount-rollout/src/monitor/state.rs
@@ -7,8 +7,8 @@
         evidence::{
             Cell, Count, Evidence, Key, Signal, Tally,
             bet::Wealth,
+            drift::{Batch, Drift},
             pair::Pairs,
-            season::{Batch, Season},
         },
         progress::Progress,
         sample::Seen,
@@ -44,7 +44,7 @@
     pub urgent: bool,
     pub pairs: Pairs,
     pub latency: Latency,
-    pub seasons: Vec<(Release, u64, [Season; 3])>,
+    pub drifts: Vec<(Release, u64, [Drift; 3])>,
     pub sequence: u64,
     pub suspensions: Set,
     pub unsent: Vec<Suspension>,
@@ -149,7 +149,7 @@
         if generation != self.config.generation(&release.model, &release.version) {
             return false;
         }
-        self.feed_season(&release, &key.server, before.as_ref(), &tally);
+        self.feed_drift(&release, &key.server, before.as_ref(), &tally);
         let rose = before.as_ref().is_none_or(|before| rose(before, &tally));
         self.urgent |= own && rose && self.is_in_doubt(&release);
         rose && self.judge(&release, generation, now_ms)
@@ -161,8 +161,8 @@
         if self.stable_of(release).as_ref() != Some(release) {
             return true;
         }
-        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
-        found.is_ok_and(|at| self.seasons[at].2.iter().any(|one| one.rising_since().is_some()))
+        let found = self.drifts.binary_search_by(|(one, ..)| one.cmp(release));
+        found.is_ok_and(|at| self.drifts[at].2.iter().any(|one| one.rising_since().is_some()))
     }
 
     /// Notes that a tally has to be told; one that got worse goes first.
@@ -175,7 +175,7 @@
         }
     }
 
-    fn feed_season(
+    fn feed_drift(
         &mut self,
         release: &Release,
         server: &ServerId,
@@ -184,10 +184,10 @@
     ) {
         let group = self.group(&new.data_centre, server);
         self.sequence += 1;
-        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
+        let found = self.drifts.binary_search_by(|(one, ..)| one.cmp(release));
         let at = found.unwrap_or_else(|at| {
             let generation = self.config.generation(&release.model, &release.version);
-            self.seasons.insert(at, (release.clone(), generation, Signal::ALL.map(Season::new)));
+            self.drifts.insert(at, (release.clone(), generation, Signal::ALL.map(Drift::new)));
             at
         });
         for signal in Signal::ALL {
@@ -198,7 +198,7 @@
                 seen: now.seen.saturating_sub(before.seen),
                 bad: now.bad.saturating_sub(before.bad),
             };
-            self.seasons[at].2[at_signal].take(&group, batch, self.sequence);
+            self.drifts[at].2[at_signal].take(&group, batch, self.sequence);
         }
     }
 
@@ -239,7 +239,7 @@
                 let text = format!("{signal} worse than the stable version's, ln e = {paired:.1}");
                 return Some(text.into());
             }
-            let past = self.season(release, signal);
+            let past = self.drift(release, signal);
             if past >= threshold && !self.is_common(release, signal) {
                 return Some(format!("{signal} worse than in its past, ln e = {past:.1}").into());
             }
@@ -249,12 +249,12 @@
 
     /// Returns the logarithm of the e-value against a release compared with its past. Slowness says
     /// nothing here: load makes a good version slow.
-    fn season(&self, release: &Release, signal: Signal) -> f64 {
+    fn drift(&self, release: &Release, signal: Signal) -> f64 {
         if signal == Signal::Latency {
             return f64::NEG_INFINITY;
         }
-        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
-        found.map_or(f64::NEG_INFINITY, |at| self.seasons[at].2[signal as usize].against())
+        let found = self.drifts.binary_search_by(|(one, ..)| one.cmp(release));
+        found.map_or(f64::NEG_INFINITY, |at| self.drifts[at].2[signal as usize].against())
     }
 
     /// Tells whether ratings may have fallen for every model at once, which is the rating service's
@@ -263,11 +263,11 @@
         if signal != Signal::Rating {
             return false;
         }
-        let found = self.seasons.binary_search_by(|(one, ..)| one.cmp(release));
-        let own = found.ok().map(|at| &self.seasons[at].2[signal as usize]);
-        let since = own.and_then(Season::rising_since).unwrap_or(self.sequence);
-        let others = self.seasons.iter().filter(|(one, ..)| one.model != release.model);
-        !others.into_iter().any(|(_, _, season)| season[signal as usize].is_steady_after(since))
+        let found = self.drifts.binary_search_by(|(one, ..)| one.cmp(release));
+        let own = found.ok().map(|at| &self.drifts[at].2[signal as usize]);
+        let since = own.and_then(Drift::rising_since).unwrap_or(self.sequence);
+        let others = self.drifts.iter().filter(|(one, ..)| one.model != release.model);
+        !others.into_iter().any(|(_, _, drift)| drift[signal as usize].is_steady_after(since))
     }
 
     /// Returns the logarithm of the e-value that condemns.
@@ -279,7 +279,7 @@
         let generation = self.config.generation(&release.model, &release.version);
         let doubt = |signal| {
             let paired = self.evidence.against(release, generation, signal);
-            paired.max(self.season(release, signal))
+            paired.max(self.drift(release, signal))
         };
         let most = Signal::ALL.into_iter().map(doubt).fold(f64::NEG_INFINITY, f64::max);
         (self.evidence.seen(release, generation, Signal::Rating), most)
@@ -331,7 +331,7 @@
     /// Forgets what belongs to versions and generations that are gone.
     pub fn forget(&mut self) {
         let config = self.config.clone();
-        self.seasons.retain(|(release, generation, _)| {
+        self.drifts.retain(|(release, generation, _)| {
             config.generation(&release.model, &release.version) == *generation
         });
         self.evidence.retain(|key| {
--- a/crates/hawthornmount-rollout/src/order/mod.rs
+++ b/crates/hawthornmount-rollout/src/order/mod.rs
@@ -2,7 +2,7 @@
 //! is read back until it is so.
 
 use {
-    crate::{driver::lease::Lease, keeper::Keeper},
+    crate::{driver::lease::Lease, monitor::Monitor},
     futures::{StreamExt, stream},
     hawthornmount_core::{
         config::{Server, State},
@@ -80,9 +80,9 @@
 
     /// Orders each server whose report differs from what should be loaded. Does nothing without
     /// the lease. Each order ends before the holder has to stop acting.
-    pub async fn round(&mut self, snapshot: &Snapshot, keeper: &Keeper, lease: &Lease) {
+    pub async fn round(&mut self, snapshot: &Snapshot, monitor: &Monitor, lease: &Lease) {
         let Some(fence) = lease.fence(TIMEOUT) else { return };
-        let tasks = self.tasks(snapshot, keeper, fence);
+        let tasks = self.tasks(snapshot, monitor, fence);
         let client = &self.client;
         let sent: Vec<(ServerId, bool)> = stream::iter(tasks)
             .map(|task| async move {
@@ -101,7 +101,7 @@
         }
     }
 
-    fn tasks(&mut self, snapshot: &Snapshot, keeper: &Keeper, fence: u64) -> Vec<Task> {
+    fn tasks(&mut self, snapshot: &Snapshot, monitor: &Monitor, fence: u64) -> Vec<Task> {
         let now = Instant::now();
         let mut tasks = Vec::new();
         for backend in snapshot.backends.iter() {
@@ -112,7 +112,7 @@
             {
                 continue;
             }
-            let mut wanted = wanted(snapshot, keeper, backend, server);
+            let mut wanted = wanted(snapshot, monitor, backend, server);
             if wanted == backend.loaded {
                 self.sent.remove(&backend.id);
                 continue;
@@ -128,7 +128,7 @@
             if may_load {
                 self.last_load = Some(now);
             }
-            keeper.note(format!("order; server={} loads={may_load}", backend.id));
+            monitor.note(format!("order; server={} loads={may_load}", backend.id));
             tasks.push(Task {
                 server: backend.id.clone(),
                 address: backend.address,
@@ -161,7 +161,7 @@
 /// under roll-out of its models, and what it has of others that may get work.
 fn wanted(
     snapshot: &Snapshot,
-    keeper: &Keeper,
+    monitor: &Monitor,
     backend: &Backend,
     server: &Server,
 ) -> Vec<Release> {
@@ -173,7 +173,7 @@
         let versions = stable.into_iter().chain(rolled.map(|row| row.value.to.clone()));
         wanted.extend(versions.map(|version| Release { model: model.clone(), version }));
     }
-    wanted.retain(|release| is_alive(snapshot, release) && keeper.against(release).is_none());
+    wanted.retain(|release| is_alive(snapshot, release) && monitor.against(release).is_none());
     wanted.sort();
     wanted.dedup();
     wanted
--- a/crates/hawthornmount-rollout/src/share/mod.rs
+++ b/crates/hawthornmount-rollout/src/share/mod.rs
@@ -1,7 +1,7 @@
 //! Tells the other instances of evidence, suspensions and progress, and takes theirs.
 
 use {
-    crate::{evidence::Cell, keeper::Keeper, progress::Progress, suspension::Suspension},
+    crate::{evidence::Cell, monitor::Monitor, progress::Progress, suspension::Suspension},
     bytes::Bytes,
     hawthornmount_fleet::{Error, Fleet, Message, Topic},
     serde::{Serialize, de::DeserializeOwned},
@@ -39,7 +39,7 @@
 }
 
 /// Exchanges evidence, suspensions and progress with the other instances; never returns.
-pub async fn run(keeper: Arc<Keeper>, fleet: Arc<dyn Fleet>) {
+pub async fn run(monitor: Arc<Monitor>, fleet: Arc<dyn Fleet>) {
     let mut evidence = subscribe(&*fleet, Topic::Evidence);
     let mut suspensions = subscribe(&*fleet, Topic::Suspension);
     let mut progress = subscribe(&*fleet, Topic::Rollout);
@@ -50,24 +50,24 @@
     loop {
         tokio::select! {
             Some(message) = suspensions.recv() => {
-                keeper.merge_suspensions(read::<Suspension>(&message));
+                monitor.merge_suspensions(read::<Suspension>(&message));
             }
-            Some(message) = evidence.recv() => keeper.merge_evidence(read::<Cell>(&message)),
+            Some(message) = evidence.recv() => monitor.merge_evidence(read::<Cell>(&message)),
             Some(message) = progress.recv() => {
-                keeper.merge_progress(read::<Progress>(&message));
+                monitor.merge_progress(read::<Progress>(&message));
             }
-            () = keeper.news() => {}
+            () = monitor.news() => {}
             _ = tick.tick() => {}
         }
         let now = Instant::now();
         if now >= last_all + EVIDENCE_PAUSE {
             (last, last_all) = (now, now);
-            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(CELLS));
-        } else if keeper.is_urgent() && now >= last + URGENT_PAUSE {
+            spread(&*fleet, Topic::Evidence, &monitor.fresh_evidence(CELLS));
+        } else if monitor.is_urgent() && now >= last + URGENT_PAUSE {
             last = now;
-            spread(&*fleet, Topic::Evidence, &keeper.fresh_evidence(URGENT_CELLS));
+            spread(&*fleet, Topic::Evidence, &monitor.fresh_evidence(URGENT_CELLS));
         }
-        let fresh = keeper.fresh_suspensions().into_iter();
+        let fresh = monitor.fresh_suspensions().into_iter();
         told.extend(fresh.map(|item| Told { item, count: 0, next: now }));
         repeat(&*fleet, &mut told, now);
     }
--- a/crates/hawthornmount-rollout/tests/common/mod.rs
+++ b/crates/hawthornmount-rollout/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use {
     hawthornmount_core::{clock::Manual, config::Config, id::ServerId, snapshot::Release},
-    hawthornmount_rollout::{Judge, Sample, keeper::Keeper, sample::Seen},
+    hawthornmount_rollout::{Judge, Sample, monitor::Monitor, sample::Seen},
     rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom},
     std::{sync::Arc, time::Duration},
 };
@@ -26,7 +26,7 @@
 
 /// A few judges.
 pub struct World {
-    pub keepers: Vec<Keeper>,
+    pub monitors: Vec<Monitor>,
     pub clock: Arc<Manual>,
     pub rng: StdRng,
 }
@@ -35,12 +35,12 @@
     pub fn new(instances: usize, seed: u64) -> Self {
         let clock = Arc::new(Manual::new());
         let config = Arc::new(config(0));
-        let keepers = (0..instances).map(|at| {
-            let keeper = Keeper::new(format!("i{at}").into(), 1, clock.clone());
-            keeper.configure(1, &config, instances);
-            keeper
+        let monitors = (0..instances).map(|at| {
+            let monitor = Monitor::new(format!("i{at}").into(), 1, clock.clone());
+            monitor.configure(1, &config, instances);
+            monitor
         });
-        Self { keepers: keepers.collect(), clock, rng: StdRng::seed_from_u64(seed) }
+        Self { monitors: monitors.collect(), clock, rng: StdRng::seed_from_u64(seed) }
     }
 
     pub fn any_server(&mut self) -> ServerId {
@@ -57,7 +57,7 @@
     }
 
     pub fn serve_at(&mut self, version: &str, server: &ServerId, kind: &Kind) {
-        let at = self.rng.random_range(0..self.keepers.len());
+        let at = self.rng.random_range(0..self.monitors.len());
         let number: usize = server[1..].parse().unwrap_or(0);
         let sample = |seen| Sample {
             release: release(version),
@@ -66,22 +66,22 @@
             seen,
         };
         if self.rng.random_bool(kind.failures) {
-            self.keepers[at].observe(sample(Seen::Failed));
+            self.monitors[at].observe(sample(Seen::Failed));
             return;
         }
         let elapsed = ANSWER.mul_f64(kind.slowness * self.rng.random_range(0.5..1.5));
-        self.keepers[at].observe(sample(Seen::Answered(elapsed)));
+        self.monitors[at].observe(sample(Seen::Answered(elapsed)));
         if kind.rated {
             let good = self.rng.random_bool(kind.quality);
-            self.keepers[at].observe(sample(Seen::Rated(f64::from(u8::from(good)))));
+            self.monitors[at].observe(sample(Seen::Rated(f64::from(u8::from(good)))));
         }
     }
 
     pub fn gossip(&self) {
-        for from in &self.keepers {
+        for from in &self.monitors {
             let cells = from.fresh_evidence(usize::MAX);
             let suspensions = from.fresh_suspensions();
-            for to in &self.keepers {
+            for to in &self.monitors {
                 to.merge_evidence(cells.clone());
                 to.merge_suspensions(suspensions.clone());
             }
--- a/crates/hawthornmount-rollout/tests/driver.rs
+++ b/crates/hawthornmount-rollout/tests/driver.rs
@@ -15,7 +15,7 @@
     hawthornmount_rollout::{
         Judge,
         driver::{Driver, PREFIX, View, lease::Lease},
-        keeper::Keeper,
+        monitor::Monitor,
         progress::{Progress, Stage},
         suspension::{Cause, Key, Suspension},
     },
@@ -104,7 +104,7 @@
 }
 
 struct One {
-    keeper: Arc<Keeper>,
+    monitor: Arc<Monitor>,
     driver: Driver,
     view: Arc<Present>,
     store: Arc<Faulty>,
@@ -112,12 +112,12 @@
 
 impl One {
     fn configure(&self, revision: Revision, config: &Arc<Config>) {
-        self.keeper.configure(revision, config, 1);
+        self.monitor.configure(revision, config, 1);
         *self.view.0.lock() = Arc::new(snapshot(revision, config));
     }
 
     fn fraction(&self) -> Option<f64> {
-        Some(self.keeper.shares().first()?.fraction)
+        Some(self.monitor.shares().first()?.fraction)
     }
 }
 
@@ -137,7 +137,7 @@
         self.made += 1;
         let name: Arc<str> = format!("i{}", self.made).into();
         let clock: Arc<dyn Clock> = self.clock.clone();
-        let keeper = Arc::new(Keeper::new(name.clone(), 1, clock.clone()));
+        let monitor = Arc::new(Monitor::new(name.clone(), 1, clock.clone()));
         let faults = Mutex::new(Faults::default());
         let store = Arc::new(Faulty { memory: self.memory.clone(), faults });
         let view = Arc::new(Present(Mutex::new(Arc::new(Snapshot::empty()))));
@@ -151,8 +151,8 @@
         }));
         let lease = Lease::new(name, clock);
         let driver =
-            Driver::new(keeper.clone(), store.clone(), fleet, view.clone(), lease, Arc::default());
-        let one = One { keeper, driver, view, store };
+            Driver::new(monitor.clone(), store.clone(), fleet, view.clone(), lease, Arc::default());
+        let one = One { monitor, driver, view, store };
         one.configure(1, &Arc::new(config(0)));
         one
     }
@@ -275,14 +275,14 @@
     let mut setting = Setting::new();
     let mut first = setting.instance();
     first.driver.round().await.expect("the store answers");
-    first.keeper.merge_suspensions(vec![suspension(1, 0)]);
+    first.monitor.merge_suspensions(vec![suspension(1, 0)]);
     first.driver.round().await.expect("the store answers");
     drop(first);
     setting.clock.advance(LAPSE);
     let mut second = setting.instance();
     second.driver.round().await.expect("the store answers");
     second.driver.round().await.expect("the store answers");
-    assert_eq!(second.keeper.suspended(), vec![release("v2")]);
+    assert_eq!(second.monitor.suspended(), vec![release("v2")]);
     assert_eq!(setting.progress().await.map(|one| one.stage), Some(Stage::Stopped));
     assert_eq!(second.fraction(), Some(0.0));
 }
@@ -323,11 +323,11 @@
     let mut setting = Setting::new();
     let mut one = setting.instance();
     one.driver.round().await.expect("the store answers");
-    one.keeper.merge_suspensions(vec![suspension(1, 0)]);
+    one.monitor.merge_suspensions(vec![suspension(1, 0)]);
     one.driver.round().await.expect("the store answers");
     one.configure(2, &Arc::new(config(1)));
     one.driver.round().await.expect("the store answers");
-    assert_eq!(one.keeper.suspended(), Vec::<Release>::new());
+    assert_eq!(one.monitor.suspended(), Vec::<Release>::new());
     let progress = setting.progress().await.expect("the record exists");
     assert_eq!((progress.generation, progress.stage, progress.step), (1, Stage::Running, 0));
 }
--- a/crates/hawthornmount-rollout/tests/evidence.rs
+++ b/crates/hawthornmount-rollout/tests/evidence.rs
@@ -21,7 +21,7 @@
     for _ in 0..answers {
         world.answer("v2", 0.3, 0.5, 1.0);
         world.answer("v1", 0.05, 0.9, 1.0);
-        all.extend(world.keepers.iter().flat_map(|keeper| keeper.fresh_evidence(64)));
+        all.extend(world.monitors.iter().flat_map(|monitor| monitor.fresh_evidence(64)));
     }
     all
 }
@@ -129,7 +129,7 @@
         }
         world.gossip();
     }
-    let suspended: Vec<_> = world.keepers.iter().map(|keeper| keeper.suspended()).collect();
+    let suspended: Vec<_> = world.monitors.iter().map(|monitor| monitor.suspended()).collect();
     for one in suspended {
         assert_eq!(one.contains(&release("v2")), case.condemned);
         assert!(!one.contains(&release("v1")));
@@ -154,8 +154,8 @@
         }
         world.gossip();
     }
-    for keeper in &world.keepers {
-        assert_eq!(keeper.suspended(), Vec::new());
+    for monitor in &world.monitors {
+        assert_eq!(monitor.suspended(), Vec::new());
     }
 }
 
@@ -163,20 +163,20 @@
 fn the_network_condemns_no_version() {
     let world = World::new(1, 5);
     for at in 0..1_000 {
-        world.keepers[0].observe(Sample {
+        world.monitors[0].observe(Sample {
             release: release("v2"),
             server: ServerId::from(format!("s{}", at % 9)),
             data_centre: format!("dc{}", at % 3).into(),
             seen: Seen::Unreachable,
         });
-        world.keepers[0].observe(Sample {
+        world.monitors[0].observe(Sample {
             release: release("v1"),
             server: ServerId::from(format!("s{}", at % 9)),
             data_centre: format!("dc{}", at % 3).into(),
             seen: Seen::Answered(Duration::from_millis(10)),
         });
     }
-    assert_eq!(world.keepers[0].suspended(), Vec::new());
+    assert_eq!(world.monitors[0].suspended(), Vec::new());
 }
 
 #[rstest]
@@ -197,9 +197,9 @@
         world.serve("other", &other);
         world.gossip();
     }
-    for keeper in &world.keepers {
-        assert_eq!(keeper.suspended().contains(&release("v1")), condemned);
-        assert!(!keeper.suspended().contains(&release("other")));
+    for monitor in &world.monitors {
+        assert_eq!(monitor.suspended().contains(&release("v1")), condemned);
+        assert!(!monitor.suspended().contains(&release("other")));
     }
 }
 
@@ -213,8 +213,8 @@
         world.serve("other", &kind);
         world.gossip();
     }
-    for keeper in &world.keepers {
-        assert_eq!(keeper.suspended(), Vec::new());
+    for monitor in &world.monitors {
+        assert_eq!(monitor.suspended(), Vec::new());
     }
 }
 
@@ -229,8 +229,8 @@
         }
         world.gossip();
     }
-    for keeper in &world.keepers {
-        assert_eq!(keeper.suspended(), vec![release("v2"), release("v3")]);
+    for monitor in &world.monitors {
+        assert_eq!(monitor.suspended(), vec![release("v2"), release("v3")]);
     }
 }
 
@@ -242,17 +242,17 @@
         world.serve("v1", &Kind { failures, ..GOOD });
         world.gossip();
     }
-    assert!(world.keepers.iter().all(|keeper| keeper.suspended() == vec![release("v1")]));
+    assert!(world.monitors.iter().all(|monitor| monitor.suspended() == vec![release("v1")]));
     let mut lifted = common::config(0);
     let model = lifted.models.get_mut("m").expect("the model exists");
     model.versions.get_mut("v1").expect("the version exists").generation = 1;
     let lifted = Arc::new(lifted);
-    for keeper in &world.keepers {
-        keeper.configure(2, &lifted, 2);
+    for monitor in &world.monitors {
+        monitor.configure(2, &lifted, 2);
     }
     for _ in 0..1_000 {
         world.serve("v1", &GOOD);
         world.gossip();
     }
-    assert!(world.keepers.iter().all(|keeper| keeper.suspended().is_empty()));
+    assert!(world.monitors.iter().all(|monitor| monitor.suspended().is_empty()));
 }
--- a/crates/hawthornmount-rollout/tests/inbox.rs
+++ b/crates/hawthornmount-rollout/tests/inbox.rs
@@ -19,9 +19,9 @@
     for _ in 0..100 {
         world.serve("v1", &good);
     }
-    let keeper = Arc::new(world.keepers.remove(0));
+    let monitor = Arc::new(world.monitors.remove(0));
     let metrics = Metrics::new();
-    let inbox = Arc::new(Inbox::new(keeper.clone(), metrics.clone()));
+    let inbox = Arc::new(Inbox::new(monitor.clone(), metrics.clone()));
     for at in 0..FLOOD {
         inbox.observe(Sample {
             release: release("v2"),
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -9,7 +9,7 @@
     hawthornmount_http::client::{Client, Error},
     hawthornmount_rollout::{
         driver::lease::{self, Lease},
-        keeper::Keeper,
+        monitor::Monitor,
         order::Orders,
     },
     hawthornmount_standin::engine::{Engine, Loaded, Order, OrderAnswer},
@@ -31,7 +31,7 @@
     clock: Arc<Manual>,
     store: Memory,
     engine: Engine,
-    keeper: Keeper,
+    monitor: Monitor,
     config: Arc<Config>,
 }
 
@@ -42,10 +42,10 @@
         let loaded = loaded.iter().map(|version| version_of(version)).collect();
         let engine = Engine::start(any_port, 4, checks_fencing, loaded).await.expect("starts");
         let config = Arc::new(config(engine.address(), checks_fencing));
-        let keeper = Keeper::new("i1".into(), 1, clock.clone());
-        keeper.configure(1, &config, 1);
+        let monitor = Monitor::new("i1".into(), 1, clock.clone());
+        monitor.configure(1, &config, 1);
         let store = Memory::with_clock(clock.clone());
-        Self { clock, store, engine, keeper, config }
+        Self { clock, store, engine, monitor, config }
     }
 
     async fn holder(&self, name: &str) -> Holder {
@@ -82,7 +82,7 @@
         let backends = Arc::from([backend]);
         let config = self.config.clone();
         let snapshot = Snapshot { revision: 1, config, backends, ..Snapshot::empty() };
-        holder.orders.round(&snapshot, &self.keeper, &holder.lease).await;
+        holder.orders.round(&snapshot, &self.monitor, &holder.lease).await;
     }
 
     async fn send_late(&self, fence: u64) -> Result<OrderAnswer, Error> {
--- a/tests/testsuite/version/lossy.rs
+++ b/tests/testsuite/version/lossy.rs
@@ -90,11 +90,11 @@
     world.store.faults().set_down(true);
     let release = Release { model: "draft-small".into(), version: "v1".into() };
     let first = world.instances[0].parts();
-    first.keeper.merge_suspensions(vec![Suspension {
+    first.monitor.merge_suspensions(vec![Suspension {
         key: Key { model: release.model.clone(), version: release.version.clone(), generation: 0 },
         cause: Cause { revision: u64::MAX, text: "bad".into(), by: "test".into(), at_ms: 0 },
     }]);
-    let all = vec![first.keeper.suspensions()[0].clone()];
+    let all = vec![first.monitor.suspensions()[0].clone()];
     hawthornmount_rollout::share::tell_suspensions(&*first.fleet, &all);
     let told = Instant::now();
     until("v1 is suspended everywhere", || {
--- a/tests/testsuite/version/mod.rs
+++ b/tests/testsuite/version/mod.rs
@@ -156,7 +156,7 @@
     .await;
     until("v2 is unloaded", || loaded(&world, "v2") == 0).await;
     let parts = world.instances[0].parts();
-    assert_eq!(parts.keeper.suspended().len(), 1);
+    assert_eq!(parts.monitor.suspended().len(), 1);
     drop(load);
 }
 
