--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -101,6 +101,8 @@
     pub engines: Vec<NamedEngine>,
     /// The entry instances.
     pub instances: Vec<Instance>,
+    /// Secret of the instances, which no other world shares, whatever ports it gets again.
+    fleet_key: Arc<str>,
 }
 
 impl World {
@@ -127,6 +129,7 @@
             service: Service::start(any_port()).await?,
             engines: engines(shape).await?,
             instances: Vec::new(),
+            fleet_key: id::fresh("fleet"),
             shape,
             store,
         };
@@ -150,7 +153,7 @@
             instance_list: Some(self.list.address()),
             rating: Some(self.rating.address()),
             weight_store: None,
-            fleet_key: "the key of the demo's fleet".into(),
+            fleet_key: self.fleet_key.clone(),
             old_fleet_keys: Vec::new(),
             traffic_threads: 1,
             drain: Duration::from_secs(10),
