Build the settings of loopback instances in one place; drop a judge that nothing uses

Cause: the demo, the laboratory and two experiments each wrote the same sixteen settings, and the laboratory had its own copy of the any-port address; the judge that never suspends was left from the first path and has had no user since evidence came. Change: world::loopback gives the settings, each caller sets what differs; the quiet judge is gone. No setting changes but the fleet's key of the experiments, which have one instance or one fleet each.

--- a/crates/hawthornmount-bench/src/experiment/added_cost/path.rs
+++ b/crates/hawthornmount-bench/src/experiment/added_cost/path.rs
@@ -4,7 +4,7 @@
     super::pass,
     crate::experiment::Failure,
     hawthornmount_core::{config::key_hash, id, merge, settings::Settings},
-    hawthornmount_demo::world::any_port,
+    hawthornmount_demo::world::{any_port, loopback},
     hawthornmount_entry::{Instance, admin},
     hawthornmount_fleet::config,
     hawthornmount_standin::{
@@ -125,21 +125,9 @@
 
 fn settings(store: &Store, rating: &Rating) -> Settings {
     Settings {
-        instance: "attica-a-1".into(),
-        data_centre: "attica-a".into(),
-        region: "attica".into(),
-        listen: any_port(),
-        admin: any_port(),
-        fleet: any_port(),
-        store: vec![store.address()],
-        instance_list: None,
         rating: Some(rating.address()),
-        weight_store: None,
-        fleet_key: "the key of the experiment's fleet".into(),
-        old_fleet_keys: Vec::new(),
         traffic_threads: THREADS,
-        drain: Duration::from_secs(1),
-        log: "warn".into(),
+        ..loopback(store, "attica-a", "attica", 1)
     }
 }
 
--- a/crates/hawthornmount-bench/src/experiment/control_cost.rs
+++ b/crates/hawthornmount-bench/src/experiment/control_cost.rs
@@ -8,8 +8,8 @@
         usage,
     },
     async_trait::async_trait,
-    hawthornmount_core::{config::key_hash, id, settings::Settings},
-    hawthornmount_demo::world::any_port,
+    hawthornmount_core::{config::key_hash, id},
+    hawthornmount_demo::world::{any_port, loopback},
     hawthornmount_entry::{Instance, admin},
     hawthornmount_fleet::config,
     hawthornmount_http::{
@@ -135,7 +135,8 @@
     let value = configuration(servers, &listener);
     let applied = config::apply(&etcd, value, 0, &id::fresh("apply")).await;
     applied.map_err(|error| Failure::new(&error))?;
-    let instance = Instance::start(settings(&store)).map_err(|error| Failure::new(&error))?;
+    let instance = Instance::start(loopback(&store, "attica-a", "attica", 1))
+        .map_err(|error| Failure::new(&error))?;
     while !admin::is_ready(instance.parts()) {
         tokio::time::sleep(PAUSE).await;
     }
@@ -180,23 +181,3 @@
         "servers": rows.collect::<Map<String, Value>>(),
     })
 }
-
-fn settings(store: &Store) -> Settings {
-    Settings {
-        instance: "attica-a-1".into(),
-        data_centre: "attica-a".into(),
-        region: "attica".into(),
-        listen: any_port(),
-        admin: any_port(),
-        fleet: any_port(),
-        store: vec![store.address()],
-        instance_list: None,
-        rating: None,
-        weight_store: None,
-        fleet_key: "the key of the experiment's fleet".into(),
-        old_fleet_keys: Vec::new(),
-        traffic_threads: 1,
-        drain: Duration::from_secs(1),
-        log: "warn".into(),
-    }
-}
--- a/crates/hawthornmount-bench/src/lab/mod.rs
+++ b/crates/hawthornmount-bench/src/lab/mod.rs
@@ -16,6 +16,7 @@
         settings::Settings,
         snapshot::Health,
     },
+    hawthornmount_demo::world::{any_port, loopback},
     hawthornmount_entry::{Instance, instance::Builder},
     hawthornmount_fleet::config as accepted,
     hawthornmount_policy::Router,
@@ -28,7 +29,7 @@
     hawthornmount_store::etcd::Etcd,
     serde_json::Value,
     std::{
-        net::{Ipv4Addr, SocketAddr},
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -191,21 +192,10 @@
 
     fn settings(&self, place: Place, number: usize) -> Settings {
         Settings {
-            instance: format!("{}-{number}", place.id).into(),
-            data_centre: place.id.into(),
-            region: place.region.into(),
-            listen: any_port(),
-            admin: any_port(),
-            fleet: any_port(),
-            store: vec![self.store.address()],
             instance_list: Some(self.list.address()),
             rating: Some(self.rating.address()),
-            weight_store: None,
-            fleet_key: "the key of the experiment".into(),
-            old_fleet_keys: Vec::new(),
-            traffic_threads: 1,
             drain: Duration::from_secs(5),
-            log: "warn".into(),
+            ..loopback(&self.store, place.id, place.region, number)
         }
     }
 
@@ -276,7 +266,3 @@
     }
     Ok(engine)
 }
-
-fn any_port() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
--- a/crates/hawthornmount-demo/src/world/mod.rs
+++ b/crates/hawthornmount-demo/src/world/mod.rs
@@ -142,22 +142,13 @@
 
     /// Returns the settings of one more instance.
     pub fn settings(&self, data_centre: &str, number: usize) -> Settings {
+        let region = data_centre.trim_end_matches("-a");
         Settings {
-            instance: format!("{data_centre}-{number}").into(),
-            data_centre: data_centre.into(),
-            region: data_centre.trim_end_matches("-a").into(),
-            listen: any_port(),
-            admin: any_port(),
-            fleet: any_port(),
-            store: vec![self.store.address()],
             instance_list: Some(self.list.address()),
             rating: Some(self.rating.address()),
-            weight_store: None,
             fleet_key: self.fleet_key.clone(),
-            old_fleet_keys: Vec::new(),
-            traffic_threads: 1,
             drain: Duration::from_secs(10),
-            log: "warn".into(),
+            ..loopback(&self.store, data_centre, region, number)
         }
     }
 
@@ -271,6 +262,27 @@
     }
 }
 
+/// Returns the settings of an instance on loopback that knows the store and nothing else.
+pub fn loopback(store: &Store, data_centre: &str, region: &str, number: usize) -> Settings {
+    Settings {
+        instance: format!("{data_centre}-{number}").into(),
+        data_centre: data_centre.into(),
+        region: region.into(),
+        listen: any_port(),
+        admin: any_port(),
+        fleet: any_port(),
+        store: vec![store.address()],
+        instance_list: None,
+        rating: None,
+        weight_store: None,
+        fleet_key: "the key of a fleet on loopback".into(),
+        old_fleet_keys: Vec::new(),
+        traffic_threads: 1,
+        drain: Duration::from_secs(1),
+        log: "warn".into(),
+    }
+}
+
 /// Returns the loopback address with any free port.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
--- a/crates/hawthornmount-rollout/src/lib.rs
+++ b/crates/hawthornmount-rollout/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod monitor;
 pub mod order;
 pub mod progress;
-pub mod quiet;
 pub mod sample;
 pub mod share;
 pub mod suspension;
