Forward opaque requests by routes: the thin path on the users' platform

A second front, crates/hawthornmount-gateway, forwards requests by host and path prefix: find -> identify -> read -> forward. The control thread follows the store by list, watch and proofs of the revision; keyed requests are fenced by the age of the last proof. platform/ holds names, formats and calls.

hyper's connection interface is used in place of volo-http: the latter hides which connection a request used, whether bytes had gone out, and whether an answer came before its request was read.

--- a/crates/hawthornmount-bench/src/experiment/decision.rs
+++ b/crates/hawthornmount-bench/src/experiment/decision.rs
@@ -142,6 +142,7 @@
                 quality_target: 0.9,
                 priority: 0,
                 require_key: false,
+                rank: None,
             },
         );
     }
--- a/crates/hawthornmount-core/src/clock/mod.rs
+++ b/crates/hawthornmount-core/src/clock/mod.rs
@@ -1,6 +1,7 @@
 //! Source of time, so that tests can pause and move it.
 
 use {
+    nix::time::{ClockId, clock_gettime},
     parking_lot::Mutex,
     std::time::{Duration, Instant, SystemTime},
 };
@@ -11,6 +12,9 @@
     fn now(&self) -> Instant;
     /// Returns the calendar time.
     fn wall(&self) -> SystemTime;
+    /// Returns the time since the machine started, suspensions included. Ages that must hold after
+    /// a suspension are measured with it, because [`Clock::now`] stands still meanwhile.
+    fn boot(&self) -> Duration;
 }
 
 /// Clock of the operating system.
@@ -25,6 +29,16 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn boot(&self) -> Duration {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => time.into(),
+            Err(error) => {
+                log::error!("the clock can't be read, every age counts as too old; cause={error}");
+                Duration::MAX
+            }
+        }
+    }
 }
 
 /// Clock that moves only when it is told to.
@@ -65,4 +79,8 @@
     fn wall(&self) -> SystemTime {
         self.start_wall + *self.elapsed.lock()
     }
+
+    fn boot(&self) -> Duration {
+        *self.elapsed.lock()
+    }
 }
--- a/crates/hawthornmount-core/src/config/check.rs
+++ b/crates/hawthornmount-core/src/config/check.rs
@@ -1,7 +1,7 @@
 //! Checks of the merged configuration as a whole.
 
 use {
-    super::{Account, Allowance, Cascade, Config, Rollout, Server},
+    super::{Account, Allowance, Cascade, Config, Rollout, Route, Server},
     crate::table::Row,
     std::{fmt::Display, sync::Arc},
 };
@@ -30,6 +30,7 @@
     config.rollouts.iter().for_each(|row| check.rollout(row));
     check.one_rollout_a_model();
     config.servers.iter().for_each(|row| check.server(row));
+    config.routes.iter().for_each(|row| check.route(row));
     check.limits();
     check.findings
 }
@@ -73,6 +74,35 @@
         }
     }
 
+    fn route(&mut self, row: &Row<Route>) {
+        let at = |field: &str| path(&["routes", &row.id, field]);
+        let route = &row.value;
+        if !route.path_prefix.starts_with('/') || !route.path_prefix.ends_with('/') {
+            self.add(at("path_prefix"), "has no slash at an end", "begin and end it with a slash");
+        }
+        if route.attempts == 0 {
+            self.add(at("attempts"), "is 0", "give at least 1");
+        }
+        if route.timeout.is_zero() {
+            self.add(at("timeout_ms"), "is 0", "give the longest wait in milliseconds");
+        }
+        if route.targets.iter().all(|target| target.weight == 0) {
+            self.add(at("targets"), "holds no weight", "give a service a weight of at least 1");
+        }
+        for target in &route.targets {
+            if !self.config.services.contains(&target.service) {
+                let what = format!("service {} does not exist", target.service);
+                self.add(at("targets"), what, "add it under services or take it from the list");
+            }
+        }
+        for model in &route.ladder {
+            if !self.config.models.contains(model) {
+                let what = format!("model {model} does not exist");
+                self.add(at("ladder"), what, "add it under models or take it from the list");
+            }
+        }
+    }
+
     fn allowance(&mut self, path: &str, allowance: &Allowance) {
         let Some(model) = self.config.models.get(&allowance.model) else {
             let what = format!("model {} does not exist", allowance.model);
--- a/crates/hawthornmount-core/src/config/mod.rs
+++ b/crates/hawthornmount-core/src/config/mod.rs
@@ -2,8 +2,12 @@
 //! and services. It is the merged result of the folder; see [`crate::merge`].
 
 mod check;
+mod route;
 
-pub use check::{Finding, check};
+pub use {
+    check::{Finding, check},
+    route::{Kind, Rank, Route, Target},
+};
 
 use {
     crate::{
@@ -32,6 +36,8 @@
     pub servers: Table<Server>,
     /// Plain services.
     pub services: Table<Service>,
+    /// Routes of opaque requests by host and path.
+    pub routes: Table<Route>,
     /// Data centres.
     pub data_centres: Table<DataCentre>,
     /// Limits on requests.
@@ -64,6 +70,9 @@
     /// Whether non-idempotent calls without an `Idempotency-Key` are refused.
     #[serde(default)]
     pub require_key: bool,
+    /// Urgency of the account's requests on routes; absent means the route's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<Rank>,
 }
 
 /// A model that an account may use.
@@ -180,6 +189,15 @@
     /// Price of a call, in micro-units.
     #[serde(default)]
     pub price: MicroCost,
+    /// Path that answers whether a server of the service is healthy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<Arc<str>>,
+    /// Connections that one server takes from all instances together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connection_limit: Option<u32>,
+    /// Tokens that one engine of the service keeps in its cache; absent for a plain service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cache_tokens: Option<u64>,
 }
 
 /// Calls of a service by method and path.
@@ -217,11 +235,28 @@
     pub deadline: Duration,
     /// Retries in a hundred successes.
     pub retry_percent: u32,
+    /// Longest head of a request on a route, in bytes.
+    pub head_bytes: usize,
+    /// Time in which the head of a request on a route has to arrive.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "head_timeout_ms")]
+    pub head_timeout: Duration,
+    /// Time after which an idle connection of a caller is closed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_timeout_ms")]
+    pub idle_timeout: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { body_bytes: 1_048_576, deadline: Duration::from_secs(60), retry_percent: 10 }
+        Self {
+            body_bytes: 1_048_576,
+            deadline: Duration::from_secs(60),
+            retry_percent: 10,
+            head_bytes: 16_384,
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/choice/mod.rs
@@ -0,0 +1,76 @@
+//! Which server gets a request: the one with the least expected wait. The wait is estimated from
+//! the prompt that the server has not cached, the requests that run and wait there, and the way.
+//!
+//! Answers the load of many instances that act on old reports: candidates within a narrow band of
+//! the least wait are drawn at random, so instances with the same view spread out.
+
+use crate::load::Load;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 60.0;
+/// Wait behind a server whose places are all taken, in milliseconds. A batch at its largest takes
+/// about a third longer a step than a small one, on answers of a second or so.
+const FULL_MS: f64 = 250.0;
+/// Wait for each full round of requests that wait, in milliseconds.
+const ROUND_MS: f64 = 1_000.0;
+/// Cost of a server in another data centre of the region, in milliseconds.
+const DATA_CENTRE_MS: f64 = 5.0;
+/// Cost of a server in another region, in milliseconds: the way both ways and the priced traffic.
+const REGION_MS: f64 = 60.0;
+/// Cost of a server that failed lately, in milliseconds; it is used when all others are worse.
+const AVOIDED_MS: f64 = 5_000.0;
+/// Waits that differ by less count as equal, in milliseconds.
+const BAND_MS: f64 = 8.0;
+
+/// Where a server stands, seen from this instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Distance {
+    /// In the same data centre.
+    Near,
+    /// In another data centre of the region.
+    SameRegion,
+    /// In another region.
+    Far,
+}
+
+/// A server that may get the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Where it stands.
+    pub distance: Distance,
+    /// Requests there.
+    pub load: Load,
+    /// Prompt tokens that it has to read.
+    pub unread: u32,
+    /// Whether it failed lately.
+    pub is_avoided: bool,
+}
+
+impl Candidate {
+    /// Returns the expected wait, in milliseconds.
+    pub fn wait(&self) -> f64 {
+        let slots = f64::from(self.load.slots.max(1));
+        let fill = f64::from(self.load.running) / slots;
+        let rounds = f64::from(self.load.waiting) / slots;
+        let way = match self.distance {
+            Distance::Near => 0.0,
+            Distance::SameRegion => DATA_CENTRE_MS,
+            Distance::Far => REGION_MS,
+        };
+        let avoided = if self.is_avoided { AVOIDED_MS } else { 0.0 };
+        f64::from(self.unread) / TOKENS_PER_MS
+            + fill * fill * FULL_MS
+            + rounds * ROUND_MS
+            + way
+            + avoided
+    }
+}
+
+/// Returns the position of the chosen candidate; `random` is from 0 to 1.
+pub fn choose(candidates: &[Candidate], random: f64) -> Option<usize> {
+    let waits: Vec<f64> = candidates.iter().map(Candidate::wait).collect();
+    let least = waits.iter().copied().min_by(f64::total_cmp)?;
+    let near: Vec<usize> = (0..waits.len()).filter(|at| waits[*at] <= least + BAND_MS).collect();
+    let pick = (random * near.len() as f64) as usize;
+    near.get(pick.min(near.len() - 1)).copied()
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/filter/forward.rs
@@ -0,0 +1,34 @@
+//! Hands the request to servers.
+
+use {
+    super::{Exchange, Filter},
+    crate::{forward::Forwarder, instance::Parts},
+    async_trait::async_trait,
+    hawthornmount_core::problem::Problem,
+    std::sync::Arc,
+};
+
+/// Hands a request to servers until one answers it.
+pub struct Forward {
+    forwarder: Arc<Forwarder>,
+}
+
+impl Forward {
+    /// Creates the filter.
+    pub fn new(parts: &Parts) -> Self {
+        Self { forwarder: parts.forwarder.clone() }
+    }
+}
+
+#[async_trait]
+impl Filter for Forward {
+    fn name(&self) -> &'static str {
+        "forward"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+        let job = self.forwarder.job(exchange, exchange.route()?)?;
+        exchange.answer = Some(self.forwarder.run(job).await?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/filter/read.rs
@@ -0,0 +1,40 @@
+//! Reads the whole body.
+
+use {
+    super::{Exchange, Filter},
+    async_trait::async_trait,
+    hawthornmount_core::{problem::Problem, reason::Refusal},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+};
+
+/// Reads the whole body of a request, so that it can be sent again unchanged.
+pub struct Read;
+
+#[async_trait]
+impl Filter for Read {
+    fn name(&self) -> &'static str {
+        "read"
+    }
+
+    async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+        let Some(incoming) = exchange.incoming.take() else { return Ok(()) };
+        let limit = exchange.view.limits.body_bytes;
+        let wait = exchange.route()?.route.timeout;
+        let collected = Limited::new(incoming, limit).collect();
+        match tokio::time::timeout(wait, collected).await {
+            Ok(Ok(collected)) => {
+                exchange.body = collected.to_bytes();
+                Ok(())
+            }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                let detail = format!("the body is longer than {limit} bytes: send less");
+                Err(Problem::new(Refusal::BodyTooLarge, detail))
+            }
+            Ok(Err(error)) => Err(Problem::new(Refusal::Malformed, error.to_string())),
+            Err(_elapsed) => {
+                let detail = "the body did not arrive in time: send it at once";
+                Err(Problem::new(Refusal::CallerTimeout, detail))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -0,0 +1,128 @@
+//! A request as it is handed to servers, and what became of it so far.
+
+use {
+    crate::{
+        filter::{Answer, Exchange},
+        ladder::{self, Rung},
+        message::{Ask, EventId},
+        route::Named,
+        view::Holder,
+    },
+    bytes::Bytes,
+    hawthornmount_core::{
+        config::Rank,
+        id::{ModelId, RequestId, ServerId, ServiceId},
+        reason::Retry,
+    },
+    http::{HeaderMap, Method, Uri},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// A request as it is handed to servers, the same for every attempt.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Id of the request.
+    pub id: RequestId,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// What the head asks for.
+    pub ask: Ask,
+    /// Route of the request.
+    pub route: Arc<Named>,
+    /// Service that gets it.
+    pub service: ServiceId,
+    /// Account of the caller.
+    pub holder: Option<Holder>,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+pub struct Course {
+    /// Servers that it was sent to.
+    pub attempts: u32,
+    /// Servers that are not tried again.
+    pub tried: Vec<ServerId>,
+    /// Whether a server may have run it.
+    pub ran: bool,
+    /// Whether a server has it now.
+    pub pending: bool,
+    /// Model that is asked.
+    pub rung: Option<Rung>,
+    /// Answer of a server that failed.
+    pub failure: Option<Answer>,
+    /// Why it is sent again.
+    pub cause: Option<Retry>,
+}
+
+impl Job {
+    /// Creates the job of an exchange for a service.
+    pub fn new(exchange: &Exchange, route: Arc<Named>, service: ServiceId) -> Self {
+        let head = &exchange.head;
+        let target = head.uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
+        let wait = exchange.ask.patience.unwrap_or(route.route.timeout);
+        Self {
+            id: exchange.id.clone(),
+            method: head.method.clone(),
+            target: target.parse().unwrap_or_else(|_| Uri::from_static("/")),
+            headers: head.headers.clone(),
+            body: exchange.body.clone(),
+            ask: exchange.ask.clone(),
+            route,
+            service,
+            holder: exchange.holder.clone(),
+            arrived: exchange.arrived,
+            deadline: exchange.arrived + wait,
+        }
+    }
+
+    /// Returns when the caller gets a final answer at the latest.
+    pub fn bound(&self) -> Instant {
+        self.deadline.min(self.arrived + self.route.route.timeout)
+    }
+
+    /// Tells whether the request may only run while its key holds.
+    pub fn is_keyed(&self) -> bool {
+        self.holder.is_some() && !self.route.route.anonymous
+    }
+
+    /// Returns the urgency.
+    pub fn rank(&self) -> Rank {
+        let own = self.holder.as_ref().and_then(|holder| holder.rank);
+        own.unwrap_or(self.route.route.rank)
+    }
+
+    /// Returns the model on a rung, or the one that the caller named.
+    pub fn model(&self, rung: Option<Rung>) -> Option<&ModelId> {
+        rung.and_then(|rung| self.route.route.ladder.get(rung)).or(self.ask.model.as_ref())
+    }
+
+    /// Returns the rung on which the request starts, if the router chooses the model.
+    pub fn start(&self) -> Option<Rung> {
+        if self.ask.any_model { ladder::start(self.route.route.ladder.len()) } else { None }
+    }
+
+    /// Returns how long an attempt may take to begin its answer before another server is tried, if
+    /// the request may run twice.
+    pub fn impatience(&self) -> Option<Duration> {
+        let route = &self.route.route;
+        route.is_idempotent().then_some(route.target_latency * 3)
+    }
+
+    /// Returns the event after which an answer starts, as the caller asked.
+    pub const fn resume_after(&self) -> Option<EventId> {
+        self.ask.resume_after
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -0,0 +1,337 @@
+//! Hands requests to servers until one of them answers.
+
+mod attempt;
+mod job;
+mod relay;
+mod verdict;
+
+pub use {
+    job::{Course, Job},
+    verdict::{Verdict, verdict},
+};
+
+use {
+    crate::{
+        budget::Budget,
+        choice::{self, Candidate, Distance},
+        fence::Fence,
+        filter::{Answer, Body, Exchange},
+        ladder,
+        load::Board,
+        message::Dialect,
+        pool::Pool,
+        registry::Server,
+        route::{self, Named},
+        settings::{Retries, Settings},
+        view::Cell,
+    },
+    attempt::{Opened, Outcome},
+    hawthornmount_core::{
+        id::{RegionId, ServiceId},
+        metrics::Metrics,
+        problem::Problem,
+        reason::{Refusal, Retry},
+        table::Table,
+    },
+    hawthornmount_http::StatusCode,
+    http_body_util::BodyExt,
+    parking_lot::Mutex,
+    relay::Relay,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout_at,
+};
+
+/// When a caller may come back whose request found no room.
+const ROOM_PAUSE: Duration = Duration::from_millis(500);
+
+struct Row {
+    service: ServiceId,
+    budget: Budget,
+}
+
+/// Hands requests to servers.
+pub struct Forwarder {
+    cell: Arc<Cell>,
+    fence: Arc<Fence>,
+    dialect: Arc<dyn Dialect>,
+    metrics: Metrics,
+    pool: Pool,
+    board: Arc<Mutex<Board>>,
+    budgets: Mutex<Vec<Row>>,
+    retries: Retries,
+    data_centre: Arc<str>,
+    regions: Table<RegionId>,
+}
+
+impl Forwarder {
+    /// Creates a forwarder.
+    pub fn new(
+        settings: &Settings,
+        cell: Arc<Cell>,
+        fence: Arc<Fence>,
+        dialect: Arc<dyn Dialect>,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            cell,
+            fence,
+            dialect,
+            metrics,
+            pool: Pool::default(),
+            board: Arc::default(),
+            budgets: Mutex::default(),
+            retries: settings.retries.clone(),
+            data_centre: settings.data_centre.clone(),
+            regions: settings.regions.clone(),
+        }
+    }
+
+    /// Returns the job of an exchange.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem if the route names no service.
+    pub fn job(&self, exchange: &Exchange, route: Arc<Named>) -> Result<Job, Problem> {
+        match route::split(&route.route.targets, rand::random()) {
+            Some(service) => Ok(Job::new(exchange, route.clone(), service.clone())),
+            None => Err(Problem::new(Refusal::NoServer, "the route has no service")),
+        }
+    }
+
+    /// Hands a request to servers and returns the answer for the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem if no server answered in time; it tells whether the request may have run.
+    pub async fn run(self: &Arc<Self>, job: Job) -> Result<Answer, Problem> {
+        let job = Arc::new(job);
+        let mut course = Course { rung: job.start(), ..Course::default() };
+        self.with_budget(&job.service, |budget, now| budget.count(now));
+        let bound = job.bound().into();
+        let driven = timeout_at(bound, self.drive(&job, &mut course)).await;
+        let opened = match driven {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(problem)) => return self.give_up(course, problem),
+            Err(_elapsed) => return self.give_up(course, late()),
+        };
+        Ok(self.deliver(job, course, opened))
+    }
+
+    /// Closes idle connections and forgets servers that are gone.
+    pub fn sweep(&self) {
+        let view = self.cell.load();
+        let is_known = |id: &Arc<str>| view.knows(id);
+        self.pool.sweep(is_known);
+        self.board.lock().retain(is_known);
+    }
+
+    /// Tries servers until one gives an answer that can go to the caller.
+    async fn drive(&self, job: &Arc<Job>, course: &mut Course) -> Result<Opened, Problem> {
+        loop {
+            let server = self.next_server(job, course)?;
+            let wait = self.wait(job, course);
+            let attempt = self.attempt(job, &server, course, job.resume_after());
+            let outcome = match wait {
+                Some(wait) => match tokio::time::timeout(wait, attempt).await {
+                    Ok(outcome) => outcome,
+                    Err(_elapsed) => {
+                        self.board.lock().tally(&server.id).failed(Instant::now());
+                        Outcome::Unknown(Retry::ServerTimeout)
+                    }
+                },
+                None => attempt.await,
+            };
+            course.pending = false;
+            course.tried.push(server.id.clone());
+            match outcome {
+                Outcome::Opened(opened) => {
+                    course.ran = true;
+                    let Some(rung) = self.climb(job, course, &opened) else { return Ok(*opened) };
+                    course.rung = Some(rung);
+                    course.tried.clear();
+                    course.cause = Some(Retry::Escalation);
+                }
+                Outcome::Failed(answer) => {
+                    course.ran = true;
+                    course.failure = Some(answer);
+                    course.cause = Some(Retry::ServerError);
+                    if !job.route.route.is_idempotent() {
+                        return Err(failed());
+                    }
+                }
+                Outcome::Refused => course.cause = Some(Retry::ServerRefused),
+                Outcome::Unsent => {
+                    course.attempts -= 1;
+                    course.cause = Some(Retry::Connect);
+                }
+                Outcome::Unknown(cause) => {
+                    course.ran = true;
+                    course.cause = Some(cause);
+                    if !job.route.route.is_idempotent() {
+                        return Err(failed());
+                    }
+                }
+                Outcome::Unconfirmed => return Err(unconfirmed()),
+            }
+        }
+    }
+
+    /// Returns how long the next attempt may take to begin its answer.
+    fn wait(&self, job: &Job, course: &Course) -> Option<Duration> {
+        let is_last = course.attempts >= job.route.route.attempts;
+        if is_last { None } else { job.impatience() }
+    }
+
+    /// Chooses the server of the next attempt and takes it from the budgets.
+    fn next_server(&self, job: &Job, course: &mut Course) -> Result<Arc<Server>, Problem> {
+        if course.attempts >= job.route.route.attempts {
+            return Err(full());
+        }
+        let Some(server) = self.choose(job, course) else {
+            return Err(if course.cause.is_some() { full() } else { no_server(&job.service) });
+        };
+        if let Some(cause) = course.cause {
+            // A request that no server received is no repeat.
+            let is_repeat = cause != Retry::Connect || course.attempts > 0;
+            if is_repeat && !self.with_budget(&job.service, |budget, now| budget.take(now)) {
+                return Err(full());
+            }
+            self.metrics.retry(cause);
+        }
+        course.attempts += 1;
+        Ok(server)
+    }
+
+    fn choose(&self, job: &Job, course: &Course) -> Option<Arc<Server>> {
+        let view = self.cell.load();
+        let servers: Vec<&Arc<Server>> = view
+            .servers(&job.service)
+            .iter()
+            .filter(|server| !course.tried.contains(&server.id))
+            .collect();
+        let now = Instant::now();
+        let model = job.model(course.rung);
+        let mut board = self.board.lock();
+        let mut candidate = |server: &&Arc<Server>| {
+            let tally = board.tally(&server.id);
+            let cached = tally.cached(model, &job.ask.prompt);
+            Candidate {
+                distance: self.distance(server),
+                load: tally.load(server.slots, now),
+                unread: job.ask.prompt_tokens.saturating_sub(cached),
+                is_avoided: tally.is_avoided(now),
+            }
+        };
+        let candidates: Vec<Candidate> = servers.iter().map(&mut candidate).collect();
+        let at = choice::choose(&candidates, rand::random())?;
+        Some(servers[at].clone())
+    }
+
+    fn distance(&self, server: &Server) -> Distance {
+        if server.data_centre == self.data_centre {
+            return Distance::Near;
+        }
+        let own = self.regions.get(&self.data_centre);
+        let other = self.regions.get(&server.data_centre);
+        if own.is_some() && own == other { Distance::SameRegion } else { Distance::Far }
+    }
+
+    /// Returns the rung on which the request is asked again, if the answer is in doubt and a repeat
+    /// is allowed.
+    fn climb(&self, job: &Job, course: &Course, opened: &Opened) -> Option<ladder::Rung> {
+        let rung = course.rung?;
+        if course.attempts >= job.route.route.attempts {
+            return None;
+        }
+        ladder::climb(rung, job.route.route.ladder.len(), opened.reply.confidence)
+    }
+
+    /// Returns the answer for the caller: the whole body, or the stream as it comes.
+    fn deliver(self: &Arc<Self>, job: Arc<Job>, course: Course, opened: Opened) -> Answer {
+        let mut answer = http::Response::new(());
+        *answer.status_mut() = opened.status;
+        *answer.headers_mut() = self.dialect.pass_on(&opened.headers);
+        let body = match opened.body {
+            attempt::Body::Whole(bytes) => whole(bytes),
+            attempt::Body::Open(source) => {
+                Relay::new(self.clone(), job, course, source).into_body()
+            }
+        };
+        answer.map(|()| body)
+    }
+
+    fn give_up(&self, course: Course, problem: Problem) -> Result<Answer, Problem> {
+        if let Some(answer) = course.failure {
+            return Ok(answer);
+        }
+        if !course.ran && !course.pending {
+            return Err(problem);
+        }
+        let detail = "the server gave no whole answer: the request may have run";
+        let reason = match problem.reason {
+            Refusal::Deadline => Refusal::Deadline,
+            _ => Refusal::ServerFailed,
+        };
+        Err(Problem::new(reason, detail).ran_unknown())
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        apply: impl FnOnce(&mut Budget, Instant) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut rows = self.budgets.lock();
+        let at = match rows.binary_search_by(|row| row.service.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let Retries { ratio, window, .. } = self.retries;
+                let budget = Budget::new(ratio, OWN_SLACK, window, now);
+                rows.insert(at, Row { service: service.clone(), budget });
+                at
+            }
+        };
+        apply(&mut rows[at].budget, now)
+    }
+}
+
+/// Repeats that an instance may send besides its share of its requests. The fleet's slack is shared
+/// by an unknown number of instances.
+const OWN_SLACK: f64 = 1.0;
+
+/// Returns a body of known bytes.
+pub fn whole(bytes: bytes::Bytes) -> Body {
+    http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+fn full() -> Problem {
+    let mut problem = Problem::new(Refusal::Overloaded, "the servers have no room: come back")
+        .retry_after(ROOM_PAUSE);
+    problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    problem
+}
+
+fn no_server(service: &str) -> Problem {
+    let detail = format!("no server of {service} takes requests: come back");
+    Problem::new(Refusal::NoServer, detail).retry_after(ROOM_PAUSE)
+}
+
+fn failed() -> Problem {
+    Problem::new(Refusal::ServerFailed, "the server failed")
+}
+
+fn unconfirmed() -> Problem {
+    let detail = "the key can't be confirmed while the store is out of reach: come back";
+    Problem::new(Refusal::StoreUnavailable, detail).retry_after(ROOM_PAUSE)
+}
+
+/// Returns the problem of a request that no server had when its time ran out.
+fn late() -> Problem {
+    let mut problem = Problem::new(Refusal::Deadline, "no server took the request in time")
+        .retry_after(ROOM_PAUSE);
+    problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    problem
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -0,0 +1,176 @@
+//! Passes a stream of events on as it arrives, and goes on at another server when one breaks off.
+
+use {
+    super::{
+        Course, Forwarder, Job,
+        attempt::{Body, Outcome, Source},
+    },
+    crate::{
+        events::Splitter,
+        filter::{self, CutOff},
+    },
+    bytes::Bytes,
+    futures::stream,
+    hawthornmount_core::reason::Retry,
+    http_body::Frame,
+    http_body_util::{BodyExt, StreamBody},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Longest pause between two events if the route names none.
+const DEFAULT_GAP: Duration = Duration::from_secs(2);
+/// Pauses, in multiples of the longest one that is on time, after which a server counts as mute.
+const MUTE_GAPS: u32 = 2;
+/// Whole servers' pauses that the first event may take before the server counts as mute.
+const MUTE_FIRST: u32 = 2;
+
+/// A stream on its way to the caller.
+pub struct Relay {
+    forwarder: Arc<Forwarder>,
+    job: Arc<Job>,
+    course: Course,
+    source: Option<Source>,
+    splitter: Splitter,
+    passed: usize,
+}
+
+/// What a source gave.
+enum Step {
+    /// Events for the caller.
+    Events(Bytes),
+    /// Part of an event.
+    Part,
+    /// The stream has ended.
+    End,
+    /// The stream broke off.
+    Broken(Retry),
+}
+
+impl Relay {
+    /// Creates the relay of a stream whose head has arrived.
+    pub fn new(forwarder: Arc<Forwarder>, job: Arc<Job>, course: Course, source: Source) -> Self {
+        let splitter = Splitter::new(job.resume_after());
+        Self { forwarder, job, course, source: Some(source), splitter, passed: 0 }
+    }
+
+    /// Returns the body that the caller gets.
+    pub fn into_body(self) -> filter::Body {
+        let frames = stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Some(Err(cut)) => Some((Err(cut), None)),
+                None => None,
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, CutOff>> {
+        loop {
+            match self.step().await {
+                Step::Events(bytes) => {
+                    self.passed += 1;
+                    return Some(Ok(bytes));
+                }
+                Step::Part => {}
+                Step::End => {
+                    if let Some(source) = self.source.take() {
+                        source.finish(&self.forwarder);
+                    }
+                    return None;
+                }
+                Step::Broken(cause) => {
+                    self.leave(cause);
+                    if !self.resume().await {
+                        return Some(Err(CutOff));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let patience = self.patience();
+        let Some(source) = &mut self.source else { return Step::Broken(Retry::CutAnswer) };
+        let frame = match patience {
+            Some(patience) => match tokio::time::timeout(patience, source.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_elapsed) => return Step::Broken(Retry::ServerTimeout),
+            },
+            None => source.body.frame().await,
+        };
+        match frame {
+            None if self.splitter.is_inside() => Step::Broken(Retry::CutAnswer),
+            None => Step::End,
+            Some(Err(_)) => Step::Broken(Retry::CutAnswer),
+            Some(Ok(frame)) => match frame.into_data() {
+                Err(_trailers) => Step::Part,
+                Ok(bytes) => match self.splitter.push(&bytes) {
+                    Ok(whole) if whole.count == 0 => Step::Part,
+                    Ok(whole) => Step::Events(whole.bytes),
+                    Err(_fault) => Step::Broken(Retry::CutAnswer),
+                },
+            },
+        }
+    }
+
+    /// Returns how long the next event may take before the server counts as mute, while the stream
+    /// can be resumed elsewhere.
+    fn patience(&self) -> Option<Duration> {
+        let route = &self.job.route.route;
+        if !route.resumable || self.course.attempts >= route.attempts {
+            return None;
+        }
+        if self.passed == 0 {
+            return Some(route.target_latency * MUTE_FIRST);
+        }
+        Some(route.event_gap.unwrap_or(DEFAULT_GAP) * MUTE_GAPS)
+    }
+
+    /// Closes the connection to the present server, which also ends the run there.
+    fn leave(&mut self, cause: Retry) {
+        if let Some(source) = self.source.take() {
+            self.forwarder.note_failure(&self.job, &source.server, cause.as_str());
+            self.course.tried.push(source.server.id.clone());
+        }
+        self.splitter.cut();
+        self.course.cause = Some(cause);
+    }
+
+    /// Goes on at another server after the last whole event.
+    async fn resume(&mut self) -> bool {
+        if !self.job.route.route.resumable {
+            return false;
+        }
+        loop {
+            let Ok(server) = self.forwarder.next_server(&self.job, &mut self.course) else {
+                return false;
+            };
+            let (job, after) = (self.job.clone(), self.splitter.last());
+            let attempt = self.forwarder.attempt(&job, &server, &mut self.course, after);
+            let outcome = match tokio::time::timeout_at(job.bound().into(), attempt).await {
+                Ok(outcome) => outcome,
+                Err(_elapsed) => return false,
+            };
+            self.course.tried.push(server.id.clone());
+            match outcome {
+                Outcome::Opened(opened) => match opened.body {
+                    Body::Open(source) => {
+                        self.source = Some(source);
+                        return true;
+                    }
+                    Body::Whole(_) => return false,
+                },
+                Outcome::Refused => self.course.cause = Some(Retry::ServerRefused),
+                Outcome::Unsent => {
+                    self.course.attempts -= 1;
+                    self.course.cause = Some(Retry::Connect);
+                }
+                Outcome::Failed(_) => self.course.cause = Some(Retry::ServerError),
+                Outcome::Unknown(cause) => self.course.cause = Some(cause),
+                Outcome::Unconfirmed => return false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The front for opaque requests: routes by host and path to services, whose servers get method,
+//! path, query and body unchanged. Requests pass the filters of [`filter::path`]; what the program
+//! knows of configuration and servers is followed by one control thread ([`follow`]) and read as a
+//! [`view::View`]. How a platform spells all this is hidden behind [`message::Dialect`] and
+//! [`source::Vocabulary`].
+
+pub mod budget;
+pub mod choice;
+pub mod events;
+pub mod fence;
+pub mod filter;
+pub mod follow;
+pub mod forward;
+pub mod front;
+pub mod instance;
+pub mod ladder;
+pub mod load;
+pub mod message;
+pub mod pool;
+pub mod registry;
+pub mod route;
+pub mod settings;
+pub mod source;
+pub mod view;
+
+pub use instance::Instance;
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -0,0 +1,169 @@
+//! Load of servers as this instance sees it: reports that come with answers, corrected by what it
+//! has sent since, and parts of prompts that a server has probably cached.
+
+use {
+    crate::message::Part,
+    hawthornmount_core::id::{ModelId, ServerId},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        time::{Duration, Instant},
+    },
+};
+
+/// Prefixes that are remembered for one server.
+const MAX_PREFIXES: usize = 256;
+/// Time after which a report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_secs(4);
+/// Time for which a server that failed is avoided.
+const AVOIDANCE: Duration = Duration::from_secs(1);
+/// Longest time for which a server that failed several times in a row is avoided.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(8);
+
+/// Requests at a server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+}
+
+/// Hash of a model and the leading parts of a prompt.
+pub type Prefix = u64;
+
+#[derive(Clone, Copy, Debug)]
+struct Cached {
+    prefix: Prefix,
+    used: Instant,
+}
+
+/// What is known of one server's load.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Requests of this instance that are at the server.
+    pub in_flight: u32,
+    report: Option<Report>,
+    failures: u32,
+    avoided_until: Option<Instant>,
+    cached: Vec<Cached>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: Load,
+    own: u32,
+    at: Instant,
+}
+
+/// Tallies of servers in order of their names.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    rows: Vec<Row>,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    id: ServerId,
+    tally: Tally,
+}
+
+impl Board {
+    /// Returns the tally of a server.
+    pub fn tally(&mut self, id: &ServerId) -> &mut Tally {
+        let at = match self.rows.binary_search_by(|row| row.id.cmp(id)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, Row { id: id.clone(), tally: Tally::default() });
+                at
+            }
+        };
+        &mut self.rows[at].tally
+    }
+
+    /// Forgets servers for which `is_known` is false and that hold no request.
+    pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
+        self.rows.retain(|row| row.tally.in_flight > 0 || is_known(&row.id));
+    }
+}
+
+impl Tally {
+    /// Takes a report that came with an answer.
+    pub fn report(&mut self, load: Load, now: Instant) {
+        self.report = Some(Report { load, own: self.in_flight, at: now });
+    }
+
+    /// Returns the requests at the server: the others' by the last report, and this instance's own.
+    pub fn load(&self, slots: u32, now: Instant) -> Load {
+        let fresh = self.report.filter(|report| now < report.at + REPORT_LIFE);
+        let Some(report) = fresh else {
+            return Load { running: self.in_flight, waiting: 0, slots };
+        };
+        let reported = report.load.running + report.load.waiting;
+        let all = reported.saturating_sub(report.own) + self.in_flight;
+        let slots = report.load.slots.max(1);
+        Load { running: all.min(slots), waiting: all.saturating_sub(slots), slots }
+    }
+
+    /// Takes note of an answer.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.avoided_until = None;
+    }
+
+    /// Takes note of a failure of the server itself; it is avoided for a while.
+    pub fn failed(&mut self, now: Instant) {
+        let doublings = self.failures.min(3);
+        self.failures += 1;
+        let time = (AVOIDANCE * 2_u32.pow(doublings)).min(MAX_AVOIDANCE);
+        self.avoided_until = Some(now + time);
+    }
+
+    /// Tells whether the server is avoided for now.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns how many leading tokens of a prompt the server has probably cached.
+    pub fn cached(&self, model: Option<&ModelId>, prompt: &[Part]) -> u32 {
+        let mut tokens = 0;
+        for (prefix, part) in prefixes(model, prompt).zip(prompt) {
+            if self.position(prefix).is_err() {
+                break;
+            }
+            tokens += part.tokens;
+        }
+        tokens
+    }
+
+    /// Takes note that the server reads a prompt.
+    pub fn reads(&mut self, model: Option<&ModelId>, prompt: &[Part], now: Instant) {
+        for prefix in prefixes(model, prompt) {
+            match self.position(prefix) {
+                Ok(at) => self.cached[at].used = now,
+                Err(at) => self.cached.insert(at, Cached { prefix, used: now }),
+            }
+        }
+        if self.cached.len() > MAX_PREFIXES {
+            let mut times: Vec<Instant> = self.cached.iter().map(|cached| cached.used).collect();
+            times.sort_unstable();
+            let oldest = times[times.len() - MAX_PREFIXES * 3 / 4];
+            self.cached.retain(|cached| cached.used >= oldest);
+        }
+    }
+
+    fn position(&self, prefix: Prefix) -> Result<usize, usize> {
+        self.cached.binary_search_by(|cached| cached.prefix.cmp(&prefix))
+    }
+}
+
+/// Returns the hashes of the leading parts of a prompt, one a part.
+fn prefixes(model: Option<&ModelId>, prompt: &[Part]) -> impl Iterator<Item = Prefix> {
+    let mut hasher = DefaultHasher::new();
+    model.hash(&mut hasher);
+    prompt.iter().map(move |part| {
+        part.id.hash(&mut hasher);
+        hasher.finish()
+    })
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -0,0 +1,158 @@
+//! Immutable view of configuration and servers that the traffic thread reads without locks.
+
+use {
+    crate::{
+        registry::{Server, Standing},
+        route::Table,
+    },
+    arc_swap::ArcSwap,
+    hawthornmount_core::{
+        config::{Config, Limits, Rank, key_hash},
+        id::{AccountId, Revision, ServiceId, VersionId},
+    },
+    std::sync::Arc,
+};
+
+/// Account that a key belongs to.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    /// The account.
+    pub account: AccountId,
+    /// Urgency of the account's requests, if it differs from the route's.
+    pub rank: Option<Rank>,
+}
+
+#[derive(Clone, Debug)]
+struct Key {
+    hash: Arc<str>,
+    holder: Holder,
+}
+
+/// A service with the servers that may get its requests.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// The service.
+    pub service: ServiceId,
+    /// Servers that take requests, in order of their names.
+    pub servers: Vec<Arc<Server>>,
+}
+
+/// A version that gets no requests of a service for now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// The service.
+    pub service: ServiceId,
+    /// The version.
+    pub version: VersionId,
+}
+
+/// Configuration and servers at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Revision of the configuration; 0 if there is none yet.
+    pub revision: Revision,
+    /// Routes.
+    pub routes: Table,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Whether requests need a key, unless their route is anonymous.
+    pub keyed: bool,
+    keys: Vec<Key>,
+    pools: Vec<Pool>,
+}
+
+impl View {
+    /// Creates a view of a configuration and the servers that take requests under it.
+    pub fn new<'a>(
+        revision: Revision,
+        config: &Config,
+        servers: impl Iterator<Item = &'a Arc<Server>>,
+        held: &[Held],
+    ) -> Self {
+        let mut view = Self {
+            revision,
+            routes: Table::new(config),
+            limits: config.limits.clone(),
+            keyed: !config.accounts.is_empty(),
+            keys: keys(config),
+            pools: Vec::new(),
+        };
+        view.set_servers(servers, held);
+        view
+    }
+
+    /// Replaces the servers.
+    pub fn set_servers<'a>(
+        &mut self,
+        servers: impl Iterator<Item = &'a Arc<Server>>,
+        held: &[Held],
+    ) {
+        self.pools.clear();
+        let is_held = |server: &Server| {
+            held.iter().any(|one| one.service == server.service && one.version == server.version)
+        };
+        for server in servers.filter(|server| server.standing == Standing::Ready) {
+            if is_held(server) {
+                continue;
+            }
+            match self.position(&server.service) {
+                Ok(at) => self.pools[at].servers.push(server.clone()),
+                Err(at) => {
+                    let pool =
+                        Pool { service: server.service.clone(), servers: vec![server.clone()] };
+                    self.pools.insert(at, pool);
+                }
+            }
+        }
+    }
+
+    /// Returns the account that a key belongs to.
+    pub fn holder(&self, key: &str) -> Option<&Holder> {
+        let hash = key_hash(key);
+        let at = self.keys.binary_search_by(|key| key.hash.cmp(&hash)).ok()?;
+        Some(&self.keys[at].holder)
+    }
+
+    /// Returns the servers of a service that take requests.
+    pub fn servers(&self, service: &str) -> &[Arc<Server>] {
+        self.position(service).map_or(&[], |at| &self.pools[at].servers)
+    }
+
+    /// Tells whether a server takes requests of any service.
+    pub fn knows(&self, id: &str) -> bool {
+        self.pools.iter().flat_map(|pool| &pool.servers).any(|server| *server.id == *id)
+    }
+
+    fn position(&self, service: &str) -> Result<usize, usize> {
+        self.pools.binary_search_by(|pool| (*pool.service).cmp(service))
+    }
+}
+
+/// Returns the keys of all accounts in order of their hashes.
+fn keys(config: &Config) -> Vec<Key> {
+    let mut keys = Vec::new();
+    for row in &config.accounts {
+        for hash in &row.value.key_hashes {
+            let holder = Holder { account: row.id.clone(), rank: row.value.rank };
+            keys.push(Key { hash: hash.clone(), holder });
+        }
+    }
+    keys.sort_by(|a, b| a.hash.cmp(&b.hash));
+    keys
+}
+
+/// Cell through which the control thread publishes and the traffic thread reads.
+#[derive(Debug, Default)]
+pub struct Cell(ArcSwap<View>);
+
+impl Cell {
+    /// Returns the present view.
+    pub fn load(&self) -> Arc<View> {
+        self.0.load_full()
+    }
+
+    /// Publishes a view.
+    pub fn publish(&self, view: View) {
+        self.0.store(Arc::new(view));
+    }
+}
--- a/crates/hawthornmount-policy/tests/policy/fleet.rs
+++ b/crates/hawthornmount-policy/tests/policy/fleet.rs
@@ -60,6 +60,7 @@
             quality_target: 0.9,
             priority: 0,
             require_key: false,
+            rank: None,
         },
     );
     let places = [("one", "north"), ("two", "north"), ("far", "south")];
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,83 @@
+//! `gateway`: forwards requests by routes on the users' platform until it is told to stop.
+
+use {
+    super::{EXIT_USAGE, Error, Result, asks_help, refuse_rest, serve},
+    hawthornmount_core::clock::System,
+    hawthornmount_gateway::{Instance, instance::Ports, settings::Settings},
+    hawthornmount_platform::{request::Headers, settings_path, store::Platform, vocabulary::Words},
+    pico_args::Arguments,
+    std::{path::PathBuf, process::ExitCode, sync::Arc},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const HELP: &str = "\
+Usage: hawthornmount gateway [--settings FILE]
+
+Forwards requests by routes on the users' platform. SIGTERM and SIGINT stop it gracefully; SIGHUP
+checks the settings anew.
+
+Options:
+  --settings FILE  Settings in JSON with comments; without it, the file that the platform names
+  -h, --help       Show help
+
+Example:
+  hawthornmount gateway --settings examples/gateway.jsonc
+";
+
+/// Runs the subcommand.
+pub fn execute(mut arguments: Arguments) -> Result<ExitCode> {
+    if asks_help(&mut arguments, HELP) {
+        return Ok(ExitCode::SUCCESS);
+    }
+    let file: Option<PathBuf> = arguments.opt_value_from_str("--settings").map_err(Error::usage)?;
+    refuse_rest(arguments, &["--settings", "--help"])?;
+    let Some(file) = file.or_else(settings_path) else {
+        return Err(Error::Usage { message: "no settings: give --settings FILE".into() });
+    };
+    let settings = match Settings::read(&file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            serve::print_problems(&file, &error);
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
+    serve::start_log(&settings.log, std::io::stdout())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::failed("the main thread can't start its runtime"))?;
+    runtime.block_on(run(settings, file))
+}
+
+async fn run(settings: Settings, file: PathBuf) -> Result<ExitCode> {
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(Error::failed("SIGTERM can't be watched"))?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).map_err(Error::failed("SIGINT can't be watched"))?;
+    let mut reload =
+        signal(SignalKind::hangup()).map_err(Error::failed("SIGHUP can't be watched"))?;
+    let ports = Ports {
+        store: Arc::new(Platform::new(settings.store)),
+        vocabulary: Arc::new(Words),
+        dialect: Arc::new(Headers),
+    };
+    let (name, callers) = (settings.instance.clone(), settings.callers);
+    let instance = Instance::start(settings, Arc::new(System), ports)
+        .await
+        .map_err(Error::failed("the instance can't start"))?;
+    log::info!("started; instance={name} callers={callers}");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => match Settings::read(&file) {
+                Ok(_) => log::info!("settings read again; changes hold from the next start"),
+                Err(error) => log::warn!("settings are wrong, the old ones hold; cause={error}"),
+            },
+        }
+    }
+    log::info!("stopping");
+    let stopped = instance.stop().await;
+    log::info!("stopped; cut={}", stopped.cut);
+    Ok(if stopped.cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod error;
 mod explain;
+mod gateway;
 mod serve;
 mod status;
 mod usage;
@@ -23,6 +24,7 @@
 const COMMANDS: &[Command] = &[
     Command { name: "demo", summary: "Run the whole product on loopback", execute: demo::execute },
     Command { name: "serve", summary: "Run an entry instance", execute: serve::execute },
+    Command { name: "gateway", summary: "Forward requests by routes", execute: gateway::execute },
     Command { name: "config", summary: "Check and apply configuration", execute: config::execute },
     Command { name: "status", summary: "Show the state of the fleet", execute: status::execute },
     Command { name: "explain", summary: "Explain one request", execute: explain::execute },
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,6 +7,7 @@
     pico_args::Arguments,
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
     std::{
+        io::Write,
         path::{Path, PathBuf},
         process::ExitCode,
     },
@@ -40,7 +41,7 @@
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
-    start_log(&settings.log)?;
+    start_log(&settings.log, std::io::stderr())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -66,7 +67,7 @@
 }
 
 /// Prints every problem of the settings, one a line.
-fn print_problems(file: &Path, error: &settings::Error) {
+pub fn print_problems(file: &Path, error: &settings::Error) {
     let file = file.display();
     match error {
         settings::Error::Invalid { problems } => {
@@ -78,11 +79,11 @@
     }
 }
 
-fn start_log(level: &str) -> Result<()> {
+/// Starts the log.
+pub fn start_log(level: &str, out: impl Write + Send + 'static) -> Result<()> {
     let level: LevelFilter = level.parse().map_err(|_| Error::Usage {
         message: format!("log level `{level}`: use error, warn, info, debug or trace").into(),
     })?;
     let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    WriteLogger::init(level, config, std::io::stderr())
-        .map_err(Error::failed("the log can't be started"))
+    WriteLogger::init(level, config, out).map_err(Error::failed("the log can't be started"))
 }
