Check keys at each hand-over; refuse requests late in a planned stop

The key is now looked up again in the present configuration right before each hand-over, and keyed requests are refused at once while the fence is closed.

--- a/crates/hawthornmount-gateway/src/filter/identify.rs
+++ b/crates/hawthornmount-gateway/src/filter/identify.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Exchange, Filter, find},
-    crate::{fence::Fence, instance::Parts},
+    crate::{fence::Fence, forward, instance::Parts},
     async_trait::async_trait,
     hawthornmount_core::{problem::Problem, reason::Refusal},
     std::sync::Arc,
@@ -30,9 +30,12 @@
         let key = exchange.ask.key.as_deref();
         exchange.holder = key.and_then(|key| exchange.view.holder(key).cloned());
         let route = exchange.route()?;
-        if exchange.holder.is_some() || !exchange.view.keyed || route.route.anonymous {
+        if !exchange.view.keyed || route.route.anonymous {
             return Ok(());
         }
+        if exchange.holder.is_some() {
+            return if self.fence.is_open() { Ok(()) } else { Err(forward::unconfirmed()) };
+        }
         match key {
             None => Err(Problem::new(Refusal::BadKey, "the request has no key: send one")),
             Some(_) => Err(find::unknown(&self.fence, Refusal::BadKey, "no account has this key")),
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -3,6 +3,7 @@
 mod find;
 mod forward;
 mod identify;
+mod open;
 mod read;
 
 use {
@@ -72,6 +73,7 @@
 /// Returns the request path: where the request goes, who asks, its whole body, and the servers.
 pub fn path(parts: &Arc<Parts>) -> Vec<Box<dyn Filter>> {
     vec![
+        Box::new(open::Open::new(parts)),
         Box::new(find::Find::new(parts)),
         Box::new(identify::Identify::new(parts)),
         Box::new(read::Read),
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -122,7 +122,7 @@
                     Err(failure) => return self.unsent(job, server, &failure),
                 },
             };
-            if job.is_keyed() && !self.fence.is_open() {
+            if !self.may_run(job) {
                 return Outcome::Unconfirmed;
             }
             let request = self.request(job, server, course, resume_after);
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Tells whether the key of a request holds by a configuration that is recent enough. The
+    /// present configuration counts: the request may have waited since its key was looked up.
+    fn may_run(&self, job: &Job) -> bool {
+        !job.is_keyed() || (self.fence.is_open() && job.is_held_in(&self.cell.load()))
+    }
+
     fn request(
         &self,
         job: &Job,
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -6,7 +6,7 @@
         ladder::{self, Rung},
         message::{Ask, EventId},
         route::Named,
-        view::Holder,
+        view::{Holder, View},
     },
     bytes::Bytes,
     hawthornmount_core::{
@@ -98,6 +98,12 @@
         self.holder.is_some() && !self.route.route.anonymous
     }
 
+    /// Tells whether the key still belongs to the same account.
+    pub fn is_held_in(&self, view: &View) -> bool {
+        let holder = self.ask.key.as_deref().and_then(|key| view.holder(key));
+        holder.map(|holder| &holder.account) == self.holder.as_ref().map(|holder| &holder.account)
+    }
+
     /// Returns the urgency.
     pub fn rank(&self) -> Rank {
         let own = self.holder.as_ref().and_then(|holder| holder.rank);
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -323,7 +323,8 @@
     Problem::new(Refusal::ServerFailed, "the server failed")
 }
 
-fn unconfirmed() -> Problem {
+/// Returns the problem of a request whose key can't be confirmed now.
+pub fn unconfirmed() -> Problem {
     let detail = "the key can't be confirmed while the store is out of reach: come back";
     Problem::new(Refusal::StoreUnavailable, detail).retry_after(ROOM_PAUSE)
 }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -17,8 +17,8 @@
     std::{
         io,
         sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            Arc, OnceLock,
+            atomic::{AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -29,6 +29,9 @@
 /// Time in which the balancer notices that the instance is not ready: it asks every second and
 /// takes an instance out after two misses.
 const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+/// Time after the order to stop in which requests are still taken; the balancer sends new
+/// connections for [`BALANCER_LAG`].
+const LAST_CALL: Duration = Duration::from_millis(2_900);
 /// Time that is left for the end of the process when the grace is over.
 const END_MARGIN: Duration = Duration::from_millis(500);
 /// Pause between two looks at the requests in flight while the instance stops.
@@ -64,7 +67,7 @@
     pub in_flight: InFlight,
     /// Whether connections of callers are to be closed.
     pub closing: watch::Sender<bool>,
-    stopping: AtomicBool,
+    stopping: OnceLock<Instant>,
 }
 
 /// Number of requests in flight.
@@ -140,7 +143,7 @@
             dialect,
             in_flight: InFlight::default(),
             closing: watch::Sender::new(false),
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
         }
     }
 
@@ -151,7 +154,13 @@
 
     /// Tells whether the instance is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stopping.get().is_some()
+    }
+
+    /// Tells whether requests that arrive now are refused, because the balancer has had time to
+    /// notice the stop and they might not end within the grace.
+    pub fn is_closed(&self) -> bool {
+        self.stopping.get().is_some_and(|since| since.elapsed() >= LAST_CALL)
     }
 }
 
@@ -197,10 +206,10 @@
     /// noticed, and requests in flight end within the grace.
     pub async fn stop(self) -> Stopped {
         let bound = Instant::now() + self.parts.settings.grace.saturating_sub(END_MARGIN);
-        self.parts.stopping.store(true, Ordering::SeqCst);
+        self.parts.stopping.get_or_init(Instant::now);
         tokio::time::sleep(BALANCER_LAG).await;
         self.parts.closing.send_replace(true);
-        tokio::time::sleep(DRAIN_PAUSE).await;
+        tokio::time::sleep(LAST_CALL.saturating_sub(BALANCER_LAG) + DRAIN_PAUSE).await;
         while self.parts.in_flight.count() > 0 && Instant::now() < bound {
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
