Drive roll-outs of services through the store

The phase of a roll-out is one record that changes by compare-and-swap only; every instance runs the same driver, nobody is chosen. New sessions go to the new version by hash: 0.08 in the first half of the time, 0.4 for 1.8 s, then all; sessions keep their version in the first half. An instance writes what it saw only when the new version failed somewhere.

--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -6,6 +6,8 @@
 mod open;
 mod read;
 
+pub use find::FRESH;
+
 use {
     crate::{
         instance::Parts,
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -12,6 +12,7 @@
 use {
     crate::{
         fence::Fence,
+        rollout::Driver,
         source::Vocabulary,
         view::{Cell, View},
     },
@@ -31,6 +32,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time in which changes that a proof shows have to arrive by the watch.
 const CATCH_UP: Duration = Duration::from_millis(120);
+/// Pause between two looks at a roll-out.
+const STEP_PAUSE: Duration = Duration::from_millis(200);
 /// Keys that are listed with one call.
 const PAGE: usize = 500;
 
@@ -73,8 +76,9 @@
         vocabulary: Arc<dyn Vocabulary>,
         fence: Arc<Fence>,
         cell: Arc<Cell>,
+        driver: Driver,
     ) -> Self {
-        let state = State::new(vocabulary.clone());
+        let state = State::new(vocabulary.clone(), driver);
         Self { store, vocabulary, fence, cell, state, away: false }
     }
 
@@ -132,6 +136,8 @@
         due.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         due.reset();
         let mut pending: Option<Pending> = None;
+        let mut step = tokio::time::interval(STEP_PAUSE);
+        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let until = pending.as_ref().map(|pending| pending.until);
             tokio::select! {
@@ -152,6 +158,9 @@
                         due.reset_after(RETRY_PAUSE);
                     }
                 },
+                _ = step.tick(), if self.state.driver().is_active() => {
+                    self.state.step(&self.store, Instant::now());
+                }
                 () = sleep_until(until) => return Left::Behind,
             }
             if self.state.expire(Instant::now()) {
@@ -187,8 +196,8 @@
 
     fn publish(&self) {
         let Some((revision, config)) = self.state.config() else { return };
-        let held = self.state.held();
-        self.cell.publish(View::new(revision, config, self.state.servers(), &held));
+        let (held, splits) = (self.state.driver().held(), self.state.driver().splits());
+        self.cell.publish(View::new(revision, config, self.state.servers(), &held, splits));
     }
 
     fn lost(&mut self, error: &store::Error) {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -3,49 +3,30 @@
 use {
     crate::{
         registry::{Registry, Server},
-        source::{Order, Progress, Stage, Subject, Vocabulary},
-        view::Held,
+        rollout::Driver,
+        source::{Subject, Vocabulary},
     },
     hawthornmount_core::{
         config::Config,
-        id::{Revision, ServerId, ServiceId},
+        id::{Revision, ServerId},
     },
-    hawthornmount_store::Entry,
+    hawthornmount_store::{Entry, Store},
     std::{sync::Arc, time::Instant},
 };
 
-/// A roll-out as the store tells it.
-#[derive(Clone, Debug, Default)]
-struct Rollout {
-    order: Option<Order>,
-    progress: Option<Progress>,
-}
-
-#[derive(Clone, Debug)]
-struct Row {
-    service: ServiceId,
-    rollout: Rollout,
-}
-
 /// What is known of configuration, servers and roll-outs.
 pub struct State {
     vocabulary: Arc<dyn Vocabulary>,
     config: Option<(Revision, Config)>,
     registry: Registry,
-    rollouts: Vec<Row>,
+    driver: Driver,
     seen: Revision,
 }
 
 impl State {
     /// Creates a state that knows nothing.
-    pub fn new(vocabulary: Arc<dyn Vocabulary>) -> Self {
-        Self {
-            vocabulary,
-            config: None,
-            registry: Registry::default(),
-            rollouts: Vec::new(),
-            seen: 0,
-        }
+    pub fn new(vocabulary: Arc<dyn Vocabulary>, driver: Driver) -> Self {
+        Self { vocabulary, config: None, registry: Registry::default(), driver, seen: 0 }
     }
 
     /// Returns the revision up to which every change was seen.
@@ -63,17 +44,15 @@
         self.registry.iter()
     }
 
-    /// Returns the versions that get no requests: the new one until its roll-out is completed.
-    pub fn held(&self) -> Vec<Held> {
-        let held = |row: &Row| {
-            let order = row.rollout.order.as_ref()?;
-            let is_completed = row.rollout.progress.as_ref().is_some_and(|progress| {
-                progress.version == order.version && progress.stage == Stage::Completed
-            });
-            let version = order.version.clone();
-            (!is_completed).then(|| Held { service: row.service.clone(), version })
-        };
-        self.rollouts.iter().filter_map(held).collect()
+    /// Returns the driver of roll-outs.
+    pub const fn driver(&self) -> &Driver {
+        &self.driver
+    }
+
+    /// Writes what roll-outs have due.
+    pub fn step(&mut self, store: &Arc<dyn Store>, now: Instant) {
+        let servers: Vec<Arc<Server>> = self.registry.iter().cloned().collect();
+        self.driver.step(store, &servers, now);
     }
 
     /// Takes a whole list; `away` tells whether the store was out of reach before it.
@@ -101,9 +80,12 @@
         self.seen = self.seen.max(revision);
         match self.vocabulary.subject(key) {
             Subject::Server(id) => self.registry.remove(&id),
-            Subject::Order(service) => self.rollout(service).order = None,
-            Subject::Progress(service) => self.rollout(service).progress = None,
-            Subject::Config | Subject::Other => return false,
+            Subject::Order(service) => return self.driver.order(&service, revision, None),
+            Subject::Other => {
+                self.driver.delete(key);
+                return false;
+            }
+            Subject::Config | Subject::Progress(_) => return false,
         }
         true
     }
@@ -119,15 +101,10 @@
             Subject::Server(id) => self.take_server(&id, entry),
             Subject::Order(service) => {
                 let order = self.read(entry, |words| words.order(&entry.value));
-                self.rollout(service).order = order;
-                true
+                self.driver.order(&service, entry.revision, order)
             }
-            Subject::Progress(service) => {
-                let progress = self.read(entry, |words| words.progress(&entry.value));
-                self.rollout(service).progress = progress;
-                true
-            }
-            Subject::Other => false,
+            Subject::Progress(_) => false,
+            Subject::Other => self.driver.put(entry),
         }
     }
 
@@ -167,15 +144,4 @@
             }
         }
     }
-
-    fn rollout(&mut self, service: ServiceId) -> &mut Rollout {
-        let at = match self.rollouts.binary_search_by(|row| row.service.cmp(&service)) {
-            Ok(at) => at,
-            Err(at) => {
-                self.rollouts.insert(at, Row { service, rollout: Rollout::default() });
-                at
-            }
-        };
-        &mut self.rollouts[at].rollout
-    }
 }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -15,15 +15,21 @@
         budget::Budget,
         choice::{self, Candidate, Distance},
         fence::Fence,
-        filter::{Answer, Body, Exchange},
+        filter::{self, Answer, Body, Exchange},
         ladder,
         load::Board,
         message::Dialect,
         pool::Pool,
         registry::Server,
+        rollout::{
+            Phase,
+            driver::Sources,
+            evidence::{Book, Sign},
+            sessions::{Exposure, Side},
+        },
         route::{self, Named},
         settings::{Retries, Settings},
-        view::Cell,
+        view::{Cell, View},
     },
     attempt::{Opened, Outcome},
     hawthornmount_core::{
@@ -61,6 +67,9 @@
     pool: Pool,
     board: Arc<Mutex<Board>>,
     budgets: Mutex<Vec<Row>>,
+    /// Sessions and exposure of versions under a roll-out.
+    exposure: Mutex<Exposure>,
+    book: Arc<Mutex<Book>>,
     retries: Retries,
     data_centre: Arc<str>,
     regions: Table<RegionId>,
@@ -83,6 +92,8 @@
             pool: Pool::default(),
             board: Arc::default(),
             budgets: Mutex::default(),
+            exposure: Mutex::default(),
+            book: Arc::default(),
             retries: settings.retries.clone(),
             data_centre: settings.data_centre.clone(),
             regions: settings.regions.clone(),
@@ -120,6 +131,11 @@
         Ok(self.deliver(job, course, opened))
     }
 
+    /// Returns what the driver of roll-outs reads.
+    pub fn sources(&self) -> Sources {
+        Sources { book: self.book.clone(), board: self.board.clone() }
+    }
+
     /// Closes idle connections and forgets servers that are gone.
     pub fn sweep(&self) {
         let view = self.cell.load();
@@ -133,6 +149,7 @@
         loop {
             let server = self.next_server(job, course)?;
             let wait = self.wait(job, course);
+            let began = Instant::now();
             let attempt = self.attempt(job, &server, course, job.resume_after());
             let outcome = match wait {
                 Some(wait) => match tokio::time::timeout(wait, attempt).await {
@@ -146,6 +163,15 @@
             };
             course.pending = false;
             course.tried.push(server.id.clone());
+            match &outcome {
+                Outcome::Opened(_) => {
+                    self.sign(job, course, &server, Sign::Began(began.elapsed()));
+                }
+                Outcome::Failed(_) | Outcome::Unknown(_) => {
+                    self.sign(job, course, &server, Sign::Failed);
+                }
+                Outcome::Refused | Outcome::Unsent | Outcome::Unconfirmed => {}
+            }
             match outcome {
                 Outcome::Opened(opened) => {
                     course.ran = true;
@@ -213,6 +239,7 @@
             .filter(|server| !course.tried.contains(&server.id))
             .collect();
         let now = Instant::now();
+        let servers = self.exposed(&view, job, course, servers, now);
         let model = job.model(course.rung);
         let mut board = self.board.lock();
         let mut candidate = |server: &&Arc<Server>| {
@@ -230,6 +257,44 @@
         Some(servers[at].clone())
     }
 
+    /// Returns the servers of the version that the request's session goes to.
+    fn exposed<'a>(
+        &self,
+        view: &'a View,
+        job: &Job,
+        course: &Course,
+        servers: Vec<&'a Arc<Server>>,
+        now: Instant,
+    ) -> Vec<&'a Arc<Server>> {
+        let session = job.ask.session.as_ref();
+        let Some(split) = view.split(&job.service) else {
+            if let Some(session) = session {
+                self.exposure.lock().sessions.keep_old(&job.service, session, now);
+            }
+            return servers;
+        };
+        let is_first = course.attempts == 0;
+        let is_recent = self.fence.age() < filter::FRESH;
+        let session = session.unwrap_or(&job.id);
+        let side = self.exposure.lock().side(split, session, is_first, is_recent, now);
+        let is_wanted =
+            |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
+        let wanted: Vec<&Arc<Server>> = servers.iter().filter(is_wanted).copied().collect();
+        let may_cross = side == Side::New || split.phase >= Phase::Full;
+        if wanted.is_empty() && may_cross { servers } else { wanted }
+    }
+
+    /// Takes note of how an attempt ended, as evidence on the server's version.
+    fn sign(&self, job: &Job, course: &Course, server: &Server, sign: Sign) {
+        let is_new = self
+            .cell
+            .load()
+            .split(&job.service)
+            .is_some_and(|split| split.version == server.version && !split.phase.is_over());
+        let (service, version, route) = (&job.service, &server.version, &job.route.id);
+        self.book.lock().note(service, version, route, course.rung, is_new, sign);
+    }
+
     fn distance(&self, server: &Server) -> Distance {
         if server.data_centre == self.data_centre {
             return Distance::Near;
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -8,6 +8,7 @@
     crate::{
         events::Splitter,
         filter::{self, CutOff},
+        rollout::evidence::Sign,
     },
     bytes::Bytes,
     futures::stream,
@@ -131,6 +132,7 @@
     /// Closes the connection to the present server, which also ends the run there.
     fn leave(&mut self, cause: Retry) {
         if let Some(source) = self.source.take() {
+            self.forwarder.sign(&self.job, &self.course, &source.server, Sign::Failed);
             self.forwarder.note_failure(&self.job, &source.server, cause.as_str());
             self.course.tried.push(source.server.id.clone());
         }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -7,6 +7,7 @@
         forward::Forwarder,
         front::{self, ListenError},
         message::Dialect,
+        rollout::Driver,
         settings::Settings,
         source::Vocabulary,
         view::Cell,
@@ -188,8 +189,18 @@
             let operators = front::listen(address).await?;
             tasks.push(tokio::spawn(front::serve_operators(operators, parts.clone())));
         }
-        let follower =
-            Follower::new(ports.store, ports.vocabulary, parts.fence.clone(), parts.cell.clone());
+        let driver = Driver::new(
+            parts.settings.instance.clone(),
+            ports.vocabulary.clone(),
+            parts.forwarder.sources(),
+        );
+        let follower = Follower::new(
+            ports.store,
+            ports.vocabulary,
+            parts.fence.clone(),
+            parts.cell.clone(),
+            driver,
+        );
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new()
             .name("control".to_owned())
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod message;
 pub mod pool;
 pub mod registry;
+pub mod rollout;
 pub mod route;
 pub mod settings;
 pub mod source;
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -0,0 +1,391 @@
+//! Drives roll-outs: reads orders, records and reports from the store, and writes the next phase.
+
+use {
+    super::{
+        Phase, Record, Split,
+        evidence::{self, Book, Report},
+        plan::{self, Facts},
+    },
+    crate::{
+        load::Board,
+        registry::{Server, Standing},
+        source::{Order, Progress, Stage, Vocabulary},
+        view::Held,
+    },
+    hawthornmount_core::id::{InstanceId, Revision, ServiceId, VersionId},
+    hawthornmount_store::{Entry, Store, Txn},
+    parking_lot::Mutex,
+    rand::RngExt,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Prefix of the records of roll-outs, by service.
+const RECORDS: &str = "hawthornmount/rollout/";
+/// Prefix of the reports on roll-outs, by service and instance.
+const REPORTS: &str = "hawthornmount/report/";
+/// Longest random delay before a phase is written, so that one instance writes and the others see
+/// it.
+const MAX_DELAY: Duration = Duration::from_millis(400);
+/// Longest random delay before a roll-back is written.
+const MAX_ALARM_DELAY: Duration = Duration::from_millis(60);
+/// Pause between two reports of an instance.
+const REPORT_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two reports that requests still run on the old version.
+const RUNNING_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time in the last phase after which an instance reports that the old version still runs there.
+const FIRST_RUNNING: Duration = Duration::from_millis(1_500);
+/// Age past which a report no longer says that the old version runs.
+const REPORT_LIFE: Duration = Duration::from_secs(6);
+/// Reports that are removed with the last write of a roll-out; the store takes 32 entries a write.
+const MAX_REMOVED: usize = 28;
+
+/// Order of a roll-out as it was read.
+#[derive(Clone, Debug)]
+struct Ordered {
+    revision: Revision,
+    order: Order,
+    seen: Instant,
+}
+
+/// Record of a roll-out as it was read.
+#[derive(Clone, Debug)]
+struct Recorded {
+    revision: Revision,
+    record: Record,
+    seen: Instant,
+}
+
+/// Report of an instance as it was read.
+#[derive(Clone, Debug)]
+struct Reported {
+    key: Arc<str>,
+    report: Report,
+    seen: Instant,
+}
+
+/// What is known of one service's roll-out.
+#[derive(Clone, Debug)]
+struct Row {
+    service: ServiceId,
+    ordered: Option<Ordered>,
+    recorded: Option<Recorded>,
+    reports: Vec<Reported>,
+    /// Phase that is to be written, and when.
+    due: Option<(Phase, Instant)>,
+    /// Report that was written last, and when.
+    written: Option<(Report, Instant)>,
+}
+
+/// Evidence and tallies that the traffic thread fills.
+#[derive(Clone)]
+pub struct Sources {
+    /// Answers by version.
+    pub book: Arc<Mutex<Book>>,
+    /// Requests in flight by server.
+    pub board: Arc<Mutex<Board>>,
+}
+
+/// Drives the roll-outs of all services.
+pub struct Driver {
+    instance: InstanceId,
+    vocabulary: Arc<dyn Vocabulary>,
+    sources: Sources,
+    rows: Vec<Row>,
+}
+
+impl Driver {
+    /// Creates a driver for an instance.
+    pub fn new(instance: InstanceId, vocabulary: Arc<dyn Vocabulary>, sources: Sources) -> Self {
+        Self { instance, vocabulary, sources, rows: Vec::new() }
+    }
+
+    /// Takes an order, or its removal, and tells whether the view changes.
+    pub fn order(&mut self, service: &ServiceId, revision: Revision, order: Option<Order>) -> bool {
+        let book = self.sources.book.clone();
+        let row = self.row(service);
+        let known = row.ordered.as_ref().map_or(0, |ordered| ordered.revision);
+        if revision <= known {
+            return false;
+        }
+        if let Some(order) = &order {
+            log::info!("roll-out ordered; service={service} version={}", order.version);
+            book.lock().forget(service);
+        }
+        let seen = Instant::now();
+        row.ordered = order.map(|order| Ordered { revision, order, seen });
+        row.due = None;
+        row.written = None;
+        true
+    }
+
+    /// Takes a key of the driver's own and tells whether the view changes.
+    pub fn put(&mut self, entry: &Entry) -> bool {
+        if let Some(service) = entry.key.strip_prefix(RECORDS) {
+            return self.put_record(&service.into(), entry);
+        }
+        if let Some(rest) = entry.key.strip_prefix(REPORTS) {
+            self.put_report(rest, entry);
+        }
+        false
+    }
+
+    /// Takes the removal of a key of the driver's own.
+    pub fn delete(&mut self, key: &str) {
+        for row in &mut self.rows {
+            row.reports.retain(|reported| *reported.key != *key);
+        }
+    }
+
+    /// Returns the roll-outs by which requests are split.
+    pub fn splits(&self) -> Vec<Split> {
+        let split = |row: &Row| {
+            let version = row.ordered.as_ref()?.order.version.clone();
+            Some(Split { service: row.service.clone(), version, phase: row.phase()? })
+        };
+        self.rows.iter().filter_map(split).collect()
+    }
+
+    /// Returns the versions that get no requests: a new one before its roll-out has begun and after
+    /// it was rolled back.
+    pub fn held(&self) -> Vec<Held> {
+        let held = |row: &Row| {
+            let version = row.ordered.as_ref()?.order.version.clone();
+            let is_held = row.phase().is_none_or(|phase| phase == Phase::RolledBack);
+            is_held.then(|| Held { service: row.service.clone(), version })
+        };
+        self.rows.iter().filter_map(held).collect()
+    }
+
+    /// Tells whether a roll-out is under way.
+    pub fn is_active(&self) -> bool {
+        let is_active =
+            |row: &Row| row.ordered.is_some() && !row.phase().is_some_and(Phase::is_over);
+        self.rows.iter().any(is_active)
+    }
+
+    /// Writes what is due.
+    pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) {
+        for at in 0..self.rows.len() {
+            if let Some(txn) = self.advance(at, servers, now) {
+                self.commit(store, txn);
+            }
+            if let Some(txn) = self.report(at, servers, now) {
+                self.commit(store, txn);
+            }
+        }
+    }
+
+    /// Returns the write of the next phase, if it is due.
+    fn advance(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
+        let facts = self.facts(at, servers, now)?;
+        let row = &mut self.rows[at];
+        let Some(next) = plan::next(row.phase(), &facts) else {
+            row.due = None;
+            return None;
+        };
+        let Some((phase, due)) = row.due else {
+            let longest = if next == Phase::RolledBack { MAX_ALARM_DELAY } else { MAX_DELAY };
+            row.due = Some((next, now + longest.mul_f64(rand::rng().random())));
+            return None;
+        };
+        if phase != next {
+            row.due = None;
+            return None;
+        }
+        if now < due {
+            return None;
+        }
+        // Without an answer the same write is due again, under the same condition.
+        row.due = None;
+        self.transition(at, next)
+    }
+
+    fn facts(&self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Facts> {
+        let row = &self.rows[at];
+        let ordered = row.ordered.as_ref()?;
+        if row.phase().is_some_and(Phase::is_over) {
+            return None;
+        }
+        let version = &ordered.order.version;
+        let is_new = |server: &&Arc<Server>| {
+            server.service == row.service
+                && server.version == *version
+                && server.standing == Standing::Ready
+        };
+        let lines = self.sources.book.lock().lines(&row.service, version);
+        let own = format!("{REPORTS}{}/{}", row.service, self.instance);
+        let others = row.reports.iter().filter(|reported| *reported.key != *own);
+        let is_recent = |reported: &&Reported| now < reported.seen + REPORT_LIFE;
+        let runs_old = self.runs_old(&row.service, version, servers)
+            || others.clone().filter(is_recent).any(|reported| reported.report.runs_old);
+        let is_same = |reported: &&Reported| reported.report.version.as_ref() == Some(version);
+        let reported = others.filter(is_same).flat_map(|reported| &reported.report.lines);
+        Some(Facts {
+            since_order: now.saturating_duration_since(ordered.seen),
+            since_phase: row
+                .recorded
+                .as_ref()
+                .map_or(Duration::ZERO, |recorded| now.saturating_duration_since(recorded.seen)),
+            duration: ordered.order.duration,
+            is_bad: evidence::is_bad(lines.iter().chain(reported)),
+            has_servers: servers.iter().any(|server| is_new(&server)),
+            is_clear: !runs_old,
+        })
+    }
+
+    fn runs_old(&self, service: &ServiceId, version: &VersionId, servers: &[Arc<Server>]) -> bool {
+        let mut board = self.sources.board.lock();
+        let old = servers
+            .iter()
+            .filter(|server| server.service == *service && server.version != *version);
+        old.map(|server| board.tally(&server.id).in_flight).any(|in_flight| in_flight > 0)
+    }
+
+    fn transition(&self, at: usize, phase: Phase) -> Option<Txn> {
+        let row = &self.rows[at];
+        let ordered = row.ordered.as_ref()?;
+        let version = ordered.order.version.clone();
+        let record = Record { order: ordered.revision, version: version.clone(), phase };
+        let key = format!("{RECORDS}{}", row.service);
+        let stage = match phase {
+            Phase::Canary | Phase::Widening | Phase::Full => Stage::Running,
+            Phase::Completed => Stage::Completed,
+            Phase::RolledBack => Stage::RolledBack,
+        };
+        let mut txn = match &row.recorded {
+            Some(recorded) => Txn::new().unchanged(&key, recorded.revision),
+            None => Txn::new().absent(&key),
+        };
+        txn = txn.put(&key, json(&record)?);
+        if matches!(phase, Phase::Canary) || phase.is_over() {
+            let progress = Progress { version, stage };
+            let (key, value) = self.vocabulary.write_progress(&row.service, &progress);
+            txn = txn.put(&key, value);
+        }
+        if phase.is_over() {
+            for reported in row.reports.iter().take(MAX_REMOVED) {
+                txn = txn.delete(&reported.key);
+            }
+        }
+        log::info!("roll-out goes on; service={} phase={phase:?}", row.service);
+        Some(txn)
+    }
+
+    /// Returns the write of this instance's report, if it has something new to say.
+    fn report(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
+        let row = &self.rows[at];
+        let version = row.ordered.as_ref()?.order.version.clone();
+        let phase = row.phase().filter(|phase| !phase.is_over())?;
+        let since = row.recorded.as_ref().map(|recorded| now - recorded.seen)?;
+        let lines = self.sources.book.lock().lines(&row.service, &version);
+        let runs_old = phase == Phase::Full
+            && since >= FIRST_RUNNING
+            && self.runs_old(&row.service, &version, servers);
+        let report = Report { version: Some(version), lines, runs_old };
+        let bad = |report: &Report| report.lines.iter().map(|line| line.new.bad).sum::<u32>();
+        let is_due = match &row.written {
+            None => bad(&report) > 0 || runs_old,
+            Some((last, at)) => {
+                let is_news = bad(&report) > bad(last) || runs_old != last.runs_old;
+                (is_news && now >= *at + REPORT_PAUSE) || (runs_old && now >= *at + RUNNING_PAUSE)
+            }
+        };
+        if !is_due {
+            return None;
+        }
+        let key = format!("{REPORTS}{}/{}", row.service, self.instance);
+        let txn = Txn::new().put(&key, json(&report)?);
+        self.rows[at].written = Some((report, now));
+        Some(txn)
+    }
+
+    fn commit(&self, store: &Arc<dyn Store>, txn: Txn) {
+        let store = store.clone();
+        tokio::spawn(async move {
+            match store.commit(txn).await {
+                Ok(commit) if commit.applied => {}
+                Ok(_) => log::debug!("another instance wrote the roll-out first"),
+                Err(error) => log::warn!("a roll-out's write got no answer; cause={error}"),
+            }
+        });
+    }
+
+    fn put_record(&mut self, service: &ServiceId, entry: &Entry) -> bool {
+        let Some(record) = read::<Record>(entry) else { return false };
+        let row = self.row(service);
+        let known = row.recorded.as_ref().map_or(0, |recorded| recorded.revision);
+        if entry.revision <= known {
+            return false;
+        }
+        log::info!(
+            "roll-out; service={service} version={} phase={:?}",
+            record.version,
+            record.phase
+        );
+        row.recorded = Some(Recorded { revision: entry.revision, record, seen: Instant::now() });
+        row.due = None;
+        true
+    }
+
+    fn put_report(&mut self, rest: &str, entry: &Entry) {
+        let Some((service, _instance)) = rest.rsplit_once('/') else { return };
+        let Some(report) = read::<Report>(entry) else { return };
+        let reported = Reported { key: entry.key.clone(), report, seen: Instant::now() };
+        let row = self.row(&service.into());
+        match row.reports.binary_search_by(|known| known.key.cmp(&entry.key)) {
+            Ok(at) => row.reports[at] = reported,
+            Err(at) => row.reports.insert(at, reported),
+        }
+    }
+
+    fn row(&mut self, service: &ServiceId) -> &mut Row {
+        let at = match self.rows.binary_search_by(|row| row.service.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = Row {
+                    service: service.clone(),
+                    ordered: None,
+                    recorded: None,
+                    reports: Vec::new(),
+                    due: None,
+                    written: None,
+                };
+                self.rows.insert(at, row);
+                at
+            }
+        };
+        &mut self.rows[at]
+    }
+}
+
+impl Row {
+    /// Returns the phase of the present order, if its roll-out has begun.
+    fn phase(&self) -> Option<Phase> {
+        let recorded = self.recorded.as_ref()?;
+        let ordered = self.ordered.as_ref()?;
+        (recorded.record.order == ordered.revision).then_some(recorded.record.phase)
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
+    match serde_json::from_slice(&entry.value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::warn!("a value of the product can't be read; key={} cause={error}", entry.key);
+            None
+        }
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Option<Vec<u8>> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            log::error!("a value can't be written, report it; cause={error}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -0,0 +1,83 @@
+//! Roll-outs of a service's versions, driven through the store.
+//!
+//! Every instance runs the same driver; nobody is chosen. The phase of a roll-out is one record in
+//! the store that changes only by compare-and-swap, so two drivers cost a refused write and never a
+//! wrong phase, and any instance goes on where another died. Instances write what they saw of the
+//! new version only when it failed somewhere, and whether requests still run on the old one.
+
+pub mod driver;
+pub mod evidence;
+pub mod plan;
+pub mod sessions;
+
+pub use driver::Driver;
+
+use {
+    crate::registry::Server,
+    hawthornmount_core::id::{Revision, ServiceId, VersionId},
+    serde::{Deserialize, Serialize},
+};
+
+/// How far a roll-out is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// A small share of new sessions goes to the new version.
+    Canary,
+    /// A larger share of all sessions does.
+    Widening,
+    /// Every session does; the old version finishes its requests.
+    Full,
+    /// The old version has ended.
+    Completed,
+    /// The new version gets nothing.
+    RolledBack,
+}
+
+/// Record of a roll-out in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Revision of the order; a later order starts anew.
+    pub order: Revision,
+    /// Version that is rolled out.
+    pub version: VersionId,
+    /// How far the roll-out is.
+    pub phase: Phase,
+}
+
+/// A roll-out under way, as requests are split by it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Split {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version.
+    pub version: VersionId,
+    /// How far the roll-out is.
+    pub phase: Phase,
+}
+
+impl Split {
+    /// Tells whether a server runs the version that the roll-out has replaced.
+    pub fn is_ended_for(&self, server: &Server) -> bool {
+        self.phase == Phase::Completed
+            && self.service == server.service
+            && self.version != server.version
+    }
+}
+
+impl Phase {
+    /// Returns the share of the sessions that may go to the new version.
+    pub const fn share(self) -> f64 {
+        match self {
+            Self::Canary => plan::CANARY_SHARE,
+            Self::Widening => plan::WIDENING_SHARE,
+            Self::Full | Self::Completed => 1.0,
+            Self::RolledBack => 0.0,
+        }
+    }
+
+    /// Tells whether the roll-out is over.
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -0,0 +1,62 @@
+//! When a roll-out enters its next phase.
+//!
+//! Answers the load of versions that turn bad at once, later, under load or on one route: the new
+//! version gets little until half of the time has passed, then all of it in two steps that are
+//! each short enough for evidence against it to stop it inside the allowed exposure.
+
+use {super::Phase, std::time::Duration};
+
+/// Share of the new sessions in the first phase; the users allow a bad version 0.12 to 0.15 of all
+/// requests over the whole roll-out.
+pub const CANARY_SHARE: f64 = 0.08;
+/// Share of the sessions in the second phase.
+pub const WIDENING_SHARE: f64 = 0.4;
+
+/// Part of the roll-out's time that the first phase takes. Sessions must not change their version
+/// in the first half.
+const CANARY_PART: f64 = 0.5;
+/// Time past that part, for clocks that started late.
+const CANARY_MARGIN: Duration = Duration::from_millis(250);
+/// Shortest first phase of an instance that has just learnt of the roll-out.
+const MIN_CANARY: Duration = Duration::from_secs(3);
+/// Time of the second phase: evidence takes about a second to arrive.
+const WIDENING: Duration = Duration::from_millis(1_800);
+/// Shortest time of the last phase: instances that still run old requests have said so by then.
+const MIN_FULL: Duration = Duration::from_millis(3_500);
+
+/// What the next phase depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts {
+    /// Time since the order was seen.
+    pub since_order: Duration,
+    /// Time since the present phase was seen.
+    pub since_phase: Duration,
+    /// Time in which the roll-out is to end.
+    pub duration: Duration,
+    /// Whether the evidence speaks against the new version.
+    pub is_bad: bool,
+    /// Whether a server of the new version takes requests.
+    pub has_servers: bool,
+    /// Whether no request runs on the old version any more.
+    pub is_clear: bool,
+}
+
+/// Returns the phase that follows, if it is time for it.
+pub fn next(phase: Option<Phase>, facts: &Facts) -> Option<Phase> {
+    let Some(phase) = phase else { return facts.has_servers.then_some(Phase::Canary) };
+    if facts.is_bad && !phase.is_over() {
+        return Some(Phase::RolledBack);
+    }
+    match phase {
+        Phase::Canary => {
+            let half = facts.duration.mul_f64(CANARY_PART) + CANARY_MARGIN;
+            let is_due = facts.since_order >= half && facts.since_phase >= MIN_CANARY;
+            is_due.then_some(Phase::Widening)
+        }
+        Phase::Widening => (facts.since_phase >= WIDENING).then_some(Phase::Full),
+        Phase::Full => {
+            (facts.since_phase >= MIN_FULL && facts.is_clear).then_some(Phase::Completed)
+        }
+        Phase::Completed | Phase::RolledBack => None,
+    }
+}
--- a/crates/hawthornmount-gateway/src/source/mod.rs
+++ b/crates/hawthornmount-gateway/src/source/mod.rs
@@ -95,4 +95,7 @@
     ///
     /// Returns what is wrong if the value is no progress.
     fn progress(&self, value: &[u8]) -> Result<Progress, Unreadable>;
+
+    /// Returns key and value that tell the operator the progress of a service's roll-out.
+    fn write_progress(&self, service: &ServiceId, progress: &Progress) -> (String, Vec<u8>);
 }
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         registry::{Server, Standing},
+        rollout::{Phase, Split},
         route::Table,
     },
     arc_swap::ArcSwap,
@@ -57,6 +58,8 @@
     pub limits: Limits,
     /// Whether requests need a key, unless their route is anonymous.
     pub keyed: bool,
+    /// Roll-outs by which requests are split.
+    splits: Vec<Split>,
     keys: Vec<Key>,
     pools: Vec<Pool>,
 }
@@ -68,12 +71,14 @@
         config: &Config,
         servers: impl Iterator<Item = &'a Arc<Server>>,
         held: &[Held],
+        splits: Vec<Split>,
     ) -> Self {
         let mut view = Self {
             revision,
             routes: Table::new(config),
             limits: config.limits.clone(),
             keyed: !config.accounts.is_empty(),
+            splits,
             keys: keys(config),
             pools: Vec::new(),
         };
@@ -87,14 +92,15 @@
         servers: impl Iterator<Item = &'a Arc<Server>>,
         held: &[Held],
     ) {
-        self.pools.clear();
         let is_held = |server: &Server| {
             held.iter().any(|one| one.service == server.service && one.version == server.version)
+                || self.splits.iter().any(|split| split.is_ended_for(server))
         };
-        for server in servers.filter(|server| server.standing == Standing::Ready) {
-            if is_held(server) {
-                continue;
-            }
+        let servers: Vec<&Arc<Server>> = servers
+            .filter(|server| server.standing == Standing::Ready && !is_held(server))
+            .collect();
+        self.pools.clear();
+        for server in servers {
             match self.position(&server.service) {
                 Ok(at) => self.pools[at].servers.push(server.clone()),
                 Err(at) => {
@@ -118,6 +124,12 @@
         self.position(service).map_or(&[], |at| &self.pools[at].servers)
     }
 
+    /// Returns the roll-out by which a service's requests are split.
+    pub fn split(&self, service: &str) -> Option<&Split> {
+        let is_wanted = |split: &&Split| *split.service == *service;
+        self.splits.iter().find(is_wanted).filter(|split| split.phase != Phase::RolledBack)
+    }
+
     /// Tells whether a server takes requests of any service.
     pub fn knows(&self, id: &str) -> bool {
         self.pools.iter().flat_map(|pool| &pool.servers).any(|server| *server.id == *id)
