Test the gateway on stand-ins of the platform; write its design and pages

The age up to which "does not exist" is certain comes from a setting, propagation_ms, in place of a constant.

--- a/crates/hawthornmount-gateway/src/fence/mod.rs
+++ b/crates/hawthornmount-gateway/src/fence/mod.rs
@@ -20,19 +20,30 @@
 /// Longest time between the check of the fence and the arrival of the request at its server.
 const MARGIN: Duration = Duration::from_millis(150);
 
+/// Part of the time in which a configuration has to be in force up to which the last confirmation
+/// still says what does not exist; the rest is for the way of the request.
+const FRESH_PART: f64 = 0.8;
+
 /// Age of the configuration's last confirmation.
 pub struct Fence {
     clock: Arc<dyn Clock>,
     bound: Duration,
+    fresh: Duration,
     /// Microseconds of the boot clock at which the last confirmed question was asked; 0 if none.
     asked: AtomicU64,
 }
 
 impl Fence {
     /// Creates a fence that is closed until the first confirmation; `bound` is the longest age at
-    /// which a key may be trusted.
-    pub fn new(clock: Arc<dyn Clock>, bound: Duration) -> Self {
-        Self { clock, bound: bound.saturating_sub(MARGIN), asked: AtomicU64::new(0) }
+    /// which a key may be trusted, `propagation` the time in which a configuration has to be in
+    /// force.
+    pub fn new(clock: Arc<dyn Clock>, bound: Duration, propagation: Duration) -> Self {
+        Self {
+            clock,
+            bound: bound.saturating_sub(MARGIN),
+            fresh: propagation.mul_f64(FRESH_PART),
+            asked: AtomicU64::new(0),
+        }
     }
 
     /// Returns the present time for [`Fence::confirm`].
@@ -58,4 +69,10 @@
     pub fn is_open(&self) -> bool {
         self.age() < self.bound
     }
+
+    /// Tells whether the configuration is recent enough to say that something does not exist: an
+    /// older one may lack what was added meanwhile.
+    pub fn is_fresh(&self) -> bool {
+        self.age() < self.fresh
+    }
 }
--- a/crates/hawthornmount-gateway/src/filter/find.rs
+++ b/crates/hawthornmount-gateway/src/filter/find.rs
@@ -9,9 +9,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Age of the configuration up to which it says that something does not exist. An older one may
-/// lack what was added meanwhile; the platform wants additions in force within 2.5 s.
-pub const FRESH: Duration = Duration::from_millis(2_000);
 /// When a caller may come back whose route or key can't be looked up now.
 pub const STALE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -52,7 +49,7 @@
 /// Returns the problem of something that the configuration does not hold, which is only certain
 /// while the configuration is fresh.
 pub fn unknown(fence: &Fence, reason: Refusal, what: &str) -> Problem {
-    if fence.age() < FRESH {
+    if fence.is_fresh() {
         return Problem::new(reason, what);
     }
     let detail = "the configuration can't be confirmed now: come back";
--- a/crates/hawthornmount-gateway/src/filter/forward.rs
+++ b/crates/hawthornmount-gateway/src/filter/forward.rs
@@ -27,7 +27,7 @@
     }
 
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
-        let job = self.forwarder.job(exchange, exchange.route()?)?;
+        let job = self.forwarder.job(exchange)?;
         exchange.answer = Some(self.forwarder.run(job).await?);
         Ok(())
     }
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -6,8 +6,6 @@
 mod open;
 mod read;
 
-pub use find::FRESH;
-
 use {
     crate::{
         instance::Parts,
@@ -89,7 +87,7 @@
     /// # Errors
     ///
     /// Returns a problem if the filter that finds it was left out.
-    fn route(&self) -> Result<Arc<Named>, Problem> {
+    pub fn route(&self) -> Result<Arc<Named>, Problem> {
         let missing = || Problem::new(Refusal::Internal, "the route was not looked up: report it");
         self.route.clone().ok_or_else(missing)
     }
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -1,7 +1,7 @@
 //! Follows configuration, servers and roll-outs in the store, and proves that they are recent.
 //!
 //! A list of all keys comes first, then a watch. A quiet watch proves nothing: it may have lost
-//! events or be mute. Every [`PROOF_PAUSE`] a small question asks for the store's revision. If all
+//! events or be mute. Every second or so a small question asks for the store's revision. If all
 //! changes up to it were seen, the view was current when the question was asked, and the
 //! [`Fence`] is confirmed; if not, everything is listed again.
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -15,7 +15,7 @@
         budget::Budget,
         choice::{self, Candidate, Distance},
         fence::Fence,
-        filter::{self, Answer, Body, Exchange},
+        filter::{Answer, Body, Exchange},
         ladder,
         load::Board,
         message::Dialect,
@@ -27,7 +27,7 @@
             evidence::{Book, Sign},
             sessions::{Exposure, Side},
         },
-        route::{self, Named},
+        route,
         settings::{Retries, Settings},
         view::{Cell, View},
     },
@@ -104,8 +104,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a problem if the route names no service.
-    pub fn job(&self, exchange: &Exchange, route: Arc<Named>) -> Result<Job, Problem> {
+    /// Returns a problem if the route was not looked up or names no service.
+    pub fn job(&self, exchange: &Exchange) -> Result<Job, Problem> {
+        let route = exchange.route()?;
         match route::split(&route.route.targets, rand::random()) {
             Some(service) => Ok(Job::new(exchange, route.clone(), service.clone())),
             None => Err(Problem::new(Refusal::NoServer, "the route has no service")),
@@ -274,7 +275,7 @@
             return servers;
         };
         let is_first = course.attempts == 0;
-        let is_recent = self.fence.age() < filter::FRESH;
+        let is_recent = self.fence.is_fresh();
         let session = session.unwrap_or(&job.id);
         let side = self.exposure.lock().side(split, session, is_first, is_recent, now);
         let is_wanted =
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -127,7 +127,7 @@
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, dialect: Arc<dyn Dialect>) -> Self {
         let metrics = Metrics::new();
         let cell = Arc::new(Cell::default());
-        let fence = Arc::new(Fence::new(clock, settings.revocation));
+        let fence = Arc::new(Fence::new(clock, settings.revocation, settings.propagation));
         let forwarder = Forwarder::new(
             &settings,
             cell.clone(),
--- a/crates/hawthornmount-gateway/src/rollout/sessions.rs
+++ b/crates/hawthornmount-gateway/src/rollout/sessions.rs
@@ -77,7 +77,7 @@
             Ok(at) => self.rows[at] = Row { key, side, seen: now },
             Err(at) => {
                 self.rows.insert(at, Row { key, side, seen: now });
-                if self.rows.len() % SWEEP_AT == 0 {
+                if self.rows.len().is_multiple_of(SWEEP_AT) {
                     self.rows.retain(|row| is_active(row, now));
                 }
             }
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -11,6 +11,8 @@
 const MAX_PROBLEMS: usize = 64;
 /// Shortest bound on keys that were taken away: several questions to the store have to fit in.
 const MIN_REVOCATION: Duration = Duration::from_secs(1);
+/// Shortest bound on new configurations: two questions to the store have to fit in.
+const MIN_PROPAGATION: Duration = Duration::from_millis(2_000);
 /// Levels of the log.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -74,6 +76,7 @@
         "operators" => json!("127.0.0.1:9100"),
         "store" => json!("127.0.0.1:2379"),
         "revocation_ms" => json!(5_000),
+        "propagation_ms" => json!(2_500),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
         "grace_ms" => json!(8_000),
         "log" => json!("info"),
@@ -115,6 +118,10 @@
         let remedy = format!("give at least {}", MIN_REVOCATION.as_millis());
         problems.push(problem("revocation_ms", "is too short", &remedy));
     }
+    if settings.propagation < MIN_PROPAGATION {
+        let remedy = format!("give at least {}", MIN_PROPAGATION.as_millis());
+        problems.push(problem("propagation_ms", "is too short", &remedy));
+    }
     let retries = &settings.retries;
     if !(0.0..=10.0).contains(&retries.ratio) {
         problems.push(problem("retries.ratio", "is out of range", "give 0 to 10"));
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -39,6 +39,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "revocation_ms")]
     pub revocation: Duration,
+    /// Time within which an accepted configuration has to be in force.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "propagation_ms")]
+    pub propagation: Duration,
     /// Limits on sending requests again.
     pub retries: Retries,
     /// Time in which the instance has to end after it was told to stop.
--- /dev/null
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -0,0 +1,12 @@
+//! Decisions of the gateway, without a network.
+
+mod budget;
+mod choice;
+mod fence;
+mod ladder;
+mod load;
+mod registry;
+mod rollout;
+mod route;
+mod settings;
+mod verdict;
--- /dev/null
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -0,0 +1,195 @@
+//! Decisions of roll-outs.
+
+use {
+    hawthornmount_gateway::rollout::{
+        Phase, Split,
+        evidence::{Book, Sign, is_bad},
+        plan::{Facts, next},
+        sessions::{Exposure, Sessions, Side},
+    },
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+const FACTS: Facts = Facts {
+    since_order: Duration::from_secs(100),
+    since_phase: Duration::from_secs(100),
+    duration: Duration::from_secs(24),
+    is_bad: false,
+    has_servers: true,
+    is_clear: true,
+};
+
+struct Step {
+    phase: Option<Phase>,
+    facts: Facts,
+    next: Option<Phase>,
+}
+
+#[rstest]
+#[case::begins(Step { phase: None, facts: FACTS, next: Some(Phase::Canary) })]
+#[case::no_servers(Step { phase: None, facts: Facts { has_servers: false, ..FACTS }, next: None })]
+#[case::first_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_secs(12), ..FACTS }, next: None })]
+#[case::second_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_millis(12_400), ..FACTS }, next: Some(Phase::Widening) })]
+#[case::widens(Step { phase: Some(Phase::Widening), facts: FACTS, next: Some(Phase::Full) })]
+#[case::widens_later(Step { phase: Some(Phase::Widening), facts: Facts { since_phase: Duration::from_secs(1), ..FACTS }, next: None })]
+#[case::completes(Step { phase: Some(Phase::Full), facts: FACTS, next: Some(Phase::Completed) })]
+#[case::old_still_runs(Step { phase: Some(Phase::Full), facts: Facts { is_clear: false, ..FACTS }, next: None })]
+#[case::bad_canary(Step { phase: Some(Phase::Canary), facts: Facts { is_bad: true, ..FACTS }, next: Some(Phase::RolledBack) })]
+#[case::bad_at_last(Step { phase: Some(Phase::Full), facts: Facts { is_bad: true, ..FACTS }, next: Some(Phase::RolledBack) })]
+#[case::over(Step { phase: Some(Phase::Completed), facts: Facts { is_bad: true, ..FACTS }, next: None })]
+#[case::rolled_back(Step { phase: Some(Phase::RolledBack), facts: FACTS, next: None })]
+fn phases_follow_one_another(#[case] step: Step) {
+    assert_eq!(next(step.phase, &step.facts), step.next);
+}
+
+/// A version that is bad from some moment on, played against the plan: how many requests it gets
+/// until the roll-back, of 51 a second over nine instances, evidence being a second old.
+fn exposure(duration: Duration, bad_from: Duration, bad_share: f64) -> (f64, f64) {
+    const PER_SECOND: f64 = 51.0;
+    const STEP: Duration = Duration::from_millis(100);
+    const EVIDENCE_AGE: Duration = Duration::from_secs(1);
+    let (mut now, mut since_phase) = (Duration::ZERO, Duration::ZERO);
+    let (mut phase, mut new, mut bad) = (None, 0.0, Vec::new());
+    while now < duration {
+        let known: f64 =
+            bad.iter().filter(|(at, _)| *at + EVIDENCE_AGE <= now).map(|(_, count)| count).sum();
+        let facts =
+            Facts { since_order: now, since_phase, duration, is_bad: known >= 4.0, ..FACTS };
+        if let Some(next) = next(phase, &facts) {
+            phase = Some(next);
+            since_phase = Duration::ZERO;
+        }
+        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::share);
+        new += got;
+        if now >= bad_from {
+            bad.push((now, got * bad_share));
+        }
+        now += STEP;
+        since_phase += STEP;
+    }
+    (new, PER_SECOND * duration.as_secs_f64())
+}
+
+#[rstest]
+#[case::at_once(0.0, 0.32)]
+#[case::late(3.0, 0.5)]
+#[case::when_it_widens(12.3, 0.3)]
+#[case::under_full_load(14.2, 0.4)]
+fn bad_version_stays_within_the_exposure(#[case] bad_from: f64, #[case] share: f64) {
+    for duration in [16.0, 24.0].map(Duration::from_secs_f64) {
+        let bad_from = Duration::from_secs_f64(bad_from * duration.as_secs_f64() / 24.0);
+        let (new, all) = exposure(duration, bad_from, share);
+        assert!(new <= 0.15 * all + 30.0, "{new} of {all} in {duration:?}");
+    }
+}
+
+fn split(phase: Phase) -> Split {
+    Split { service: "s".into(), version: "v2".into(), phase }
+}
+
+fn sessions() -> impl Iterator<Item = std::sync::Arc<str>> {
+    (0..2_000).map(|at| format!("session-{at}").into())
+}
+
+#[test]
+fn small_share_of_new_sessions_is_exposed_and_none_moves_in_the_first_half() {
+    let (mut kept, now) = (Sessions::default(), Instant::now());
+    for session in sessions().take(500) {
+        kept.keep_old(&"s".into(), &session, now);
+    }
+    let mut new = 0;
+    for (at, session) in sessions().enumerate() {
+        let side = kept.side(&split(Phase::Canary), &session, true, now);
+        assert!(at >= 500 || side == Side::Old, "an old session moved");
+        new += u32::from(side == Side::New);
+        assert_eq!(kept.side(&split(Phase::Canary), &session, true, now), side);
+    }
+    assert!((60..180).contains(&new), "{new} of 1500");
+}
+
+#[test]
+fn sessions_of_the_new_version_stay_unless_it_is_rolled_back() {
+    let (mut kept, now) = (Sessions::default(), Instant::now());
+    let side = |kept: &mut Sessions, phase, session: &std::sync::Arc<str>| {
+        kept.side(&split(phase), session, true, now)
+    };
+    let exposed: Vec<_> =
+        sessions().filter(|session| side(&mut kept, Phase::Canary, session) == Side::New).collect();
+    assert!(!exposed.is_empty());
+    for session in &exposed {
+        assert_eq!(side(&mut kept, Phase::Widening, session), Side::New);
+        assert_eq!(side(&mut kept, Phase::Full, session), Side::New);
+        assert_eq!(side(&mut kept, Phase::RolledBack, session), Side::Old);
+    }
+}
+
+#[test]
+fn every_instance_draws_alike() {
+    let now = Instant::now();
+    let (mut one, mut other) = (Sessions::default(), Sessions::default());
+    for session in sessions() {
+        let split = split(Phase::Widening);
+        assert_eq!(one.side(&split, &session, true, now), other.side(&split, &session, true, now));
+    }
+}
+
+#[test]
+fn exposure_is_metered_and_stops_when_the_phase_may_be_old() {
+    let (mut exposure, now) = (Exposure::default(), Instant::now());
+    let canary = split(Phase::Canary);
+    // Sessions that are all drawn for the new version.
+    let mut probe = Sessions::default();
+    let drawn: Vec<_> =
+        sessions().filter(|session| probe.side(&canary, session, true, now) == Side::New).collect();
+    let sides = drawn.iter().map(|session| exposure.side(&canary, session, true, true, now));
+    let new = sides.filter(|side| *side == Side::New).count();
+    assert!(new * 3 < drawn.len(), "{new} of {}", drawn.len());
+    for session in &drawn {
+        assert_eq!(exposure.side(&canary, session, true, false, now), Side::Old);
+    }
+}
+
+struct Load {
+    old: (u32, u32),
+    new: (u32, u32),
+    is_bad: bool,
+}
+
+#[rstest]
+#[case::good(Load { old: (300, 3), new: (40, 1), is_bad: false })]
+#[case::few(Load { old: (300, 3), new: (2, 2), is_bad: false })]
+#[case::errors(Load { old: (300, 3), new: (12, 4), is_bad: true })]
+#[case::bad_day_for_all(Load { old: (300, 90), new: (40, 14), is_bad: false })]
+fn evidence_is_weighed_against_the_other_versions(#[case] load: Load) {
+    let mut book = Book::default();
+    let routes = ["r1".into(), "r2".into()];
+    for (version, (all, bad)) in [("v1", load.old), ("v2", load.new)] {
+        for at in 0..all {
+            let sign = if at < bad { Sign::Failed } else { Sign::Began(Duration::from_millis(50)) };
+            let route = &routes[at as usize % 2];
+            book.note(&"s".into(), &version.into(), route, None, version == "v2", sign);
+        }
+    }
+    assert_eq!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()), load.is_bad);
+}
+
+#[test]
+fn much_slower_version_and_one_bad_route_are_seen() {
+    let mut book = Book::default();
+    let mut note = |version: &str, route: &str, millis| {
+        let sign = Sign::Began(Duration::from_millis(millis));
+        book.note(&"s".into(), &version.into(), &route.into(), Some(0), version == "v2", sign);
+    };
+    for _ in 0..100 {
+        note("v1", "common", 80);
+        note("v1", "rare", 100);
+    }
+    for _ in 0..40 {
+        note("v2", "common", 90);
+    }
+    for _ in 0..3 {
+        note("v2", "rare", 800);
+    }
+    assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
+}
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -54,6 +54,18 @@
     hawthornmount_core::settings::Settings::parse(&example).expect("the example is valid");
 }
 
+#[test]
+fn every_setting_of_a_gateway_has_a_page() {
+    let example = fs::read_to_string(root().join("examples/gateway.jsonc")).expect("it exists");
+    let names: Vec<&str> =
+        example.lines().filter_map(|line| line.strip_prefix("  \"")?.split('"').next()).collect();
+    assert!(names.len() > 10, "{names:?}");
+    for name in names {
+        assert!(page(&format!("gateway-settings/{name}.md")).contains("Default: "));
+        assert!(page("gateway-settings/README.md").contains(&format!("]({name}.md)")));
+    }
+}
+
 struct Case {
     page: &'static str,
     code: i32,
