Find versions that are bad under load or slow; keep the budget for failures

A slow version was not seen: the usual time was a mean that a few long waits drew up. A restarted instance overwrote what it had reported before. An answer in doubt was dropped before the retry budget was asked for its repeat, so it could end as a refusal.

In the second phase short requests fill one server of the new version after the other. Doubted answers take their repeat before they are dropped, and leave a tenth of the budget to failures.

--- a/crates/hawthornmount-gateway/src/choice/mod.rs
+++ b/crates/hawthornmount-gateway/src/choice/mod.rs
@@ -22,6 +22,9 @@
 /// Waits that differ by less count as equal, in milliseconds.
 const BAND_MS: f64 = 8.0;
 
+/// Part of a server's places that a trial fills before it takes the next server.
+const TRIAL_FILL: f64 = 1.0;
+
 /// Where a server stands, seen from this instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Distance {
@@ -74,3 +77,17 @@
     let pick = (random * near.len() as f64) as usize;
     near.get(pick.min(near.len() - 1)).copied()
 }
+
+/// Returns the position of the candidate that a version on trial uses: the first that is not yet
+/// filled. `None` if all are.
+///
+/// Answers versions that are bad under load only: the few requests of a trial fill one server
+/// instead of spreading over all, so the fault shows while most requests still go elsewhere.
+pub fn concentrate(candidates: &[Candidate]) -> Option<usize> {
+    let is_open = |candidate: &Candidate| {
+        let load = candidate.load;
+        let taken = f64::from(load.running + load.waiting);
+        !candidate.is_avoided && taken < f64::from(load.slots) * TRIAL_FILL
+    };
+    candidates.iter().position(is_open)
+}
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -132,10 +132,11 @@
                 Instant::now(),
             );
             course.pending = true;
+            course.load = None;
             match connection.send(request).await {
                 Ok(answer) => {
                     let answered = Answered { connection, answer, place, is_kept };
-                    return self.judge(job, server, answered).await;
+                    return self.judge(job, server, answered, course).await;
                 }
                 Err(failure) if failure.is_unsent() => {
                     course.pending = false;
@@ -180,7 +181,13 @@
         request
     }
 
-    async fn judge(&self, job: &Job, server: &Arc<Server>, answered: Answered) -> Outcome {
+    async fn judge(
+        &self,
+        job: &Job,
+        server: &Arc<Server>,
+        answered: Answered,
+        course: &mut Course,
+    ) -> Outcome {
         let Answered { connection, answer, place, is_kept } = answered;
         let (head, body) = answer.into_parts();
         let reply = self.dialect.reply(&head);
@@ -190,6 +197,7 @@
             self.note_failure(job, server, cause.as_str());
             return Outcome::Unknown(cause);
         }
+        course.load = reply.load;
         if let Some(load) = reply.load {
             self.board.lock().tally(&server.id).report(load, now);
         }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -4,6 +4,7 @@
     crate::{
         filter::{Answer, Exchange},
         ladder::{self, Rung},
+        load::Load,
         message::{Ask, EventId},
         route::Named,
         view::{Holder, View},
@@ -63,6 +64,12 @@
     pub rung: Option<Rung>,
     /// Answer of a server that failed.
     pub failure: Option<Answer>,
+    /// Whether the last server was chosen to fill it on trial.
+    pub is_trial: bool,
+    /// Prompt tokens that the last server had to read.
+    pub unread: u32,
+    /// Load that the last server told with its answer.
+    pub load: Option<Load>,
     /// Why it is sent again.
     pub cause: Option<Retry>,
 }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -12,7 +12,7 @@
 
 use {
     crate::{
-        budget::Budget,
+        budget::{Budget, Cause},
         choice::{self, Candidate, Distance},
         fence::Fence,
         filter::{Answer, Body, Exchange},
@@ -24,8 +24,9 @@
         rollout::{
             Phase,
             driver::Sources,
-            evidence::{Book, Sign},
-            sessions::{Exposure, Side},
+            evidence::{Book, End, Sign},
+            plan,
+            sessions::{Asker, Exposure, Side},
         },
         route,
         settings::{Retries, Settings},
@@ -222,8 +223,13 @@
         };
         if let Some(cause) = course.cause {
             // A request that no server received is no repeat.
-            let is_repeat = cause != Retry::Connect || course.attempts > 0;
-            if is_repeat && !self.with_budget(&job.service, |budget, now| budget.take(now)) {
+            let is_repeat = match cause {
+                Retry::Connect => course.attempts > 0,
+                // Taken when the answer was dropped.
+                Retry::Escalation => false,
+                _ => true,
+            };
+            if is_repeat && !self.take_repeat(job, Cause::Failure) {
                 return Err(full());
             }
             self.metrics.retry(cause);
@@ -232,7 +238,7 @@
         Ok(server)
     }
 
-    fn choose(&self, job: &Job, course: &Course) -> Option<Arc<Server>> {
+    fn choose(&self, job: &Job, course: &mut Course) -> Option<Arc<Server>> {
         let view = self.cell.load();
         let servers: Vec<&Arc<Server>> = view
             .servers(&job.service)
@@ -240,7 +246,7 @@
             .filter(|server| !course.tried.contains(&server.id))
             .collect();
         let now = Instant::now();
-        let servers = self.exposed(&view, job, course, servers, now);
+        let (servers, is_trial) = self.exposed(&view, job, course, servers, now);
         let model = job.model(course.rung);
         let mut board = self.board.lock();
         let mut candidate = |server: &&Arc<Server>| {
@@ -254,11 +260,15 @@
             }
         };
         let candidates: Vec<Candidate> = servers.iter().map(&mut candidate).collect();
-        let at = choice::choose(&candidates, rand::random())?;
+        let trial = if is_trial { choice::concentrate(&candidates) } else { None };
+        let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
+        course.is_trial = is_trial;
+        course.unread = candidates[at].unread;
         Some(servers[at].clone())
     }
 
-    /// Returns the servers of the version that the request's session goes to.
+    /// Returns the servers of the version that the request's session goes to, and whether that
+    /// version is on trial.
     fn exposed<'a>(
         &self,
         view: &'a View,
@@ -266,23 +276,28 @@
         course: &Course,
         servers: Vec<&'a Arc<Server>>,
         now: Instant,
-    ) -> Vec<&'a Arc<Server>> {
+    ) -> (Vec<&'a Arc<Server>>, bool) {
         let session = job.ask.session.as_ref();
         let Some(split) = view.split(&job.service) else {
             if let Some(session) = session {
                 self.exposure.lock().sessions.keep_old(&job.service, session, now);
             }
-            return servers;
+            return (servers, false);
         };
         let is_first = course.attempts == 0;
         let is_recent = self.fence.is_fresh();
-        let session = session.unwrap_or(&job.id);
-        let side = self.exposure.lock().side(split, session, is_first, is_recent, now);
+        let prompt_tokens = job.ask.prompt_tokens;
+        let ask = Asker { session: session.unwrap_or(&job.id), prompt_tokens };
+        let side = self.exposure.lock().side(split, &ask, is_first, is_recent, now);
         let is_wanted =
             |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
         let wanted: Vec<&Arc<Server>> = servers.iter().filter(is_wanted).copied().collect();
         let may_cross = side == Side::New || split.phase >= Phase::Full;
-        if wanted.is_empty() && may_cross { servers } else { wanted }
+        if wanted.is_empty() && may_cross {
+            return (servers, false);
+        }
+        let is_trial = side == Side::New && split.phase == Phase::Widening;
+        (wanted, is_trial && prompt_tokens <= plan::SHORT_PROMPT)
     }
 
     /// Takes note of how an attempt ended, as evidence on the server's version.
@@ -292,8 +307,18 @@
             .load()
             .split(&job.service)
             .is_some_and(|split| split.version == server.version && !split.phase.is_over());
-        let (service, version, route) = (&job.service, &server.version, &job.route.id);
-        self.book.lock().note(service, version, route, course.rung, is_new, sign);
+        self.book.lock().note(&End {
+            service: &job.service,
+            version: &server.version,
+            route: &job.route.id,
+            rung: course.rung,
+            is_new,
+            is_trial: course.is_trial,
+            unread: course.unread,
+            target: job.route.route.target_latency,
+            load: course.load,
+            sign,
+        });
     }
 
     fn distance(&self, server: &Server) -> Distance {
@@ -312,7 +337,8 @@
         if course.attempts >= job.route.route.attempts {
             return None;
         }
-        ladder::climb(rung, job.route.route.ladder.len(), opened.reply.confidence)
+        let next = ladder::climb(rung, job.route.route.ladder.len(), opened.reply.confidence)?;
+        self.take_repeat(job, Cause::Doubt).then_some(next)
     }
 
     /// Returns the answer for the caller: the whole body, or the stream as it comes.
@@ -344,6 +370,10 @@
         Err(Problem::new(reason, detail).ran_unknown())
     }
 
+    fn take_repeat(&self, job: &Job, cause: Cause) -> bool {
+        self.with_budget(&job.service, |budget, now| budget.take(cause, now))
+    }
+
     fn with_budget<T>(
         &self,
         service: &ServiceId,
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -15,7 +15,10 @@
     hawthornmount_core::reason::Retry,
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Longest pause between two events if the route names none.
@@ -25,6 +28,9 @@
 /// Whole servers' pauses that the first event may take before the server counts as mute.
 const MUTE_FIRST: u32 = 2;
 
+/// Events after which the pace of a server's events is known.
+const PACE_EVENTS: u32 = 8;
+
 /// A stream on its way to the caller.
 pub struct Relay {
     forwarder: Arc<Forwarder>,
@@ -33,6 +39,8 @@
     source: Option<Source>,
     splitter: Splitter,
     passed: usize,
+    /// When the first event of the present server came, and how many have come since.
+    paced: Option<(Instant, u32)>,
 }
 
 /// What a source gave.
@@ -51,7 +59,7 @@
     /// Creates the relay of a stream whose head has arrived.
     pub fn new(forwarder: Arc<Forwarder>, job: Arc<Job>, course: Course, source: Source) -> Self {
         let splitter = Splitter::new(job.resume_after());
-        Self { forwarder, job, course, source: Some(source), splitter, passed: 0 }
+        Self { forwarder, job, course, source: Some(source), splitter, passed: 0, paced: None }
     }
 
     /// Returns the body that the caller gets.
@@ -72,6 +80,7 @@
             match self.step().await {
                 Step::Events(bytes) => {
                     self.passed += 1;
+                    self.pace();
                     return Some(Ok(bytes));
                 }
                 Step::Part => {}
@@ -116,6 +125,19 @@
         }
     }
 
+    /// Takes note of the pace of the events, once for each server.
+    fn pace(&mut self) {
+        let (since, count) = self.paced.get_or_insert_with(|| (Instant::now(), 0));
+        *count += 1;
+        if *count != PACE_EVENTS {
+            return;
+        }
+        let gap = since.elapsed() / (PACE_EVENTS - 1);
+        if let Some(source) = &self.source {
+            self.forwarder.sign(&self.job, &self.course, &source.server, Sign::Paced(gap));
+        }
+    }
+
     /// Returns how long the next event may take before the server counts as mute, while the stream
     /// can be resumed elsewhere.
     fn patience(&self) -> Option<Duration> {
@@ -136,6 +158,7 @@
             self.forwarder.note_failure(&self.job, &source.server, cause.as_str());
             self.course.tried.push(source.server.id.clone());
         }
+        self.paced = None;
         self.splitter.cut();
         self.course.cause = Some(cause);
     }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -190,7 +190,7 @@
             tasks.push(tokio::spawn(front::serve_operators(operators, parts.clone())));
         }
         let driver = Driver::new(
-            parts.settings.instance.clone(),
+            &parts.settings.instance,
             ports.vocabulary.clone(),
             parts.forwarder.sources(),
         );
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Phase, Record, Split,
-        evidence::{self, Book, Report},
+        evidence::{self, Book, Line, Report},
         plan::{self, Facts},
     },
     crate::{
@@ -12,7 +12,7 @@
         source::{Order, Progress, Stage, Vocabulary},
         view::Held,
     },
-    hawthornmount_core::id::{InstanceId, Revision, ServiceId, VersionId},
+    hawthornmount_core::id::{self, InstanceId, Revision, ServiceId, VersionId},
     hawthornmount_store::{Entry, Store, Txn},
     parking_lot::Mutex,
     rand::RngExt,
@@ -31,6 +31,8 @@
 const MAX_DELAY: Duration = Duration::from_millis(400);
 /// Longest random delay before a roll-back is written.
 const MAX_ALARM_DELAY: Duration = Duration::from_millis(60);
+/// Gravity by which a report has to grow to be written: a failure, or two slow streams.
+const NEWS: u32 = 2;
 /// Pause between two reports of an instance.
 const REPORT_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between two reports that requests still run on the old version.
@@ -73,6 +75,8 @@
     ordered: Option<Ordered>,
     recorded: Option<Recorded>,
     reports: Vec<Reported>,
+    /// Whether the evidence has spoken against the version; further answers don't take it back.
+    is_bad: bool,
     /// Phase that is to be written, and when.
     due: Option<(Phase, Instant)>,
     /// Report that was written last, and when.
@@ -90,7 +94,9 @@
 
 /// Drives the roll-outs of all services.
 pub struct Driver {
-    instance: InstanceId,
+    /// Name of this life of the instance in the keys of reports: a restarted instance must not
+    /// overwrite what it saw before.
+    reporter: Arc<str>,
     vocabulary: Arc<dyn Vocabulary>,
     sources: Sources,
     rows: Vec<Row>,
@@ -98,8 +104,9 @@
 
 impl Driver {
     /// Creates a driver for an instance.
-    pub fn new(instance: InstanceId, vocabulary: Arc<dyn Vocabulary>, sources: Sources) -> Self {
-        Self { instance, vocabulary, sources, rows: Vec::new() }
+    pub fn new(instance: &InstanceId, vocabulary: Arc<dyn Vocabulary>, sources: Sources) -> Self {
+        let reporter = id::fresh(&instance);
+        Self { reporter, vocabulary, sources, rows: Vec::new() }
     }
 
     /// Takes an order, or its removal, and tells whether the view changes.
@@ -118,6 +125,7 @@
         row.ordered = order.map(|order| Ordered { revision, order, seen });
         row.due = None;
         row.written = None;
+        row.is_bad = false;
         true
     }
 
@@ -182,6 +190,7 @@
     fn advance(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
         let facts = self.facts(at, servers, now)?;
         let row = &mut self.rows[at];
+        row.is_bad = facts.is_bad;
         let Some(next) = plan::next(row.phase(), &facts) else {
             row.due = None;
             return None;
@@ -216,13 +225,19 @@
                 && server.standing == Standing::Ready
         };
         let lines = self.sources.book.lock().lines(&row.service, version);
-        let own = format!("{REPORTS}{}/{}", row.service, self.instance);
+        let own = format!("{REPORTS}{}/{}", row.service, self.reporter);
         let others = row.reports.iter().filter(|reported| *reported.key != *own);
         let is_recent = |reported: &&Reported| now < reported.seen + REPORT_LIFE;
         let runs_old = self.runs_old(&row.service, version, servers)
             || others.clone().filter(is_recent).any(|reported| reported.report.runs_old);
         let is_same = |reported: &&Reported| reported.report.version.as_ref() == Some(version);
         let reported = others.filter(is_same).flat_map(|reported| &reported.report.lines);
+        let is_bad = row.is_bad || evidence::is_bad(lines.iter().chain(reported.clone()));
+        if is_bad && !row.is_bad {
+            let lines: Vec<String> = lines.iter().chain(reported).map(Line::to_string).collect();
+            let lines = lines.join(" ");
+            log::warn!("version is bad; service={} version={version} {lines}", row.service);
+        }
         Some(Facts {
             since_order: now.saturating_duration_since(ordered.seen),
             since_phase: row
@@ -230,7 +245,8 @@
                 .as_ref()
                 .map_or(Duration::ZERO, |recorded| now.saturating_duration_since(recorded.seen)),
             duration: ordered.order.duration,
-            is_bad: evidence::is_bad(lines.iter().chain(reported)),
+            is_bad,
+            is_tested: lines.iter().any(evidence::is_tested),
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_clear: !runs_old,
         })
@@ -270,7 +286,10 @@
                 txn = txn.delete(&reported.key);
             }
         }
-        log::info!("roll-out goes on; service={} phase={phase:?}", row.service);
+        let lines = self.sources.book.lock().lines(&row.service, &ordered.order.version);
+        let lines: Vec<String> = lines.iter().map(Line::to_string).collect();
+        let lines = lines.join(" ");
+        log::info!("roll-out goes on; service={} phase={phase:?} {lines}", row.service);
         Some(txn)
     }
 
@@ -285,18 +304,19 @@
             && since >= FIRST_RUNNING
             && self.runs_old(&row.service, &version, servers);
         let report = Report { version: Some(version), lines, runs_old };
-        let bad = |report: &Report| report.lines.iter().map(|line| line.new.bad).sum::<u32>();
         let is_due = match &row.written {
-            None => bad(&report) > 0 || runs_old,
+            None => report.gravity() >= NEWS || runs_old,
             Some((last, at)) => {
-                let is_news = bad(&report) > bad(last) || runs_old != last.runs_old;
-                (is_news && now >= *at + REPORT_PAUSE) || (runs_old && now >= *at + RUNNING_PAUSE)
+                let is_news = report.gravity() >= last.gravity() + NEWS;
+                let has_changed = is_news || runs_old != last.runs_old;
+                (has_changed && now >= *at + REPORT_PAUSE)
+                    || (runs_old && now >= *at + RUNNING_PAUSE)
             }
         };
         if !is_due {
             return None;
         }
-        let key = format!("{REPORTS}{}/{}", row.service, self.instance);
+        let key = format!("{REPORTS}{}/{}", row.service, self.reporter);
         let txn = Txn::new().put(&key, json(&report)?);
         self.rows[at].written = Some((report, now));
         Some(txn)
@@ -350,6 +370,7 @@
                     ordered: None,
                     recorded: None,
                     reports: Vec::new(),
+                    is_bad: false,
                     due: None,
                     written: None,
                 };
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -8,9 +8,18 @@
 
 /// Share of the new sessions in the first phase; the users allow a bad version 0.12 to 0.15 of all
 /// requests over the whole roll-out.
-pub const CANARY_SHARE: f64 = 0.08;
-/// Share of the sessions in the second phase.
-pub const WIDENING_SHARE: f64 = 0.4;
+pub const CANARY_SHARE: f64 = 0.06;
+/// Share of the sessions in the second phase, by the work of their requests: short prompts fill the
+/// places of a server, long ones would only make it read.
+pub const WIDENING_SHORT: f64 = 1.0;
+/// Share of the sessions whose requests have no prompt.
+pub const WIDENING_PLAIN: f64 = 0.5;
+/// Share of the sessions with long prompts.
+pub const WIDENING_LONG: f64 = 0.2;
+/// Most of all requests that the second phase may expose.
+pub const WIDENING_MOST: f64 = 0.65;
+/// Longest prompt that counts as short, in tokens; an engine reads it in some 25 ms.
+pub const SHORT_PROMPT: u32 = 1_500;
 
 /// Part of the roll-out's time that the first phase takes. Sessions must not change their version
 /// in the first half.
@@ -19,10 +28,18 @@
 const CANARY_MARGIN: Duration = Duration::from_millis(250);
 /// Shortest first phase of an instance that has just learnt of the roll-out.
 const MIN_CANARY: Duration = Duration::from_secs(3);
-/// Time of the second phase: evidence takes about a second to arrive.
-const WIDENING: Duration = Duration::from_millis(1_800);
-/// Shortest time of the last phase: instances that still run old requests have said so by then.
-const MIN_FULL: Duration = Duration::from_millis(3_500);
+/// Part of the roll-out's time that the second phase takes, and its bounds: its requests fill a
+/// server within two seconds, and evidence takes half a second to arrive.
+const WIDENING_PART: f64 = 0.17;
+const MIN_WIDENING: Duration = Duration::from_millis(2_200);
+const MAX_WIDENING: Duration = Duration::from_millis(3_200);
+/// How much longer the second phase takes while no server of the new version was filled.
+const UNTESTED_FACTOR: f64 = 1.25;
+/// Part of the roll-out's time that the last phase takes at least, and its bounds: instances that
+/// still run old requests have said so by then.
+const FULL_PART: f64 = 0.15;
+const MIN_FULL: Duration = Duration::from_millis(1_900);
+const MAX_FULL: Duration = Duration::from_millis(3_500);
 
 /// What the next phase depends on.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +52,8 @@
     pub duration: Duration,
     /// Whether the evidence speaks against the new version.
     pub is_bad: bool,
+    /// Whether servers of the new version were seen under load.
+    pub is_tested: bool,
     /// Whether a server of the new version takes requests.
     pub has_servers: bool,
     /// Whether no request runs on the old version any more.
@@ -53,10 +72,19 @@
             let is_due = facts.since_order >= half && facts.since_phase >= MIN_CANARY;
             is_due.then_some(Phase::Widening)
         }
-        Phase::Widening => (facts.since_phase >= WIDENING).then_some(Phase::Full),
+        Phase::Widening => {
+            let time = part(facts.duration, WIDENING_PART, MIN_WIDENING, MAX_WIDENING);
+            let time = if facts.is_tested { time } else { time.mul_f64(UNTESTED_FACTOR) };
+            (facts.since_phase >= time).then_some(Phase::Full)
+        }
         Phase::Full => {
-            (facts.since_phase >= MIN_FULL && facts.is_clear).then_some(Phase::Completed)
+            let time = part(facts.duration, FULL_PART, MIN_FULL, MAX_FULL);
+            (facts.since_phase >= time && facts.is_clear).then_some(Phase::Completed)
         }
         Phase::Completed | Phase::RolledBack => None,
     }
 }
+
+fn part(duration: Duration, part: f64, least: Duration, most: Duration) -> Duration {
+    duration.mul_f64(part).clamp(least, most)
+}
--- a/crates/hawthornmount-gateway/tests/gateway/budget.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/budget.rs
@@ -1,7 +1,7 @@
 //! Repeats keep to their share of the requests in every window.
 
 use {
-    hawthornmount_gateway::budget::Budget,
+    hawthornmount_gateway::budget::{Budget, Cause},
     proptest::prelude::*,
     std::time::{Duration, Instant},
 };
@@ -9,51 +9,66 @@
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.9;
 
-/// Requests and repeats of a day, in milliseconds from its start.
-struct Day {
-    requests: Vec<u64>,
-    repeats: Vec<u64>,
-}
+/// Instances of the fleet, and the slack that the users state for it.
+const INSTANCES: usize = 9;
+const SLACK: f64 = 58.0;
 
-fn play(requests: &[u64], tries: &[u64], slack: f64) -> Day {
+/// Plays requests and tries to repeat, in milliseconds from the start, on instances that each see a
+/// ninth of them; returns the times of the repeats that were allowed.
+fn play(requests: &[u64], tries: &[u64]) -> Vec<u64> {
     let start = Instant::now();
-    let mut budget = Budget::new(RATIO, slack, WINDOW, start);
+    let budget = || Budget::new(RATIO, 1.0, WINDOW, start);
+    let mut fleet: Vec<Budget> = (0..INSTANCES).map(|_| budget()).collect();
     let mut events: Vec<(u64, bool)> = requests.iter().map(|at| (*at, false)).collect();
     events.extend(tries.iter().map(|at| (*at, true)));
     events.sort_unstable();
     let mut repeats = Vec::new();
-    for (at, is_repeat) in events {
+    for (number, (at, is_repeat)) in events.into_iter().enumerate() {
         let now = start + Duration::from_millis(at);
+        let instance = &mut fleet[number % INSTANCES];
         if !is_repeat {
-            budget.count(now);
-        } else if budget.take(now) {
+            instance.count(now);
+        } else if instance.take(Cause::Failure, now) {
             repeats.push(at);
         }
     }
-    Day { requests: requests.to_vec(), repeats }
+    repeats
 }
 
-fn within(times: &[u64], from: u64) -> usize {
-    let until = from + u64::try_from(WINDOW.as_millis()).expect("short");
+fn within(times: &[u64], from: u64, until: u64) -> usize {
     times.iter().filter(|at| (from..until).contains(*at)).count()
 }
 
+/// Times that come in bursts, as the users' disruptions make them.
+fn bursts(most: usize) -> impl Strategy<Value = Vec<u64>> {
+    let burst = (0_u64..40_000, 1_u64..4_000, 0..most);
+    prop::collection::vec(burst, 1..8).prop_map(|bursts| {
+        let spread = |(at, wide, count): (u64, u64, usize)| {
+            (0..count as u64).map(move |number| at + number * wide / count as u64)
+        };
+        bursts.into_iter().flat_map(spread).collect()
+    })
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
     #[test]
-    fn no_window_holds_more_repeats_than_its_share(
-        requests in prop::collection::vec(0_u64..40_000, 0..300),
-        tries in prop::collection::vec(0_u64..40_000, 0..600),
-    ) {
-        let day = play(&requests, &tries, 1.0);
-        for from in (0..40_000).step_by(250) {
-            // The users count the requests of this window, the one before, or half a window before.
-            let before = [0, 5_000, 10_000].map(|by: u64| {
-                let end = from + 10_000 - by.min(from + 10_000);
-                day.requests.iter().filter(|at| (end.saturating_sub(10_000)..end).contains(*at)).count()
-            });
-            let most = before.into_iter().max().unwrap_or(0);
-            let allowed = RATIO * most as f64 + 2.0;
-            prop_assert!(within(&day.repeats, from) as f64 <= allowed);
+    fn fleet_keeps_to_its_share_in_every_window(requests in bursts(400), tries in bursts(900)) {
+        let repeats = play(&requests, &tries);
+        for end in (10_000..54_000).step_by(250) {
+            // The users count the requests of this window, of the one before, or of the one half a
+            // window before, whichever has most.
+            let most = [0, 5_000, 10_000_u64]
+                .map(|back| {
+                    let until = end - back;
+                    within(&requests, until.saturating_sub(10_000), until)
+                })
+                .into_iter()
+                .max()
+                .unwrap_or(0);
+            let allowed = RATIO * most as f64 + SLACK;
+            prop_assert!(within(&repeats, end - 10_000, end) as f64 <= allowed);
         }
     }
 }
@@ -62,11 +77,23 @@
 fn repeats_come_back_when_requests_do() {
     let start = Instant::now();
     let mut budget = Budget::new(RATIO, 0.0, WINDOW, start);
-    assert!(!budget.take(start));
+    assert!(!budget.take(Cause::Failure, start));
     let later = start + 3 * WINDOW;
     for _ in 0..10 {
         budget.count(later);
     }
-    assert!(budget.take(later));
-    assert!(!budget.take(later + 2 * WINDOW));
+    assert!(budget.take(Cause::Failure, later));
+    assert!(!budget.take(Cause::Failure, later + 2 * WINDOW));
+}
+
+#[test]
+fn answers_in_doubt_leave_some_of_the_budget_to_failures() {
+    let start = Instant::now();
+    let mut budget = Budget::new(RATIO, 0.0, WINDOW, start);
+    for _ in 0..100 {
+        budget.count(start);
+    }
+    let doubts = (0..100).filter(|_| budget.take(Cause::Doubt, start)).count();
+    let failures = (0..100).filter(|_| budget.take(Cause::Failure, start)).count();
+    assert!(doubts > 60 && failures > 5 && doubts + failures <= 90, "{doubts} {failures}");
 }
--- a/crates/hawthornmount-gateway/tests/gateway/choice.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/choice.rs
@@ -2,7 +2,7 @@
 
 use {
     hawthornmount_gateway::{
-        choice::{Candidate, Distance, choose},
+        choice::{Candidate, Distance, choose, concentrate},
         load::Load,
     },
     rstest::rstest,
@@ -38,3 +38,12 @@
     assert_eq!(choose(&[], 0.5), None);
     assert_eq!(choose(&[IDLE], 1.0), Some(0));
 }
+
+#[test]
+fn trial_fills_one_server_after_the_other() {
+    let with = |running| Candidate { load: Load { running, waiting: 0, slots: 8 }, ..IDLE };
+    assert_eq!(concentrate(&[with(7), with(0)]), Some(0));
+    assert_eq!(concentrate(&[with(8), with(0)]), Some(1));
+    assert_eq!(concentrate(&[with(8), with(8)]), None);
+    assert_eq!(concentrate(&[Candidate { is_avoided: true, ..IDLE }, IDLE]), Some(1));
+}
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -1,11 +1,12 @@
 //! Decisions of roll-outs.
 
 use {
+    hawthornmount_gateway::load::Load as Places,
     hawthornmount_gateway::rollout::{
         Phase, Split,
-        evidence::{Book, Sign, is_bad},
+        evidence::{Book, End, Sign, is_bad},
         plan::{Facts, next},
-        sessions::{Exposure, Sessions, Side},
+        sessions::{Asker, Exposure, Sessions, Side},
     },
     rstest::rstest,
     std::time::{Duration, Instant},
@@ -16,6 +17,7 @@
     since_phase: Duration::from_secs(100),
     duration: Duration::from_secs(24),
     is_bad: false,
+    is_tested: true,
     has_servers: true,
     is_clear: true,
 };
@@ -33,6 +35,7 @@
 #[case::second_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_millis(12_400), ..FACTS }, next: Some(Phase::Widening) })]
 #[case::widens(Step { phase: Some(Phase::Widening), facts: FACTS, next: Some(Phase::Full) })]
 #[case::widens_later(Step { phase: Some(Phase::Widening), facts: Facts { since_phase: Duration::from_secs(1), ..FACTS }, next: None })]
+#[case::widens_longer_untested(Step { phase: Some(Phase::Widening), facts: Facts { is_tested: false, since_phase: Duration::from_millis(3_500), ..FACTS }, next: None })]
 #[case::completes(Step { phase: Some(Phase::Full), facts: FACTS, next: Some(Phase::Completed) })]
 #[case::old_still_runs(Step { phase: Some(Phase::Full), facts: Facts { is_clear: false, ..FACTS }, next: None })]
 #[case::bad_canary(Step { phase: Some(Phase::Canary), facts: Facts { is_bad: true, ..FACTS }, next: Some(Phase::RolledBack) })]
@@ -60,7 +63,7 @@
             phase = Some(next);
             since_phase = Duration::ZERO;
         }
-        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::share);
+        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::most);
         new += got;
         if now >= bad_from {
             bad.push((now, got * bad_share));
@@ -88,6 +91,10 @@
     Split { service: "s".into(), version: "v2".into(), phase }
 }
 
+fn asker(session: &std::sync::Arc<str>) -> Asker<'_> {
+    Asker { session, prompt_tokens: 800 }
+}
+
 fn sessions() -> impl Iterator<Item = std::sync::Arc<str>> {
     (0..2_000).map(|at| format!("session-{at}").into())
 }
@@ -100,10 +107,10 @@
     }
     let mut new = 0;
     for (at, session) in sessions().enumerate() {
-        let side = kept.side(&split(Phase::Canary), &session, true, now);
+        let side = kept.side(&split(Phase::Canary), &asker(&session), true, now);
         assert!(at >= 500 || side == Side::Old, "an old session moved");
         new += u32::from(side == Side::New);
-        assert_eq!(kept.side(&split(Phase::Canary), &session, true, now), side);
+        assert_eq!(kept.side(&split(Phase::Canary), &asker(&session), true, now), side);
     }
     assert!((60..180).contains(&new), "{new} of 1500");
 }
@@ -112,7 +119,7 @@
 fn sessions_of_the_new_version_stay_unless_it_is_rolled_back() {
     let (mut kept, now) = (Sessions::default(), Instant::now());
     let side = |kept: &mut Sessions, phase, session: &std::sync::Arc<str>| {
-        kept.side(&split(phase), session, true, now)
+        kept.side(&split(phase), &asker(session), true, now)
     };
     let exposed: Vec<_> =
         sessions().filter(|session| side(&mut kept, Phase::Canary, session) == Side::New).collect();
@@ -130,7 +137,10 @@
     let (mut one, mut other) = (Sessions::default(), Sessions::default());
     for session in sessions() {
         let split = split(Phase::Widening);
-        assert_eq!(one.side(&split, &session, true, now), other.side(&split, &session, true, now));
+        assert_eq!(
+            one.side(&split, &asker(&session), true, now),
+            other.side(&split, &asker(&session), true, now)
+        );
     }
 }
 
@@ -140,16 +150,34 @@
     let canary = split(Phase::Canary);
     // Sessions that are all drawn for the new version.
     let mut probe = Sessions::default();
-    let drawn: Vec<_> =
-        sessions().filter(|session| probe.side(&canary, session, true, now) == Side::New).collect();
-    let sides = drawn.iter().map(|session| exposure.side(&canary, session, true, true, now));
+    let drawn: Vec<_> = sessions()
+        .filter(|session| probe.side(&canary, &asker(session), true, now) == Side::New)
+        .collect();
+    let sides =
+        drawn.iter().map(|session| exposure.side(&canary, &asker(session), true, true, now));
     let new = sides.filter(|side| *side == Side::New).count();
     assert!(new * 3 < drawn.len(), "{new} of {}", drawn.len());
     for session in &drawn {
-        assert_eq!(exposure.side(&canary, session, true, false, now), Side::Old);
+        assert_eq!(exposure.side(&canary, &asker(session), true, false, now), Side::Old);
     }
 }
 
+/// Takes note of an answer of a server with 10 places.
+fn note(book: &mut Book, version: &str, route: &str, running: Option<u32>, sign: Sign) {
+    book.note(&End {
+        service: &"s".into(),
+        version: &version.into(),
+        route: &route.into(),
+        rung: Some(0),
+        is_new: version == "v2",
+        is_trial: false,
+        unread: 0,
+        target: Duration::from_secs(2),
+        load: running.map(|running| Places { running, waiting: 0, slots: 10 }),
+        sign,
+    });
+}
+
 struct Load {
     old: (u32, u32),
     new: (u32, u32),
@@ -163,12 +191,10 @@
 #[case::bad_day_for_all(Load { old: (300, 90), new: (40, 14), is_bad: false })]
 fn evidence_is_weighed_against_the_other_versions(#[case] load: Load) {
     let mut book = Book::default();
-    let routes = ["r1".into(), "r2".into()];
     for (version, (all, bad)) in [("v1", load.old), ("v2", load.new)] {
         for at in 0..all {
             let sign = if at < bad { Sign::Failed } else { Sign::Began(Duration::from_millis(50)) };
-            let route = &routes[at as usize % 2];
-            book.note(&"s".into(), &version.into(), route, None, version == "v2", sign);
+            note(&mut book, version, ["r1", "r2"][at as usize % 2], None, sign);
         }
     }
     assert_eq!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()), load.is_bad);
@@ -177,19 +203,53 @@
 #[test]
 fn much_slower_version_and_one_bad_route_are_seen() {
     let mut book = Book::default();
-    let mut note = |version: &str, route: &str, millis| {
-        let sign = Sign::Began(Duration::from_millis(millis));
-        book.note(&"s".into(), &version.into(), &route.into(), Some(0), version == "v2", sign);
-    };
+    let began = |millis| Sign::Began(Duration::from_millis(millis));
     for _ in 0..100 {
-        note("v1", "common", 80);
-        note("v1", "rare", 100);
+        note(&mut book, "v1", "common", None, began(80));
+        note(&mut book, "v1", "rare", None, began(100));
     }
     for _ in 0..40 {
-        note("v2", "common", 90);
+        note(&mut book, "v2", "common", None, began(90));
+    }
+    for _ in 0..3 {
+        note(&mut book, "v2", "rare", None, began(800));
+    }
+    assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
+}
+
+#[test]
+fn version_that_fails_under_load_only_is_seen() {
+    let mut book = Book::default();
+    let began = Sign::Began(Duration::from_millis(80));
+    for running in 0..200 {
+        note(&mut book, "v1", "common", Some(running % 7), began);
+        note(&mut book, "v2", "common", Some(running % 4), began);
+    }
+    for _ in 0..4 {
+        note(&mut book, "v2", "common", Some(6), began);
+    }
+    assert!(!is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
+    for _ in 0..3 {
+        note(&mut book, "v2", "common", Some(6), Sign::Failed);
+    }
+    assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
+}
+
+#[test]
+fn version_whose_events_come_slowly_is_seen() {
+    let mut book = Book::default();
+    for _ in 0..60 {
+        note(&mut book, "v1", "r1", None, Sign::Began(Duration::from_millis(40)));
+        note(&mut book, "v1", "r1", None, Sign::Paced(Duration::from_millis(20)));
+    }
+    for _ in 0..4 {
+        note(&mut book, "v2", "r1", None, Sign::Began(Duration::from_millis(60)));
+        note(&mut book, "v2", "r1", None, Sign::Paced(Duration::from_millis(30)));
     }
+    assert!(!is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
     for _ in 0..3 {
-        note("v2", "rare", 800);
+        note(&mut book, "v2", "r1", None, Sign::Began(Duration::from_millis(60)));
+        note(&mut book, "v2", "r1", None, Sign::Paced(Duration::from_millis(160)));
     }
     assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
 }
