Complete a roll-out in time though old streams still run

At 0.92 of the time the roll-out is completed; streams that then break are resumed on the new version inside their answers.

--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -41,6 +41,11 @@
 const MIN_FULL: Duration = Duration::from_millis(1_900);
 const MAX_FULL: Duration = Duration::from_millis(3_500);
 
+/// Part of the roll-out's time after which it is completed though streams still run on the old
+/// version: they are resumed on the new one inside their answers. Streams of large models last up to
+/// ten seconds.
+const LAST_PART: f64 = 0.92;
+
 /// What the next phase depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Facts {
@@ -79,7 +84,8 @@
         }
         Phase::Full => {
             let time = part(facts.duration, FULL_PART, MIN_FULL, MAX_FULL);
-            (facts.since_phase >= time && facts.is_clear).then_some(Phase::Completed)
+            let is_last = facts.since_order >= facts.duration.mul_f64(LAST_PART);
+            (facts.since_phase >= time && (facts.is_clear || is_last)).then_some(Phase::Completed)
         }
         Phase::Completed | Phase::RolledBack => None,
     }
