Hold the retry budget in every window; weigh failures apart from slow answers

Failures and slow answers are weighed apart, an instance stops sending to a version as soon as its own evidence speaks, and one that does not know the present phase sends to the old version.

Cause in the budget: the property test, with bursts and nine instances against the users' rule, broke every bound that counts one span of requests. A repeat is now allowed if it is in the budget of each window that may hold it. The fleet's slack is shared by the number of instances, which register in the store.

--- a/crates/hawthornmount-gateway/src/budget/mod.rs
+++ b/crates/hawthornmount-gateway/src/budget/mod.rs
@@ -1,17 +1,20 @@
 //! Retry budget of an instance. Requests that are sent to a further server are bounded by a share
 //! of the requests in a sliding window. Every instance keeps to the share of its own requests, so
 //! the fleet keeps to the share of all requests without exchanging counts, also while instances are
-//! cut off, die or join.
+//! cut off, die or join. Of the slack that the users allow besides, each takes an equal part.
+//!
+//! The users compare the repeats of any window with the requests of that window, of the one half a
+//! window before or of the one before, whichever has most. A repeat that is sent now lies in many
+//! windows; it is allowed if it is in all of them.
 
 use std::time::{Duration, Instant};
 
-/// Parts that the window is counted in; a part that has begun counts whole.
-const PARTS: usize = 20;
-/// Share of the stated ratio that is used. The users compare the repeats of any window with the
-/// requests of that window, of the one half a window before or of the one before; whichever way a
-/// window lies, one of the three holds three quarters of the requests that count here. What is
-/// missing in the worst case is covered by the slack, which is not used otherwise.
-const USED: f64 = 0.8;
+/// Parts that a window is counted in.
+const PARTS: u64 = 20;
+/// Parts that are kept: the window before the one that begins a window ago, and the present part.
+const KEPT: usize = 2 * PARTS as usize + 1;
+/// Share of the stated ratio that is used, since the loads of instances differ.
+const USED: f64 = 0.95;
 /// Part of the budget that answers in doubt may use up; the rest is kept for failures.
 const DOUBT_PART: f64 = 0.9;
 
@@ -37,19 +40,23 @@
     ratio: f64,
     slack: f64,
     part: Duration,
-    /// One part more than the window has, since the oldest and the present one are not whole.
-    parts: [Part; PARTS + 1],
+    parts: [Part; KEPT],
     started: Instant,
     /// Number of the part in which the last count was made.
     current: u64,
 }
 
 impl Budget {
-    /// Creates a budget: in each `window`, repeats may be `ratio` of the requests, and `slack` more.
-    pub fn new(ratio: f64, slack: f64, window: Duration, now: Instant) -> Self {
+    /// Creates a budget: in each `window`, repeats may be `ratio` of the requests.
+    pub fn new(ratio: f64, window: Duration, now: Instant) -> Self {
         let part = (window / (PARTS as u32)).max(Duration::from_millis(1));
-        let parts = [Part::default(); PARTS + 1];
-        Self { ratio: ratio * USED, slack, part, parts, started: now, current: 0 }
+        let parts = [Part::default(); KEPT];
+        Self { ratio: ratio * USED, slack: 0.0, part, parts, started: now, current: 0 }
+    }
+
+    /// Sets how many repeats are allowed besides.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
     }
 
     /// Counts a request's first attempt.
@@ -60,11 +67,10 @@
     /// Takes a repeat, if there is one left.
     pub fn take(&mut self, cause: Cause, now: Instant) -> bool {
         self.advance(now);
-        let counted = (0..PARTS as u64).filter_map(|back| self.current.checked_sub(back));
-        let requests: u32 = counted.map(|number| self.parts[slot(number)].requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let all = self.ratio * f64::from(requests) + self.slack;
+        let all = self.ratio * f64::from(self.least_requests()) + self.slack;
         let limit = if cause == Cause::Doubt { all * DOUBT_PART } else { all };
+        // A window that holds the present moment may begin inside the oldest of these parts.
+        let repeats = self.sum(PARTS, 0, |part| part.repeats);
         let is_left = f64::from(repeats + 1) <= limit;
         if is_left {
             self.advance(now).repeats += 1;
@@ -72,11 +78,31 @@
         is_left
     }
 
-    /// Clears the parts that have left the window and returns the present one.
+    /// Returns the fewest requests with which any window that holds the present moment is compared.
+    fn least_requests(&self) -> u32 {
+        let requests = |from, to| self.sum(from, to, |part| part.requests);
+        let half = PARTS / 2;
+        let compared = |begin: u64| {
+            // Parts that lie partly in a window don't count.
+            let window = if begin == 0 { 0 } else { requests(begin - 1, 0) };
+            let half_before = requests(begin + half - 1, begin.saturating_sub(half - 1));
+            let before = requests(begin + PARTS - 1, begin + 1);
+            window.max(half_before).max(before)
+        };
+        (0..=PARTS).map(compared).min().unwrap_or(0)
+    }
+
+    /// Sums over the parts from `from` parts ago to `to` parts ago.
+    fn sum(&self, from: u64, to: u64, count: impl Fn(&Part) -> u32) -> u32 {
+        let numbers = (to..=from).filter_map(|back| self.current.checked_sub(back));
+        numbers.map(|number| count(&self.parts[slot(number)])).sum()
+    }
+
+    /// Clears the parts that are no longer kept and returns the present one.
     fn advance(&mut self, now: Instant) -> &mut Part {
         let since = now.saturating_duration_since(self.started).as_nanos();
         let number = u64::try_from(since / self.part.as_nanos()).unwrap_or(u64::MAX);
-        let passed = number.saturating_sub(self.current).min(PARTS as u64 + 1);
+        let passed = number.saturating_sub(self.current).min(KEPT as u64);
         for step in 1..=passed {
             self.parts[slot(number - passed + step)] = Part::default();
         }
@@ -87,5 +113,5 @@
 
 /// Returns the place of a part.
 fn slot(number: u64) -> usize {
-    (number % (PARTS as u64 + 1)) as usize
+    (number % KEPT as u64) as usize
 }
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -13,6 +13,7 @@
     crate::{
         fence::Fence,
         rollout::Driver,
+        roster::Roster,
         source::Vocabulary,
         view::{Cell, View},
     },
@@ -77,8 +78,9 @@
         fence: Arc<Fence>,
         cell: Arc<Cell>,
         driver: Driver,
+        roster: Roster,
     ) -> Self {
-        let state = State::new(vocabulary.clone(), driver);
+        let state = State::new(vocabulary.clone(), driver, roster);
         Self { store, vocabulary, fence, cell, state, away: false }
     }
 
@@ -87,6 +89,8 @@
         loop {
             if let Err(error) = self.list().await {
                 self.lost(&error);
+                // Evidence against a version counts here also while the store is away.
+                self.step();
                 tokio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
@@ -118,9 +122,22 @@
         self.found();
         self.publish();
         self.fence.confirm(asked);
+        self.register();
         Ok(())
     }
 
+    /// Registers this instance, if it is not registered yet.
+    fn register(&self) {
+        let Some(txn) = self.state.roster().registration() else { return };
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            if let Err(error) = store.commit(txn).await {
+                // The next list tries again if the key is missing.
+                log::warn!("the instance can't be registered; cause={error}");
+            }
+        });
+    }
+
     /// Applies changes as they come until the watch has to be opened again.
     async fn watch(&mut self) -> Left {
         let mut watches = Vec::new();
@@ -159,7 +176,7 @@
                     }
                 },
                 _ = step.tick(), if self.state.driver().is_active() => {
-                    self.state.step(&self.store, Instant::now());
+                    self.step();
                 }
                 () = sleep_until(until) => return Left::Behind,
             }
@@ -194,6 +211,12 @@
         });
     }
 
+    fn step(&mut self) {
+        if self.state.step(&self.store, Instant::now()) {
+            self.publish();
+        }
+    }
+
     fn publish(&self) {
         let Some((revision, config)) = self.state.config() else { return };
         let (held, splits) = (self.state.driver().held(), self.state.driver().splits());
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -4,6 +4,7 @@
     crate::{
         registry::{Registry, Server},
         rollout::Driver,
+        roster::Roster,
         source::{Subject, Vocabulary},
     },
     hawthornmount_core::{
@@ -20,13 +21,14 @@
     config: Option<(Revision, Config)>,
     registry: Registry,
     driver: Driver,
+    roster: Roster,
     seen: Revision,
 }
 
 impl State {
     /// Creates a state that knows nothing.
-    pub fn new(vocabulary: Arc<dyn Vocabulary>, driver: Driver) -> Self {
-        Self { vocabulary, config: None, registry: Registry::default(), driver, seen: 0 }
+    pub fn new(vocabulary: Arc<dyn Vocabulary>, driver: Driver, roster: Roster) -> Self {
+        Self { vocabulary, config: None, registry: Registry::default(), driver, roster, seen: 0 }
     }
 
     /// Returns the revision up to which every change was seen.
@@ -44,15 +46,20 @@
         self.registry.iter()
     }
 
+    /// Returns the instances.
+    pub const fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
     /// Returns the driver of roll-outs.
     pub const fn driver(&self) -> &Driver {
         &self.driver
     }
 
-    /// Writes what roll-outs have due.
-    pub fn step(&mut self, store: &Arc<dyn Store>, now: Instant) {
+    /// Writes what roll-outs have due and tells whether the view changes.
+    pub fn step(&mut self, store: &Arc<dyn Store>, now: Instant) -> bool {
         let servers: Vec<Arc<Server>> = self.registry.iter().cloned().collect();
-        self.driver.step(store, &servers, now);
+        self.driver.step(store, &servers, now)
     }
 
     /// Takes a whole list; `away` tells whether the store was out of reach before it.
@@ -104,7 +111,7 @@
                 self.driver.order(&service, entry.revision, order)
             }
             Subject::Progress(_) => false,
-            Subject::Other => self.driver.put(entry),
+            Subject::Other => !self.roster.put(&entry.key) && self.driver.put(entry),
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -28,6 +28,7 @@
             plan,
             sessions::{Asker, Exposure, Side},
         },
+        roster::Size,
         route,
         settings::{Retries, Settings},
         view::{Cell, View},
@@ -72,6 +73,7 @@
     exposure: Mutex<Exposure>,
     book: Arc<Mutex<Book>>,
     retries: Retries,
+    fleet_size: Size,
     data_centre: Arc<str>,
     regions: Table<RegionId>,
 }
@@ -96,6 +98,7 @@
             exposure: Mutex::default(),
             book: Arc::default(),
             retries: settings.retries.clone(),
+            fleet_size: Size::default(),
             data_centre: settings.data_centre.clone(),
             regions: settings.regions.clone(),
         }
@@ -133,6 +136,11 @@
         Ok(self.deliver(job, course, opened))
     }
 
+    /// Returns the number of instances, which the follower of the store sets.
+    pub fn fleet_size(&self) -> Size {
+        self.fleet_size.clone()
+    }
+
     /// Returns what the driver of roll-outs reads.
     pub fn sources(&self) -> Sources {
         Sources { book: self.book.clone(), board: self.board.clone() }
@@ -292,7 +300,7 @@
         let is_wanted =
             |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
         let wanted: Vec<&Arc<Server>> = servers.iter().filter(is_wanted).copied().collect();
-        let may_cross = side == Side::New || split.phase >= Phase::Full;
+        let may_cross = side == Side::New || split.phase >= Phase::Full || !is_recent;
         if wanted.is_empty() && may_cross {
             return (servers, false);
         }
@@ -385,19 +393,18 @@
             Ok(at) => at,
             Err(at) => {
                 let Retries { ratio, window, .. } = self.retries;
-                let budget = Budget::new(ratio, OWN_SLACK, window, now);
+                let budget = Budget::new(ratio, window, now);
                 rows.insert(at, Row { service: service.clone(), budget });
                 at
             }
         };
+        // While the number of instances is not known, nothing of the fleet's slack is used.
+        let slack = self.fleet_size.get().map_or(0.0, |size| self.retries.slack / size as f64);
+        rows[at].budget.set_slack(slack);
         apply(&mut rows[at].budget, now)
     }
 }
 
-/// Repeats that an instance may send besides its share of its requests. The fleet's slack is shared
-/// by an unknown number of instances.
-const OWN_SLACK: f64 = 1.0;
-
 /// Returns a body of known bytes.
 pub fn whole(bytes: bytes::Bytes) -> Body {
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -8,6 +8,7 @@
         front::{self, ListenError},
         message::Dialect,
         rollout::Driver,
+        roster::Roster,
         settings::Settings,
         source::Vocabulary,
         view::Cell,
@@ -200,6 +201,7 @@
             parts.fence.clone(),
             parts.cell.clone(),
             driver,
+            Roster::new(parts.settings.instance.clone(), parts.forwarder.fleet_size()),
         );
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new()
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod registry;
 pub mod rollout;
+pub mod roster;
 pub mod route;
 pub mod settings;
 pub mod source;
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -151,7 +151,7 @@
     pub fn splits(&self) -> Vec<Split> {
         let split = |row: &Row| {
             let version = row.ordered.as_ref()?.order.version.clone();
-            Some(Split { service: row.service.clone(), version, phase: row.phase()? })
+            Some(Split { service: row.service.clone(), version, phase: row.phase_here()? })
         };
         self.rows.iter().filter_map(split).collect()
     }
@@ -161,7 +161,7 @@
     pub fn held(&self) -> Vec<Held> {
         let held = |row: &Row| {
             let version = row.ordered.as_ref()?.order.version.clone();
-            let is_held = row.phase().is_none_or(|phase| phase == Phase::RolledBack);
+            let is_held = row.phase_here().is_none_or(|phase| phase == Phase::RolledBack);
             is_held.then(|| Held { service: row.service.clone(), version })
         };
         self.rows.iter().filter_map(held).collect()
@@ -174,8 +174,10 @@
         self.rows.iter().any(is_active)
     }
 
-    /// Writes what is due.
-    pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) {
+    /// Writes what is due and tells whether the view changes.
+    pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) -> bool {
+        let bad = |rows: &[Row]| rows.iter().filter(|row| row.is_bad).count();
+        let before = bad(&self.rows);
         for at in 0..self.rows.len() {
             if let Some(txn) = self.advance(at, servers, now) {
                 self.commit(store, txn);
@@ -184,6 +186,7 @@
                 self.commit(store, txn);
             }
         }
+        bad(&self.rows) != before
     }
 
     /// Returns the write of the next phase, if it is due.
@@ -383,6 +386,13 @@
 }
 
 impl Row {
+    /// Returns the phase by which this instance acts: once the evidence that it knows has spoken, it
+    /// sends nothing to the new version, also while the store can't be told.
+    fn phase_here(&self) -> Option<Phase> {
+        let phase = self.phase()?;
+        Some(if self.is_bad && !phase.is_over() { Phase::RolledBack } else { phase })
+    }
+
     /// Returns the phase of the present order, if its roll-out has begun.
     fn phase(&self) -> Option<Phase> {
         let recorded = self.recorded.as_ref()?;
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -1,5 +1,7 @@
-//! Evidence on versions: how many answers failed or came much later than usual, by route and for
-//! servers under load, since a version may be bad on one route or under load only.
+//! Evidence on versions: how many answers failed, by route and for servers under load, since a
+//! version may be bad on one route or under load only; and how many came much later or slower than
+//! usual. Failures and slow answers are weighed apart: on a busy day a third of all answers is slow,
+//! and would hide the failures.
 
 use {
     crate::{ladder::Rung, load::Load, route::RouteId},
@@ -58,11 +60,13 @@
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Scope {
-    /// Answers on one route.
+    /// Answers on one route that failed.
     Route(RouteId),
-    /// Answers of servers that were loaded.
+    /// Answers of servers under load that failed.
     Loaded,
-    /// Streams, by how far apart their events came.
+    /// Answers that began late.
+    Start,
+    /// Streams whose events came far apart.
     Pace,
 }
 
@@ -89,10 +93,15 @@
 }
 
 impl Report {
-    /// Returns how much the report says against the new version: a slow stream less than a failure,
-    /// since streams of every version are slow now and then.
+    /// Returns how much the report says against the new version: a slow answer less than a failure,
+    /// since answers of every version are slow now and then.
     pub fn gravity(&self) -> u32 {
-        let weight = |line: &Line| if line.scope == Scope::Pace { 1 } else { 2 };
+        let weight = |line: &Line| match line.scope {
+            Scope::Route(_) => 2,
+            Scope::Start | Scope::Pace => 1,
+            // Counted on its route already.
+            Scope::Loaded => 0,
+        };
         self.lines.iter().map(|line| line.new.bad * weight(line)).sum()
     }
 }
@@ -167,22 +176,24 @@
     /// Takes note of the end of an attempt. The usual times come from versions that are not under a
     /// roll-out.
     pub fn note(&mut self, end: &End<'_>) {
-        let is_bad = match end.sign {
-            Sign::Failed => true,
-            // A trial fills its server on purpose, so slow answers say nothing there.
-            Sign::Began(_) if end.is_trial => false,
-            Sign::Began(time) => self.is_slow(end, time),
-            Sign::Paced(gap) => self.is_sluggish(end, gap),
-        };
-        let scopes = match end.sign {
-            Sign::Paced(_) if end.is_trial => Vec::new(),
-            Sign::Paced(_) => vec![Scope::Pace],
-            _ if end.load.is_some_and(is_loaded) => {
-                vec![Scope::Route(end.route.clone()), Scope::Loaded]
+        let mut seen = Vec::new();
+        match end.sign {
+            Sign::Failed => seen.push((Scope::Route(end.route.clone()), true)),
+            Sign::Began(time) => {
+                seen.push((Scope::Route(end.route.clone()), false));
+                // A trial fills its server on purpose, so slow answers say nothing there.
+                if !end.is_trial {
+                    seen.push((Scope::Start, self.is_slow(end, time)));
+                }
             }
-            _ => vec![Scope::Route(end.route.clone())],
-        };
-        for scope in scopes {
+            Sign::Paced(_) if end.is_trial => {}
+            Sign::Paced(gap) => seen.push((Scope::Pace, self.is_sluggish(end, gap))),
+        }
+        let is_answer = !matches!(end.sign, Sign::Paced(_));
+        if is_answer && end.load.is_some_and(is_loaded) {
+            seen.push((Scope::Loaded, end.sign == Sign::Failed));
+        }
+        for (scope, is_bad) in seen {
             let counts = self.counts(end.service, end.version, scope);
             counts.all += 1;
             counts.bad += u32::from(is_bad);
@@ -256,6 +267,7 @@
         let scope = match &self.scope {
             Scope::Route(route) => route,
             Scope::Loaded => "loaded",
+            Scope::Start => "start",
             Scope::Pace => "pace",
         };
         let Line { new, old, .. } = self;
--- a/crates/hawthornmount-gateway/src/rollout/sessions.rs
+++ b/crates/hawthornmount-gateway/src/rollout/sessions.rs
@@ -117,7 +117,7 @@
         is_recent: bool,
         now: Instant,
     ) -> Side {
-        if !is_recent && split.phase < Phase::Full {
+        if !is_recent && !split.phase.is_over() {
             // The version may have been rolled back meanwhile.
             return Side::Old;
         }
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/roster/mod.rs
@@ -0,0 +1,73 @@
+//! How many instances there are. Each writes one key when it starts first and leaves it for good: an
+//! instance that is gone only makes the others' shares of the fleet's slack smaller.
+
+use {
+    hawthornmount_core::id::InstanceId,
+    hawthornmount_store::Txn,
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+/// Prefix of the instances' keys.
+const PREFIX: &str = "hawthornmount/instance/";
+
+/// Number of known instances, shared with the traffic thread.
+#[derive(Clone, Debug, Default)]
+pub struct Size(Arc<AtomicUsize>);
+
+/// Known instances in order of their names.
+#[derive(Debug)]
+pub struct Roster {
+    own: InstanceId,
+    known: Vec<InstanceId>,
+    size: Size,
+}
+
+impl Size {
+    /// Returns the number of instances, or `None` while this instance does not know the others.
+    pub fn get(&self) -> Option<usize> {
+        match self.0.load(Ordering::Relaxed) {
+            0 => None,
+            size => Some(size),
+        }
+    }
+}
+
+impl Roster {
+    /// Creates the roster of an instance.
+    pub const fn new(own: InstanceId, size: Size) -> Self {
+        Self { own, known: Vec::new(), size }
+    }
+
+    /// Takes a key of the store and tells whether it names an instance.
+    pub fn put(&mut self, key: &str) -> bool {
+        let Some(name) = key.strip_prefix(PREFIX) else { return false };
+        if let Err(at) = self.known.binary_search_by(|known| (**known).cmp(name)) {
+            self.known.insert(at, name.into());
+        }
+        self.publish();
+        true
+    }
+
+    /// Returns the write that registers this instance, if it is not registered.
+    pub fn registration(&self) -> Option<Txn> {
+        if self.is_registered() {
+            return None;
+        }
+        let key = format!("{PREFIX}{}", self.own);
+        Some(Txn::new().absent(&key).put(&key, "{}"))
+    }
+
+    fn is_registered(&self) -> bool {
+        self.known.binary_search(&self.own).is_ok()
+    }
+
+    /// Publishes the number, which counts once this instance's own key was seen.
+    fn publish(&self) {
+        if self.is_registered() {
+            self.size.0.store(self.known.len(), Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/hawthornmount-gateway/tests/gateway/budget.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/budget.rs
@@ -17,7 +17,11 @@
 /// ninth of them; returns the times of the repeats that were allowed.
 fn play(requests: &[u64], tries: &[u64]) -> Vec<u64> {
     let start = Instant::now();
-    let budget = || Budget::new(RATIO, 1.0, WINDOW, start);
+    let budget = || {
+        let mut budget = Budget::new(RATIO, WINDOW, start);
+        budget.set_slack(SLACK / INSTANCES as f64);
+        budget
+    };
     let mut fleet: Vec<Budget> = (0..INSTANCES).map(|_| budget()).collect();
     let mut events: Vec<(u64, bool)> = requests.iter().map(|at| (*at, false)).collect();
     events.extend(tries.iter().map(|at| (*at, true)));
@@ -76,7 +80,7 @@
 #[test]
 fn repeats_come_back_when_requests_do() {
     let start = Instant::now();
-    let mut budget = Budget::new(RATIO, 0.0, WINDOW, start);
+    let mut budget = Budget::new(RATIO, WINDOW, start);
     assert!(!budget.take(Cause::Failure, start));
     let later = start + 3 * WINDOW;
     for _ in 0..10 {
@@ -89,7 +93,7 @@
 #[test]
 fn answers_in_doubt_leave_some_of_the_budget_to_failures() {
     let start = Instant::now();
-    let mut budget = Budget::new(RATIO, 0.0, WINDOW, start);
+    let mut budget = Budget::new(RATIO, WINDOW, start);
     for _ in 0..100 {
         budget.count(start);
     }
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -202,7 +202,7 @@
 }
 
 #[test]
-fn much_slower_version_and_one_bad_route_are_seen() {
+fn version_that_is_much_slower_on_one_route_is_seen() {
     let mut book = Book::default();
     let began = |millis| Sign::Began(Duration::from_millis(millis));
     for _ in 0..100 {
@@ -212,7 +212,7 @@
     for _ in 0..40 {
         note(&mut book, "v2", "common", None, began(90));
     }
-    for _ in 0..3 {
+    for _ in 0..8 {
         note(&mut book, "v2", "rare", None, began(800));
     }
     assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
@@ -254,3 +254,17 @@
     }
     assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
 }
+
+#[test]
+fn slow_answers_of_every_version_do_not_hide_failures() {
+    let mut book = Book::default();
+    for at in 0..60 {
+        let millis = if at % 3 == 0 { 900 } else { 40 };
+        note(&mut book, "v1", "r1", None, Sign::Began(Duration::from_millis(millis)));
+    }
+    for _ in 0..3 {
+        note(&mut book, "v2", "r1", None, Sign::Began(Duration::from_millis(40)));
+        note(&mut book, "v2", "r1", None, Sign::Failed);
+    }
+    assert!(is_bad(book.lines(&"s".into(), &"v2".into()).iter()));
+}
