Place requests by the prompts that servers still have to read

Reading time by model is learned from the answers that begin early; the prompts that this instance has sent and that are not read yet count as backlog, and requests that wait count by time instead of by rounds of places.

--- a/crates/hawthornmount-gateway/src/choice/mod.rs
+++ b/crates/hawthornmount-gateway/src/choice/mod.rs
@@ -6,13 +6,12 @@
 
 use crate::load::Load;
 
-/// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_PER_MS: f64 = 60.0;
 /// Wait behind a server whose places are all taken, in milliseconds. A batch at its largest takes
 /// about a third longer a step than a small one, on answers of a second or so.
 const FULL_MS: f64 = 250.0;
-/// Wait for each full round of requests that wait, in milliseconds.
-const ROUND_MS: f64 = 1_000.0;
+/// Wait behind each request that waits at an engine, in milliseconds: reading a prompt takes some
+/// tens of milliseconds.
+const WAITING_MS: f64 = 30.0;
 /// Cost of a server in another data centre of the region, in milliseconds.
 const DATA_CENTRE_MS: f64 = 5.0;
 /// Cost of a server in another region, in milliseconds: the way both ways and the priced traffic.
@@ -45,6 +44,11 @@
     pub load: Load,
     /// Prompt tokens that it has to read.
     pub unread: u32,
+    /// Time in which it reads a token for the model that is asked, in milliseconds.
+    pub token_ms: f64,
+    /// Time in which it reads the prompts that this instance sent and that have not begun to be
+    /// answered, in milliseconds.
+    pub backlog_ms: f64,
     /// Whether it failed lately.
     pub is_avoided: bool,
 }
@@ -54,16 +58,17 @@
     pub fn wait(&self) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
         let fill = f64::from(self.load.running) / slots;
-        let rounds = f64::from(self.load.waiting) / slots;
+
         let way = match self.distance {
             Distance::Near => 0.0,
             Distance::SameRegion => DATA_CENTRE_MS,
             Distance::Far => REGION_MS,
         };
         let avoided = if self.is_avoided { AVOIDED_MS } else { 0.0 };
-        f64::from(self.unread) / TOKENS_PER_MS
+        f64::from(self.unread) * self.token_ms
             + fill * fill * FULL_MS
-            + rounds * ROUND_MS
+            + f64::from(self.load.waiting) * WAITING_MS
+            + self.backlog_ms
             + way
             + avoided
     }
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// A prompt that a server has to read, until its answer begins.
+struct Reading {
+    board: Arc<Mutex<Board>>,
+    server: ServerId,
+    time_ms: f64,
+}
+
+impl Reading {
+    fn begin(board: &Arc<Mutex<Board>>, server: &ServerId, time_ms: f64) -> Self {
+        board.lock().tally(server).backlog_ms += time_ms;
+        Self { board: board.clone(), server: server.clone(), time_ms }
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        let mut board = self.board.lock();
+        let tally = board.tally(&self.server);
+        tally.backlog_ms = (tally.backlog_ms - self.time_ms).max(0.0);
+    }
+}
+
 impl Source {
     /// Keeps the connection of a body that was read to its end.
     pub fn finish(self, forwarder: &Forwarder) {
@@ -112,6 +134,7 @@
         resume_after: Option<EventId>,
     ) -> Outcome {
         let place = Place::take(&self.board, &server.id);
+        let _reading = Reading::begin(&self.board, &server.id, course.read_ms);
         let mut kept = self.pool.take(&server.id);
         loop {
             let is_kept = kept.is_some();
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -68,6 +68,8 @@
     pub is_trial: bool,
     /// Prompt tokens that the last server had to read.
     pub unread: u32,
+    /// Time in which the last server reads them, in milliseconds.
+    pub read_ms: f64,
     /// Load that the last server told with its answer.
     pub load: Option<Load>,
     /// Why it is sent again.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -17,7 +17,7 @@
         fence::Fence,
         filter::{Answer, Body, Exchange},
         ladder,
-        load::Board,
+        load::{Board, Speeds},
         message::Dialect,
         pool::Pool,
         registry::Server,
@@ -68,6 +68,7 @@
     metrics: Metrics,
     pool: Pool,
     board: Arc<Mutex<Board>>,
+    speeds: Mutex<Speeds>,
     budgets: Mutex<Vec<Row>>,
     /// Sessions and exposure of versions under a roll-out.
     exposure: Mutex<Exposure>,
@@ -94,6 +95,7 @@
             metrics,
             pool: Pool::default(),
             board: Arc::default(),
+            speeds: Mutex::default(),
             budgets: Mutex::default(),
             exposure: Mutex::default(),
             book: Arc::default(),
@@ -175,6 +177,8 @@
             course.tried.push(server.id.clone());
             match &outcome {
                 Outcome::Opened(_) => {
+                    let model = job.model(course.rung);
+                    self.speeds.lock().learn(model, course.unread, began.elapsed());
                     self.sign(job, course, &server, Sign::Began(began.elapsed()));
                 }
                 Outcome::Failed(_) | Outcome::Unknown(_) => {
@@ -256,6 +260,7 @@
         let now = Instant::now();
         let (servers, is_trial) = self.exposed(&view, job, course, servers, now);
         let model = job.model(course.rung);
+        let token_ms = self.speeds.lock().token_ms(model);
         let mut board = self.board.lock();
         let mut candidate = |server: &&Arc<Server>| {
             let tally = board.tally(&server.id);
@@ -264,6 +269,8 @@
                 distance: self.distance(server),
                 load: tally.load(server.slots, now),
                 unread: job.ask.prompt_tokens.saturating_sub(cached),
+                token_ms,
+                backlog_ms: tally.backlog_ms,
                 is_avoided: tally.is_avoided(now),
             }
         };
@@ -272,6 +279,7 @@
         let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
         course.is_trial = is_trial;
         course.unread = candidates[at].unread;
+        course.read_ms = f64::from(course.unread) * token_ms;
         Some(servers[at].clone())
     }
 
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -19,6 +19,17 @@
 /// Longest time for which a server that failed several times in a row is avoided.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(8);
 
+/// Time in which an engine reads a token, in milliseconds, before anything is learned; the users'
+/// engines read some 60 in a millisecond.
+const FIRST_TOKEN_MS: f64 = 1.0 / 60.0;
+/// Fewest unread tokens that say how fast an engine reads.
+const MIN_LEARNED: u32 = 1_000;
+/// Time until an answer without a prompt begins.
+const BEGIN: Duration = Duration::from_millis(15);
+/// Weights of answers that began earlier and later than expected.
+const EARLIER: f64 = 0.2;
+const LATER: f64 = 0.04;
+
 /// Requests at a server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -44,6 +55,9 @@
 pub struct Tally {
     /// Requests of this instance that are at the server.
     pub in_flight: u32,
+    /// Time in which the server reads the prompts that this instance sent and that have not begun to
+    /// be answered, in milliseconds.
+    pub backlog_ms: f64,
     report: Option<Report>,
     failures: u32,
     avoided_until: Option<Instant>,
@@ -57,6 +71,46 @@
     at: Instant,
 }
 
+/// Time in which engines read a token, learned for each model.
+#[derive(Clone, Debug, Default)]
+pub struct Speeds {
+    rows: Vec<Speed>,
+}
+
+#[derive(Clone, Debug)]
+struct Speed {
+    model: Option<ModelId>,
+    token_ms: f64,
+}
+
+impl Speeds {
+    /// Returns the time in which an engine reads a token for a model, in milliseconds.
+    pub fn token_ms(&self, model: Option<&ModelId>) -> f64 {
+        let found = self.rows.binary_search_by(|row| row.model.as_ref().cmp(&model));
+        found.map_or(FIRST_TOKEN_MS, |at| self.rows[at].token_ms)
+    }
+
+    /// Learns from an answer that began after `time` for `unread` tokens. Waits only make answers
+    /// later, so earlier ones weigh more.
+    pub fn learn(&mut self, model: Option<&ModelId>, unread: u32, time: Duration) {
+        if unread < MIN_LEARNED {
+            return;
+        }
+        let seen = time.saturating_sub(BEGIN).as_secs_f64() * 1_000.0 / f64::from(unread);
+        match self.rows.binary_search_by(|row| row.model.as_ref().cmp(&model)) {
+            Ok(at) => {
+                let known = &mut self.rows[at].token_ms;
+                let weight = if seen < *known { EARLIER } else { LATER };
+                *known += (seen - *known) * weight;
+            }
+            Err(at) => {
+                let token_ms = seen.min(FIRST_TOKEN_MS);
+                self.rows.insert(at, Speed { model: model.cloned(), token_ms });
+            }
+        }
+    }
+}
+
 /// Tallies of servers in order of their names.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
--- a/crates/hawthornmount-gateway/tests/gateway/choice.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/choice.rs
@@ -12,6 +12,8 @@
     distance: Distance::Near,
     load: Load { running: 0, waiting: 0, slots: 8 },
     unread: 0,
+    token_ms: 0.016,
+    backlog_ms: 0.0,
     is_avoided: false,
 };
 
@@ -23,6 +25,7 @@
 #[case::busier(Case { others: Candidate { load: Load { running: 7, waiting: 0, slots: 8 }, ..IDLE } })]
 #[case::waits(Case { others: Candidate { load: Load { running: 8, waiting: 4, slots: 8 }, ..IDLE } })]
 #[case::reads_more(Case { others: Candidate { unread: 5_000, ..IDLE } })]
+#[case::has_long_prompts_to_read(Case { others: Candidate { backlog_ms: 200.0, ..IDLE } })]
 #[case::farther(Case { others: Candidate { distance: Distance::Far, ..IDLE } })]
 #[case::failed(Case { others: Candidate { is_avoided: true, ..IDLE } })]
 fn better_server_is_chosen(#[case] case: Case) {
