--- a/crates/hawthornmount-gateway/src/choice/mod.rs
+++ b/crates/hawthornmount-gateway/src/choice/mod.rs
@@ -11,7 +11,7 @@
 const FULL_MS: f64 = 250.0;
 /// Wait behind each request that waits at an engine, in milliseconds: reading a prompt takes some
 /// tens of milliseconds.
-const WAITING_MS: f64 = 30.0;
+const WAITING_MS: f64 = 80.0;
 /// Cost of a server in another data centre of the region, in milliseconds.
 const DATA_CENTRE_MS: f64 = 5.0;
 /// Cost of a server in another region, in milliseconds: the way both ways and the priced traffic.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -16,7 +16,7 @@
         choice::{self, Candidate, Distance},
         fence::Fence,
         filter::{Answer, Body, Exchange},
-        ladder,
+        ladder::{self, Outlook},
         load::{Board, Speeds},
         message::Dialect,
         pool::Pool,
@@ -259,10 +259,27 @@
             .collect();
         let now = Instant::now();
         let (servers, is_trial) = self.exposed(&view, job, course, servers, now);
-        let model = job.model(course.rung);
+        let candidates = self.candidates(job, course.rung, &servers, now);
+        let trial = if is_trial { choice::concentrate(&candidates) } else { None };
+        let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
+        course.is_trial = is_trial;
+        course.unread = candidates[at].unread;
+        course.read_ms = f64::from(course.unread) * candidates[at].token_ms;
+        Some(servers[at].clone())
+    }
+
+    /// Returns what is known of servers as candidates for a request on a rung.
+    fn candidates(
+        &self,
+        job: &Job,
+        rung: Option<ladder::Rung>,
+        servers: &[&Arc<Server>],
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let model = job.model(rung);
         let token_ms = self.speeds.lock().token_ms(model);
         let mut board = self.board.lock();
-        let mut candidate = |server: &&Arc<Server>| {
+        let candidate = |server: &&Arc<Server>| {
             let tally = board.tally(&server.id);
             let cached = tally.cached(model, &job.ask.prompt);
             Candidate {
@@ -274,13 +291,7 @@
                 is_avoided: tally.is_avoided(now),
             }
         };
-        let candidates: Vec<Candidate> = servers.iter().map(&mut candidate).collect();
-        let trial = if is_trial { choice::concentrate(&candidates) } else { None };
-        let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
-        course.is_trial = is_trial;
-        course.unread = candidates[at].unread;
-        course.read_ms = f64::from(course.unread) * token_ms;
-        Some(servers[at].clone())
+        servers.iter().map(candidate).collect()
     }
 
     /// Returns the servers of the version that the request's session goes to, and whether that
@@ -353,10 +364,24 @@
         if course.attempts >= job.route.route.attempts {
             return None;
         }
-        let next = ladder::climb(rung, job.route.route.ladder.len(), opened.reply.confidence)?;
+        let outlook = |rung| Outlook {
+            begins: job.arrived.elapsed() + self.least_wait(job, rung),
+            target: job.route.route.target_latency,
+        };
+        let rungs = job.route.route.ladder.len();
+        let next = ladder::climb(rung, rungs, opened.reply.confidence, outlook)?;
         self.take_repeat(job, Cause::Doubt).then_some(next)
     }
 
+    /// Returns the time until the best server would begin an answer of the model on a rung.
+    fn least_wait(&self, job: &Job, rung: ladder::Rung) -> Duration {
+        let view = self.cell.load();
+        let servers: Vec<&Arc<Server>> = view.servers(&job.service).iter().collect();
+        let candidates = self.candidates(job, Some(rung), &servers, Instant::now());
+        let least = candidates.iter().map(Candidate::wait).min_by(f64::total_cmp);
+        Duration::from_secs_f64(least.unwrap_or(0.0) / 1_000.0)
+    }
+
     /// Returns the answer for the caller: the whole body, or the stream as it comes.
     fn deliver(self: &Arc<Self>, job: Arc<Job>, course: Course, opened: Opened) -> Answer {
         let mut answer = http::Response::new(());
