--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -32,7 +32,10 @@
 /// Pause after the store gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time in which changes that a proof shows have to arrive by the watch.
-const CATCH_UP: Duration = Duration::from_millis(120);
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Pause after changes arrived, so that changes that come close together cost one call. It delays a
+/// configuration by a tenth of the time that it has.
+const COALESCE: Duration = Duration::from_millis(250);
 /// Pause between two looks at a roll-out.
 const STEP_PAUSE: Duration = Duration::from_millis(200);
 /// Keys that are listed with one call.
@@ -153,16 +156,21 @@
         due.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         due.reset();
         let mut pending: Option<Pending> = None;
+        let mut quiet_until: Option<Instant> = None;
         let mut step = tokio::time::interval(STEP_PAUSE);
         step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let until = pending.as_ref().map(|pending| pending.until);
             tokio::select! {
-                event = watch.next() => match event {
+                event = watch.next(), if quiet_until.is_none() => match event {
+                    Some(Ok(Event::Progress(_))) => {
+                        quiet_until = Some(Instant::now() + COALESCE);
+                    }
                     Some(Ok(event)) => self.apply(&event),
                     Some(Err(error)) => return Left::Broken(error),
                     None => return Left::Behind,
                 },
+                () = sleep_until(quiet_until), if quiet_until.is_some() => quiet_until = None,
                 _ = due.tick() => self.ask(&sender),
                 Some(proof) = proofs.recv() => match proof.revision {
                     Ok(revision) => {
