--- a/crates/hawthornmount-core/src/settings/check.rs
+++ b/crates/hawthornmount-core/src/settings/check.rs
@@ -31,20 +31,20 @@
     ];
     for (path, name) in names {
         if name.trim().is_empty() {
-            problems.push(problem(path, "is empty", "give it a name"));
+            problems.push(Problem::new(path, "is empty", "give it a name"));
         }
     }
 }
 
 fn check_addresses(settings: &Settings, problems: &mut Vec<Problem>) {
     if settings.store.is_empty() {
-        problems.push(problem("store", "is empty", "give an address of the store"));
+        problems.push(Problem::new("store", "is empty", "give an address of the store"));
     }
     let own = [("listen", settings.listen), ("admin", settings.admin), ("fleet", settings.fleet)];
     for (at, (path, address)) in own.iter().enumerate() {
         if let Some((other, _)) = own[..at].iter().find(|(_, other)| clash(*other, *address)) {
             let what = format!("is the same address as {other}");
-            problems.push(problem(path, &what, "give each its own port"));
+            problems.push(Problem::new(path, &what, "give each its own port"));
         }
     }
 }
@@ -52,23 +52,23 @@
 fn check_ranges(settings: &Settings, problems: &mut Vec<Problem>) {
     if settings.fleet_key.chars().count() < MIN_KEY_CHARS {
         let remedy = format!("give at least {MIN_KEY_CHARS} characters");
-        problems.push(problem("fleet_key", "is too short", &remedy));
+        problems.push(Problem::new("fleet_key", "is too short", &remedy));
     }
     if settings.old_fleet_keys.iter().any(|key| key.chars().count() < MIN_KEY_CHARS) {
         let remedy = format!("give at least {MIN_KEY_CHARS} characters each");
-        problems.push(problem("old_fleet_keys", "holds a key that is too short", &remedy));
+        problems.push(Problem::new("old_fleet_keys", "holds a key that is too short", &remedy));
     }
     if settings.traffic_threads == 0 || settings.traffic_threads > MAX_THREADS {
         let remedy = format!("give 1 to {MAX_THREADS}");
-        problems.push(problem("traffic_threads", "is out of range", &remedy));
+        problems.push(Problem::new("traffic_threads", "is out of range", &remedy));
     }
     if settings.drain > MAX_DRAIN {
         let remedy = format!("give at most {}", MAX_DRAIN.as_millis());
-        problems.push(problem("drain_ms", "is too long", &remedy));
+        problems.push(Problem::new("drain_ms", "is too long", &remedy));
     }
     if !LEVELS.contains(&&*settings.log) {
         let remedy = format!("use {}", LEVELS.join(", "));
-        problems.push(problem("log", "is not a level", &remedy));
+        problems.push(Problem::new("log", "is not a level", &remedy));
     }
 }
 
@@ -76,7 +76,3 @@
 fn clash(a: SocketAddr, b: SocketAddr) -> bool {
     a == b && a.port() != 0
 }
-
-fn problem(path: &str, what: &str, remedy: &str) -> Problem {
-    Problem { path: path.into(), what: what.into(), remedy: remedy.into() }
-}
--- a/crates/hawthornmount-core/src/settings/form.rs
+++ b/crates/hawthornmount-core/src/settings/form.rs
@@ -2,46 +2,59 @@
 
 use {
     super::{Problem, Settings},
+    serde::de::DeserializeOwned,
     serde_json::{Map, Value, json},
 };
 
 /// Problems after which the reading gives up.
 const MAX_PROBLEMS: usize = 64;
 
-/// Reads settings. Values with problems are replaced by examples, so that the rest can be read;
-/// the settings are only whole if there are no problems.
-pub fn read(mut value: Value) -> (Option<Settings>, Vec<Problem>) {
+/// Valid value of a setting by its name; null if there is no such setting.
+pub type Example = fn(&str) -> Value;
+
+/// Reads the settings of an entry instance.
+pub fn read(value: Value) -> (Option<Settings>, Vec<Problem>) {
+    read_with(value, example)
+}
+
+/// Reads settings of any kind. Values with problems are replaced by examples, so that the rest can be
+/// read; the settings are only whole if there are no problems.
+pub fn read_with<T: DeserializeOwned>(
+    mut value: Value,
+    example: Example,
+) -> (Option<T>, Vec<Problem>) {
     let mut problems = Vec::new();
     while problems.len() < MAX_PROBLEMS {
-        let error = match serde_path_to_error::deserialize::<_, Settings>(&value) {
+        let error = match serde_path_to_error::deserialize::<_, T>(&value) {
             Ok(settings) => return (Some(settings), problems),
             Err(error) => error,
         };
         let path = error.path().to_string();
         let message = error.inner().to_string();
         let Value::Object(fields) = &mut value else {
-            problems.push(problem(".", &message, "write an object of settings"));
+            problems.push(Problem::new(".", &message, "write an object of settings"));
             break;
         };
-        problems.push(repair(fields, &path, &message));
+        problems.push(repair(fields, &path, &message, example));
     }
     (None, problems)
 }
 
 /// Describes a problem and takes it out of the fields.
-fn repair(fields: &mut Map<String, Value>, path: &str, message: &str) -> Problem {
-    if message.starts_with("unknown field") {
+fn repair(fields: &mut Map<String, Value>, path: &str, message: &str, example: Example) -> Problem {
+    let is_nested = path.contains('.') && path != ".";
+    if message.starts_with("unknown field") && !is_nested {
         let name = quoted(message);
         fields.remove(name);
         let known = message.split_once("expected one of").map_or("", |(_, known)| known.trim());
-        return problem(name, "unknown setting", &format!("use one of {known}"));
+        return Problem::new(name, "unknown setting", &format!("use one of {known}"));
     }
-    if message.starts_with("missing field") {
+    if message.starts_with("missing field") && !is_nested {
         let name = quoted(message);
         let example = example(name);
         let remedy = format!("set it, for example to {example}");
         fields.insert(name.to_owned(), example);
-        return problem(name, "missing", &remedy);
+        return Problem::new(name, "missing", &remedy);
     }
     let name = path.split(['.', '[']).next().unwrap_or(path);
     let example = example(name);
@@ -51,7 +64,7 @@
     } else {
         fields.insert(name.to_owned(), example);
     }
-    problem(path, message, &remedy)
+    Problem::new(path, message, &remedy)
 }
 
 /// Returns the first name between backticks.
@@ -77,7 +90,3 @@
         _ => Value::Null,
     }
 }
-
-fn problem(path: &str, what: &str, remedy: &str) -> Problem {
-    Problem { path: path.into(), what: what.into(), remedy: remedy.into() }
-}
--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! Settings of one entry instance, read from a file of JSON with comments.
 
 mod check;
-mod form;
+pub mod form;
 
 use {
     crate::id::{DataCentreId, InstanceId, RegionId},
@@ -69,6 +69,13 @@
     pub remedy: Arc<str>,
 }
 
+impl Problem {
+    /// Creates a problem.
+    pub fn new(path: &str, what: &str, remedy: &str) -> Self {
+        Self { path: path.into(), what: what.into(), remedy: remedy.into() }
+    }
+}
+
 /// Why settings can't be used.
 #[derive(Debug, Display, Error)]
 pub enum Error {
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod job;
 mod relay;
+mod select;
 mod verdict;
 
 pub use {
@@ -13,7 +14,6 @@
 use {
     crate::{
         budget::{Budget, Cause},
-        choice::{self, Candidate, Distance},
         fence::Fence,
         filter::{Answer, Body, Exchange},
         ladder::{self, Outlook},
@@ -22,16 +22,14 @@
         pool::Pool,
         registry::Server,
         rollout::{
-            Phase,
             driver::Sources,
             evidence::{Book, End, Sign},
-            plan,
-            sessions::{Asker, Exposure, Side},
+            sessions::Exposure,
         },
         roster::Size,
         route,
         settings::{Retries, Settings},
-        view::{Cell, View},
+        view::Cell,
     },
     attempt::{Opened, Outcome},
     hawthornmount_core::{
@@ -250,83 +248,6 @@
         Ok(server)
     }
 
-    fn choose(&self, job: &Job, course: &mut Course) -> Option<Arc<Server>> {
-        let view = self.cell.load();
-        let servers: Vec<&Arc<Server>> = view
-            .servers(&job.service)
-            .iter()
-            .filter(|server| !course.tried.contains(&server.id))
-            .collect();
-        let now = Instant::now();
-        let (servers, is_trial) = self.exposed(&view, job, course, servers, now);
-        let candidates = self.candidates(job, course.rung, &servers, now);
-        let trial = if is_trial { choice::concentrate(&candidates) } else { None };
-        let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
-        course.is_trial = is_trial;
-        course.unread = candidates[at].unread;
-        course.read_ms = f64::from(course.unread) * candidates[at].token_ms;
-        Some(servers[at].clone())
-    }
-
-    /// Returns what is known of servers as candidates for a request on a rung.
-    fn candidates(
-        &self,
-        job: &Job,
-        rung: Option<ladder::Rung>,
-        servers: &[&Arc<Server>],
-        now: Instant,
-    ) -> Vec<Candidate> {
-        let model = job.model(rung);
-        let token_ms = self.speeds.lock().token_ms(model);
-        let mut board = self.board.lock();
-        let candidate = |server: &&Arc<Server>| {
-            let tally = board.tally(&server.id);
-            let cached = tally.cached(model, &job.ask.prompt);
-            Candidate {
-                distance: self.distance(server),
-                load: tally.load(server.slots, now),
-                unread: job.ask.prompt_tokens.saturating_sub(cached),
-                token_ms,
-                backlog_ms: tally.backlog_ms,
-                is_avoided: tally.is_avoided(now),
-            }
-        };
-        servers.iter().map(candidate).collect()
-    }
-
-    /// Returns the servers of the version that the request's session goes to, and whether that
-    /// version is on trial.
-    fn exposed<'a>(
-        &self,
-        view: &'a View,
-        job: &Job,
-        course: &Course,
-        servers: Vec<&'a Arc<Server>>,
-        now: Instant,
-    ) -> (Vec<&'a Arc<Server>>, bool) {
-        let session = job.ask.session.as_ref();
-        let Some(split) = view.split(&job.service) else {
-            if let Some(session) = session {
-                self.exposure.lock().sessions.keep_old(&job.service, session, now);
-            }
-            return (servers, false);
-        };
-        let is_first = course.attempts == 0;
-        let is_recent = self.fence.is_fresh();
-        let prompt_tokens = job.ask.prompt_tokens;
-        let ask = Asker { session: session.unwrap_or(&job.id), prompt_tokens };
-        let side = self.exposure.lock().side(split, &ask, is_first, is_recent, now);
-        let is_wanted =
-            |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
-        let wanted: Vec<&Arc<Server>> = servers.iter().filter(is_wanted).copied().collect();
-        let may_cross = side == Side::New || split.phase >= Phase::Full || !is_recent;
-        if wanted.is_empty() && may_cross {
-            return (servers, false);
-        }
-        let is_trial = side == Side::New && split.phase == Phase::Widening;
-        (wanted, is_trial && prompt_tokens <= plan::SHORT_PROMPT)
-    }
-
     /// Takes note of how an attempt ended, as evidence on the server's version.
     fn sign(&self, job: &Job, course: &Course, server: &Server, sign: Sign) {
         let is_new = self
@@ -348,15 +269,6 @@
         });
     }
 
-    fn distance(&self, server: &Server) -> Distance {
-        if server.data_centre == self.data_centre {
-            return Distance::Near;
-        }
-        let own = self.regions.get(&self.data_centre);
-        let other = self.regions.get(&server.data_centre);
-        if own.is_some() && own == other { Distance::SameRegion } else { Distance::Far }
-    }
-
     /// Returns the rung on which the request is asked again, if the answer is in doubt and a repeat
     /// is allowed.
     fn climb(&self, job: &Job, course: &Course, opened: &Opened) -> Option<ladder::Rung> {
@@ -373,15 +285,6 @@
         self.take_repeat(job, Cause::Doubt).then_some(next)
     }
 
-    /// Returns the time until the best server would begin an answer of the model on a rung.
-    fn least_wait(&self, job: &Job, rung: ladder::Rung) -> Duration {
-        let view = self.cell.load();
-        let servers: Vec<&Arc<Server>> = view.servers(&job.service).iter().collect();
-        let candidates = self.candidates(job, Some(rung), &servers, Instant::now());
-        let least = candidates.iter().map(Candidate::wait).min_by(f64::total_cmp);
-        Duration::from_secs_f64(least.unwrap_or(0.0) / 1_000.0)
-    }
-
     /// Returns the answer for the caller: the whole body, or the stream as it comes.
     fn deliver(self: &Arc<Self>, job: Arc<Job>, course: Course, opened: Opened) -> Answer {
         note_late(&job, &course, &opened);
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -85,7 +85,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
     /// Version that is rolled out.
-    pub version: VersionIdOrNone,
+    pub version: Option<VersionId>,
     /// Answers by scope.
     pub lines: Vec<Line>,
     /// Whether requests run on the old version here.
@@ -106,9 +106,6 @@
     }
 }
 
-/// Version of a report; none before the first roll-out.
-pub type VersionIdOrNone = Option<VersionId>;
-
 /// How an attempt ended, as far as it speaks for or against a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sign {
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -5,7 +5,7 @@
 use {
     hawthornmount_core::{
         id::{DataCentreId, InstanceId, RegionId},
-        settings::{Error, Problem},
+        settings::Error,
         table::Table,
     },
     jsonc_parser::ParseOptions,
@@ -101,8 +101,3 @@
 fn default_level() -> Arc<str> {
     "info".into()
 }
-
-/// Creates a problem of the settings.
-fn problem(path: &str, what: &str, remedy: &str) -> Problem {
-    Problem { path: path.into(), what: what.into(), remedy: remedy.into() }
-}
