Give every request of a session the same share of a roll-out

The share is 0.6 for every request and grows from phase to phase; short requests still fill the servers on trial. The meter bounds the canary only.

--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -6,10 +6,7 @@
         choice::{self, Candidate, Distance},
         ladder,
         registry::Server,
-        rollout::{
-            Phase, plan,
-            sessions::{Asker, Side},
-        },
+        rollout::{Phase, plan, sessions::Side},
         view::View,
     },
     std::{
@@ -83,9 +80,8 @@
         };
         let is_first = course.attempts == 0;
         let is_recent = self.fence.is_fresh();
-        let prompt_tokens = job.ask.prompt_tokens;
-        let ask = Asker { session: session.unwrap_or(&job.id), prompt_tokens };
-        let side = self.exposure.lock().side(split, &ask, is_first, is_recent, now);
+        let session = session.unwrap_or(&job.id);
+        let side = self.exposure.lock().side(split, session, is_first, is_recent, now);
         let is_wanted =
             |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
         let wanted: Vec<&Arc<Server>> = servers.iter().filter(is_wanted).copied().collect();
@@ -94,7 +90,7 @@
             return (servers, false);
         }
         let is_trial = side == Side::New && split.phase == Phase::Widening;
-        (wanted, is_trial && prompt_tokens <= plan::SHORT_PROMPT)
+        (wanted, is_trial && job.ask.prompt_tokens <= plan::SHORT_PROMPT)
     }
 
     fn distance(&self, server: &Server) -> Distance {
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -66,26 +66,11 @@
 }
 
 impl Phase {
-    /// Returns the share of the sessions that may go to the new version, for requests with a prompt
-    /// of so many tokens.
-    pub const fn share(self, prompt_tokens: u32) -> f64 {
+    /// Returns the share of the sessions that go to the new version; it grows from phase to phase.
+    pub const fn share(self) -> f64 {
         match self {
             Self::Canary => plan::CANARY_SHARE,
-            Self::Widening => match prompt_tokens {
-                0 => plan::WIDENING_PLAIN,
-                1..=plan::SHORT_PROMPT => plan::WIDENING_SHORT,
-                _ => plan::WIDENING_LONG,
-            },
-            Self::Full | Self::Completed => 1.0,
-            Self::RolledBack => 0.0,
-        }
-    }
-
-    /// Returns the part of all requests that the new version may get.
-    pub const fn most(self) -> f64 {
-        match self {
-            Self::Canary => plan::CANARY_SHARE,
-            Self::Widening => plan::WIDENING_MOST,
+            Self::Widening => plan::WIDENING_SHARE,
             Self::Full | Self::Completed => 1.0,
             Self::RolledBack => 0.0,
         }
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -10,16 +10,11 @@
 /// requests over the whole roll-out. Sessions that were active at the order and go on at another
 /// instance count as new there, so a larger share would move too many of them.
 pub const CANARY_SHARE: f64 = 0.035;
-/// Share of the sessions in the second phase, by the work of their requests: short prompts fill the
-/// places of a server, long ones would only make it read.
-pub const WIDENING_SHORT: f64 = 1.0;
-/// Share of the sessions whose requests have no prompt.
-pub const WIDENING_PLAIN: f64 = 0.5;
-/// Share of the sessions with long prompts.
-pub const WIDENING_LONG: f64 = 0.2;
-/// Most of all requests that the second phase may expose.
-pub const WIDENING_MOST: f64 = 0.65;
-/// Longest prompt that counts as short, in tokens; an engine reads it in some 25 ms.
+/// Share of the sessions in the second phase. It is the same for every request of a session, since
+/// sessions go on at other instances and must not move back.
+pub const WIDENING_SHARE: f64 = 0.6;
+/// Longest prompt of the requests that fill a server on trial, in tokens: they take its places, while
+/// longer ones would only make it read. An engine reads it in some 25 ms.
 pub const SHORT_PROMPT: u32 = 1_500;
 
 /// Part of the roll-out's time that the first phase takes. Sessions must not change their version
--- a/crates/hawthornmount-gateway/src/rollout/sessions.rs
+++ b/crates/hawthornmount-gateway/src/rollout/sessions.rs
@@ -30,15 +30,6 @@
     New,
 }
 
-/// A request as far as it decides the side.
-#[derive(Clone, Copy, Debug)]
-pub struct Asker<'a> {
-    /// Session of the request, or the request's own id.
-    pub session: &'a SessionId,
-    /// Tokens of the prompt; 0 if there is none.
-    pub prompt_tokens: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Row {
     key: u64,
@@ -55,12 +46,17 @@
 impl Sessions {
     /// Returns the side of a request and keeps it for its session. A session without a side gets
     /// one by its hash, so that every instance decides alike.
-    pub fn side(&mut self, split: &Split, ask: &Asker<'_>, may_expose: bool, now: Instant) -> Side {
-        let key = key(&split.service, ask.session);
+    pub fn side(
+        &mut self,
+        split: &Split,
+        session: &SessionId,
+        may_expose: bool,
+        now: Instant,
+    ) -> Side {
+        let key = key(&split.service, session);
         let known = self.rows.binary_search_by(|row| row.key.cmp(&key));
         let last = known.ok().map(|at| &self.rows[at]).filter(|row| is_active(row, now));
-        let drawn =
-            if point(key) < split.phase.share(ask.prompt_tokens) { Side::New } else { Side::Old };
+        let drawn = if point(key) < split.phase.share() { Side::New } else { Side::Old };
         let side = match (split.phase, last.map(|row| row.side)) {
             (Phase::RolledBack, _) => Side::Old,
             (Phase::Full | Phase::Completed, _) | (_, Some(Side::New)) => Side::New,
@@ -113,7 +109,7 @@
     pub fn side(
         &mut self,
         split: &Split,
-        ask: &Asker<'_>,
+        session: &SessionId,
         is_first: bool,
         is_recent: bool,
         now: Instant,
@@ -123,9 +119,10 @@
             return Side::Old;
         }
         let meter = self.meter(split);
-        let limit = split.phase.most() * HEADROOM * f64::from(meter.all) + FREE;
-        let has_room = f64::from(meter.new) < limit;
-        let side = self.sessions.side(split, ask, has_room, now);
+        let limit = split.phase.share() * HEADROOM * f64::from(meter.all) + FREE;
+        // Later phases must not send a session back that another instance has moved.
+        let has_room = split.phase > Phase::Canary || f64::from(meter.new) < limit;
+        let side = self.sessions.side(split, session, has_room, now);
         if is_first {
             let meter = self.meter(split);
             meter.all += 1;
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -6,7 +6,7 @@
         Phase, Split,
         evidence::{Book, End, Sign, is_bad},
         plan::{Facts, next},
-        sessions::{Asker, Exposure, Sessions, Side},
+        sessions::{Exposure, Sessions, Side},
     },
     rstest::rstest,
     std::time::{Duration, Instant},
@@ -64,7 +64,7 @@
             phase = Some(next);
             since_phase = Duration::ZERO;
         }
-        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::most);
+        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::share);
         new += got;
         if now >= bad_from {
             bad.push((now, got * bad_share));
@@ -92,10 +92,6 @@
     Split { service: "s".into(), version: "v2".into(), phase }
 }
 
-fn asker(session: &std::sync::Arc<str>) -> Asker<'_> {
-    Asker { session, prompt_tokens: 800 }
-}
-
 fn sessions() -> impl Iterator<Item = std::sync::Arc<str>> {
     (0..2_000).map(|at| format!("session-{at}").into())
 }
@@ -108,10 +104,10 @@
     }
     let mut new = 0;
     for (at, session) in sessions().enumerate() {
-        let side = kept.side(&split(Phase::Canary), &asker(&session), true, now);
+        let side = kept.side(&split(Phase::Canary), &session, true, now);
         assert!(at >= 500 || side == Side::Old, "an old session moved");
         new += u32::from(side == Side::New);
-        assert_eq!(kept.side(&split(Phase::Canary), &asker(&session), true, now), side);
+        assert_eq!(kept.side(&split(Phase::Canary), &session, true, now), side);
     }
     assert!((30..90).contains(&new), "{new} of 1500");
 }
@@ -120,7 +116,7 @@
 fn sessions_of_the_new_version_stay_unless_it_is_rolled_back() {
     let (mut kept, now) = (Sessions::default(), Instant::now());
     let side = |kept: &mut Sessions, phase, session: &std::sync::Arc<str>| {
-        kept.side(&split(phase), &asker(session), true, now)
+        kept.side(&split(phase), session, true, now)
     };
     let exposed: Vec<_> =
         sessions().filter(|session| side(&mut kept, Phase::Canary, session) == Side::New).collect();
@@ -138,10 +134,7 @@
     let (mut one, mut other) = (Sessions::default(), Sessions::default());
     for session in sessions() {
         let split = split(Phase::Widening);
-        assert_eq!(
-            one.side(&split, &asker(&session), true, now),
-            other.side(&split, &asker(&session), true, now)
-        );
+        assert_eq!(one.side(&split, &session, true, now), other.side(&split, &session, true, now));
     }
 }
 
@@ -151,15 +144,13 @@
     let canary = split(Phase::Canary);
     // Sessions that are all drawn for the new version.
     let mut probe = Sessions::default();
-    let drawn: Vec<_> = sessions()
-        .filter(|session| probe.side(&canary, &asker(session), true, now) == Side::New)
-        .collect();
-    let sides =
-        drawn.iter().map(|session| exposure.side(&canary, &asker(session), true, true, now));
+    let drawn: Vec<_> =
+        sessions().filter(|session| probe.side(&canary, session, true, now) == Side::New).collect();
+    let sides = drawn.iter().map(|session| exposure.side(&canary, session, true, true, now));
     let new = sides.filter(|side| *side == Side::New).count();
     assert!(new * 3 < drawn.len(), "{new} of {}", drawn.len());
     for session in &drawn {
-        assert_eq!(exposure.side(&canary, &asker(session), true, false, now), Side::Old);
+        assert_eq!(exposure.side(&canary, session, true, false, now), Side::Old);
     }
 }
 
@@ -276,7 +267,20 @@
     let next = began + Duration::from_millis(31_500);
     for session in sessions() {
         kept.keep_old(&"s".into(), &session, began);
-        let side = kept.side(&split(Phase::Canary), &asker(&session), true, next);
+        let side = kept.side(&split(Phase::Canary), &session, true, next);
         assert_eq!(side, Side::Old);
     }
 }
+
+#[test]
+fn session_that_goes_on_at_another_instance_never_moves_back() {
+    let now = Instant::now();
+    for (before, after) in [(Phase::Canary, Phase::Widening), (Phase::Widening, Phase::Full)] {
+        for session in sessions() {
+            let (mut one, mut other) = (Exposure::default(), Exposure::default());
+            let first = one.side(&split(before), &session, true, true, now);
+            let second = other.side(&split(after), &session, true, true, now);
+            assert!(first == Side::Old || second == Side::New, "{session} moved back");
+        }
+    }
+}
