Read every kind of settings by one function; drop what no caller uses

The gateway's settings read their file and listed their problems by a copy of the instance's code. Both call settings::form now, which takes the examples and the check of a kind of settings. A connection's age and count of answers were not read by anyone.

--- a/crates/hawthornmount-core/src/settings/form.rs
+++ b/crates/hawthornmount-core/src/settings/form.rs
@@ -1,9 +1,11 @@
 //! Reads settings from JSON and goes on after a problem, so that all of them are listed.
 
 use {
-    super::{Problem, Settings},
+    super::{Error, Problem},
+    jsonc_parser::ParseOptions,
     serde::de::DeserializeOwned,
     serde_json::{Map, Value, json},
+    std::{fs, path::Path},
 };
 
 /// Problems after which the reading gives up.
@@ -12,17 +14,44 @@
 /// Valid value of a setting by its name; null if there is no such setting.
 pub type Example = fn(&str) -> Value;
 
-/// Reads the settings of an entry instance.
-pub fn read(value: Value) -> (Option<Settings>, Vec<Problem>) {
-    read_with(value, example)
+/// What is known of one kind of settings.
+pub struct Form<T> {
+    /// Example of each setting.
+    pub example: Example,
+    /// Everything that is wrong in settings whose values have the right types.
+    pub check: fn(&T) -> Vec<Problem>,
 }
 
-/// Reads settings of any kind. Values with problems are replaced by examples, so that the rest can be
-/// read; the settings are only whole if there are no problems.
-pub fn read_with<T: DeserializeOwned>(
-    mut value: Value,
-    example: Example,
-) -> (Option<T>, Vec<Problem>) {
+/// Reads settings from a file of JSON with comments.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be read or its content is not valid settings.
+pub fn read<T: DeserializeOwned>(path: &Path, form: &Form<T>) -> Result<T, Error> {
+    let text =
+        fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
+    parse(&text, form)
+}
+
+/// Reads settings from text.
+///
+/// # Errors
+///
+/// Returns an error that lists every problem if the text is not valid settings.
+pub fn parse<T: DeserializeOwned>(text: &str, form: &Form<T>) -> Result<T, Error> {
+    let value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|error| Error::Syntax { message: error.to_string().into() })?;
+    let (settings, mut problems) = repaired(value, form.example);
+    problems.extend(settings.iter().flat_map(form.check));
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(Error::Invalid { problems }),
+    }
+}
+
+/// Deserializes settings. Values with problems are replaced by examples, so that the rest can be read;
+/// the settings are only whole if there are no problems.
+fn repaired<T: DeserializeOwned>(mut value: Value, example: Example) -> (Option<T>, Vec<Problem>) {
     let mut problems = Vec::new();
     while problems.len() < MAX_PROBLEMS {
         let error = match serde_path_to_error::deserialize::<_, T>(&value) {
@@ -73,7 +102,7 @@
 }
 
 /// Returns a valid value of a setting; null if there is no such setting.
-fn example(name: &str) -> Value {
+pub(super) fn example(name: &str) -> Value {
     match name {
         "instance" => json!("attica-a-1"),
         "data_centre" => json!("attica-a"),
--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -6,12 +6,15 @@
 use {
     crate::id::{DataCentreId, InstanceId, RegionId},
     derive_more::{Display, Error},
-    jsonc_parser::ParseOptions,
+    form::Form,
     serde::{Deserialize, Serialize},
     serde_with::{DurationMilliSeconds, serde_as},
-    std::{fs, io, net::SocketAddr, path::Path, path::PathBuf, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, path::Path, path::PathBuf, sync::Arc, time::Duration},
 };
 
+/// What is known of the settings of one instance.
+const FORM: Form<Settings> = Form { example: form::example, check: check::check };
+
 /// Settings of one instance.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -109,9 +112,7 @@
     ///
     /// Returns an error if the file can't be read or its content is not valid settings.
     pub fn read(path: &Path) -> Result<Self, Error> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::Read { path: path.to_owned(), source })?;
-        Self::parse(&text)
+        form::read(path, &FORM)
     }
 
     /// Reads settings from text.
@@ -120,14 +121,7 @@
     ///
     /// Returns an error that lists every problem if the text is not valid settings.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|error| Error::Syntax { message: error.to_string().into() })?;
-        let (settings, mut problems) = form::read(value);
-        problems.extend(settings.iter().flat_map(check::check));
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(Error::Invalid { problems }),
-        }
+        form::parse(text, &FORM)
     }
 }
 
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Settings,
-    hawthornmount_core::settings::{Problem, form},
+    hawthornmount_core::settings::{Problem, form::Form},
     serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
 };
@@ -14,15 +14,8 @@
 /// Levels of the log.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
-/// Returns the settings, or every problem of them.
-pub fn read(value: Value) -> Result<Settings, Vec<Problem>> {
-    let (settings, mut problems) = form::read_with(value, example);
-    problems.extend(settings.iter().flat_map(check));
-    match settings {
-        Some(settings) if problems.is_empty() => Ok(settings),
-        _ => Err(problems),
-    }
-}
+/// What is known of the settings of a gateway.
+pub const FORM: Form<Settings> = Form { example, check };
 
 /// Returns a valid value of a setting.
 fn example(name: &str) -> Value {
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -5,14 +5,12 @@
 use {
     hawthornmount_core::{
         id::{DataCentreId, InstanceId, RegionId},
-        settings::Error,
+        settings::{Error, form},
         table::Table,
     },
-    jsonc_parser::ParseOptions,
     serde::{Deserialize, Serialize},
-    serde_json::Value,
     serde_with::{DurationMilliSeconds, serde_as},
-    std::{fs, net::SocketAddr, path::Path, sync::Arc, time::Duration},
+    std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
 
 /// Settings of one gateway.
@@ -76,9 +74,7 @@
     ///
     /// Returns an error if the file can't be read or its content is not valid settings.
     pub fn read(path: &Path) -> Result<Self, Error> {
-        let text = fs::read_to_string(path)
-            .map_err(|source| Error::Read { path: path.to_owned(), source })?;
-        Self::parse(&text)
+        form::read(path, &check::FORM)
     }
 
     /// Reads settings from text.
@@ -87,9 +83,7 @@
     ///
     /// Returns an error that lists every problem if the text is not valid settings.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let value: Value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|error| Error::Syntax { message: error.to_string().into() })?;
-        check::read(value).map_err(|problems| Error::Invalid { problems })
+        form::parse(text, &check::FORM)
     }
 
     /// Returns the region of a data centre.
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -8,7 +8,7 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, task::AbortHandle, time::Instant},
+    tokio::{net::TcpStream, task::AbortHandle},
 };
 
 /// Answer whose body is still open.
@@ -36,8 +36,6 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    used: Instant,
-    answers: u32,
 }
 
 impl Connection {
@@ -65,7 +63,7 @@
             }
         });
         let driver = driver.abort_handle();
-        Ok(Self { sender, driver, used: Instant::now(), answers: 0 })
+        Ok(Self { sender, driver })
     }
 
     /// Sends a request and returns the head of its answer.
@@ -77,12 +75,8 @@
         if let Err(error) = self.sender.ready().await {
             return Err(Failure::unsent(&error));
         }
-        self.used = Instant::now();
         match self.sender.try_send_request(request).await {
-            Ok(answer) => {
-                self.answers += 1;
-                Ok(answer)
-            }
+            Ok(answer) => Ok(answer),
             Err(error) if error.message().is_some() => Err(Failure::unsent(error.error())),
             Err(error) => Err(Failure::Broken { cause: error.error().to_string().into() }),
         }
@@ -92,16 +86,6 @@
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
-
-    /// Returns how long ago the last request was sent, or the connection opened.
-    pub fn idle(&self) -> Duration {
-        self.used.elapsed()
-    }
-
-    /// Tells whether the connection has carried an answer before.
-    pub const fn is_kept(&self) -> bool {
-        self.answers > 0
-    }
 }
 
 impl Drop for Connection {
