Compile a configuration's routes and keys once; drop what nobody calls

Each change of a server or a roll-out built the table of routes and the sorted keys anew, though they change with the configuration only: the view shares them now. The progress of a roll-out was read from the store and dropped, the names of filters were asked by nobody, and the list of followed prefixes held one.

Behaviour is the same.

--- a/crates/hawthornmount-gateway/src/filter/find.rs
+++ b/crates/hawthornmount-gateway/src/filter/find.rs
@@ -26,19 +26,15 @@
 
 #[async_trait]
 impl Filter for Find {
-    fn name(&self) -> &'static str {
-        "find"
-    }
-
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
-        if exchange.view.revision == 0 {
+        if exchange.view.rules.revision == 0 {
             let detail = "the instance has no configuration yet: come back";
             return Err(Problem::new(Refusal::NotReady, detail).retry_after(STALE_PAUSE));
         }
         let uri = &exchange.head.uri;
         let named = exchange.head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = uri.host().or(named).unwrap_or_default();
-        exchange.route = exchange.view.routes.find(host, uri.path()).cloned();
+        exchange.route = exchange.view.rules.routes.find(host, uri.path()).cloned();
         if exchange.route.is_some() {
             return Ok(());
         }
--- a/crates/hawthornmount-gateway/src/filter/forward.rs
+++ b/crates/hawthornmount-gateway/src/filter/forward.rs
@@ -22,10 +22,6 @@
 
 #[async_trait]
 impl Filter for Forward {
-    fn name(&self) -> &'static str {
-        "forward"
-    }
-
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
         let job = self.forwarder.job(exchange)?;
         exchange.answer = Some(self.forwarder.run(job).await?);
--- a/crates/hawthornmount-gateway/src/filter/identify.rs
+++ b/crates/hawthornmount-gateway/src/filter/identify.rs
@@ -22,15 +22,11 @@
 
 #[async_trait]
 impl Filter for Identify {
-    fn name(&self) -> &'static str {
-        "identify"
-    }
-
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
         let key = exchange.ask.key.as_deref();
-        exchange.holder = key.and_then(|key| exchange.view.holder(key).cloned());
+        exchange.holder = key.and_then(|key| exchange.view.rules.holder(key).cloned());
         let route = exchange.route()?;
-        if !exchange.view.keyed || route.route.anonymous {
+        if !exchange.view.rules.keyed || route.route.anonymous {
             return Ok(());
         }
         if exchange.holder.is_some() {
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -59,9 +59,6 @@
 /// One step of the request path.
 #[async_trait]
 pub trait Filter: Send + Sync {
-    /// Returns the name of the filter.
-    fn name(&self) -> &'static str;
-
     /// Does the step.
     ///
     /// # Errors
--- a/crates/hawthornmount-gateway/src/filter/open.rs
+++ b/crates/hawthornmount-gateway/src/filter/open.rs
@@ -25,10 +25,6 @@
 
 #[async_trait]
 impl Filter for Open {
-    fn name(&self) -> &'static str {
-        "open"
-    }
-
     async fn apply(&self, _exchange: &mut Exchange) -> Result<(), Problem> {
         if !self.parts.is_closed() {
             return Ok(());
--- a/crates/hawthornmount-gateway/src/filter/read.rs
+++ b/crates/hawthornmount-gateway/src/filter/read.rs
@@ -12,13 +12,9 @@
 
 #[async_trait]
 impl Filter for Read {
-    fn name(&self) -> &'static str {
-        "read"
-    }
-
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
         let Some(incoming) = exchange.incoming.take() else { return Ok(()) };
-        let limit = exchange.view.limits.body_bytes;
+        let limit = exchange.view.rules.limits.body_bytes;
         let wait = exchange.route()?.route.timeout;
         let collected = Limited::new(incoming, limit).collect();
         match tokio::time::timeout(wait, collected).await {
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -19,7 +19,7 @@
     },
     futures::StreamExt,
     hawthornmount_core::id::Revision,
-    hawthornmount_store::{self as store, Event, Store, Watch},
+    hawthornmount_store::{self as store, Event, Store},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -107,18 +107,17 @@
     /// Lists everything.
     async fn list(&mut self) -> store::Result<()> {
         let asked = self.fence.now();
+        let prefix = self.vocabulary.followed_prefix();
         let mut seen = Revision::MAX;
         let mut entries = Vec::new();
-        for prefix in self.vocabulary.prefixes() {
-            let mut after: Option<Arc<str>> = None;
-            loop {
-                let page = self.store.list(prefix, after.as_deref(), PAGE).await?;
-                seen = seen.min(page.revision);
-                after = page.entries.last().map(|entry| entry.key.clone());
-                entries.extend(page.entries);
-                if !page.more || after.is_none() {
-                    break;
-                }
+        let mut after: Option<Arc<str>> = None;
+        loop {
+            let page = self.store.list(prefix, after.as_deref(), PAGE).await?;
+            seen = seen.min(page.revision);
+            after = page.entries.last().map(|entry| entry.key.clone());
+            entries.extend(page.entries);
+            if !page.more || after.is_none() {
+                break;
             }
         }
         self.state.replace(&entries, seen, self.away, Instant::now());
@@ -143,14 +142,11 @@
 
     /// Applies changes as they come until the watch has to be opened again.
     async fn watch(&mut self) -> Left {
-        let mut watches = Vec::new();
-        for prefix in self.vocabulary.prefixes() {
-            match self.store.watch(prefix, self.state.seen() + 1).await {
-                Ok(watch) => watches.push(watch),
-                Err(error) => return Left::Broken(error),
-            }
-        }
-        let mut watch: Watch = futures::stream::select_all(watches).boxed();
+        let prefix = self.vocabulary.followed_prefix();
+        let mut watch = match self.store.watch(prefix, self.state.seen() + 1).await {
+            Ok(watch) => watch,
+            Err(error) => return Left::Broken(error),
+        };
         let (sender, mut proofs) = mpsc::channel(1);
         let mut due = tokio::time::interval(PROOF_PAUSE);
         due.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -226,9 +222,9 @@
     }
 
     fn publish(&self) {
-        let Some((revision, config)) = self.state.config() else { return };
+        let Some(rules) = self.state.rules().cloned() else { return };
         let (held, splits) = (self.state.driver().held(), self.state.driver().splits());
-        self.cell.publish(View::new(revision, config, self.state.servers(), &held, splits));
+        self.cell.publish(View::new(rules, self.state.servers(), &held, splits));
     }
 
     fn lost(&mut self, error: &store::Error) {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -6,11 +6,9 @@
         rollout::Driver,
         roster::Roster,
         source::{Subject, Vocabulary},
+        view::Rules,
     },
-    hawthornmount_core::{
-        config::Config,
-        id::{Revision, ServerId},
-    },
+    hawthornmount_core::id::{Revision, ServerId},
     hawthornmount_store::{Entry, Store},
     std::{sync::Arc, time::Instant},
 };
@@ -18,7 +16,7 @@
 /// What is known of configuration, servers and roll-outs.
 pub struct State {
     vocabulary: Arc<dyn Vocabulary>,
-    config: Option<(Revision, Config)>,
+    rules: Option<Arc<Rules>>,
     registry: Registry,
     driver: Driver,
     roster: Roster,
@@ -28,7 +26,7 @@
 impl State {
     /// Creates a state that knows nothing.
     pub fn new(vocabulary: Arc<dyn Vocabulary>, driver: Driver, roster: Roster) -> Self {
-        Self { vocabulary, config: None, registry: Registry::default(), driver, roster, seen: 0 }
+        Self { vocabulary, rules: None, registry: Registry::default(), driver, roster, seen: 0 }
     }
 
     /// Returns the revision up to which every change was seen.
@@ -36,9 +34,9 @@
         self.seen
     }
 
-    /// Returns the configuration with its revision.
-    pub fn config(&self) -> Option<(Revision, &Config)> {
-        self.config.as_ref().map(|(revision, config)| (*revision, config))
+    /// Returns what the configuration says, if there is one.
+    pub const fn rules(&self) -> Option<&Arc<Rules>> {
+        self.rules.as_ref()
     }
 
     /// Returns the registered servers.
@@ -92,7 +90,7 @@
                 self.driver.delete(key);
                 return false;
             }
-            Subject::Config | Subject::Progress(_) => return false,
+            Subject::Config => return false,
         }
         true
     }
@@ -110,13 +108,12 @@
                 let order = self.read(entry, |words| words.order(&entry.value));
                 self.driver.order(&service, entry.revision, order)
             }
-            Subject::Progress(_) => false,
             Subject::Other => !self.roster.put(&entry.key) && self.driver.put(entry),
         }
     }
 
     fn take_config(&mut self, entry: &Entry) -> bool {
-        let held = self.config.as_ref().map_or(0, |(revision, _)| *revision);
+        let held = self.rules.as_ref().map_or(0, |rules| rules.revision);
         if entry.revision <= held {
             return false;
         }
@@ -124,7 +121,7 @@
             return false;
         };
         log::info!("configuration in force; revision={} before={held}", entry.revision);
-        self.config = Some((entry.revision, config));
+        self.rules = Some(Arc::new(Rules::new(entry.revision, &config)));
         true
     }
 
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -109,7 +109,7 @@
 
     /// Tells whether the key still belongs to the same account.
     pub fn is_held_in(&self, view: &View) -> bool {
-        let holder = self.ask.key.as_deref().and_then(|key| view.holder(key));
+        let holder = self.ask.key.as_deref().and_then(|key| view.rules.holder(key));
         holder.map(|holder| &holder.account) == self.holder.as_ref().map(|holder| &holder.account)
     }
 
--- a/crates/hawthornmount-gateway/src/front/caller.rs
+++ b/crates/hawthornmount-gateway/src/front/caller.rs
@@ -38,7 +38,7 @@
     /// Serves one connection; when the instance stops, requests in flight end and the connection is
     /// closed.
     async fn connection(self: Arc<Self>, stream: TcpStream) {
-        let limits = self.parts.cell.load().limits.clone();
+        let limits = self.parts.cell.load().rules.limits.clone();
         let front = self.clone();
         let service = service_fn(move |request| {
             let front = front.clone();
@@ -101,7 +101,7 @@
                     problem.status,
                     exchange.route.as_ref().map_or("none", |route| &*route.id),
                     exchange.holder.as_ref().map_or("none", |holder| &*holder.account),
-                    exchange.view.revision,
+                    exchange.view.rules.revision,
                     self.parts.fence.age().as_millis(),
                     arrived.elapsed().as_millis(),
                     problem.detail
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -151,7 +151,7 @@
 
     /// Tells whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.cell.load().revision > 0
+        !self.is_stopping() && self.cell.load().rules.revision > 0
     }
 
     /// Tells whether the instance is stopping.
--- a/crates/hawthornmount-gateway/src/source/mod.rs
+++ b/crates/hawthornmount-gateway/src/source/mod.rs
@@ -18,8 +18,6 @@
     Server(ServerId),
     /// The order to roll out a version of a service.
     Order(ServiceId),
-    /// The progress of a service's roll-out.
-    Progress(ServiceId),
     /// Anything else.
     Other,
 }
@@ -58,8 +56,8 @@
 
 /// Spelling of keys and values of the store.
 pub trait Vocabulary: Send + Sync {
-    /// Returns the prefixes whose keys are followed.
-    fn prefixes(&self) -> &'static [&'static str];
+    /// Returns the prefix of the keys that are followed.
+    fn followed_prefix(&self) -> &'static str;
 
     /// Returns a prefix under which nobody writes; listing it asks for the store's revision.
     fn probe_prefix(&self) -> &'static str;
@@ -89,13 +87,6 @@
     /// Returns what is wrong if the value is no order.
     fn order(&self, value: &[u8]) -> Result<Order, Unreadable>;
 
-    /// Reads the progress of a roll-out.
-    ///
-    /// # Errors
-    ///
-    /// Returns what is wrong if the value is no progress.
-    fn progress(&self, value: &[u8]) -> Result<Progress, Unreadable>;
-
     /// Returns key and value that tell the operator the progress of a service's roll-out.
     fn write_progress(&self, service: &ServiceId, progress: &Progress) -> (String, Vec<u8>);
 }
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -47,9 +47,9 @@
     pub version: VersionId,
 }
 
-/// Configuration and servers at one moment.
+/// What a configuration says of requests, looked up by host, path and key.
 #[derive(Clone, Debug, Default)]
-pub struct View {
+pub struct Rules {
     /// Revision of the configuration; 0 if there is none yet.
     pub revision: Revision,
     /// Routes.
@@ -58,57 +58,28 @@
     pub limits: Limits,
     /// Whether requests need a key, unless their route is anonymous.
     pub keyed: bool,
+    keys: Vec<Key>,
+}
+
+/// Configuration and servers at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// What the configuration says.
+    pub rules: Arc<Rules>,
     /// Roll-outs by which requests are split.
     splits: Vec<Split>,
-    keys: Vec<Key>,
     pools: Vec<Pool>,
 }
 
-impl View {
-    /// Creates a view of a configuration and the servers that take requests under it.
-    pub fn new<'a>(
-        revision: Revision,
-        config: &Config,
-        servers: impl Iterator<Item = &'a Arc<Server>>,
-        held: &[Held],
-        splits: Vec<Split>,
-    ) -> Self {
-        let mut view = Self {
+impl Rules {
+    /// Creates the rules of a configuration.
+    pub fn new(revision: Revision, config: &Config) -> Self {
+        Self {
             revision,
             routes: Table::new(config),
             limits: config.limits.clone(),
             keyed: !config.accounts.is_empty(),
-            splits,
             keys: keys(config),
-            pools: Vec::new(),
-        };
-        view.set_servers(servers, held);
-        view
-    }
-
-    /// Replaces the servers.
-    pub fn set_servers<'a>(
-        &mut self,
-        servers: impl Iterator<Item = &'a Arc<Server>>,
-        held: &[Held],
-    ) {
-        let is_held = |server: &Server| {
-            held.iter().any(|one| one.service == server.service && one.version == server.version)
-                || self.splits.iter().any(|split| split.is_ended_for(server))
-        };
-        let servers: Vec<&Arc<Server>> = servers
-            .filter(|server| server.standing == Standing::Ready && !is_held(server))
-            .collect();
-        self.pools.clear();
-        for server in servers {
-            match self.position(&server.service) {
-                Ok(at) => self.pools[at].servers.push(server.clone()),
-                Err(at) => {
-                    let pool =
-                        Pool { service: server.service.clone(), servers: vec![server.clone()] };
-                    self.pools.insert(at, pool);
-                }
-            }
         }
     }
 
@@ -118,6 +89,39 @@
         let at = self.keys.binary_search_by(|key| key.hash.cmp(&hash)).ok()?;
         Some(&self.keys[at].holder)
     }
+}
+
+impl View {
+    /// Creates a view of rules and the servers that take requests under them.
+    pub fn new<'a>(
+        rules: Arc<Rules>,
+        servers: impl Iterator<Item = &'a Arc<Server>>,
+        held: &[Held],
+        splits: Vec<Split>,
+    ) -> Self {
+        let mut view = Self { rules, splits, pools: Vec::new() };
+        for server in servers.filter(|server| server.standing == Standing::Ready) {
+            if !view.is_held(server, held) {
+                view.add(server);
+            }
+        }
+        view
+    }
+
+    fn is_held(&self, server: &Server, held: &[Held]) -> bool {
+        held.iter().any(|one| one.service == server.service && one.version == server.version)
+            || self.splits.iter().any(|split| split.is_ended_for(server))
+    }
+
+    fn add(&mut self, server: &Arc<Server>) {
+        match self.position(&server.service) {
+            Ok(at) => self.pools[at].servers.push(server.clone()),
+            Err(at) => {
+                let pool = Pool { service: server.service.clone(), servers: vec![server.clone()] };
+                self.pools.insert(at, pool);
+            }
+        }
+    }
 
     /// Returns the servers of a service that take requests.
     pub fn servers(&self, service: &str) -> &[Arc<Server>] {
