Take note of an attempt's end in one place

The first hand-over and the resumption of a stream each told from an outcome whether the request ran, why it is sent again and whether it was an attempt.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -43,6 +43,27 @@
     Unconfirmed,
 }
 
+impl Course {
+    /// Takes note of how the attempt at a server ended.
+    pub(super) fn settle(&mut self, server: &ServerId, outcome: &Outcome) {
+        self.pending = false;
+        self.tried.push(server.clone());
+        self.ran |=
+            matches!(outcome, Outcome::Opened(_) | Outcome::Failed(_) | Outcome::Unknown(_));
+        self.cause = match outcome {
+            Outcome::Opened(_) | Outcome::Unconfirmed => return,
+            Outcome::Failed(_) => Some(Retry::ServerError),
+            Outcome::Unknown(cause) => Some(*cause),
+            Outcome::Refused => Some(Retry::ServerRefused),
+            Outcome::Unsent => {
+                // A server that nothing was sent to is no attempt.
+                self.attempts -= 1;
+                Some(Retry::Connect)
+            }
+        };
+    }
+}
+
 /// An answer whose head has arrived.
 pub struct Opened {
     /// Server that answers.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -171,8 +171,7 @@
                 },
                 None => attempt.await,
             };
-            course.pending = false;
-            course.tried.push(server.id.clone());
+            course.settle(&server.id, &outcome);
             match &outcome {
                 Outcome::Opened(_) => {
                     let model = job.model(course.rung);
@@ -186,34 +185,20 @@
             }
             match outcome {
                 Outcome::Opened(opened) => {
-                    course.ran = true;
                     let Some(rung) = self.climb(job, course, &opened) else { return Ok(*opened) };
                     course.rung = Some(rung);
                     course.tried.clear();
                     course.cause = Some(Retry::Escalation);
+                    continue;
                 }
-                Outcome::Failed(answer) => {
-                    course.ran = true;
-                    course.failure = Some(answer);
-                    course.cause = Some(Retry::ServerError);
-                    if !job.route.route.is_idempotent() {
-                        return Err(failed());
-                    }
-                }
-                Outcome::Refused => course.cause = Some(Retry::ServerRefused),
-                Outcome::Unsent => {
-                    course.attempts -= 1;
-                    course.cause = Some(Retry::Connect);
-                }
-                Outcome::Unknown(cause) => {
-                    course.ran = true;
-                    course.cause = Some(cause);
-                    if !job.route.route.is_idempotent() {
-                        return Err(failed());
-                    }
-                }
+                Outcome::Failed(answer) => course.failure = Some(answer),
+                Outcome::Unknown(_) => {}
+                Outcome::Refused | Outcome::Unsent => continue,
                 Outcome::Unconfirmed => return Err(unconfirmed()),
             }
+            if !job.route.route.is_idempotent() {
+                return Err(failed());
+            }
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -178,7 +178,7 @@
                 Ok(outcome) => outcome,
                 Err(_elapsed) => return false,
             };
-            self.course.tried.push(server.id.clone());
+            self.course.settle(&server.id, &outcome);
             match outcome {
                 Outcome::Opened(opened) => match opened.body {
                     Body::Open(source) => {
@@ -187,14 +187,8 @@
                     }
                     Body::Whole(_) => return false,
                 },
-                Outcome::Refused => self.course.cause = Some(Retry::ServerRefused),
-                Outcome::Unsent => {
-                    self.course.attempts -= 1;
-                    self.course.cause = Some(Retry::Connect);
-                }
-                Outcome::Failed(_) => self.course.cause = Some(Retry::ServerError),
-                Outcome::Unknown(cause) => self.course.cause = Some(cause),
                 Outcome::Unconfirmed => return false,
+                Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => {}
             }
         }
     }
