Let the system choose the ports of gateways under test

Cause of a failure seen once, in one whole run of the checks in ten (case safe_unframed, address in use): the test took a free port and gave it back before the gateway listened on it; tests that ran beside it took it meanwhile, for a listener or for the end of a connection. The trace names the port. Port 0 is listened on now, the gateway tells the address that it got, and its first log line names it; the test of the log reads up to that line.

--- a/crates/hawthornmount-gateway/src/front/mod.rs
+++ b/crates/hawthornmount-gateway/src/front/mod.rs
@@ -31,13 +31,24 @@
     source: io::Error,
 }
 
-/// Listens on an address.
+/// An address that is listened on.
+pub struct Bound {
+    /// The address; port 0 has been replaced by the one that the system chose.
+    pub address: SocketAddr,
+    /// Where connections come from.
+    pub listener: TcpListener,
+}
+
+/// Listens on an address; port 0 takes any free port.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be listened on.
-pub async fn listen(address: SocketAddr) -> Result<TcpListener, ListenError> {
-    TcpListener::bind(address).await.map_err(|source| ListenError { address, source })
+pub async fn listen(address: SocketAddr) -> Result<Bound, ListenError> {
+    let failed = |source| ListenError { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok(Bound { address, listener })
 }
 
 /// Accepts the next connection.
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -18,6 +18,7 @@
     hawthornmount_store::Store,
     std::{
         io,
+        net::SocketAddr,
         sync::{
             Arc, OnceLock,
             atomic::{AtomicUsize, Ordering},
@@ -101,6 +102,8 @@
 /// A running gateway.
 pub struct Instance {
     parts: Arc<Parts>,
+    callers: SocketAddr,
+    readiness: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -181,14 +184,15 @@
         let parts = Arc::new(Parts::new(settings, clock, ports.dialect));
         let callers = front::listen(parts.settings.callers).await?;
         let readiness = front::listen(parts.settings.readiness).await?;
+        let (callers_address, readiness_address) = (callers.address, readiness.address);
         let mut tasks = vec![
-            tokio::spawn(front::serve_callers(callers, parts.clone())),
-            tokio::spawn(front::serve_operators(readiness, parts.clone())),
+            tokio::spawn(front::serve_callers(callers.listener, parts.clone())),
+            tokio::spawn(front::serve_operators(readiness.listener, parts.clone())),
             tokio::spawn(sweep(parts.forwarder.clone())),
         ];
         if let Some(address) = parts.settings.operators {
             let operators = front::listen(address).await?;
-            tasks.push(tokio::spawn(front::serve_operators(operators, parts.clone())));
+            tasks.push(tokio::spawn(front::serve_operators(operators.listener, parts.clone())));
         }
         let driver = Driver::new(
             &parts.settings.instance,
@@ -207,7 +211,17 @@
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || control.block_on(follower.run()))?;
-        Ok(Self { parts, tasks })
+        Ok(Self { parts, callers: callers_address, readiness: readiness_address, tasks })
+    }
+
+    /// Returns the address for callers, with the port that the system chose if the settings say 0.
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address at which the balancer asks.
+    pub const fn readiness(&self) -> SocketAddr {
+        self.readiness
     }
 
     /// Returns the parts.
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -64,11 +64,11 @@
         vocabulary: Arc::new(Words),
         dialect: Arc::new(Headers),
     };
-    let (name, callers) = (settings.instance.clone(), settings.callers);
+    let name = settings.instance.clone();
     let instance = Instance::start(settings, Arc::new(System), ports)
         .await
         .map_err(Error::failed("the instance can't start"))?;
-    ::log::info!("started; instance={name} callers={callers}");
+    ::log::info!("started; instance={name} callers={}", instance.callers());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/tests/testsuite/log.rs
+++ b/tests/testsuite/log.rs
@@ -3,10 +3,10 @@
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     path::PathBuf,
-    process::{Child, Command, Stdio},
-    time::{Duration, Instant},
+    process::{Child, ChildStdout, Command, Stdio},
+    time::Duration,
 };
 
 /// Longest wait for one answer.
@@ -17,40 +17,44 @@
 struct Gateway {
     child: Child,
     callers: String,
+    /// Kept open, so that lines go into the pipe, and not read.
+    _log: BufReader<ChildStdout>,
 }
 
 impl Gateway {
     fn start() -> Self {
-        let free =
-            || TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-        let (callers, readiness, store) = (free(), free(), free());
+        let any = "127.0.0.1:0";
         let example = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/gateway.jsonc");
         let settings = fs::read_to_string(example)
             .expect("it exists")
-            .replace("127.0.0.1:8080", &callers.to_string())
-            .replace("127.0.0.1:8081", &readiness.to_string())
-            .replace("127.0.0.1:9100", &free().to_string())
-            .replace("127.0.0.1:2379", &store.to_string());
+            .replace("127.0.0.1:8080", any)
+            .replace("127.0.0.1:8081", any)
+            .replace("127.0.0.1:9100", any)
+            // Nothing listens on this port: the instance never gets a configuration.
+            .replace("127.0.0.1:2379", "127.0.0.1:1");
         let file = std::env::temp_dir().join(format!("gateway-{}.jsonc", std::process::id()));
         fs::write(&file, settings).expect("the settings are written");
-        let child = Command::new(env!("CARGO_BIN_EXE_hawthornmount"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_hawthornmount"))
             .args(["gateway", "--settings"])
             .arg(&file)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program runs");
-        Self { child, callers: callers.to_string() }
+        // The log is read up to the line that names the address, and then no more.
+        let mut log = BufReader::new(child.stdout.take().expect("it is piped"));
+        let callers = loop {
+            let mut line = String::new();
+            let length = log.read_line(&mut line).expect("the log can be read");
+            assert!(length > 0, "the log ended before the start");
+            if let Some((_, address)) = line.split_once("callers=") {
+                break address.trim().to_owned();
+            }
+        };
+        Self { child, callers, _log: log }
     }
 
     fn connect(&self) -> TcpStream {
-        let bound = Instant::now() + Duration::from_secs(10);
-        loop {
-            match TcpStream::connect(&self.callers) {
-                Ok(stream) => return stream,
-                Err(error) => assert!(Instant::now() < bound, "it does not listen: {error}"),
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        TcpStream::connect(&self.callers).expect("it listens")
     }
 }
 
