Compare the paces of versions side by side instead of with a usual one

The learnt pace was poor (26 to 43 percent of the old version's own answers counted as slow, 25 of 58 gaps), and an instance that had just been started knew none.

Change: logarithms of the times until an answer begins and between events are summed by version, route, model and quarter of the server's places taken, and the versions' means are compared. Nothing has to be known beforehand; sums of all instances add up. The writer of a phase leaves its sums with the record, and every instance tells its answers every 2.5 s, so a restart forgets little. Answers that broke off are weighed apart from failures, at 0.2 or more. The line 'version is bad' says the cause.

Ruled out: keeping a learnt pace in the store (the pace itself was the weak part).

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -22,6 +22,7 @@
         pool::Pool,
         registry::Server,
         rollout::{
+            Phase,
             driver::Sources,
             evidence::{Book, End, Sign},
             sessions::Exposure,
@@ -178,9 +179,8 @@
                     self.speeds.lock().learn(model, course.unread, began.elapsed());
                     self.sign(job, course, &server, Sign::Began(began.elapsed()));
                 }
-                Outcome::Failed(_) | Outcome::Unknown(_) => {
-                    self.sign(job, course, &server, Sign::Failed);
-                }
+                Outcome::Failed(_) => self.sign(job, course, &server, Sign::Failed),
+                Outcome::Unknown(_) => self.sign(job, course, &server, Sign::Broken),
                 Outcome::Refused | Outcome::Unsent | Outcome::Unconfirmed => {}
             }
             match outcome {
@@ -235,20 +235,16 @@
 
     /// Takes note of how an attempt ended, as evidence on the server's version.
     fn sign(&self, job: &Job, course: &Course, server: &Server, sign: Sign) {
-        let is_new = self
-            .cell
-            .load()
-            .split(&job.service)
-            .is_some_and(|split| split.version == server.version && !split.phase.is_over());
+        let view = self.cell.load();
+        let is_alone = view.split(&job.service).is_some_and(|split| split.phase >= Phase::Full);
         self.book.lock().note(&End {
             service: &job.service,
             version: &server.version,
             route: &job.route.id,
-            rung: course.rung,
-            is_new,
+            model: job.model(course.rung),
             is_trial: course.is_trial,
+            is_alone,
             unread: course.unread,
-            target: job.route.route.target_latency,
             load: course.load,
             sign,
         });
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -154,7 +154,7 @@
     /// Closes the connection to the present server, which also ends the run there.
     fn leave(&mut self, cause: Retry) {
         if let Some(source) = self.source.take() {
-            self.forwarder.sign(&self.job, &self.course, &source.server, Sign::Failed);
+            self.forwarder.sign(&self.job, &self.course, &source.server, Sign::Broken);
             self.forwarder.note_failure(&self.job, &source.server, cause.as_str());
             self.course.tried.push(source.server.id.clone());
         }
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -4,6 +4,7 @@
     super::{
         Phase, Record, Split,
         evidence::{self, Book, Line, Report},
+        pace::{self, Pace},
         plan::{self, Facts},
     },
     crate::{
@@ -31,8 +32,15 @@
 const MAX_DELAY: Duration = Duration::from_millis(400);
 /// Longest random delay before a roll-back is written.
 const MAX_ALARM_DELAY: Duration = Duration::from_millis(60);
-/// Gravity by which a report has to grow to be written: a failure, or two slow streams.
-const NEWS: u32 = 2;
+/// Answers of the new version by which a report has to grow to be written, while they are slow.
+const MIN_ANSWERS: u32 = 2;
+/// Answers of the new version that are told in any case.
+const FIRST_ANSWERS: u32 = 3;
+/// Pause after which an instance also tells answers that are not slow: it may die and forget them,
+/// and the others' share of them is small.
+const ROUTINE_PAUSE: Duration = Duration::from_millis(2_500);
+/// Shift of the mean logarithm of an instance's own times from which it tells them to the others.
+const SUSPECT_SHIFT: f64 = 0.3;
 /// Pause between two reports of an instance.
 const REPORT_PAUSE: Duration = Duration::from_millis(600);
 /// Pause between two reports that requests still run on the old version.
@@ -227,20 +235,23 @@
                 && server.version == *version
                 && server.standing == Standing::Ready
         };
-        let lines = self.sources.book.lock().lines(&row.service, version);
-        let own = format!("{REPORTS}{}/{}", row.service, self.reporter);
+        let (lines, paces) = self.seen(&row.service, version);
+        let own = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own);
         let is_recent = |reported: &&Reported| now < reported.seen + REPORT_LIFE;
         let runs_old = self.runs_old(&row.service, version, servers)
             || others.clone().filter(is_recent).any(|reported| reported.report.runs_old);
         let is_same = |reported: &&Reported| reported.report.version.as_ref() == Some(version);
-        let reported = others.filter(is_same).flat_map(|reported| &reported.report.lines);
-        let is_bad = row.is_bad || evidence::is_bad(lines.iter().chain(reported.clone()));
-        if is_bad && !row.is_bad {
-            let lines: Vec<String> = lines.iter().chain(reported).map(Line::to_string).collect();
-            let lines = lines.join(" ");
-            log::warn!("version is bad; service={} version={version} {lines}", row.service);
+        let reports = others.filter(is_same).map(|reported| &reported.report);
+        let all_lines = lines.iter().chain(reports.clone().flat_map(|report| &report.lines));
+        let all_paces = paces.iter().chain(reports.flat_map(|report| &report.paces));
+        let charge = evidence::charge(all_lines.clone(), all_paces.clone());
+        if let Some(charge) = charge.as_ref().filter(|_| !row.is_bad) {
+            let seen = told(all_lines, all_paces);
+            let service = &row.service;
+            log::warn!("version is bad; service={service} version={version} {charge} {seen}");
         }
+        let is_bad = row.is_bad || charge.is_some();
         Some(Facts {
             since_order: now.saturating_duration_since(ordered.seen),
             since_phase: row
@@ -289,28 +300,49 @@
                 txn = txn.delete(&reported.key);
             }
         }
-        let lines = self.sources.book.lock().lines(&row.service, &ordered.order.version);
-        let lines: Vec<String> = lines.iter().map(Line::to_string).collect();
-        let lines = lines.join(" ");
-        log::info!("roll-out goes on; service={} phase={phase:?} {lines}", row.service);
+        let (lines, paces) = self.seen(&row.service, &ordered.order.version);
+        let seen = told(lines.iter(), paces.iter());
+        log::info!("roll-out goes on; service={} phase={phase:?} {seen}", row.service);
+        if !phase.is_over() {
+            // Instances that start later compare the new version with what was seen before.
+            let version = Some(ordered.order.version.clone());
+            let report = Report { version, lines, paces, runs_old: false };
+            txn = txn.put(&self.report_key(&row.service), json(&report)?);
+        }
         Some(txn)
     }
 
+    /// Returns the evidence that this instance has seen.
+    fn seen(&self, service: &ServiceId, version: &VersionId) -> (Vec<Line>, Vec<Pace>) {
+        let book = self.sources.book.lock();
+        (book.lines(service, version), book.paces(service, version))
+    }
+
+    fn report_key(&self, service: &ServiceId) -> String {
+        format!("{REPORTS}{service}/{}", self.reporter)
+    }
+
     /// Returns the write of this instance's report, if it has something new to say.
     fn report(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
         let row = &self.rows[at];
         let version = row.ordered.as_ref()?.order.version.clone();
         let phase = row.phase().filter(|phase| !phase.is_over())?;
         let since = row.recorded.as_ref().map(|recorded| now - recorded.seen)?;
-        let lines = self.sources.book.lock().lines(&row.service, &version);
+        let (lines, paces) = self.seen(&row.service, &version);
         let runs_old = phase == Phase::Full
             && since >= FIRST_RUNNING
             && self.runs_old(&row.service, &version, servers);
-        let report = Report { version: Some(version), lines, runs_old };
+        let report = Report { version: Some(version), lines, paces, runs_old };
         let is_due = match &row.written {
-            None => report.gravity() >= NEWS || runs_old,
+            None => {
+                is_news(&report, &Report::default())
+                    || runs_old
+                    || report.answers() >= FIRST_ANSWERS
+            }
             Some((last, at)) => {
-                let is_news = report.gravity() >= last.gravity() + NEWS;
+                let has_more = report.answers() >= last.answers() + MIN_ANSWERS;
+                let is_routine = has_more && now >= *at + ROUTINE_PAUSE;
+                let is_news = is_news(&report, last) || is_routine;
                 let has_changed = is_news || runs_old != last.runs_old;
                 (has_changed && now >= *at + REPORT_PAUSE)
                     || (runs_old && now >= *at + RUNNING_PAUSE)
@@ -319,7 +351,7 @@
         if !is_due {
             return None;
         }
-        let key = format!("{REPORTS}{}/{}", row.service, self.reporter);
+        let key = self.report_key(&row.service);
         let txn = Txn::new().put(&key, json(&report)?);
         self.rows[at].written = Some((report, now));
         Some(txn)
@@ -401,6 +433,28 @@
     }
 }
 
+/// Tells whether a report has to be written soon: it says more against the new version than the one that
+/// was written last, by one more failure, or by some more answers while they are slower than the
+/// others'.
+fn is_news(report: &Report, last: &Report) -> bool {
+    if report.failures() > last.failures() {
+        return true;
+    }
+    let has_more = report.answers() >= last.answers() + MIN_ANSWERS;
+    has_more && pace::shift(report.paces.iter()).mean >= SUSPECT_SHIFT
+}
+
+/// Returns the evidence as the log tells it.
+fn told<'a>(
+    lines: impl Iterator<Item = &'a Line>,
+    paces: impl Iterator<Item = &'a Pace>,
+) -> String {
+    let compared = paces.filter(|pace| pace.new.count > 0 && pace.old.count > 0);
+    let words: Vec<String> =
+        lines.map(Line::to_string).chain(compared.map(Pace::to_string)).collect();
+    words.join(" ")
+}
+
 fn read<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
     match serde_json::from_slice(&entry.value) {
         Ok(value) => Some(value),
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -1,11 +1,12 @@
 //! Evidence on versions: how many answers failed, by route and for servers under load, since a
-//! version may be bad on one route or under load only; and how many came much later or slower than
-//! usual. Failures and slow answers are weighed apart: on a busy day a third of all answers is slow,
-//! and would hide the failures.
+//! version may be bad on one route or under load only; how many broke off; and how fast the others
+//! came. They are weighed apart: on a busy day a third of all answers is slow and would hide the
+//! failures, and connections break for other reasons than the version.
 
 use {
-    crate::{ladder::Rung, load::Load, route::RouteId},
-    hawthornmount_core::id::{ServiceId, VersionId},
+    super::pace::{self, Logs, Pace, Shift, Span, Stratum},
+    crate::{load::Load, route::RouteId},
+    hawthornmount_core::id::{ModelId, ServiceId, VersionId},
     serde::{Deserialize, Serialize},
     std::{
         fmt::{self, Display, Formatter},
@@ -13,20 +14,6 @@
     },
 };
 
-/// Answers that take longer than this many times the usual count as slow.
-const SLOW_FACTOR: f64 = 4.0;
-/// Events that come this many times farther apart than usual count as slow. Long prompts between them
-/// often double the gaps of every version.
-const SLOW_GAP_FACTOR: f64 = 2.2;
-/// Answers that take less than this longer than the usual never count as slow.
-/// In seconds.
-const SLOW_MARGIN: f64 = 0.1;
-/// Time in which an answer without a prompt begins.
-const WORK_BASE: Duration = Duration::from_millis(50);
-/// Time in which an engine reads a token of a prompt; engines read some 60 in a millisecond.
-const SECONDS_PER_TOKEN: f64 = 1.0 / 60_000.0;
-/// Weight of a new answer in the usual pace.
-const WEIGHT: f64 = 0.1;
 /// Part of a server's places that has to be taken for it to count as loaded.
 const LOADED: f64 = 0.45;
 /// Fewest bad answers of all routes that speak against a version.
@@ -35,6 +22,9 @@
 const MIN_BAD_SCOPE: u32 = 3;
 /// Least rate of bad answers that is taken for usual; servers fail a few answers on any day.
 const USUAL_RATE: f64 = 0.01;
+/// Least rate of answers that break off that is taken for usual: connections break also when the
+/// network does or servers die, and a new version has few servers, so a fifth of them may be struck.
+const USUAL_BROKEN_RATE: f64 = 0.2;
 /// How many times the others' rate of bad answers counts as usual, for chance and unlike servers.
 const RATE_FACTOR: f64 = 1.5;
 /// Highest rate that counts as usual.
@@ -52,7 +42,7 @@
 pub struct Counts {
     /// Answers.
     pub all: u32,
-    /// Answers that failed or were slow.
+    /// Answers that failed.
     pub bad: u32,
 }
 
@@ -64,10 +54,8 @@
     Route(RouteId),
     /// Answers of servers under load that failed.
     Loaded,
-    /// Answers that began late.
-    Start,
-    /// Streams whose events came far apart.
-    Pace,
+    /// All answers, of which some broke off or never came.
+    Broken,
 }
 
 /// Answers of one scope, by the new version and by the others.
@@ -82,30 +70,55 @@
 }
 
 /// What one instance has seen of a roll-out.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
     /// Version that is rolled out.
     pub version: Option<VersionId>,
     /// Answers by scope.
     pub lines: Vec<Line>,
+    /// How fast answers came.
+    pub paces: Vec<Pace>,
     /// Whether requests run on the old version here.
     pub runs_old: bool,
 }
 
 impl Report {
-    /// Returns how much the report says against the new version: a slow answer less than a failure,
-    /// since answers of every version are slow now and then.
-    pub fn gravity(&self) -> u32 {
-        let weight = |line: &Line| match line.scope {
-            Scope::Route(_) => 2,
-            Scope::Start | Scope::Pace => 1,
-            // Counted on its route already.
-            Scope::Loaded => 0,
-        };
-        self.lines.iter().map(|line| line.new.bad * weight(line)).sum()
+    /// Returns how many answers of the new version failed or broke off.
+    pub fn failures(&self) -> u32 {
+        // Counted on its route already.
+        let is_counted = |line: &&Line| line.scope != Scope::Loaded;
+        self.lines.iter().filter(is_counted).map(|line| line.new.bad).sum()
+    }
+
+    /// Returns how many answers of the new version came, fast or slow.
+    pub fn answers(&self) -> u32 {
+        pace::answers(&self.paces)
     }
 }
 
+/// What speaks against a version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Charge {
+    /// Its answers fail more often than the others'.
+    Failures {
+        /// Answers of the version.
+        new: Counts,
+        /// Answers of the others.
+        old: Counts,
+    },
+    /// Its answers of one scope do.
+    FailuresOf(Line),
+    /// Its answers are slower than the others'.
+    Slow {
+        /// Time that is longer.
+        span: Span,
+        /// Route on which it is, or `None` for all.
+        route: Option<RouteId>,
+        /// By how much.
+        shift: Shift,
+    },
+}
+
 /// How an attempt ended, as far as it speaks for or against a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sign {
@@ -113,8 +126,10 @@
     Began(Duration),
     /// Events of a stream came this far apart in the mean.
     Paced(Duration),
-    /// The server failed.
+    /// The server answered with a failure.
     Failed,
+    /// The answer broke off or never came.
+    Broken,
 }
 
 /// The end of an attempt at a server.
@@ -126,31 +141,20 @@
     pub version: &'a VersionId,
     /// Route of the request.
     pub route: &'a RouteId,
-    /// Rung of the model that was asked.
-    pub rung: Option<Rung>,
-    /// Whether the version is under a roll-out.
-    pub is_new: bool,
+    /// Model that was asked.
+    pub model: Option<&'a ModelId>,
     /// Whether the version's requests are concentrated on few servers.
     pub is_trial: bool,
+    /// Whether other versions get no requests any more, so that nothing can be compared with.
+    pub is_alone: bool,
     /// Prompt tokens that the server had to read.
     pub unread: u32,
-    /// Time within which an answer of the route is on time.
-    pub target: Duration,
     /// Load of the server as it told with the answer.
     pub load: Option<Load>,
     /// How the attempt ended.
     pub sign: Sign,
 }
 
-/// Usual pace at which answers of one kind begin.
-#[derive(Clone, Debug)]
-struct Usual {
-    route: RouteId,
-    rung: Option<Rung>,
-    /// Logarithm of the pace.
-    log_pace: f64,
-}
-
 #[derive(Clone, Debug)]
 struct Row {
     service: ServiceId,
@@ -159,38 +163,41 @@
     counts: Counts,
 }
 
+#[derive(Clone, Debug)]
+struct PaceRow {
+    service: ServiceId,
+    version: VersionId,
+    stratum: Stratum,
+    logs: Logs,
+}
+
 /// Answers that this instance has seen, by service, version and scope.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     rows: Vec<Row>,
-    /// Usual time until an answer begins, by the time that its work should take.
-    usual: Vec<Usual>,
-    /// Usual seconds between two events.
-    gaps: Vec<Usual>,
+    paces: Vec<PaceRow>,
 }
 
 impl Book {
-    /// Takes note of the end of an attempt. The usual times come from versions that are not under a
-    /// roll-out.
+    /// Takes note of the end of an attempt.
     pub fn note(&mut self, end: &End<'_>) {
-        let mut seen = Vec::new();
-        match end.sign {
-            Sign::Failed => seen.push((Scope::Route(end.route.clone()), true)),
-            Sign::Began(time) => {
-                seen.push((Scope::Route(end.route.clone()), false));
-                // A trial fills its server on purpose, so slow answers say nothing there.
-                if !end.is_trial {
-                    seen.push((Scope::Start, self.is_slow(end, time)));
-                }
-            }
-            Sign::Paced(_) if end.is_trial => {}
-            Sign::Paced(gap) => seen.push((Scope::Pace, self.is_sluggish(end, gap))),
+        // A trial fills its server on purpose, so slow answers say nothing there.
+        if let Some((stratum, log)) = pace::measure(end).filter(|_| !end.is_trial) {
+            self.logs(end.service, end.version, stratum).push(log);
+        }
+        if matches!(end.sign, Sign::Paced(_)) {
+            return;
         }
-        let is_answer = !matches!(end.sign, Sign::Paced(_));
-        if is_answer && end.load.is_some_and(is_loaded) {
-            seen.push((Scope::Loaded, end.sign == Sign::Failed));
+        let is_broken = end.sign == Sign::Broken;
+        let mut scopes = vec![(Scope::Broken, is_broken)];
+        if !is_broken {
+            let is_failure = end.sign == Sign::Failed;
+            scopes.push((Scope::Route(end.route.clone()), is_failure));
+            if end.load.is_some_and(is_loaded) {
+                scopes.push((Scope::Loaded, is_failure));
+            }
         }
-        for (scope, is_bad) in seen {
+        for (scope, is_bad) in scopes {
             let counts = self.counts(end.service, end.version, scope);
             counts.all += 1;
             counts.bad += u32::from(is_bad);
@@ -200,6 +207,7 @@
     /// Forgets what was seen of a service, when a roll-out begins.
     pub fn forget(&mut self, service: &ServiceId) {
         self.rows.retain(|row| row.service != *service);
+        self.paces.retain(|row| row.service != *service);
     }
 
     /// Returns what was seen of a version and of the others of its service.
@@ -225,21 +233,40 @@
         lines
     }
 
-    /// Tells whether events came much farther apart than usual, and learns what is usual.
-    fn is_sluggish(&mut self, end: &End<'_>, gap: Duration) -> bool {
-        let factor = learn(&mut self.gaps, end, gap.as_secs_f64());
-        factor.is_some_and(|factor| factor > SLOW_GAP_FACTOR)
+    /// Returns how fast answers of a version and of the others of its service came.
+    pub fn paces(&self, service: &ServiceId, version: &VersionId) -> Vec<Pace> {
+        let mut paces: Vec<Pace> = Vec::new();
+        for row in self.paces.iter().filter(|row| row.service == *service) {
+            let at = match paces.binary_search_by(|pace| pace.stratum.cmp(&row.stratum)) {
+                Ok(at) => at,
+                Err(at) => {
+                    let (new, old) = (Logs::default(), Logs::default());
+                    paces.insert(at, Pace { stratum: row.stratum.clone(), new, old });
+                    at
+                }
+            };
+            let pace = &mut paces[at];
+            let logs = if row.version == *version { &mut pace.new } else { &mut pace.old };
+            logs.add(row.logs);
+        }
+        paces
     }
 
-    /// Tells whether an answer came much later than usual for its work, and learns what is usual. An
-    /// instance that has just started knows nothing usual and goes by the route's target.
-    fn is_slow(&mut self, end: &End<'_>, time: Duration) -> bool {
-        let seconds = time.as_secs_f64();
-        let work = WORK_BASE.as_secs_f64() + f64::from(end.unread) * SECONDS_PER_TOKEN;
-        match learn(&mut self.usual, end, seconds / work) {
-            Some(factor) => factor > SLOW_FACTOR && seconds * (1.0 - 1.0 / factor) > SLOW_MARGIN,
-            None => time > end.target,
-        }
+    fn logs(&mut self, service: &ServiceId, version: &VersionId, stratum: Stratum) -> &mut Logs {
+        let wanted = (service, version, &stratum);
+        let found = self
+            .paces
+            .binary_search_by(|row| (&row.service, &row.version, &row.stratum).cmp(&wanted));
+        let at = match found {
+            Ok(at) => at,
+            Err(at) => {
+                let (service, version) = (service.clone(), version.clone());
+                let logs = Logs::default();
+                self.paces.insert(at, PaceRow { service, version, stratum, logs });
+                at
+            }
+        };
+        &mut self.paces[at].logs
     }
 
     fn counts(&mut self, service: &ServiceId, version: &VersionId, scope: Scope) -> &mut Counts {
@@ -259,13 +286,29 @@
     }
 }
 
+impl Display for Charge {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failures { new, old } => write!(
+                formatter,
+                "cause=failures new={}/{} old={}/{}",
+                new.bad, new.all, old.bad, old.all
+            ),
+            Self::FailuresOf(line) => write!(formatter, "cause=failures of {line}"),
+            Self::Slow { span, route, shift } => {
+                let route = route.as_deref().unwrap_or("all");
+                write!(formatter, "cause=slow {span} route={route} {shift}")
+            }
+        }
+    }
+}
+
 impl Display for Line {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let scope = match &self.scope {
             Scope::Route(route) => route,
             Scope::Loaded => "loaded",
-            Scope::Start => "start",
-            Scope::Pace => "pace",
+            Scope::Broken => "broken",
         };
         let Line { new, old, .. } = self;
         write!(formatter, "{scope}:new={}/{},old={}/{}", new.bad, new.all, old.bad, old.all)
@@ -283,8 +326,20 @@
     }
 }
 
-/// Tells whether the evidence of all reports speaks against the new version.
-pub fn is_bad<'a>(lines: impl Iterator<Item = &'a Line>) -> bool {
+/// Returns what speaks against the new version by the evidence of all reports.
+pub fn charge<'a>(
+    lines: impl Iterator<Item = &'a Line>,
+    paces: impl Iterator<Item = &'a Pace>,
+) -> Option<Charge> {
+    if let Some(charge) = failures(lines) {
+        return Some(charge);
+    }
+    let (span, route, shift) = pace::slow(paces, WEIGHT_AGAINST)?;
+    Some(Charge::Slow { span, route, shift })
+}
+
+/// Returns where answers of the new version fail more often than the others'.
+fn failures<'a>(lines: impl Iterator<Item = &'a Line>) -> Option<Charge> {
     let mut scopes: Vec<Line> = Vec::new();
     for line in lines {
         match scopes.binary_search_by(|known| known.scope.cmp(&line.scope)) {
@@ -295,14 +350,20 @@
             Err(at) => scopes.insert(at, line.clone()),
         }
     }
-    let mut all = (Counts::default(), Counts::default());
+    let (mut new, mut old) = (Counts::default(), Counts::default());
     // The other scopes hold answers that are counted on their routes already.
     for line in scopes.iter().filter(|line| matches!(line.scope, Scope::Route(_))) {
-        all.0.add(line.new);
-        all.1.add(line.old);
+        new.add(line.new);
+        old.add(line.old);
+    }
+    if speaks_against(new, old, MIN_BAD, USUAL_RATE) {
+        return Some(Charge::Failures { new, old });
     }
-    let is_scope_bad = |line: &Line| speaks_against(line.new, line.old, MIN_BAD_SCOPE);
-    speaks_against(all.0, all.1, MIN_BAD) || scopes.iter().any(is_scope_bad)
+    let is_bad = |line: &Line| {
+        let usual = if line.scope == Scope::Broken { USUAL_BROKEN_RATE } else { USUAL_RATE };
+        speaks_against(line.new, line.old, MIN_BAD_SCOPE, usual)
+    };
+    scopes.into_iter().find(is_bad).map(Charge::FailuresOf)
 }
 
 /// Tells whether a line shows that loaded servers of the new version answered.
@@ -310,10 +371,10 @@
     line.scope == Scope::Loaded && line.new.all >= MIN_BAD_SCOPE
 }
 
-/// Weighs how unlikely the bad answers are at the usual rate, by the Chernoff bound.
-fn speaks_against(new: Counts, old: Counts, fewest: u32) -> bool {
+/// Weighs how unlikely the bad answers are at the usual rate, `least` or more, by the Chernoff bound.
+fn speaks_against(new: Counts, old: Counts, fewest: u32, least: f64) -> bool {
     let usual = (f64::from(old.bad) + PRIOR_BAD) / (f64::from(old.all) + PRIOR) * RATE_FACTOR;
-    let usual = usual.clamp(USUAL_RATE, MOST_USUAL);
+    let usual = usual.clamp(least, MOST_USUAL);
     let rate = new.rate();
     if new.bad < fewest || rate <= usual {
         return false;
@@ -324,28 +385,7 @@
     f64::from(new.all) * divergence >= WEIGHT_AGAINST
 }
 
-/// Returns how many times the usual pace a pace is, if one is known, and learns the usual one from versions that are
-/// not under a roll-out. The geometric mean is kept, since a few answers wait many times longer.
-fn learn(usual: &mut Vec<Usual>, end: &End<'_>, pace: f64) -> Option<f64> {
-    let log = pace.max(f64::MIN_POSITIVE).ln();
-    let wanted = (end.route, end.rung);
-    match usual.binary_search_by(|usual| (&usual.route, usual.rung).cmp(&wanted)) {
-        Ok(at) => {
-            let known = &mut usual[at].log_pace;
-            let factor = (log - *known).exp();
-            if !end.is_new {
-                *known += (log - *known) * WEIGHT;
-            }
-            Some(factor)
-        }
-        Err(_) if end.is_new => None,
-        Err(at) => {
-            usual.insert(at, Usual { route: end.route.clone(), rung: end.rung, log_pace: log });
-            None
-        }
-    }
-}
-
+/// Tells whether many of a server's places are taken.
 fn is_loaded(load: Load) -> bool {
     f64::from(load.running + load.waiting) >= f64::from(load.slots) * LOADED
 }
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod driver;
 pub mod evidence;
+pub mod pace;
 pub mod plan;
 pub mod sessions;
 
