Fill a server of a new version sooner, and weigh failures of filled ones against all others'

Change: the second phase takes 0.9 of the sessions for 2.4 s at the most instead of 0.6 for 3.2 s; loaded means half of the places; failures of loaded servers are compared with the failures of all the other versions' answers. A failure of a server has a log line with its load.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -4,7 +4,7 @@
     super::{Course, Forwarder, Job, Verdict, verdict, whole},
     crate::{
         filter::Answer,
-        load::Board,
+        load::{Board, Load},
         message::{EventId, HandOver, Reply},
         registry::Server,
     },
@@ -288,7 +288,14 @@
         source: Source,
     ) -> Outcome {
         let server = source.server.clone();
-        log::debug!("failure of server; id={} server={} status={status}", job.id, server.id);
+        log::info!(
+            "failure of server; id={} route={} server={} version={} status={status} load={}",
+            job.id,
+            job.route.id,
+            server.id,
+            server.version,
+            told(source.reply.load)
+        );
         match self.collect(source).await {
             Ok(bytes) => {
                 let mut answer = http::Response::new(whole(bytes));
@@ -346,6 +353,11 @@
     }
 }
 
+/// Returns a load as the log tells it.
+pub(super) fn told(load: Option<Load>) -> String {
+    load.map_or_else(|| "unknown".to_owned(), |load| load.to_string())
+}
+
 struct Answered {
     connection: Connection,
     answer: connection::Answer,
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -341,7 +341,7 @@
         course.attempts,
         course.rung.map_or(-1, |rung| rung as i64),
         course.unread,
-        opened.reply.load.map_or_else(|| "unknown".to_owned(), |load| load.to_string()),
+        attempt::told(opened.reply.load),
     );
 }
 
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -15,7 +15,7 @@
 };
 
 /// Part of a server's places that has to be taken for it to count as loaded.
-const LOADED: f64 = 0.45;
+const LOADED: f64 = 0.5;
 /// Fewest bad answers of all routes that speak against a version.
 const MIN_BAD: u32 = 4;
 /// Fewest bad answers of one scope that speak against a version.
@@ -181,8 +181,7 @@
 impl Book {
     /// Takes note of the end of an attempt.
     pub fn note(&mut self, end: &End<'_>) {
-        // A trial fills its server on purpose, so slow answers say nothing there.
-        if let Some((stratum, log)) = pace::measure(end).filter(|_| !end.is_trial) {
+        if let Some((stratum, log)) = pace::measure(end) {
             self.logs(end.service, end.version, stratum).push(log);
         }
         if matches!(end.sign, Sign::Paced(_)) {
@@ -359,9 +358,11 @@
     if speaks_against(new, old, MIN_BAD, USUAL_RATE) {
         return Some(Charge::Failures { new, old });
     }
-    let is_bad = |line: &Line| {
-        let usual = if line.scope == Scope::Broken { USUAL_BROKEN_RATE } else { USUAL_RATE };
-        speaks_against(line.new, line.old, MIN_BAD_SCOPE, usual)
+    let is_bad = |line: &Line| match line.scope {
+        Scope::Broken => speaks_against(line.new, line.old, MIN_BAD_SCOPE, USUAL_BROKEN_RATE),
+        Scope::Route(_) => speaks_against(line.new, line.old, MIN_BAD_SCOPE, USUAL_RATE),
+        // Servers of the other versions are seldom filled, and fail hardly more often when they are.
+        Scope::Loaded => speaks_against(line.new, old, MIN_BAD_SCOPE, USUAL_RATE),
     };
     scopes.into_iter().find(is_bad).map(Charge::FailuresOf)
 }
--- a/crates/hawthornmount-gateway/src/rollout/pace.rs
+++ b/crates/hawthornmount-gateway/src/rollout/pace.rs
@@ -142,11 +142,11 @@
 }
 
 /// Returns the stratum of an answer and the logarithm of its time for its work, if it can be
-/// compared. The time until an answer begins can't once one version gets all requests: the prompts
-/// that wait at fewer servers make it longer.
+/// compared. The time until an answer begins can't while a trial fills a server or once one version
+/// gets all requests: the prompts that wait at fewer servers make it longer.
 pub fn measure(end: &End<'_>) -> Option<(Stratum, f64)> {
     let (span, time) = match end.sign {
-        Sign::Began(_) if end.is_alone => return None,
+        Sign::Began(_) if end.is_alone || end.is_trial => return None,
         Sign::Began(time) => (Span::Start, time),
         Sign::Paced(gap) => (Span::Gap, gap),
         Sign::Failed | Sign::Broken => return None,
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -10,9 +10,10 @@
 /// requests over the whole roll-out. Sessions that were active at the order and go on at another
 /// instance count as new there, so a larger share would move too many of them.
 pub const CANARY_SHARE: f64 = 0.035;
-/// Share of the sessions in the second phase. It is the same for every request of a session, since
+/// Share of the sessions in the second phase: nearly all, since the fewer requests there are, the less
+/// they fill a server, and the phase is short. It is the same for every request of a session, since
 /// sessions go on at other instances and must not move back.
-pub const WIDENING_SHARE: f64 = 0.6;
+pub const WIDENING_SHARE: f64 = 0.9;
 /// Longest prompt of the requests that fill a server on trial, in tokens: they take its places, while
 /// longer ones would only make it read. An engine reads it in some 25 ms.
 pub const SHORT_PROMPT: u32 = 1_500;
@@ -26,9 +27,9 @@
 const MIN_CANARY: Duration = Duration::from_secs(3);
 /// Part of the roll-out's time that the second phase takes, and its bounds: its requests fill a
 /// server within two seconds, and evidence takes half a second to arrive.
-const WIDENING_PART: f64 = 0.17;
-const MIN_WIDENING: Duration = Duration::from_millis(2_200);
-const MAX_WIDENING: Duration = Duration::from_millis(3_200);
+const WIDENING_PART: f64 = 0.12;
+const MIN_WIDENING: Duration = Duration::from_millis(1_900);
+const MAX_WIDENING: Duration = Duration::from_millis(2_400);
 /// How much longer the second phase takes while no server of the new version was filled.
 const UNTESTED_FACTOR: f64 = 1.25;
 /// Part of the roll-out's time that the last phase takes at least, and its bounds: instances that
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -40,7 +40,8 @@
 #[case::second_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_millis(12_400), ..FACTS }, next: Some(Phase::Widening) })]
 #[case::widens(Step { phase: Some(Phase::Widening), facts: FACTS, next: Some(Phase::Full) })]
 #[case::widens_later(Step { phase: Some(Phase::Widening), facts: Facts { since_phase: Duration::from_secs(1), ..FACTS }, next: None })]
-#[case::widens_longer_untested(Step { phase: Some(Phase::Widening), facts: Facts { is_tested: false, since_phase: Duration::from_millis(3_500), ..FACTS }, next: None })]
+#[case::widens_tested(Step { phase: Some(Phase::Widening), facts: Facts { since_phase: Duration::from_millis(2_700), ..FACTS }, next: Some(Phase::Full) })]
+#[case::widens_longer_untested(Step { phase: Some(Phase::Widening), facts: Facts { is_tested: false, since_phase: Duration::from_millis(2_700), ..FACTS }, next: None })]
 #[case::completes(Step { phase: Some(Phase::Full), facts: FACTS, next: Some(Phase::Completed) })]
 #[case::old_still_runs(Step { phase: Some(Phase::Full), facts: Facts { is_clear: false, since_order: Duration::from_secs(21), ..FACTS }, next: None })]
 #[case::ends_in_time(Step { phase: Some(Phase::Full), facts: Facts { is_clear: false, since_order: Duration::from_secs(23), ..FACTS }, next: Some(Phase::Completed) })]
@@ -246,6 +247,39 @@
     assert!(speaks_against_v2(&book));
 }
 
+#[test]
+fn few_failures_of_filled_servers_speak_against_a_version_whose_others_are_never_filled() {
+    let mut book = Book::default();
+    let began = Sign::Began(Duration::from_millis(80));
+    for _ in 0..200 {
+        note(&mut book, "v1", "common", Some(2), began);
+    }
+    for at in 0..120 {
+        note(&mut book, "v2", ["r1", "r2"][at % 2], Some(2), began);
+    }
+    for at in 0..6 {
+        let sign = if at % 2 == 0 { Sign::Failed } else { began };
+        note(&mut book, "v2", ["r1", "r2", "r3"][at % 3], Some(6), sign);
+    }
+    assert!(speaks_against_v2(&book));
+}
+
+#[test]
+fn slow_version_is_seen_while_a_trial_fills_its_server() {
+    let mut book = Book::default();
+    let (service, old, new, route) = ("s".into(), "v1".into(), "v2".into(), "r1".into());
+    for at in 0..40 {
+        let usual = Sign::Paced(Duration::from_millis(20 + at % 5));
+        book.note(&end(&service, &old, &route, Some(1), usual));
+    }
+    for at in 0..16 {
+        let sign = Sign::Paced(Duration::from_millis(if at % 2 == 0 { 22 } else { 176 }));
+        let end = end(&service, &new, &route, Some(1), sign);
+        book.note(&End { is_trial: true, ..end });
+    }
+    assert!(speaks_against_v2(&book));
+}
+
 #[test]
 fn version_whose_events_come_slowly_is_seen() {
     let mut book = Book::default();
