List the store at a slow pace instead of watching it

Counted by kind on one machine: 84 answers of the watch, woken by changes of 118 servers, and 48 proofs in 55 s.

Change: everything is listed at two fifths of the shortest bound on changes (1.6 s), which proves and brings the changes with one call; proofs, catching up and lists after a lost history are gone. Only the phases of roll-outs are watched. While a new version gets most requests, lists come twice as often.

A roll-out begins when every instance has had time to see the order, and the first share falls with the size of the fleet; it is part of the record, so all draw alike.

Ruled out: reads that may be old, a tenth of the price, can't confirm a key.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -1,9 +1,10 @@
 //! Follows configuration, servers and roll-outs in the store, and proves that they are recent.
 //!
-//! A list of all keys comes first, then a watch. A quiet watch proves nothing: it may have lost
-//! events or be mute. Every second or so a small question asks for the store's revision. If all
-//! changes up to it were seen, the view was current when the question was asked, and the
-//! [`Fence`] is confirmed; if not, everything is listed again.
+//! All keys are listed at a fixed pace: an answer brings the changes and shows at once that nothing
+//! newer exists, so the [`Fence`] is confirmed. Every call is priced and a change of any server would
+//! wake the watches of all instances, so only the phases of roll-outs are watched, while one is under
+//! way; lists come twice as often while its new version gets most requests, since they bring the
+//! evidence.
 
 mod state;
 
@@ -12,56 +13,31 @@
 use {
     crate::{
         fence::Fence,
-        rollout::Driver,
-        roster::Roster,
+        rollout::driver,
         source::Vocabulary,
         view::{Cell, View},
     },
     futures::StreamExt,
     hawthornmount_core::id::Revision,
-    hawthornmount_store::{self as store, Event, Store},
+    hawthornmount_store::{self as store, Event, Store, Watch},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::mpsc,
 };
 
-/// Pause between two proofs. Two may fail in a row before additions are no longer certain.
-const PROOF_PAUSE: Duration = Duration::from_millis(1_200);
+/// Part of the shortest bound on changes after which everything is listed again: one list may fail.
+const LIST_PART: f64 = 0.4;
+/// Time past the pause between two lists in which every instance has seen an order: a list that
+/// fails at first is asked again.
+const NOTICE_MARGIN: Duration = Duration::from_millis(600);
 /// Pause after the store gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Time in which changes that a proof shows have to arrive by the watch.
-const CATCH_UP: Duration = Duration::from_millis(500);
-/// Pause after changes arrived, so that changes that come close together cost one call. It delays a
-/// configuration by a tenth of the time that it has.
-const COALESCE: Duration = Duration::from_millis(250);
 /// Pause between two looks at a roll-out.
 const STEP_PAUSE: Duration = Duration::from_millis(200);
 /// Keys that are listed with one call.
 const PAGE: usize = 500;
 
-/// Answer to a question for the store's revision.
-struct Proof {
-    asked: Duration,
-    revision: store::Result<Revision>,
-}
-
-/// A proof whose changes have not all arrived.
-struct Pending {
-    asked: Duration,
-    revision: Revision,
-    until: Instant,
-}
-
-/// Why the watch is left and everything is listed again.
-enum Left {
-    /// The watch broke or its history is gone.
-    Broken(store::Error),
-    /// Changes did not arrive.
-    Behind,
-}
-
 /// Follows the store and publishes views.
 pub struct Follower {
     store: Arc<dyn Store>,
@@ -69,38 +45,41 @@
     fence: Arc<Fence>,
     cell: Arc<Cell>,
     state: State,
+    /// Pause between two lists.
+    pause: Duration,
+    /// Phases of roll-outs, while one is under way.
+    watch: Option<Watch>,
     /// Whether the store did not answer the last question.
     away: bool,
 }
 
 impl Follower {
-    /// Creates a follower that publishes to `cell`.
+    /// Creates a follower that publishes to `cell` and lists every `pause`.
     pub fn new(
         store: Arc<dyn Store>,
         vocabulary: Arc<dyn Vocabulary>,
         fence: Arc<Fence>,
         cell: Arc<Cell>,
-        driver: Driver,
-        roster: Roster,
+        state: State,
+        pause: Duration,
     ) -> Self {
-        let state = State::new(vocabulary.clone(), driver, roster);
-        Self { store, vocabulary, fence, cell, state, away: false }
+        Self { store, vocabulary, fence, cell, state, pause, watch: None, away: false }
     }
 
     /// Follows for ever.
     pub async fn run(mut self) {
         loop {
-            if let Err(error) = self.list().await {
-                self.lost(&error);
-                // Evidence against a version counts here also while the store is away.
-                self.step();
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-            match self.watch().await {
-                Left::Broken(error) => log::info!("the watch broke; cause={error}"),
-                Left::Behind => log::info!("the watch missed changes; seen={}", self.state.seen()),
-            }
+            let pause = match self.list().await {
+                Ok(()) if self.state.driver().is_exposed() => self.pause / 2,
+                Ok(()) => self.pause,
+                Err(error) => {
+                    self.lost(&error);
+                    // Evidence against a version counts here also while the store is away.
+                    self.step();
+                    RETRY_PAUSE
+                }
+            };
+            self.watch(Instant::now() + pause).await;
         }
     }
 
@@ -120,7 +99,9 @@
                 break;
             }
         }
-        self.state.replace(&entries, seen, self.away, Instant::now());
+        let now = Instant::now();
+        self.state.replace(&entries, seen, self.away, now);
+        self.state.expire(now);
         self.found();
         self.publish();
         self.fence.confirm(asked);
@@ -140,55 +121,47 @@
         });
     }
 
-    /// Applies changes as they come until the watch has to be opened again.
-    async fn watch(&mut self) -> Left {
-        let prefix = self.vocabulary.followed_prefix();
-        let mut watch = match self.store.watch(prefix, self.state.seen() + 1).await {
-            Ok(watch) => watch,
-            Err(error) => return Left::Broken(error),
-        };
-        let (sender, mut proofs) = mpsc::channel(1);
-        let mut due = tokio::time::interval(PROOF_PAUSE);
-        due.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        due.reset();
-        let mut pending: Option<Pending> = None;
-        let mut quiet_until: Option<Instant> = None;
+    /// Waits until the next list is due. While a roll-out is under way, changes of it are applied as
+    /// they come and what it has due is written.
+    async fn watch(&mut self, until: Instant) {
         let mut step = tokio::time::interval(STEP_PAUSE);
         step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let is_active = self.state.driver().is_active();
+        if !is_active {
+            self.watch = None;
+        } else if self.watch.is_none() {
+            self.watch = self.open().await;
+        }
         loop {
-            let until = pending.as_ref().map(|pending| pending.until);
+            let event = async {
+                match &mut self.watch {
+                    Some(watch) => watch.next().await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
-                event = watch.next(), if quiet_until.is_none() => match event {
-                    Some(Ok(Event::Progress(_))) => {
-                        quiet_until = Some(Instant::now() + COALESCE);
-                    }
+                event = event => match event {
                     Some(Ok(event)) => self.apply(&event),
-                    Some(Err(error)) => return Left::Broken(error),
-                    None => return Left::Behind,
-                },
-                () = sleep_until(quiet_until), if quiet_until.is_some() => quiet_until = None,
-                _ = due.tick() => self.ask(&sender),
-                Some(proof) = proofs.recv() => match proof.revision {
-                    Ok(revision) => {
-                        self.found();
-                        let until = Instant::now() + CATCH_UP;
-                        pending = Some(Pending { asked: proof.asked, revision, until });
-                    }
-                    Err(error) => {
-                        self.lost(&error);
-                        due.reset_after(RETRY_PAUSE);
+                    // The next list brings what it missed, and the watch is opened again.
+                    Some(Err(error)) => {
+                        log::info!("the watch broke; cause={error}");
+                        self.watch = None;
                     }
+                    None => self.watch = None,
                 },
-                _ = step.tick(), if self.state.driver().is_active() => {
-                    self.step();
-                }
-                () = sleep_until(until) => return Left::Behind,
-            }
-            if self.state.expire(Instant::now()) {
-                self.publish();
+                _ = step.tick(), if is_active => self.step(),
+                () = tokio::time::sleep_until(until.into()) => return,
             }
-            if let Some(proof) = pending.take_if(|proof| proof.revision <= self.state.seen()) {
-                self.fence.confirm(proof.asked);
+        }
+    }
+
+    /// Opens the watch of the phases of roll-outs.
+    async fn open(&self) -> Option<Watch> {
+        match self.store.watch(driver::RECORDS, self.state.seen() + 1).await {
+            Ok(watch) => Some(watch),
+            Err(error) => {
+                log::info!("the watch can't be opened; cause={error}");
+                None
             }
         }
     }
@@ -204,17 +177,6 @@
         }
     }
 
-    /// Asks for the store's revision without holding up the watch.
-    fn ask(&self, sender: &mpsc::Sender<Proof>) {
-        let Ok(permit) = sender.clone().try_reserve_owned() else { return };
-        let (store, prefix) = (self.store.clone(), self.vocabulary.probe_prefix());
-        let asked = self.fence.now();
-        tokio::spawn(async move {
-            let revision = store.list(prefix, None, 1).await.map(|page| page.revision);
-            permit.send(Proof { asked, revision });
-        });
-    }
-
     fn step(&mut self) {
         if self.state.step(&self.store, Instant::now()) {
             self.publish();
@@ -242,9 +204,12 @@
     }
 }
 
-async fn sleep_until(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
-        None => std::future::pending().await,
-    }
+/// Returns the pause between two lists for bounds on the time in which changes have to hold.
+pub fn list_pause(bounds: &[Duration]) -> Duration {
+    bounds.iter().min().map_or(RETRY_PAUSE, |least| least.mul_f64(LIST_PART))
+}
+
+/// Returns the time after which every instance that lists at a pace has seen a change.
+pub fn notice(pause: Duration) -> Duration {
+    pause + NOTICE_MARGIN
 }
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -8,7 +8,7 @@
         source::{Subject, Vocabulary},
         view::Rules,
     },
-    hawthornmount_core::id::{Revision, ServerId},
+    hawthornmount_core::id::{Revision, ServerId, ServiceId},
     hawthornmount_store::{Entry, Store},
     std::{sync::Arc, time::Instant},
 };
@@ -63,14 +63,20 @@
     /// Takes a whole list; `away` tells whether the store was out of reach before it.
     pub fn replace(&mut self, entries: &[Entry], seen: Revision, away: bool, now: Instant) {
         let mut present: Vec<ServerId> = Vec::new();
+        let mut ordered: Vec<ServiceId> = Vec::new();
         for entry in entries {
-            if let Subject::Server(id) = self.vocabulary.subject(&entry.key) {
-                present.push(id);
+            match self.vocabulary.subject(&entry.key) {
+                Subject::Server(id) => present.push(id),
+                Subject::Order(service) => ordered.push(service),
+                Subject::Config | Subject::Other => {}
             }
             self.take(entry);
         }
         present.sort_unstable();
         self.registry.keep_only(&present, away, now);
+        ordered.sort_unstable();
+        self.driver.keep_ordered(&ordered, seen);
+        self.driver.keep_reports(|key| entries.iter().any(|entry| *entry.key == *key));
         self.seen = self.seen.max(seen);
     }
 
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         fence::Fence,
-        follow::Follower,
+        follow::{self, Follower, State},
         forward::Forwarder,
         front::{self, ListenError},
         message::Dialect,
@@ -194,19 +194,18 @@
             let operators = front::listen(address).await?;
             tasks.push(tokio::spawn(front::serve_operators(operators.listener, parts.clone())));
         }
+        let pause = follow::list_pause(&[parts.settings.revocation, parts.settings.propagation]);
         let driver = Driver::new(
             &parts.settings.instance,
             ports.vocabulary.clone(),
             parts.forwarder.sources(),
+            follow::notice(pause),
+            parts.forwarder.fleet_size(),
         );
-        let follower = Follower::new(
-            ports.store,
-            ports.vocabulary,
-            parts.fence.clone(),
-            parts.cell.clone(),
-            driver,
-            Roster::new(parts.settings.instance.clone(), parts.forwarder.fleet_size()),
-        );
+        let roster = Roster::new(parts.settings.instance.clone(), parts.forwarder.fleet_size());
+        let state = State::new(ports.vocabulary.clone(), driver, roster);
+        let (fence, cell) = (parts.fence.clone(), parts.cell.clone());
+        let follower = Follower::new(ports.store, ports.vocabulary, fence, cell, state, pause);
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new()
             .name("control".to_owned())
--- a/crates/hawthornmount-gateway/src/registry/mod.rs
+++ b/crates/hawthornmount-gateway/src/registry/mod.rs
@@ -81,15 +81,16 @@
     }
 
     /// Takes a whole list of names. Servers that are missing from it are gone at once, or after a
-    /// grace if the store was `away`, because entries may have lapsed meanwhile.
+    /// grace if the store was `away` when they were first missed, because entries may have lapsed
+    /// meanwhile.
     pub fn keep_only(&mut self, present: &[ServerId], away: bool, now: Instant) {
-        for row in &mut self.rows {
-            if present.binary_search(&row.server.id).is_err() {
+        let is_present = |row: &Row| present.binary_search(&row.server.id).is_ok();
+        if away {
+            for row in self.rows.iter_mut().filter(|row| !is_present(row)) {
                 row.missing.get_or_insert(now);
             }
-        }
-        if !away {
-            self.rows.retain(|row| row.missing.is_none());
+        } else {
+            self.rows.retain(|row| is_present(row) || row.missing.is_some());
         }
     }
 
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -10,6 +10,7 @@
     crate::{
         load::Board,
         registry::{Server, Standing},
+        roster::Size,
         source::{Order, Progress, Stage, Vocabulary},
         view::Held,
     },
@@ -24,7 +25,7 @@
 };
 
 /// Prefix of the records of roll-outs, by service.
-const RECORDS: &str = "hawthornmount/rollout/";
+pub const RECORDS: &str = "hawthornmount/rollout/";
 /// Prefix of the reports on roll-outs, by service and instance.
 const REPORTS: &str = "hawthornmount/report/";
 /// Longest random delay before a phase is written, so that one instance writes and the others see
@@ -107,14 +108,24 @@
     reporter: Arc<str>,
     vocabulary: Arc<dyn Vocabulary>,
     sources: Sources,
+    /// Time after which every instance has seen an order.
+    notice: Duration,
+    fleet_size: Size,
     rows: Vec<Row>,
 }
 
 impl Driver {
-    /// Creates a driver for an instance.
-    pub fn new(instance: &InstanceId, vocabulary: Arc<dyn Vocabulary>, sources: Sources) -> Self {
+    /// Creates a driver for an instance; `notice` is the time after which every instance has seen an
+    /// order.
+    pub fn new(
+        instance: &InstanceId,
+        vocabulary: Arc<dyn Vocabulary>,
+        sources: Sources,
+        notice: Duration,
+        fleet_size: Size,
+    ) -> Self {
         let reporter = id::fresh(instance);
-        Self { reporter, vocabulary, sources, rows: Vec::new() }
+        Self { reporter, vocabulary, sources, notice, fleet_size, rows: Vec::new() }
     }
 
     /// Takes an order, or its removal, and tells whether the view changes.
@@ -155,11 +166,34 @@
         }
     }
 
+    /// Takes the services with an order of a whole list at a revision, in order; other orders are gone.
+    pub fn keep_ordered(&mut self, services: &[ServiceId], revision: Revision) {
+        let is_gone = |row: &&Row| {
+            let is_older = |ordered: &Ordered| ordered.revision <= revision;
+            row.ordered.as_ref().is_some_and(is_older)
+                && services.binary_search(&row.service).is_err()
+        };
+        let gone: Vec<ServiceId> =
+            self.rows.iter().filter(is_gone).map(|row| row.service.clone()).collect();
+        for service in gone {
+            self.order(&service, revision + 1, None);
+        }
+    }
+
+    /// Forgets reports whose keys are gone.
+    pub fn keep_reports(&mut self, is_present: impl Fn(&str) -> bool) {
+        for row in &mut self.rows {
+            row.reports.retain(|reported| is_present(&reported.key));
+        }
+    }
+
     /// Returns the roll-outs by which requests are split.
     pub fn splits(&self) -> Vec<Split> {
         let split = |row: &Row| {
             let version = row.ordered.as_ref()?.order.version.clone();
-            Some(Split { service: row.service.clone(), version, phase: row.phase_here()? })
+            let (service, phase) = (row.service.clone(), row.phase_here()?);
+            let canary_share = row.recorded.as_ref()?.record.canary_share;
+            Some(Split { service, version, phase, canary_share })
         };
         self.rows.iter().filter_map(split).collect()
     }
@@ -182,6 +216,12 @@
         self.rows.iter().any(is_active)
     }
 
+    /// Tells whether a new version gets most requests and may still be rolled back.
+    pub fn is_exposed(&self) -> bool {
+        let is_exposed = |row: &Row| matches!(row.phase(), Some(Phase::Widening | Phase::Full));
+        self.rows.iter().any(is_exposed)
+    }
+
     /// Writes what is due and tells whether the view changes.
     pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) -> bool {
         let bad = |rows: &[Row]| rows.iter().filter(|row| row.is_bad).count();
@@ -259,6 +299,7 @@
                 .as_ref()
                 .map_or(Duration::ZERO, |recorded| now.saturating_duration_since(recorded.seen)),
             duration: ordered.order.duration,
+            notice: self.notice,
             is_bad,
             is_tested: lines.iter().any(evidence::is_tested),
             has_servers: servers.iter().any(|server| is_new(&server)),
@@ -278,7 +319,12 @@
         let row = &self.rows[at];
         let ordered = row.ordered.as_ref()?;
         let version = ordered.order.version.clone();
-        let record = Record { order: ordered.revision, version: version.clone(), phase };
+        let canary_share = match &row.recorded {
+            Some(recorded) if phase != Phase::Canary => recorded.record.canary_share,
+            _ => plan::canary_share(self.fleet_size.get().unwrap_or(1)),
+        };
+        let order = ordered.revision;
+        let record = Record { order, version: version.clone(), phase, canary_share };
         let key = format!("{RECORDS}{}", row.service);
         let stage = match phase {
             Phase::Canary | Phase::Widening | Phase::Full => Stage::Running,
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -36,7 +36,7 @@
 }
 
 /// Record of a roll-out in the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Record {
     /// Revision of the order; a later order starts anew.
     pub order: Revision,
@@ -44,10 +44,13 @@
     pub version: VersionId,
     /// How far the roll-out is.
     pub phase: Phase,
+    /// Share of the new sessions in the first phase; every instance has to draw alike.
+    #[serde(default = "plan::most_canary_share")]
+    pub canary_share: f64,
 }
 
 /// A roll-out under way, as requests are split by it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Split {
     /// The service.
     pub service: ServiceId,
@@ -55,9 +58,21 @@
     pub version: VersionId,
     /// How far the roll-out is.
     pub phase: Phase,
+    /// Share of the new sessions in the first phase.
+    pub canary_share: f64,
 }
 
 impl Split {
+    /// Returns the share of the sessions that go to the new version; it grows from phase to phase.
+    pub const fn share(&self) -> f64 {
+        match self.phase {
+            Phase::Canary => self.canary_share,
+            Phase::Widening => plan::WIDENING_SHARE,
+            Phase::Full | Phase::Completed => 1.0,
+            Phase::RolledBack => 0.0,
+        }
+    }
+
     /// Tells whether a server runs the version that the roll-out has replaced.
     pub fn is_ended_for(&self, server: &Server) -> bool {
         self.phase == Phase::Completed
@@ -67,16 +82,6 @@
 }
 
 impl Phase {
-    /// Returns the share of the sessions that go to the new version; it grows from phase to phase.
-    pub const fn share(self) -> f64 {
-        match self {
-            Self::Canary => plan::CANARY_SHARE,
-            Self::Widening => plan::WIDENING_SHARE,
-            Self::Full | Self::Completed => 1.0,
-            Self::RolledBack => 0.0,
-        }
-    }
-
     /// Tells whether the roll-out is over.
     pub const fn is_over(self) -> bool {
         matches!(self, Self::Completed | Self::RolledBack)
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -9,7 +9,10 @@
 /// Share of the new sessions in the first phase; the users allow a bad version 0.12 to 0.15 of all
 /// requests over the whole roll-out. Sessions that were active at the order and go on at another
 /// instance count as new there, so a larger share would move too many of them.
-pub const CANARY_SHARE: f64 = 0.035;
+const CANARY_SHARE: f64 = 0.035;
+/// Instances up to which that share is used. A larger fleet has more requests, so a smaller share gives
+/// as much evidence, and more of its sessions go on at other instances.
+const CANARY_FLEET: f64 = 9.0;
 /// Share of the sessions in the second phase: nearly all, since the fewer requests there are, the less
 /// they fill a server, and the phase is short. It is the same for every request of a session, since
 /// sessions go on at other instances and must not move back.
@@ -43,6 +46,16 @@
 /// ten seconds.
 const LAST_PART: f64 = 0.92;
 
+/// Returns the share of the new sessions in the first phase for a fleet of this many instances.
+pub fn canary_share(instances: usize) -> f64 {
+    CANARY_SHARE * (CANARY_FLEET / instances.max(1) as f64).min(1.0)
+}
+
+/// Returns the largest share of the new sessions in the first phase.
+pub const fn most_canary_share() -> f64 {
+    CANARY_SHARE
+}
+
 /// What the next phase depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Facts {
@@ -52,6 +65,9 @@
     pub since_phase: Duration,
     /// Time in which the roll-out is to end.
     pub duration: Duration,
+    /// Time after which every instance has seen the order. A session must not go to the new version
+    /// at one instance and back to the old one at another that does not know of the roll-out.
+    pub notice: Duration,
     /// Whether the evidence speaks against the new version.
     pub is_bad: bool,
     /// Whether servers of the new version were seen under load.
@@ -64,7 +80,10 @@
 
 /// Returns the phase that follows, if it is time for it.
 pub fn next(phase: Option<Phase>, facts: &Facts) -> Option<Phase> {
-    let Some(phase) = phase else { return facts.has_servers.then_some(Phase::Canary) };
+    let Some(phase) = phase else {
+        let is_known = facts.since_order >= facts.notice;
+        return (facts.has_servers && is_known).then_some(Phase::Canary);
+    };
     if facts.is_bad && !phase.is_over() {
         return Some(Phase::RolledBack);
     }
--- a/crates/hawthornmount-gateway/src/rollout/sessions.rs
+++ b/crates/hawthornmount-gateway/src/rollout/sessions.rs
@@ -56,7 +56,7 @@
         let key = key(&split.service, session);
         let known = self.rows.binary_search_by(|row| row.key.cmp(&key));
         let last = known.ok().map(|at| &self.rows[at]).filter(|row| is_active(row, now));
-        let drawn = if point(key) < split.phase.share() { Side::New } else { Side::Old };
+        let drawn = if point(key) < split.share() { Side::New } else { Side::Old };
         let side = match (split.phase, last.map(|row| row.side)) {
             (Phase::RolledBack, _) => Side::Old,
             (Phase::Full | Phase::Completed, _) | (_, Some(Side::New)) => Side::New,
@@ -119,7 +119,7 @@
             return Side::Old;
         }
         let meter = self.meter(split);
-        let limit = split.phase.share() * HEADROOM * f64::from(meter.all) + FREE;
+        let limit = split.share() * HEADROOM * f64::from(meter.all) + FREE;
         // Later phases must not send a session back that another instance has moved.
         let has_room = split.phase > Phase::Canary || f64::from(meter.new) < limit;
         let side = self.sessions.side(split, session, has_room, now);
--- a/crates/hawthornmount-gateway/src/source/mod.rs
+++ b/crates/hawthornmount-gateway/src/source/mod.rs
@@ -59,9 +59,6 @@
     /// Returns the prefix of the keys that are followed.
     fn followed_prefix(&self) -> &'static str;
 
-    /// Returns a prefix under which nobody writes; listing it asks for the store's revision.
-    fn probe_prefix(&self) -> &'static str;
-
     /// Tells what a key is about.
     fn subject(&self, key: &str) -> Subject;
 
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -7,7 +7,7 @@
         rollout::{
             Phase, Split,
             evidence::{Book, End, Sign, charge},
-            plan::{Facts, next},
+            plan::{self, Facts, next},
             sessions::{Exposure, Sessions, Side},
         },
         route::RouteId,
@@ -21,6 +21,7 @@
     since_order: Duration::from_secs(100),
     since_phase: Duration::from_secs(100),
     duration: Duration::from_secs(24),
+    notice: Duration::from_secs(2),
     is_bad: false,
     is_tested: true,
     has_servers: true,
@@ -35,6 +36,7 @@
 
 #[rstest]
 #[case::begins(Step { phase: None, facts: FACTS, next: Some(Phase::Canary) })]
+#[case::not_all_know(Step { phase: None, facts: Facts { since_order: Duration::from_millis(1_900), ..FACTS }, next: None })]
 #[case::no_servers(Step { phase: None, facts: Facts { has_servers: false, ..FACTS }, next: None })]
 #[case::first_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_secs(12), ..FACTS }, next: None })]
 #[case::second_half(Step { phase: Some(Phase::Canary), facts: Facts { since_order: Duration::from_millis(12_400), ..FACTS }, next: Some(Phase::Widening) })]
@@ -70,7 +72,7 @@
             phase = Some(next);
             since_phase = Duration::ZERO;
         }
-        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, Phase::share);
+        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, |phase| split(phase).share());
         new += got;
         if now >= bad_from {
             bad.push((now, got * bad_share));
@@ -94,8 +96,15 @@
     }
 }
 
+#[test]
+fn larger_fleets_move_as_many_sessions_to_a_new_version_at_first() {
+    let moved = |instances: usize| plan::canary_share(instances) * instances as f64;
+    assert!((moved(9) - moved(370)).abs() < 1e-9);
+    assert!(plan::canary_share(1) <= plan::canary_share(9));
+}
+
 fn split(phase: Phase) -> Split {
-    Split { service: "s".into(), version: "v2".into(), phase }
+    Split { service: "s".into(), version: "v2".into(), phase, canary_share: plan::canary_share(9) }
 }
 
 fn sessions() -> impl Iterator<Item = std::sync::Arc<str>> {
