Pass over listed entries that have not changed; move fewer sessions to a new version at first

Read through once more, the lists had two faults: a value that can't be read left a line in the log with every list, and a report counted as new with every list, so an instance that died could hold up the end of a roll-out.

Cause: sessions that were active before the roll-out and go on at another instance are drawn like new ones, 0.035 of them. The evidence of the first phase is no longer needed as much, since the second one fills a server. The test with 120 sessions failed first (0.035) and passes.

--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -21,12 +21,15 @@
     driver: Driver,
     roster: Roster,
     seen: Revision,
+    /// Keys and the revisions at which they were taken, in order of the keys.
+    taken: Vec<(Arc<str>, Revision)>,
 }
 
 impl State {
     /// Creates a state that knows nothing.
     pub fn new(vocabulary: Arc<dyn Vocabulary>, driver: Driver, roster: Roster) -> Self {
-        Self { vocabulary, rules: None, registry: Registry::default(), driver, roster, seen: 0 }
+        let registry = Registry::default();
+        Self { vocabulary, rules: None, registry, driver, roster, seen: 0, taken: Vec::new() }
     }
 
     /// Returns the revision up to which every change was seen.
@@ -60,7 +63,8 @@
         self.driver.step(store, &servers, now)
     }
 
-    /// Takes a whole list; `away` tells whether the store was out of reach before it.
+    /// Takes a whole list; `away` tells whether the store was out of reach before it. Entries that
+    /// have not changed since are passed over.
     pub fn replace(&mut self, entries: &[Entry], seen: Revision, away: bool, now: Instant) {
         let mut present: Vec<ServerId> = Vec::new();
         let mut ordered: Vec<ServiceId> = Vec::new();
@@ -70,25 +74,40 @@
                 Subject::Order(service) => ordered.push(service),
                 Subject::Config | Subject::Other => {}
             }
-            self.take(entry);
+            if self.is_news(entry) {
+                self.take(entry);
+            }
         }
+        self.taken = entries.iter().map(|entry| (entry.key.clone(), entry.revision)).collect();
+        self.taken.sort_unstable();
         present.sort_unstable();
         self.registry.keep_only(&present, away, now);
         ordered.sort_unstable();
         self.driver.keep_ordered(&ordered, seen);
-        self.driver.keep_reports(|key| entries.iter().any(|entry| *entry.key == *key));
+        let taken = &self.taken;
+        self.driver.keep_reports(|key| position(taken, key).is_ok());
         self.seen = self.seen.max(seen);
     }
 
     /// Takes a changed key and tells whether the view changes.
     pub fn put(&mut self, entry: &Entry) -> bool {
         self.seen = self.seen.max(entry.revision);
+        if !self.is_news(entry) {
+            return false;
+        }
+        match position(&self.taken, &entry.key) {
+            Ok(at) => self.taken[at].1 = entry.revision,
+            Err(at) => self.taken.insert(at, (entry.key.clone(), entry.revision)),
+        }
         self.take(entry)
     }
 
     /// Takes a deleted key and tells whether the view changes.
     pub fn delete(&mut self, key: &str, revision: Revision) -> bool {
         self.seen = self.seen.max(revision);
+        if let Ok(at) = position(&self.taken, key) {
+            self.taken.remove(at);
+        }
         match self.vocabulary.subject(key) {
             Subject::Server(id) => self.registry.remove(&id),
             Subject::Order(service) => return self.driver.order(&service, revision, None),
@@ -106,6 +125,11 @@
         self.registry.expire(now)
     }
 
+    /// Tells whether an entry is newer than the one that was taken last.
+    fn is_news(&self, entry: &Entry) -> bool {
+        position(&self.taken, &entry.key).map_or(true, |at| self.taken[at].1 < entry.revision)
+    }
+
     fn take(&mut self, entry: &Entry) -> bool {
         match self.vocabulary.subject(&entry.key) {
             Subject::Config => self.take_config(entry),
@@ -155,3 +179,7 @@
         }
     }
 }
+
+fn position(taken: &[(Arc<str>, Revision)], key: &str) -> Result<usize, usize> {
+    taken.binary_search_by(|(known, _)| (**known).cmp(key))
+}
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -9,7 +9,7 @@
 /// Share of the new sessions in the first phase; the users allow a bad version 0.12 to 0.15 of all
 /// requests over the whole roll-out. Sessions that were active at the order and go on at another
 /// instance count as new there, so a larger share would move too many of them.
-const CANARY_SHARE: f64 = 0.035;
+const CANARY_SHARE: f64 = 0.02;
 /// Instances up to which that share is used. A larger fleet has more requests, so a smaller share gives
 /// as much evidence, and more of its sessions go on at other instances.
 const CANARY_FLEET: f64 = 9.0;
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -96,6 +96,19 @@
     }
 }
 
+/// Sessions that were active before a roll-out and go on at an instance that doesn't know them. The
+/// users allow three requests of a day to change their version, and some 120 sessions of a calm day go
+/// on elsewhere in that time.
+#[test]
+fn sessions_that_go_on_elsewhere_seldom_change_their_version() {
+    let (mut elsewhere, now) = (Sessions::default(), Instant::now());
+    let canary = split(Phase::Canary);
+    let sides = sessions().map(|session| elsewhere.side(&canary, &session, true, now));
+    let changed = sides.filter(|side| *side == Side::New).count();
+    let allowed = sessions().count() * 3 / 120;
+    assert!(changed <= allowed, "{changed}, {allowed} allowed");
+}
+
 #[test]
 fn larger_fleets_move_as_many_sessions_to_a_new_version_at_first() {
     let moved = |instances: usize| plan::canary_share(instances) * instances as f64;
