Remove the reports that a roll-out of a large fleet leaves behind

Cause, found by reading: the last write of a roll-out removes 28 reports, the store's bound for one write; a fleet of 69 instances leaves more, they stayed for good, and every list carries them.

Change: with each list, an instance removes up to 28 reports of a roll-out that is over, with the chance of one in the size of the fleet.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -106,6 +106,7 @@
         self.publish();
         self.fence.confirm(asked);
         self.register();
+        self.state.driver().tidy(&self.store);
         Ok(())
     }
 
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -222,6 +222,20 @@
         self.rows.iter().any(is_exposed)
     }
 
+    /// Removes reports that a roll-out has left behind. One instance of the fleet does so at a time, on
+    /// average.
+    pub fn tidy(&self, store: &Arc<dyn Store>) {
+        let size = self.fleet_size.get().unwrap_or(1) as f64;
+        let is_left =
+            |row: &&Row| row.phase().is_some_and(Phase::is_over) && !row.reports.is_empty();
+        for row in self.rows.iter().filter(is_left) {
+            if rand::rng().random::<f64>() * size < 1.0 {
+                let left = row.reports.iter().take(MAX_REMOVED);
+                self.commit(store, left.fold(Txn::new(), |txn, left| txn.delete(&left.key)));
+            }
+        }
+    }
+
     /// Writes what is due and tells whether the view changes.
     pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) -> bool {
         let bad = |rows: &[Row]| rows.iter().filter(|row| row.is_bad).count();
