--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -29,7 +29,7 @@
 /// Shortest first phase of an instance that has just learnt of the roll-out.
 const MIN_CANARY: Duration = Duration::from_secs(3);
 /// Part of the roll-out's time that the second phase takes, and its bounds: its requests fill a
-/// server within two seconds, and evidence takes half a second to arrive.
+/// server within two seconds, and evidence takes up to a second to arrive.
 const WIDENING_PART: f64 = 0.12;
 const MIN_WIDENING: Duration = Duration::from_millis(1_900);
 const MAX_WIDENING: Duration = Duration::from_millis(2_400);
