Keep and compare the sums of versions by one piece of code

Found by reading the change again: counts of failures and logarithms of times were kept, compared and merged by the same code, written twice. A module of its own serves both now. The evidence is no longer weighed again once it has spoken, and a list expires servers in one call.

The behaviour stays as it is; a report's field stratum is called scope, as for the failures.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -99,9 +99,7 @@
                 break;
             }
         }
-        let now = Instant::now();
-        self.state.replace(&entries, seen, self.away, now);
-        self.state.expire(now);
+        self.state.replace(&entries, seen, self.away, Instant::now());
         self.found();
         self.publish();
         self.fence.confirm(asked);
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -82,6 +82,7 @@
         self.taken.sort_unstable();
         present.sort_unstable();
         self.registry.keep_only(&present, away, now);
+        self.registry.expire(now);
         ordered.sort_unstable();
         self.driver.keep_ordered(&ordered, seen);
         let taken = &self.taken;
@@ -120,11 +121,6 @@
         true
     }
 
-    /// Removes servers whose entries have lapsed for good and tells whether any was.
-    pub fn expire(&mut self, now: Instant) -> bool {
-        self.registry.expire(now)
-    }
-
     /// Tells whether an entry is newer than the one that was taken last.
     fn is_news(&self, entry: &Entry) -> bool {
         position(&self.taken, &entry.key).map_or(true, |at| self.taken[at].1 < entry.revision)
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -299,13 +299,13 @@
         let reports = others.filter(is_same).map(|reported| &reported.report);
         let all_lines = lines.iter().chain(reports.clone().flat_map(|report| &report.lines));
         let all_paces = paces.iter().chain(reports.flat_map(|report| &report.paces));
-        let charge = evidence::charge(all_lines.clone(), all_paces.clone());
-        if let Some(charge) = charge.as_ref().filter(|_| !row.is_bad) {
+        let mut is_bad = row.is_bad;
+        if !is_bad && let Some(charge) = evidence::charge(all_lines.clone(), all_paces.clone()) {
+            is_bad = true;
             let seen = told(all_lines, all_paces);
             let service = &row.service;
             log::warn!("version is bad; service={service} version={version} {charge} {seen}");
         }
-        let is_bad = row.is_bad || charge.is_some();
         Some(Facts {
             since_order: now.saturating_duration_since(ordered.seen),
             since_phase: row
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -4,7 +4,10 @@
 //! failures, and connections break for other reasons than the version.
 
 use {
-    super::pace::{self, Logs, Pace, Shift, Span, Stratum},
+    super::{
+        pace::{self, Logs, Pace, Shift, Span, Stratum},
+        versus::{self, Sum, Sums, Versus},
+    },
     crate::{load::Load, route::RouteId},
     hawthornmount_core::id::{ModelId, ServiceId, VersionId},
     serde::{Deserialize, Serialize},
@@ -59,15 +62,7 @@
 }
 
 /// Answers of one scope, by the new version and by the others.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Line {
-    /// Which answers.
-    pub scope: Scope,
-    /// Answers of the new version.
-    pub new: Counts,
-    /// Answers of the other versions.
-    pub old: Counts,
-}
+pub type Line = Versus<Scope, Counts>;
 
 /// What one instance has seen of a roll-out.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -92,7 +87,7 @@
 
     /// Returns how many answers of the new version came, fast or slow.
     pub fn answers(&self) -> u32 {
-        pace::answers(&self.paces)
+        self.paces.iter().map(|pace| pace.new.count).sum()
     }
 }
 
@@ -155,34 +150,18 @@
     pub sign: Sign,
 }
 
-#[derive(Clone, Debug)]
-struct Row {
-    service: ServiceId,
-    version: VersionId,
-    scope: Scope,
-    counts: Counts,
-}
-
-#[derive(Clone, Debug)]
-struct PaceRow {
-    service: ServiceId,
-    version: VersionId,
-    stratum: Stratum,
-    logs: Logs,
-}
-
 /// Answers that this instance has seen, by service, version and scope.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
-    rows: Vec<Row>,
-    paces: Vec<PaceRow>,
+    counts: Sums<Scope, Counts>,
+    logs: Sums<Stratum, Logs>,
 }
 
 impl Book {
     /// Takes note of the end of an attempt.
     pub fn note(&mut self, end: &End<'_>) {
         if let Some((stratum, log)) = pace::measure(end) {
-            self.logs(end.service, end.version, stratum).push(log);
+            self.logs.of(end.service, end.version, stratum).push(log);
         }
         if matches!(end.sign, Sign::Paced(_)) {
             return;
@@ -197,7 +176,7 @@
             }
         }
         for (scope, is_bad) in scopes {
-            let counts = self.counts(end.service, end.version, scope);
+            let counts = self.counts.of(end.service, end.version, scope);
             counts.all += 1;
             counts.bad += u32::from(is_bad);
         }
@@ -205,83 +184,18 @@
 
     /// Forgets what was seen of a service, when a roll-out begins.
     pub fn forget(&mut self, service: &ServiceId) {
-        self.rows.retain(|row| row.service != *service);
-        self.paces.retain(|row| row.service != *service);
+        self.counts.forget(service);
+        self.logs.forget(service);
     }
 
     /// Returns what was seen of a version and of the others of its service.
     pub fn lines(&self, service: &ServiceId, version: &VersionId) -> Vec<Line> {
-        let mut lines: Vec<Line> = Vec::new();
-        for row in self.rows.iter().filter(|row| row.service == *service) {
-            let at = match lines.binary_search_by(|line| line.scope.cmp(&row.scope)) {
-                Ok(at) => at,
-                Err(at) => {
-                    let line = Line {
-                        scope: row.scope.clone(),
-                        new: Counts::default(),
-                        old: Counts::default(),
-                    };
-                    lines.insert(at, line);
-                    at
-                }
-            };
-            let line = &mut lines[at];
-            let counts = if row.version == *version { &mut line.new } else { &mut line.old };
-            counts.add(row.counts);
-        }
-        lines
+        self.counts.compare(service, version)
     }
 
     /// Returns how fast answers of a version and of the others of its service came.
     pub fn paces(&self, service: &ServiceId, version: &VersionId) -> Vec<Pace> {
-        let mut paces: Vec<Pace> = Vec::new();
-        for row in self.paces.iter().filter(|row| row.service == *service) {
-            let at = match paces.binary_search_by(|pace| pace.stratum.cmp(&row.stratum)) {
-                Ok(at) => at,
-                Err(at) => {
-                    let (new, old) = (Logs::default(), Logs::default());
-                    paces.insert(at, Pace { stratum: row.stratum.clone(), new, old });
-                    at
-                }
-            };
-            let pace = &mut paces[at];
-            let logs = if row.version == *version { &mut pace.new } else { &mut pace.old };
-            logs.add(row.logs);
-        }
-        paces
-    }
-
-    fn logs(&mut self, service: &ServiceId, version: &VersionId, stratum: Stratum) -> &mut Logs {
-        let wanted = (service, version, &stratum);
-        let found = self
-            .paces
-            .binary_search_by(|row| (&row.service, &row.version, &row.stratum).cmp(&wanted));
-        let at = match found {
-            Ok(at) => at,
-            Err(at) => {
-                let (service, version) = (service.clone(), version.clone());
-                let logs = Logs::default();
-                self.paces.insert(at, PaceRow { service, version, stratum, logs });
-                at
-            }
-        };
-        &mut self.paces[at].logs
-    }
-
-    fn counts(&mut self, service: &ServiceId, version: &VersionId, scope: Scope) -> &mut Counts {
-        let wanted = (service, version, &scope);
-        let found =
-            self.rows.binary_search_by(|row| (&row.service, &row.version, &row.scope).cmp(&wanted));
-        let at = match found {
-            Ok(at) => at,
-            Err(at) => {
-                let (service, version) = (service.clone(), version.clone());
-                let counts = Counts::default();
-                self.rows.insert(at, Row { service, version, scope, counts });
-                at
-            }
-        };
-        &mut self.rows[at].counts
+        self.logs.compare(service, version)
     }
 }
 
@@ -314,12 +228,14 @@
     }
 }
 
-impl Counts {
+impl Sum for Counts {
     fn add(&mut self, other: Self) {
         self.all += other.all;
         self.bad += other.bad;
     }
+}
 
+impl Counts {
     fn rate(self) -> f64 {
         if self.all == 0 { 0.0 } else { f64::from(self.bad) / f64::from(self.all) }
     }
@@ -339,16 +255,7 @@
 
 /// Returns where answers of the new version fail more often than the others'.
 fn failures<'a>(lines: impl Iterator<Item = &'a Line>) -> Option<Charge> {
-    let mut scopes: Vec<Line> = Vec::new();
-    for line in lines {
-        match scopes.binary_search_by(|known| known.scope.cmp(&line.scope)) {
-            Ok(at) => {
-                scopes[at].new.add(line.new);
-                scopes[at].old.add(line.old);
-            }
-            Err(at) => scopes.insert(at, line.clone()),
-        }
-    }
+    let scopes = versus::merge(lines.cloned());
     let (mut new, mut old) = (Counts::default(), Counts::default());
     // The other scopes hold answers that are counted on their routes already.
     for line in scopes.iter().filter(|line| matches!(line.scope, Scope::Route(_))) {
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 pub mod pace;
 pub mod plan;
 pub mod sessions;
+pub mod versus;
 
 pub use driver::Driver;
 
--- a/crates/hawthornmount-gateway/src/rollout/pace.rs
+++ b/crates/hawthornmount-gateway/src/rollout/pace.rs
@@ -4,7 +4,10 @@
 //! judges as well as the others.
 
 use {
-    super::evidence::{End, Sign},
+    super::{
+        evidence::{End, Sign},
+        versus::{self, Sum, Versus},
+    },
     crate::{load::Load, route::RouteId},
     hawthornmount_core::id::ModelId,
     serde::{Deserialize, Serialize},
@@ -65,16 +68,8 @@
     pub squares: f32,
 }
 
-/// Times of the new version and of the others.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Pace {
-    /// Which answers.
-    pub stratum: Stratum,
-    /// Times of the new version.
-    pub new: Logs,
-    /// Times of the other versions.
-    pub old: Logs,
-}
+/// Times of one stratum, by the new version and by the others.
+pub type Pace = Versus<Stratum, Logs>;
 
 /// Difference between the new version and the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -87,6 +82,14 @@
     pub weight: f64,
 }
 
+impl Sum for Logs {
+    fn add(&mut self, other: Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.squares += other.squares;
+    }
+}
+
 impl Logs {
     /// Adds a logarithm.
     pub fn push(&mut self, log: f64) {
@@ -95,13 +98,6 @@
         self.squares += (log * log) as f32;
     }
 
-    /// Adds those of another.
-    pub fn add(&mut self, other: Self) {
-        self.count += other.count;
-        self.sum += other.sum;
-        self.squares += other.squares;
-    }
-
     fn mean(self) -> f64 {
         f64::from(self.sum) / f64::from(self.count)
     }
@@ -130,7 +126,7 @@
 
 impl Display for Pace {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let Stratum { span, route, model, fill } = &self.stratum;
+        let Stratum { span, route, model, fill } = &self.scope;
         let model = model.as_deref().unwrap_or("any");
         let factor = (self.new.mean() - self.old.mean()).exp();
         write!(
@@ -172,10 +168,10 @@
     paces: impl Iterator<Item = &'a Pace>,
     weight_against: f64,
 ) -> Option<(Span, Option<RouteId>, Shift)> {
-    let paces = merge(paces);
+    let paces = versus::merge(paces.cloned());
     let speaks = |span: Span, route: Option<&RouteId>| {
         let is_meant = |pace: &&Pace| {
-            pace.stratum.span == span && route.is_none_or(|route| pace.stratum.route == *route)
+            pace.scope.span == span && route.is_none_or(|route| pace.scope.route == *route)
         };
         let shift = shift(paces.iter().filter(is_meant));
         let is_slow = shift.mean >= span.min_shift()
@@ -183,17 +179,12 @@
             && shift.weight >= weight_against;
         is_slow.then(|| (span, route.cloned(), shift))
     };
-    let one = |pace: &Pace| speaks(pace.stratum.span, Some(&pace.stratum.route));
+    let one = |pace: &Pace| speaks(pace.scope.span, Some(&pace.scope.route));
     speaks(Span::Start, None)
         .or_else(|| speaks(Span::Gap, None))
         .or_else(|| paces.iter().find_map(one))
 }
 
-/// Returns how many answers of the new version are told by paces.
-pub fn answers(paces: &[Pace]) -> u32 {
-    paces.iter().map(|pace| pace.new.count).sum()
-}
-
 /// Returns by how much the new version is slower. Strata in which a version gave no answer tell
 /// nothing.
 pub fn shift<'a>(paces: impl Iterator<Item = &'a Pace> + Clone) -> Shift {
@@ -230,18 +221,3 @@
     let quarters = 4 * (load.running + load.waiting) / load.slots.max(1);
     quarters.min(4) as u8
 }
-
-/// Adds up the paces of each stratum.
-fn merge<'a>(paces: impl Iterator<Item = &'a Pace>) -> Vec<Pace> {
-    let mut merged: Vec<Pace> = Vec::new();
-    for pace in paces {
-        match merged.binary_search_by(|known| known.stratum.cmp(&pace.stratum)) {
-            Ok(at) => {
-                merged[at].new.add(pace.new);
-                merged[at].old.add(pace.old);
-            }
-            Err(at) => merged.insert(at, pace.clone()),
-        }
-    }
-    merged
-}
