Compare repeats with the mean of two windows, which adds up over instances

Cause: each instance took the largest of three of its own windows; the largest of different instances can lie in different windows and add up to more than the fleet's largest, which is what the users compare with.

Change: the mean of a window and the one before it, the same for all instances; means add up to the fleet's mean, never more than its largest. Every window that holds the present moment is checked with its own repeats instead of all windows with the repeats of the longest.

Ruled out: the window alone (nothing is left for a server that dies right after a calm time) and the largest with a smaller share (no share is small enough for any mix of instances).

--- a/crates/hawthornmount-gateway/src/budget/mod.rs
+++ b/crates/hawthornmount-gateway/src/budget/mod.rs
@@ -4,8 +4,10 @@
 //! cut off, die or join. Of the slack that the users allow besides, each takes an equal part.
 //!
 //! The users compare the repeats of any window with the requests of that window, of the one half a
-//! window before or of the one before, whichever has most. A repeat that is sent now lies in many
-//! windows; it is allowed if it is in all of them.
+//! window before or of the one before, whichever has most. Which one that is depends on the whole
+//! fleet, so no instance may choose for itself: the instances' largest add up to more than the
+//! fleet's largest. Each compares with the mean of the window and the one before; means add up to
+//! the fleet's mean, which is never more than its largest.
 
 use std::time::{Duration, Instant};
 
@@ -13,7 +15,8 @@
 const PARTS: u64 = 20;
 /// Parts that are kept: the window before the one that begins a window ago, and the present part.
 const KEPT: usize = 2 * PARTS as usize + 1;
-/// Share of the stated ratio that is used, since the loads of instances differ.
+/// Share of the stated ratio that is used: a request and its repeats reach servers later than the
+/// instance, and may fall into another window there.
 const USED: f64 = 0.95;
 /// Part of the budget that answers in doubt may use up; the rest is kept for failures.
 const DOUBT_PART: f64 = 0.9;
@@ -64,32 +67,26 @@
         self.advance(now).requests += 1;
     }
 
-    /// Takes a repeat, if there is one left.
+    /// Takes a repeat, if there is one left in every window that holds the present moment.
     pub fn take(&mut self, cause: Cause, now: Instant) -> bool {
         self.advance(now);
-        let all = self.ratio * f64::from(self.least_requests()) + self.slack;
-        let limit = if cause == Cause::Doubt { all * DOUBT_PART } else { all };
-        // A window that holds the present moment may begin inside the oldest of these parts.
-        let repeats = self.sum(PARTS, 0, |part| part.repeats);
-        let is_left = f64::from(repeats + 1) <= limit;
+        let part = if cause == Cause::Doubt { DOUBT_PART } else { 1.0 };
+        let is_left = (0..=PARTS).all(|begin| {
+            let repeats = self.sum(begin, 0, |part| part.repeats);
+            let limit = self.ratio * self.compared(begin) + self.slack;
+            f64::from(repeats + 1) <= limit * part
+        });
         if is_left {
             self.advance(now).repeats += 1;
         }
         is_left
     }
 
-    /// Returns the fewest requests with which any window that holds the present moment is compared.
-    fn least_requests(&self) -> u32 {
-        let requests = |from, to| self.sum(from, to, |part| part.requests);
-        let half = PARTS / 2;
-        let compared = |begin: u64| {
-            // Parts that lie partly in a window don't count.
-            let window = if begin == 0 { 0 } else { requests(begin - 1, 0) };
-            let half_before = requests(begin + half - 1, begin.saturating_sub(half - 1));
-            let before = requests(begin + PARTS - 1, begin + 1);
-            window.max(half_before).max(before)
-        };
-        (0..=PARTS).map(compared).min().unwrap_or(0)
+    /// Returns the requests with which the repeats of a window are compared that begins inside the
+    /// part `begin` parts ago. A request of that part lies in the window or in the one before; the
+    /// part in which the one before begins doesn't count.
+    fn compared(&self, begin: u64) -> f64 {
+        f64::from(self.sum(begin + PARTS - 1, 0, |part| part.requests)) / 2.0
     }
 
     /// Sums over the parts from `from` parts ago to `to` parts ago.
