Leave a line for pauses between events that are longer than the route allows

Answers that begin in time and pause later had no line, so a late stream could not be told from its log. No change of behaviour.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -41,6 +41,8 @@
     passed: usize,
     /// When the first event of the present server came, and how many have come since.
     paced: Option<(Instant, u32)>,
+    /// When the last events came, from any server.
+    heard: Instant,
 }
 
 /// What a source gave.
@@ -59,7 +61,16 @@
     /// Creates the relay of a stream whose head has arrived.
     pub fn new(forwarder: Arc<Forwarder>, job: Arc<Job>, course: Course, source: Source) -> Self {
         let splitter = Splitter::new(job.resume_after());
-        Self { forwarder, job, course, source: Some(source), splitter, passed: 0, paced: None }
+        Self {
+            forwarder,
+            job,
+            course,
+            source: Some(source),
+            splitter,
+            passed: 0,
+            paced: None,
+            heard: Instant::now(),
+        }
     }
 
     /// Returns the body that the caller gets.
@@ -79,6 +90,7 @@
         loop {
             match self.step().await {
                 Step::Events(bytes) => {
+                    self.note_pause();
                     self.passed += 1;
                     self.pace();
                     return Some(Ok(bytes));
@@ -125,6 +137,28 @@
         }
     }
 
+    /// Leaves a line for a pause between events that is longer than the route allows.
+    fn note_pause(&mut self) {
+        let pause = std::mem::replace(&mut self.heard, Instant::now()).elapsed();
+        let Some(allowed) = self.job.route.route.event_gap else { return };
+        let Some(source) = self.source.as_ref().filter(|_| self.passed > 0 && pause > allowed)
+        else {
+            return;
+        };
+        log::info!(
+            "paused too long; id={} route={} server={} version={} pause_ms={} events={} attempts={} \
+             retry={}",
+            self.job.id,
+            self.job.route.id,
+            source.server.id,
+            source.server.version,
+            pause.as_millis(),
+            self.passed,
+            self.course.attempts,
+            self.course.cause.map_or("none", Retry::as_str),
+        );
+    }
+
     /// Takes note of the pace of the events, once for each server.
     fn pace(&mut self) {
         let (since, count) = self.paced.get_or_insert_with(|| (Instant::now(), 0));
