Read the shared parts of prompts at one server of the fleet

Cause: an instance only knows the prompts that it sent itself, so each of nine instances had a shared part read at another server.

Change: instances agree on a server for each shared part by rendezvous hashing; it counts as having read the part.

Ruled out: a shorter list of known prompts (256 a server hold 25 s of sends). A test plays the load of nine instances: without a home more than 0.3 of the shared tokens are read again, with it less than 0.02.

--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -4,7 +4,7 @@
     super::{Course, Forwarder, Job},
     crate::{
         choice::{self, Candidate, Distance},
-        ladder,
+        home, ladder,
         registry::Server,
         rollout::{Phase, plan, sessions::Side},
         view::View,
@@ -46,9 +46,11 @@
         let model = job.model(rung);
         let token_ms = self.speeds.lock().token_ms(model);
         let mut board = self.board.lock();
+        let home = home::server(model, &job.ask.prompt, servers.iter().map(|server| &server.id));
         let candidate = |server: &&Arc<Server>| {
             let tally = board.tally(&server.id);
-            let cached = tally.cached(model, &job.ask.prompt);
+            let is_home = home == Some(&server.id);
+            let cached = home::cached(tally, model, &job.ask.prompt, is_home);
             Candidate {
                 distance: self.distance(server),
                 load: tally.load(server.slots, now),
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follow;
 pub mod forward;
 pub mod front;
+pub mod home;
 pub mod instance;
 pub mod ladder;
 pub mod load;
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod choice;
 mod fence;
+mod home;
 mod ladder;
 mod load;
 mod registry;
