Count requests that wait at an engine for their prompts to be read

Cause: the load of a server was kept as one sum of running and waiting requests, and waiting ones were those past its places.

Change: others' waiting requests count by the last report, less one for each 100 ms of its age; this instance's own are told by the time that their prompts take.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -127,7 +127,13 @@
 
 impl Reading {
     fn begin(board: &Arc<Mutex<Board>>, server: &ServerId, time_ms: f64) -> Self {
-        board.lock().tally(server).backlog_ms += time_ms;
+        let is_prompt = time_ms > 0.0;
+        {
+            let mut board = board.lock();
+            let tally = board.tally(server);
+            tally.backlog_ms += time_ms;
+            tally.unbegun += u32::from(is_prompt);
+        }
         Self { board: board.clone(), server: server.clone(), time_ms }
     }
 }
@@ -137,6 +143,7 @@
         let mut board = self.board.lock();
         let tally = board.tally(&self.server);
         tally.backlog_ms = (tally.backlog_ms - self.time_ms).max(0.0);
+        tally.unbegun = tally.unbegun.saturating_sub(u32::from(self.time_ms > 0.0));
     }
 }
 
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -20,6 +20,10 @@
 /// Longest time for which a server that failed several times in a row is avoided.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(8);
 
+/// Time after which one request less waits at an engine than it reported: about that in which it reads
+/// a prompt.
+const DRAIN: Duration = Duration::from_millis(100);
+
 /// Time in which an engine reads a token, in milliseconds, before anything is learned; the users'
 /// engines read some 60 in a millisecond.
 const FIRST_TOKEN_MS: f64 = 1.0 / 60.0;
@@ -65,6 +69,8 @@
     /// Time in which the server reads the prompts that this instance sent and that have not begun to
     /// be answered, in milliseconds.
     pub backlog_ms: f64,
+    /// Requests whose prompts these are.
+    pub unbegun: u32,
     report: Option<Report>,
     failures: u32,
     avoided_until: Option<Instant>,
@@ -74,7 +80,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     load: Load,
+    /// Requests of this instance that were at the server then.
     own: u32,
+    /// Those among them whose prompts were not read yet.
+    unbegun: u32,
     at: Instant,
 }
 
@@ -152,10 +161,12 @@
 impl Tally {
     /// Takes a report that came with an answer.
     pub fn report(&mut self, load: Load, now: Instant) {
-        self.report = Some(Report { load, own: self.in_flight, at: now });
+        self.report = Some(Report { load, own: self.in_flight, unbegun: self.unbegun, at: now });
     }
 
     /// Returns the requests at the server: the others' by the last report, and this instance's own.
+    /// An engine has requests wait for their prompts to be read long before its places are taken.
+    /// Those of this instance are left out of `waiting`, since [`Tally::backlog_ms`] tells more.
     pub fn load(&self, slots: u32, now: Instant) -> Load {
         let fresh = self.report.filter(|report| now < report.at + REPORT_LIFE);
         let Some(report) = fresh else {
@@ -164,7 +175,10 @@
         let reported = report.load.running + report.load.waiting;
         let all = reported.saturating_sub(report.own) + self.in_flight;
         let slots = report.load.slots.max(1);
-        Load { running: all.min(slots), waiting: all.saturating_sub(slots), slots }
+        let drained =
+            (now.saturating_duration_since(report.at).as_millis() / DRAIN.as_millis()) as u32;
+        let unread = report.load.waiting.saturating_sub(report.unbegun).saturating_sub(drained);
+        Load { running: all.min(slots), waiting: all.saturating_sub(slots).max(unread), slots }
     }
 
     /// Takes note of an answer.
