--- a/crates/hawthornmount-gateway/src/ladder/mod.rs
+++ b/crates/hawthornmount-gateway/src/ladder/mod.rs
@@ -11,7 +11,7 @@
 /// Opinion, from 0 to 100, below which an answer is asked again of the largest model.
 ///
 /// Two thirds of the opinions of answers that are good lie above it.
-const DOUBT: u8 = 55;
+const DOUBT: u8 = 45;
 
 /// Opinion below which an answer is asked again however late the other one would begin: nearly all
 /// such answers are useless.
