--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -26,8 +26,9 @@
     },
 };
 
-/// Part of the shortest bound on changes after which everything is listed again: one list may fail.
-const LIST_PART: f64 = 0.4;
+/// Part of the shortest bound on changes after which everything is listed again. A list that fails is
+/// asked again at once, and there is time for the question and its answer.
+const LIST_PART: f64 = 0.65;
 /// Time past the pause between two lists in which every instance has seen an order: a list that
 /// fails at first is asked again.
 const NOTICE_MARGIN: Duration = Duration::from_millis(600);
