Leave a silent server while there is time for another

Change: it waits four times the wait with which the server was chosen, at least 1.5 targets, and never more than half of the time that is left.

--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -22,6 +22,11 @@
     },
 };
 
+/// Multiple of the expected wait past which a server's silence is unusual.
+const UNUSUAL_WAIT: u32 = 4;
+/// Part of the target latency up to which no silence is unusual.
+const SILENT_PART: f64 = 1.5;
+
 /// A request as it is handed to servers, the same for every attempt.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -70,6 +75,8 @@
     pub unread: u32,
     /// Time in which the last server reads them, in milliseconds.
     pub read_ms: f64,
+    /// Wait with which the last server was chosen.
+    pub expected: Duration,
     /// Load that the last server told with its answer.
     pub load: Option<Load>,
     /// Why it is sent again.
@@ -130,10 +137,15 @@
     }
 
     /// Returns how long an attempt may take to begin its answer before another server is tried, if
-    /// the request may run twice.
-    pub fn impatience(&self) -> Option<Duration> {
+    /// the request may run twice; `expected` is the wait with which the server was chosen.
+    pub fn impatience(&self, expected: Duration) -> Option<Duration> {
         let route = &self.route.route;
-        route.is_idempotent().then_some(route.target_latency * 3)
+        if !route.is_idempotent() {
+            return None;
+        }
+        let left = self.bound().saturating_duration_since(Instant::now());
+        let unusual = (expected * UNUSUAL_WAIT).max(route.target_latency.mul_f64(SILENT_PART));
+        Some(unusual.min(route.target_latency * 3).min(left / 2))
     }
 
     /// Returns the event after which an answer starts, as the caller asked.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -205,7 +205,7 @@
     /// Returns how long the next attempt may take to begin its answer.
     fn wait(&self, job: &Job, course: &Course) -> Option<Duration> {
         let is_last = course.attempts >= job.route.route.attempts;
-        if is_last { None } else { job.impatience() }
+        if is_last { None } else { job.impatience(course.expected) }
     }
 
     /// Chooses the server of the next attempt and takes it from the budgets.
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -30,6 +30,7 @@
         let trial = if is_trial { choice::concentrate(&candidates) } else { None };
         let at = trial.or_else(|| choice::choose(&candidates, rand::random()))?;
         course.is_trial = is_trial;
+        course.expected = Duration::from_secs_f64(candidates[at].wait() / 1_000.0);
         course.unread = candidates[at].unread;
         course.read_ms = f64::from(course.unread) * candidates[at].token_ms;
         Some(servers[at].clone())
