--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -3,8 +3,7 @@
 //! All keys are listed at a fixed pace: an answer brings the changes and shows at once that nothing
 //! newer exists, so the [`Fence`] is confirmed. Every call is priced and a change of any server would
 //! wake the watches of all instances, so only the phases of roll-outs are watched, while one is under
-//! way; lists come twice as often while its new version gets most requests, since they bring the
-//! evidence.
+//! way; lists come more often while its new version gets most requests, since they bring the evidence.
 
 mod state;
 
@@ -29,6 +28,9 @@
 /// Part of the shortest bound on changes after which everything is listed again. A list that fails is
 /// asked again at once, and there is time for the question and its answer.
 const LIST_PART: f64 = 0.65;
+/// Part of that pause after which lists come while a new version gets most requests and may still be
+/// rolled back: they bring what other instances saw of it.
+const EXPOSED_PART: f64 = 0.3;
 /// Time past the pause between two lists in which every instance has seen an order: a list that
 /// fails at first is asked again.
 const NOTICE_MARGIN: Duration = Duration::from_millis(600);
@@ -71,7 +73,7 @@
     pub async fn run(mut self) {
         loop {
             let pause = match self.list().await {
-                Ok(()) if self.state.driver().is_exposed() => self.pause / 2,
+                Ok(()) if self.state.driver().is_exposed() => self.pause.mul_f64(EXPOSED_PART),
                 Ok(()) => self.pause,
                 Err(error) => {
                     self.lost(&error);
