Remove servers that are gone when their grace ends, not at the next list

With lists each second it could happen as well, more seldom.

Change: the follower wakes when a grace ends, unless the store is away again.

Ruled out: a missed list (none failed after the return).

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -141,6 +141,8 @@
                     None => std::future::pending().await,
                 }
             };
+            // A server that is gone must not wait for the next list, unless the store is away again.
+            let expiry = self.state.next_expiry().filter(|at| *at < until && !self.away);
             tokio::select! {
                 event = event => match event {
                     Some(Ok(event)) => self.apply(&event),
@@ -152,6 +154,11 @@
                     None => self.watch = None,
                 },
                 _ = step.tick(), if is_active => self.step(),
+                () = tokio::time::sleep_until(expiry.unwrap_or(until).into()), if expiry.is_some() => {
+                    if self.state.expire(Instant::now()) {
+                        self.publish();
+                    }
+                }
                 () = tokio::time::sleep_until(until.into()) => return,
             }
         }
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -90,6 +90,16 @@
         self.seen = self.seen.max(seen);
     }
 
+    /// Removes servers that were missing for too long and tells whether the view changes.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        self.registry.expire(now)
+    }
+
+    /// Returns when a missing server is to be removed next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.registry.next_expiry()
+    }
+
     /// Takes a changed key and tells whether the view changes.
     pub fn put(&mut self, entry: &Entry) -> bool {
         self.seen = self.seen.max(entry.revision);
--- a/crates/hawthornmount-gateway/src/registry/mod.rs
+++ b/crates/hawthornmount-gateway/src/registry/mod.rs
@@ -102,6 +102,11 @@
         self.rows.len() < before
     }
 
+    /// Returns when the next missing server's grace ends.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.rows.iter().filter_map(|row| row.missing).min().map(|at| at + LAPSE_GRACE)
+    }
+
     /// Returns the servers in order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.rows.iter().map(|row| &row.server)
