--- a/crates/hawthornmount-gateway/src/filter/find.rs
+++ b/crates/hawthornmount-gateway/src/filter/find.rs
@@ -55,10 +55,10 @@
 #[async_trait]
 impl Filter for Find {
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
-        if exchange.view.rules.revision == 0 {
-            if let Some(view) = self.first_view().await {
-                exchange.view = view;
-            }
+        if exchange.view.rules.revision == 0
+            && let Some(view) = self.first_view().await
+        {
+            exchange.view = view;
         }
         if exchange.view.rules.revision == 0 {
             let detail = "the instance has no configuration yet: come back";
