Hash the shared parts of a prompt once; check for the first configuration once

Whether there is a configuration was asked twice in a row. Behaviour is the same; tests of the gateway and of the platform pass.

--- a/crates/hawthornmount-gateway/src/filter/find.rs
+++ b/crates/hawthornmount-gateway/src/filter/find.rs
@@ -54,14 +54,12 @@
 #[async_trait]
 impl Filter for Find {
     async fn apply(&self, exchange: &mut Exchange) -> Result<(), Problem> {
-        if exchange.view.rules.revision == 0
-            && let Some(view) = self.first_view().await
-        {
-            exchange.view = view;
-        }
         if exchange.view.rules.revision == 0 {
-            let detail = "the instance has no configuration yet: come back";
-            return Err(Problem::new(Refusal::NotReady, detail).retry_after(STALE_PAUSE));
+            let Some(view) = self.first_view().await else {
+                let detail = "the instance has no configuration yet: come back";
+                return Err(Problem::new(Refusal::NotReady, detail).retry_after(STALE_PAUSE));
+            };
+            exchange.view = view;
         }
         let uri = &exchange.head.uri;
         let named = exchange.head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
--- a/crates/hawthornmount-gateway/src/home/mod.rs
+++ b/crates/hawthornmount-gateway/src/home/mod.rs
@@ -24,12 +24,13 @@
     if shared.is_empty() {
         return None;
     }
+    let mut hasher = DefaultHasher::new();
+    model.hash(&mut hasher);
+    for part in shared {
+        part.id.hash(&mut hasher);
+    }
     let weight = |server: &&ServerId| {
-        let mut hasher = DefaultHasher::new();
-        model.hash(&mut hasher);
-        for part in shared {
-            part.id.hash(&mut hasher);
-        }
+        let mut hasher = hasher.clone();
         server.hash(&mut hasher);
         hasher.finish()
     };
