--- a/crates/hawthornmount-gateway/src/home/mod.rs
+++ b/crates/hawthornmount-gateway/src/home/mod.rs
@@ -9,7 +9,10 @@
 //! Answers the load of long prompts with parts that many requests share, sent by many instances.
 
 use {
-    crate::{load::Tally, message::Part},
+    crate::{
+        load::{self, Tally},
+        message::Part,
+    },
     hawthornmount_core::id::{ModelId, ServerId},
     std::hash::{DefaultHasher, Hash, Hasher},
 };
@@ -20,18 +23,10 @@
     prompt: &[Part],
     servers: impl Iterator<Item = &'a ServerId>,
 ) -> Option<&'a ServerId> {
-    let shared = shared(prompt);
-    if shared.is_empty() {
-        return None;
-    }
-    let mut hasher = DefaultHasher::new();
-    model.hash(&mut hasher);
-    for part in shared {
-        part.id.hash(&mut hasher);
-    }
+    let shared = load::prefixes(model, shared(prompt)).last()?;
     let weight = |server: &&ServerId| {
-        let mut hasher = hasher.clone();
-        server.hash(&mut hasher);
+        let mut hasher = DefaultHasher::new();
+        (shared, server).hash(&mut hasher);
         hasher.finish()
     };
     servers.max_by_key(weight)
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -234,7 +234,7 @@
 }
 
 /// Returns the hashes of the leading parts of a prompt, one a part.
-fn prefixes(model: Option<&ModelId>, prompt: &[Part]) -> impl Iterator<Item = Prefix> {
+pub fn prefixes(model: Option<&ModelId>, prompt: &[Part]) -> impl Iterator<Item = Prefix> {
     let mut hasher = DefaultHasher::new();
     model.hash(&mut hasher);
     prompt.iter().map(move |part| {
