--- a/crates/hawthornmount-fleet/src/role/mod.rs
+++ b/crates/hawthornmount-fleet/src/role/mod.rs
@@ -25,7 +25,8 @@
     matches!(member.liveness, Liveness::Alive | Liveness::Suspect)
 }
 
-fn weight(id: &InstanceId, role: &str) -> u64 {
+/// Returns the rendezvous weight of an instance for a role; the highest weight comes first.
+pub fn weight(id: &InstanceId, role: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(role.as_bytes());
     hasher.update(&[0]);
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -1,12 +1,14 @@
 //! Follows configuration, servers and roll-outs in the store, and confirms that they are recent.
 //!
-//! All keys are listed at a fixed interval. A response contains the changes and also proves that
-//! nothing newer exists, so it confirms the [`Freshness`]. Every call to the store has a cost, and
-//! a change of any server would wake the watches of all instances. Therefore only the phases of
-//! roll-outs are watched, and only while a roll-out is under way. Lists are more frequent while the
-//! new version of a roll-out gets most requests, because they contain the evidence of other
-//! instances.
+//! One instance of each data centre lists all keys of the store at a fixed interval. A response
+//! contains the changes and also proves that nothing newer exists, so it confirms the
+//! [`Freshness`]. The other instances follow that instance ([`crate::relay`]). Every call to the store has
+//! a cost, and a change of any server would wake the watches of all readers. Therefore only the
+//! phases of roll-outs are watched, and only while a roll-out is under way. Lists are more frequent
+//! while the new version of a roll-out gets most requests, because they contain the evidence of
+//! other data centres.
 
+pub mod replica;
 mod state;
 
 pub use state::State;
@@ -14,30 +16,46 @@
 use {
     crate::{
         freshness::Freshness,
-        rollout::driver,
+        membership::Peer,
+        relay::{
+            Link, PeerReport, Shared,
+            client::Failed,
+            message::{Confirmation, Follow, Update},
+            source::{Selector, Source},
+        },
+        rollout::driver::{self, Part},
         schema::Codec,
+        time,
         view::{Cell, View},
     },
     futures::StreamExt,
-    hawthornmount_core::id::Revision,
-    hawthornmount_store::{self as store, Event, Store, Watch},
+    hawthornmount_store::{self as store, Event, Stamp, Store, Txn, Watch},
+    replica::Cursor,
     std::{
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
 };
 
 /// Fraction of the shortest bound on the age of changes after which all keys are listed again. The
-/// rest is time for the call and its response. A list that fails is retried after [`RETRY_DELAY`].
-const LIST_FRACTION: f64 = 0.65;
+/// rest is time for the call and its response, and for another instance to take over from one that
+/// stops reading the store.
+const LIST_FRACTION: f64 = 0.4;
 /// Fraction of the list interval that is used while a new version gets most requests and may still
-/// be rolled back. Lists contain the evidence of other instances.
-const EXPOSED_FRACTION: f64 = 0.3;
+/// be rolled back. Lists contain the evidence of other data centres.
+const EXPOSED_FRACTION: f64 = 0.5;
 /// Time beyond the list interval within which every instance has seen an order. It allows for a
-/// list that fails once and is retried.
-const VISIBILITY_MARGIN: Duration = Duration::from_millis(600);
-/// Delay before a list that failed is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// list that fails once and is retried, and for an instance that has to find another reader.
+const VISIBILITY_MARGIN: Duration = Duration::from_millis(1_200);
+/// List intervals without a confirmation after which another source is tried.
+const STALE_INTERVALS: f64 = 1.25;
+/// Time for the calls of the reader in which its confirmation may arrive late.
+const STALE_MARGIN: Duration = Duration::from_millis(200);
+/// Shortest wait for a confirmation of an instance that is asked for the first time.
+const MIN_WAIT: Duration = Duration::from_millis(300);
+/// Interval between two lists if no bound is given.
+const DEFAULT_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which due phases and reports of roll-outs are written.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of keys that are listed per call.
@@ -50,6 +68,13 @@
     freshness: Arc<Freshness>,
     cell: Arc<Cell>,
     state: State,
+    relay: Arc<Shared>,
+    link: Arc<dyn Link>,
+    selector: Selector,
+    /// Instance that was followed last, and what it sent.
+    followed: Option<Followed>,
+    /// When this instance last tried to register.
+    registered_at: Option<Instant>,
     /// Interval between two lists.
     list_interval: Duration,
     /// Watch of the phases of roll-outs, while one is under way.
@@ -58,22 +83,46 @@
     is_store_unreachable: bool,
 }
 
+/// Point up to which the content of another instance is known.
+struct Followed {
+    peer: Peer,
+    cursor: Option<Cursor>,
+    confirmation: Option<Confirmation>,
+}
+
+/// What happens while the follower waits.
+enum Tick {
+    /// A change of the watched keys.
+    Watch(Option<store::Result<Event>>),
+    /// The phases and reports of roll-outs are checked.
+    Step,
+    /// The grace period of a missing server ends.
+    Expiry,
+}
+
 impl Follower {
-    /// Creates a follower that publishes to `cell` and lists all keys every `list_interval`.
+    /// Creates a follower that publishes to `cell` and, while it reads the store, lists all keys
+    /// every `list_interval`.
     pub fn new(
         store: Arc<dyn Store>,
         schema: Arc<dyn Codec>,
-        freshness: Arc<Freshness>,
         cell: Arc<Cell>,
         state: State,
+        relay: Arc<Shared>,
+        link: Arc<dyn Link>,
         list_interval: Duration,
     ) -> Self {
         Self {
             store,
             schema,
-            freshness,
+            freshness: relay.freshness.clone(),
             cell,
             state,
+            relay,
+            link,
+            selector: Selector::default(),
+            followed: None,
+            registered_at: None,
             list_interval,
             watch: None,
             is_store_unreachable: false,
@@ -83,55 +132,99 @@
     /// Follows the store until the task is dropped.
     pub async fn run(mut self) {
         loop {
-            let delay = match self.list().await {
-                Ok(()) if self.state.driver().is_widely_exposed() => {
+            let (peers, before) = self.state.membership().ranked_peers();
+            match self.selector.choose(&peers, before, time::now()) {
+                Source::Store => self.read_store().await,
+                Source::Peer(peer) => self.follow_peer(peer).await,
+            }
+        }
+    }
+
+    /// Lists all keys, and waits until the next list is due.
+    async fn read_store(&mut self) {
+        if let Some(followed) = self.followed.take() {
+            log::info!("reads the store; followed_before={}", followed.peer.id);
+        }
+        let skipped = self.selector.store_delay(time::now());
+        if !skipped.is_zero() {
+            self.wait_for_list(time::now() + skipped).await;
+        }
+        let delay = match self.list().await {
+            Ok(()) => {
+                self.selector.store_succeeded();
+                if self.state.driver().is_widely_exposed() {
                     self.list_interval.mul_f64(EXPOSED_FRACTION)
+                } else {
+                    self.list_interval
                 }
-                Ok(()) => self.list_interval,
-                Err(error) => {
-                    self.store_failed(&error);
-                    // Evidence against a version applies to this instance even while the store is
-                    // unreachable.
-                    self.step_rollouts();
-                    RETRY_DELAY
-                }
-            };
-            self.wait_for_list(Instant::now() + delay).await;
-        }
+            }
+            Err(error) => {
+                self.store_failed(&error);
+                self.selector.store_failed(time::now());
+                // Evidence against a version applies to this instance even while the store is
+                // unreachable.
+                self.step_rollouts();
+                Duration::ZERO
+            }
+        };
+        self.wait_for_list(time::now() + delay).await;
     }
 
     /// Lists all keys and publishes the resulting view.
     async fn list(&mut self) -> store::Result<()> {
         let asked_at = self.freshness.now();
+        let (entries, stamp) = self.list_pages().await?;
+        self.relay.replica.lock().replace(&entries, stamp);
+        self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
+        self.store_responded();
+        self.publish();
+        self.freshness.confirm(asked_at);
+        self.relay.notify();
+        self.register();
+        for txn in self.state.driver().leftover_deletions(self.state.membership().data_centres()) {
+            self.commit(txn);
+        }
+        Ok(())
+    }
+
+    /// Lists the pages of all keys. They are not a snapshot, so the stamp is that of the first
+    /// page.
+    async fn list_pages(&self) -> store::Result<(Vec<store::Entry>, Stamp)> {
         let prefix = self.schema.followed_prefix();
-        let mut revision = Revision::MAX;
+        let mut stamp: Option<Stamp> = None;
         let mut entries = Vec::new();
         let mut after: Option<Arc<str>> = None;
         loop {
             let page = self.store.list(prefix, after.as_deref(), PAGE_ENTRIES).await?;
-            revision = revision.min(page.revision);
+            let first = *stamp.get_or_insert(page.stamp);
+            if page.stamp.era != first.era {
+                let cause = "the store was restored between two pages of a list".into();
+                return Err(store::Error::Unreachable { cause });
+            }
             after = page.entries.last().map(|entry| entry.key.clone());
             entries.extend(page.entries);
             if !page.more || after.is_none() {
-                break;
+                return Ok((entries, first));
             }
         }
-        self.state.apply_list(&entries, revision, self.is_store_unreachable, Instant::now());
-        self.store_responded();
-        self.publish();
-        self.freshness.confirm(asked_at);
-        self.register();
-        self.state.driver().delete_leftover_reports(&self.store);
-        Ok(())
     }
 
-    /// Registers this instance if it is not registered yet.
-    fn register(&self) {
-        let Some(txn) = self.state.membership().registration() else { return };
+    /// Registers this instance if it is not registered with its current contact, and shares its
+    /// registered secret with the relay.
+    fn register(&mut self) {
+        let membership = self.state.membership();
+        self.relay.set_secret(membership.secret());
+        let Some(txn) = membership.registration() else { return };
+        let now = time::now();
+        if self.registered_at.is_some_and(|at| now < at + self.list_interval * 2) {
+            // The write may not have reached the reader's list yet.
+            return;
+        }
+        self.registered_at = Some(now);
         let store = self.store.clone();
         tokio::spawn(async move {
             if let Err(error) = store.commit(txn).await {
-                // The next list tries again if the key is missing.
+                // Another attempt follows if the key stays missing.
                 log::warn!("the instance can't be registered; cause={error}");
             }
         });
@@ -140,44 +233,125 @@
     /// Waits until the next list is due. While a roll-out is under way, its changes are applied as
     /// they arrive, and phases and reports that are due are written.
     async fn wait_for_list(&mut self, until: Instant) {
-        let mut step = tokio::time::interval(STEP_INTERVAL);
-        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let is_active = self.state.driver().is_active();
-        if !is_active {
+        if !self.state.driver().is_active() {
             self.watch = None;
         } else if self.watch.is_none() {
             self.watch = self.open_watch().await;
         }
+        let mut ticks = Ticks::new(self);
         loop {
-            let event = async {
-                match &mut self.watch {
-                    Some(watch) => watch.next().await,
-                    None => std::future::pending().await,
-                }
-            };
-            // A server whose grace period has ended is removed before the next list, unless the
-            // store is unreachable again.
-            let expiry =
-                self.state.next_expiry().filter(|at| *at < until && !self.is_store_unreachable);
-            tokio::select! {
-                event = event => match event {
-                    Some(Ok(event)) => self.apply(&event),
-                    // The next list contains the missed changes, after which the watch is reopened.
-                    Some(Err(error)) => {
-                        log::info!("the watch of roll-outs was interrupted; cause={error}");
-                        self.watch = None;
-                    }
-                    None => self.watch = None,
-                },
-                _ = step.tick(), if is_active => self.step_rollouts(),
-                () = tokio::time::sleep_until(expiry.unwrap_or(until).into()), if expiry.is_some() => {
-                    if self.state.expire(Instant::now()) {
-                        self.publish();
-                    }
-                }
+            let tick = tokio::select! {
+                tick = ticks.next(self.watch.as_mut()) => tick,
                 () = tokio::time::sleep_until(until.into()) => return,
+            };
+            self.handle(tick, &mut ticks);
+        }
+    }
+
+    /// Asks another instance for what is newer, and applies its response.
+    async fn follow_peer(&mut self, peer: Peer) {
+        self.watch = None;
+        let wait = self.peer_wait();
+        let (cursor, confirmation) = self.known_of(&peer);
+        let asked = self.freshness.now();
+        let request = Follow { cursor, confirmation, wait };
+        let (link, asked_peer) = (self.link.clone(), peer.clone());
+        let mut response = pin!(async move { link.follow(&asked_peer, request).await });
+        let mut ticks = Ticks::new(self);
+        let result = loop {
+            let tick = tokio::select! {
+                result = &mut response => break result,
+                tick = ticks.next(None) => tick,
+            };
+            self.handle(tick, &mut ticks);
+        };
+        match result {
+            Ok(update) => self.apply_update(&peer, update, asked),
+            Err(failed) => self.peer_failed(&peer, &failed),
+        }
+    }
+
+    /// Returns how long to wait for a confirmation: until the last one is older than a reader's
+    /// confirmations usually get.
+    fn peer_wait(&self) -> Duration {
+        let stale = self.list_interval.mul_f64(STALE_INTERVALS) + STALE_MARGIN;
+        stale.saturating_sub(self.freshness.age()).max(MIN_WAIT)
+    }
+
+    /// Returns the point up to which the content of an instance is known, and its last confirmation.
+    fn known_of(&mut self, peer: &Peer) -> (Option<Cursor>, Option<Confirmation>) {
+        match &self.followed {
+            Some(followed) if followed.peer.id == peer.id => {
+                (followed.cursor, followed.confirmation)
             }
+            _ => {
+                log::info!("follows another instance; peer={}", peer.id);
+                let cursor = self.relay.replica.lock().cursor();
+                let cursor = (cursor.stamp != Stamp::default()).then_some(cursor);
+                self.followed = Some(Followed { peer: peer.clone(), cursor, confirmation: None });
+                (cursor, None)
+            }
+        }
+    }
+
+    /// Applies the response of another instance to a request that was sent at `asked`.
+    fn apply_update(&mut self, peer: &Peer, update: Update, asked: Duration) {
+        let before = self.followed.replace(Followed {
+            peer: peer.clone(),
+            cursor: Some(update.cursor),
+            confirmation: update.confirmation,
+        });
+        let is_first = before.is_none_or(|followed| followed.confirmation.is_none());
+        let confirmed = confirmed_at(asked, update.confirmed_after_arrival_us);
+        let stamp = update.stamp();
+        let (has_changes, is_behind) = {
+            let mut replica = self.relay.replica.lock();
+            let is_behind = stamp < replica.cursor().stamp;
+            (replica.apply(update.delta, stamp), is_behind)
+        };
+        if has_changes {
+            self.apply_replica(stamp);
         }
+        let newer = confirmed.filter(|confirmed| {
+            !is_behind && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
+        });
+        if let Some(confirmed) = newer {
+            self.freshness.confirm(confirmed.min(self.freshness.now()));
+            self.selector.peer_succeeded(&peer.id);
+            self.store_responded();
+        } else if !is_first && self.freshness.age() >= self.stale_age() {
+            // The first response comes at once, so the instance may be about to get a confirmation.
+            log::info!("the followed instance has no recent confirmation; peer={}", peer.id);
+            self.selector.peer_failed(&peer.id, time::now());
+            self.followed = None;
+        }
+        self.relay.notify();
+    }
+
+    /// Returns the age of the last confirmation from which another source is tried.
+    fn stale_age(&self) -> Duration {
+        self.list_interval.mul_f64(STALE_INTERVALS)
+    }
+
+    /// Applies the content of the replica after changes of another instance.
+    fn apply_replica(&mut self, stamp: Stamp) {
+        let entries = self.relay.replica.lock().entries();
+        // Entries may have expired while no source was available.
+        let was_unreachable = self.is_store_unreachable || self.freshness.age() > self.outage();
+        self.state.apply_list(&entries, stamp, was_unreachable, time::now());
+        self.publish();
+        self.register();
+    }
+
+    /// Returns the age of the last confirmation from which the store counts as having been away.
+    fn outage(&self) -> Duration {
+        self.list_interval.mul_f64(STALE_INTERVALS) * 2
+    }
+
+    fn peer_failed(&mut self, peer: &Peer, failed: &Failed) {
+        log::info!("the followed instance gave no answer; peer={} cause={failed}", peer.id);
+        self.selector.peer_failed(&peer.id, time::now());
+        self.followed = None;
     }
 
     /// Opens the watch of the phases of roll-outs.
@@ -191,23 +365,92 @@
         }
     }
 
+    fn handle(&mut self, tick: Tick, ticks: &mut Ticks) {
+        match tick {
+            Tick::Watch(Some(Ok(event))) => self.apply(&event),
+            // The next list contains the missed changes, after which the watch is reopened.
+            Tick::Watch(Some(Err(error))) => {
+                log::info!("the watch of roll-outs was interrupted; cause={error}");
+                self.watch = None;
+            }
+            Tick::Watch(None) => self.watch = None,
+            Tick::Step => self.step_rollouts(),
+            Tick::Expiry => {
+                if self.state.expire(time::now()) {
+                    self.publish();
+                }
+            }
+        }
+        ticks.update(self);
+    }
+
     fn apply(&mut self, event: &Event) {
         let changed = match event {
-            Event::Put(entry) => self.state.put(entry),
-            Event::Delete { key, revision } => self.state.delete(key, *revision),
+            Event::Put(entry) => {
+                self.relay.replica.lock().put(entry);
+                self.state.put(entry)
+            }
+            Event::Delete { key, revision } => {
+                self.relay.replica.lock().delete(key, *revision);
+                self.state.delete(key, *revision)
+            }
             Event::Progress(_) => false,
         };
         if changed {
             self.publish();
+            self.relay.notify();
         }
     }
 
+    /// Writes the phases and reports of roll-outs that are due, or delivers the reports to the
+    /// instance that this one follows.
     fn step_rollouts(&mut self) {
-        if self.state.step_rollouts(&self.store, Instant::now()) {
+        let now = time::now();
+        for report in self.relay.take_reports() {
+            self.state.driver_mut().deliver(report, now);
+        }
+        let part = match &self.followed {
+            Some(_) => Part::Follower,
+            None => Part::Reader { readers: self.state.membership().data_centres() },
+        };
+        let step = self.state.step_rollouts(part, now);
+        for txn in step.writes {
+            self.commit(txn);
+        }
+        for report in step.reports {
+            self.deliver(report);
+        }
+        if step.changes_view {
             self.publish();
         }
     }
 
+    /// Commits a write of a roll-out in the background.
+    fn commit(&self, txn: Txn) {
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            match store.commit(txn).await {
+                Ok(commit) if commit.applied => {}
+                Ok(_) => log::debug!("another instance wrote the roll-out first"),
+                Err(error) => {
+                    log::warn!("the store did not confirm a write of a roll-out; cause={error}");
+                }
+            }
+        });
+    }
+
+    /// Delivers a report to the followed instance in the background. A report that is lost is
+    /// contained in the next one.
+    fn deliver(&mut self, report: PeerReport) {
+        let Some(followed) = &self.followed else { return };
+        let (peer, link) = (followed.peer.clone(), self.link.clone());
+        tokio::spawn(async move {
+            if let Err(failed) = link.report(&peer, report).await {
+                log::info!("a report was not delivered; peer={} cause={failed}", peer.id);
+            }
+        });
+    }
+
     fn publish(&self) {
         let Some(rules) = self.state.rules().cloned() else { return };
         let (excluded, splits) =
@@ -230,10 +473,62 @@
     }
 }
 
+/// Timers that run while the follower waits.
+struct Ticks {
+    step: tokio::time::Interval,
+    is_active: bool,
+    expiry: Option<Instant>,
+}
+
+impl Ticks {
+    fn new(follower: &Follower) -> Self {
+        let mut step = tokio::time::interval(STEP_INTERVAL);
+        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = Self { step, is_active: false, expiry: None };
+        ticks.update(follower);
+        ticks
+    }
+
+    fn update(&mut self, follower: &Follower) {
+        self.is_active = follower.state.driver().is_active();
+        // A server whose grace period has ended is removed before the next list, unless the store
+        // is unreachable again.
+        self.expiry = follower.state.next_expiry().filter(|_| !follower.is_store_unreachable);
+    }
+
+    async fn next(&mut self, watch: Option<&mut Watch>) -> Tick {
+        let event = async {
+            match watch {
+                Some(watch) => watch.next().await,
+                None => std::future::pending().await,
+            }
+        };
+        let expiry = self.expiry;
+        let expired = async {
+            match expiry {
+                Some(at) => tokio::time::sleep_until(at.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            event = event => Tick::Watch(event),
+            _ = self.step.tick(), if self.is_active => Tick::Step,
+            () = expired => Tick::Expiry,
+        }
+    }
+}
+
+/// Returns the time of the call to the store that a relayed confirmation answers, as far as the
+/// follower knows: the request arrived after it was sent at `asked`, so the call was not earlier.
+fn confirmed_at(asked: Duration, after_arrival_us: i64) -> Option<Duration> {
+    let offset = Duration::from_micros(after_arrival_us.unsigned_abs());
+    if after_arrival_us >= 0 { asked.checked_add(offset) } else { asked.checked_sub(offset) }
+}
+
 /// Returns the interval between two lists for bounds on the time within which changes must be in
 /// force.
 pub fn list_interval(bounds: &[Duration]) -> Duration {
-    bounds.iter().min().map_or(RETRY_DELAY, |shortest| shortest.mul_f64(LIST_FRACTION))
+    bounds.iter().min().map_or(DEFAULT_LIST_INTERVAL, |shortest| shortest.mul_f64(LIST_FRACTION))
 }
 
 /// Returns the time after which every instance with this list interval has seen a change.
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -0,0 +1,258 @@
+//! Copy of the followed keys, with the order in which they changed, so that another instance can
+//! continue from any point that this copy has passed.
+
+use {
+    hawthornmount_core::id::Revision,
+    hawthornmount_store::{Entry, Stamp},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Number of deleted keys that are remembered. An instance that has missed the deletion of a
+/// forgotten key gets the complete content instead of the changes.
+const MAX_DELETED: usize = 2_048;
+
+/// Number of a change within one replica.
+pub type Sequence = u64;
+
+/// Point up to which an instance has the content of a replica.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Cursor {
+    /// Id of the replica, which is new with every start of its instance.
+    pub origin: u64,
+    /// Last change of that replica.
+    pub sequence: Sequence,
+    /// Point in the history of the store up to which the content is complete.
+    pub stamp: Stamp,
+}
+
+/// New value of a key, or its deletion.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Change {
+    /// The key.
+    pub key: Arc<str>,
+    /// Revision of the change. For a deletion it may be a later one.
+    pub revision: Revision,
+    /// Value and revision at which the key was created; `None` if the key was deleted.
+    pub value: Option<(Vec<u8>, Revision)>,
+}
+
+/// Changes after a cursor.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Delta {
+    /// Whether the changes are the complete content; keys that are missing don't exist.
+    pub is_complete: bool,
+    /// The changes, in order of their keys.
+    pub changes: Vec<Change>,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    key: Arc<str>,
+    sequence: Sequence,
+    revision: Revision,
+    /// `None` if the key was deleted.
+    entry: Option<Entry>,
+}
+
+/// Followed keys of the store, with the order of their changes.
+#[derive(Debug)]
+pub struct Replica {
+    cursor: Cursor,
+    /// Cursors before this change or this revision can't be continued.
+    oldest_sequence: Sequence,
+    oldest_stamp: Stamp,
+    /// Keys with their last change, in order of the keys.
+    rows: Vec<Row>,
+}
+
+impl Replica {
+    /// Creates an empty replica; `origin` tells it from earlier replicas of the instance.
+    pub fn new(origin: u64) -> Self {
+        Self {
+            cursor: Cursor { origin, sequence: 0, stamp: Stamp::default() },
+            oldest_sequence: 0,
+            oldest_stamp: Stamp::default(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Returns the point that the replica has reached.
+    pub const fn cursor(&self) -> Cursor {
+        self.cursor
+    }
+
+    /// Returns the entries of the keys that exist, in order of the keys.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.rows.iter().filter_map(|row| row.entry.clone()).collect()
+    }
+
+    /// Applies a complete list of the keys, in ascending order, and returns whether anything
+    /// changed.
+    pub fn replace(&mut self, entries: &[Entry], stamp: Stamp) -> bool {
+        let before = self.cursor.sequence;
+        let is_new_era = self.begin_era(stamp);
+        let is_listed = |key: &str| entries.binary_search_by(|entry| (*entry.key).cmp(key)).is_ok();
+        let deleted: Vec<Arc<str>> = self
+            .rows
+            .iter()
+            .filter(|row| row.entry.is_some() && !is_listed(&row.key))
+            .map(|row| row.key.clone())
+            .collect();
+        for key in deleted {
+            self.set(&key, stamp.revision, None);
+        }
+        for entry in entries {
+            self.put_in(is_new_era, entry);
+        }
+        self.cursor.stamp = stamp;
+        self.forget_deleted();
+        self.cursor.sequence > before
+    }
+
+    /// Applies the new value of a key, unless a later one is known, and returns whether it changed.
+    pub fn put(&mut self, entry: &Entry) -> bool {
+        let is_outdated = self.revision(&entry.key).is_some_and(|known| known > entry.revision);
+        !is_outdated && self.set_entry(entry)
+    }
+
+    /// Applies the deletion of a key, unless a later value is known.
+    pub fn delete(&mut self, key: &str, revision: Revision) {
+        if self.revision(key).is_some_and(|known| known <= revision) {
+            self.set(&Arc::from(key), revision, None);
+        }
+    }
+
+    /// Applies the changes that another replica sent, which has reached `stamp`, and returns
+    /// whether anything changed. The changes of a replica that is behind are skipped.
+    pub fn apply(&mut self, delta: Delta, stamp: Stamp) -> bool {
+        if stamp < self.cursor.stamp {
+            return false;
+        }
+        let before = self.cursor.sequence;
+        let (mut entries, mut deleted) = (Vec::new(), Vec::new());
+        for change in delta.changes {
+            match change.value {
+                Some((value, created)) => entries.push(Entry {
+                    key: change.key,
+                    value: value.into(),
+                    revision: change.revision,
+                    created,
+                }),
+                None => deleted.push((change.key, change.revision)),
+            }
+        }
+        if delta.is_complete {
+            return self.replace(&entries, stamp);
+        }
+        let is_new_era = self.begin_era(stamp);
+        for (key, revision) in deleted {
+            if is_new_era {
+                self.set(&key, revision, None);
+            } else {
+                self.delete(&key, revision);
+            }
+        }
+        for entry in &entries {
+            self.put_in(is_new_era, entry);
+        }
+        self.cursor.stamp = stamp;
+        self.forget_deleted();
+        self.cursor.sequence > before
+    }
+
+    /// Returns the changes after a cursor, of keys for which `is_relayed` is true. A cursor of
+    /// another replica is continued from its stamp, if this replica knows all changes since then.
+    pub fn changes_after(
+        &self,
+        cursor: Option<&Cursor>,
+        is_relayed: impl Fn(&str) -> bool,
+    ) -> Delta {
+        let is_after: Box<dyn Fn(&Row) -> bool> = match cursor {
+            Some(cursor)
+                if cursor.origin == self.cursor.origin
+                    && cursor.sequence >= self.oldest_sequence =>
+            {
+                Box::new(move |row| row.sequence > cursor.sequence)
+            }
+            Some(cursor)
+                if cursor.stamp.era == self.cursor.stamp.era
+                    && cursor.stamp >= self.oldest_stamp
+                    && cursor.stamp <= self.cursor.stamp =>
+            {
+                Box::new(move |row| row.revision > cursor.stamp.revision)
+            }
+            _ => {
+                let rows = self.rows.iter().filter(|row| row.entry.is_some());
+                let changes = rows.filter(|row| is_relayed(&row.key)).map(change).collect();
+                return Delta { is_complete: true, changes };
+            }
+        };
+        let rows = self.rows.iter().filter(|row| is_after(row) && is_relayed(&row.key));
+        Delta { is_complete: false, changes: rows.map(change).collect() }
+    }
+
+    /// Returns whether `stamp` is the first one of an era. Revisions of earlier eras can't be compared
+    /// with later ones, and deletions before the first list of an era are unknown.
+    fn begin_era(&mut self, stamp: Stamp) -> bool {
+        let is_new_era = stamp.era != self.cursor.stamp.era;
+        if is_new_era || self.cursor.stamp == Stamp::default() {
+            self.oldest_stamp = stamp;
+        }
+        is_new_era
+    }
+
+    fn put_in(&mut self, is_new_era: bool, entry: &Entry) {
+        if is_new_era {
+            self.set_entry(entry);
+        } else {
+            self.put(entry);
+        }
+    }
+
+    /// Returns the revision of a key that exists.
+    fn revision(&self, key: &str) -> Option<Revision> {
+        let at = self.position(key).ok()?;
+        self.rows[at].entry.as_ref().map(|entry| entry.revision)
+    }
+
+    fn set_entry(&mut self, entry: &Entry) -> bool {
+        let known = self.position(&entry.key).ok().and_then(|at| self.rows[at].entry.as_ref());
+        if known == Some(entry) {
+            return false;
+        }
+        self.set(&entry.key, entry.revision, Some(entry.clone()));
+        true
+    }
+
+    fn set(&mut self, key: &Arc<str>, revision: Revision, entry: Option<Entry>) {
+        self.cursor.sequence += 1;
+        let row = Row { key: key.clone(), sequence: self.cursor.sequence, revision, entry };
+        match self.position(key) {
+            Ok(at) => self.rows[at] = row,
+            Err(at) => self.rows.insert(at, row),
+        }
+    }
+
+    /// Forgets the oldest deleted keys if there are too many.
+    fn forget_deleted(&mut self) {
+        let deleted = self.rows.iter().filter(|row| row.entry.is_none());
+        let mut sequences: Vec<Sequence> = deleted.map(|row| row.sequence).collect();
+        if sequences.len() <= MAX_DELETED {
+            return;
+        }
+        sequences.sort_unstable();
+        self.oldest_sequence = sequences[sequences.len() / 2];
+        self.oldest_stamp = self.cursor.stamp;
+        self.rows.retain(|row| row.entry.is_some() || row.sequence > self.oldest_sequence);
+    }
+
+    fn position(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| (*row.key).cmp(key))
+    }
+}
+
+fn change(row: &Row) -> Change {
+    let value = row.entry.as_ref().map(|entry| (entry.value.to_vec(), entry.created));
+    Change { key: row.key.clone(), revision: row.revision, value }
+}
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -5,12 +5,15 @@
     crate::{
         membership::Membership,
         registry::{Registry, Server},
-        rollout::Driver,
+        rollout::{
+            Driver,
+            driver::{Part, Step},
+        },
         schema::{Codec, Key},
         view::Rules,
     },
     hawthornmount_core::id::{Revision, ServerId, ServiceId},
-    hawthornmount_store::{Entry, Store},
+    hawthornmount_store::{Entry, Stamp},
     std::{sync::Arc, time::Instant},
 };
 
@@ -58,21 +61,27 @@
         &self.driver
     }
 
-    /// Writes phases and reports of roll-outs that are due, and returns whether the view changes.
-    pub fn step_rollouts(&mut self, store: &Arc<dyn Store>, now: Instant) -> bool {
+    /// Returns the driver of roll-outs for changes.
+    pub const fn driver_mut(&mut self) -> &mut Driver {
+        &mut self.driver
+    }
+
+    /// Returns the phases and reports of roll-outs that are due.
+    pub fn step_rollouts(&mut self, part: Part, now: Instant) -> Step {
         let servers: Vec<Arc<Server>> = self.registry.iter().cloned().collect();
-        self.driver.step(store, &servers, now)
+        self.driver.step(part, &servers, now)
     }
 
-    /// Applies a complete list at `revision`. `was_store_unreachable` is whether the store was
+    /// Applies a complete list at `stamp`. `was_store_unreachable` is whether the store was
     /// unreachable before the list. Entries that have not changed are skipped.
     pub fn apply_list(
         &mut self,
         entries: &[Entry],
-        revision: Revision,
+        stamp: Stamp,
         was_store_unreachable: bool,
         now: Instant,
     ) {
+        let revision = stamp.revision;
         let mut present: Vec<ServerId> = Vec::new();
         let mut ordered: Vec<ServiceId> = Vec::new();
         for entry in entries {
@@ -93,7 +102,9 @@
         ordered.sort_unstable();
         self.driver.retain_ordered(&ordered, revision);
         let applied = &self.applied;
-        self.driver.retain_reports(|key| position(applied, key).is_ok());
+        let is_listed = |key: &str| position(applied, key).is_ok();
+        self.driver.retain_reports(is_listed);
+        self.membership.retain_listed(is_listed);
         self.revision = self.revision.max(revision);
     }
 
@@ -151,7 +162,7 @@
                 let order = self.decode(entry, |schema| schema.decode_order(&entry.value));
                 self.driver.set_order(&service, entry.revision, order)
             }
-            Key::Other => !self.membership.put(&entry.key) && self.driver.put(entry),
+            Key::Other => !self.membership.put(entry) && self.driver.put(entry),
         }
     }
 
--- a/crates/hawthornmount-gateway/src/freshness/mod.rs
+++ b/crates/hawthornmount-gateway/src/freshness/mod.rs
@@ -57,14 +57,19 @@
         self.confirmed_us.fetch_max(micros, Ordering::SeqCst);
     }
 
-    /// Returns the age of the last confirmation, or [`Duration::MAX`] if there was none.
-    pub fn age(&self) -> Duration {
+    /// Returns the time at which the store was asked for the last confirmation, if there was one.
+    pub fn confirmed(&self) -> Option<Duration> {
         match self.confirmed_us.load(Ordering::SeqCst) {
-            0 => Duration::MAX,
-            asked => self.clock.since_boot().saturating_sub(Duration::from_micros(asked)),
+            0 => None,
+            asked => Some(Duration::from_micros(asked)),
         }
     }
 
+    /// Returns the age of the last confirmation, or [`Duration::MAX`] if there was none.
+    pub fn age(&self) -> Duration {
+        self.confirmed().map_or(Duration::MAX, |asked| self.now().saturating_sub(asked))
+    }
+
     /// Returns whether the configuration is recent enough to accept keys.
     pub fn is_within_revocation_bound(&self) -> bool {
         self.age() < self.revocation_bound
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -53,7 +53,7 @@
 }
 
 /// Accepts the next connection.
-async fn accept(listener: &TcpListener) -> TcpStream {
+pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -6,8 +6,9 @@
         forward::Forwarder,
         freshness::Freshness,
         frontend::{self, ListenError},
-        membership::Membership,
+        membership::{Contact, Membership},
         message::Dialect,
+        relay,
         rollout::Driver,
         schema::Codec,
         settings::Settings,
@@ -26,7 +27,7 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::{runtime, sync::watch, task::JoinHandle},
+    tokio::{net::TcpListener, runtime, sync::watch, task::JoinHandle},
 };
 
 /// Time in which the load balancer notices that the instance is not ready: it checks every second
@@ -209,18 +210,44 @@
             follow::visibility_delay(list_interval),
             components.forwarder.fleet_size(),
         );
+        let peers = match components.settings.peers {
+            Some(address) => Some(frontend::listen(address).await?),
+            None => None,
+        };
+        let contact = peers.as_ref().map(|bound| Contact {
+            data_centre: components.settings.data_centre.clone(),
+            address: bound.address,
+            secret: new_secret(),
+        });
         let membership = Membership::new(
             components.settings.instance.clone(),
+            contact,
             components.forwarder.fleet_size(),
         );
         let state = State::new(adapters.schema.clone(), driver, membership);
-        let (freshness, cell) = (components.freshness.clone(), components.cell.clone());
-        let follower =
-            Follower::new(adapters.store, adapters.schema, freshness, cell, state, list_interval);
+        let shared = Arc::new(relay::Shared::new(
+            components.settings.instance.clone(),
+            components.freshness.clone(),
+        ));
+        let follower = Follower::new(
+            adapters.store,
+            adapters.schema,
+            components.cell.clone(),
+            state,
+            shared.clone(),
+            Arc::new(relay::client::Client::default()),
+            list_interval,
+        );
+        let listener = peers.map(|bound| bound.listener.into_std()).transpose()?;
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
-        thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || control.block_on(follower.run()))?;
+        thread::Builder::new().name("control".to_owned()).spawn(move || {
+            control.block_on(async move {
+                if let Some(listener) = listener {
+                    serve_peers(listener, shared);
+                }
+                follower.run().await;
+            });
+        })?;
         Ok(Self { components, callers: callers_address, readiness: readiness_address, tasks })
     }
 
@@ -261,6 +288,24 @@
     }
 }
 
+/// Serves other instances on the current runtime, which must not be the one that bound the listener.
+fn serve_peers(listener: std::net::TcpListener, shared: Arc<relay::Shared>) {
+    match TcpListener::from_std(listener) {
+        Ok(listener) => {
+            tokio::spawn(relay::server::serve(listener, shared));
+        }
+        Err(error) => {
+            log::error!("other instances can't follow this one, restart it; cause={error}");
+        }
+    }
+}
+
+/// Returns a new secret for the frames of this instance.
+fn new_secret() -> Arc<str> {
+    let bytes: [u64; 2] = rand::random();
+    format!("{:016x}{:016x}", bytes[0], bytes[1]).into()
+}
+
 /// Closes idle connections to servers and removes the load statistics of unknown servers, at a
 /// fixed interval, until the task is aborted.
 async fn sweep(forwarder: Arc<Forwarder>) {
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -21,11 +21,13 @@
 pub mod message;
 pub mod pool;
 pub mod registry;
+pub mod relay;
 pub mod rollout;
 pub mod route;
 pub mod schema;
 pub mod settings;
 pub mod sse;
+pub mod time;
 pub mod view;
 
 pub use instance::Instance;
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/relay/mod.rs
@@ -0,0 +1,112 @@
+//! Relay of the store's content between the instances of a data centre.
+//!
+//! Reading the store costs a call, and the response contains every key. So that calls and bytes do
+//! not grow with the number of instances, one instance of each data centre reads the store and the
+//! others follow it: they ask it for the changes since those that they know, and wait for the
+//! response until it has changes or a newer confirmation that nothing else has changed.
+//!
+//! Any instance can answer, since each has a [`Replica`]. Which instance to follow is decided by
+//! [`source::Selector`]: the first in an order that all instances share, skipping those that failed
+//! recently; an instance that finds none before itself reads the store. There is no election, and
+//! two readers only cost calls.
+//!
+//! A relayed confirmation is never younger than the reader's call to the store: the response states
+//! the time between the arrival of the request and that call, and the follower counts from the time
+//! at which it sent the request. Frames are authenticated with a secret of the instance that
+//! answers, which is stored with its address.
+
+pub mod client;
+pub mod message;
+pub mod server;
+pub mod source;
+
+use {
+    crate::{
+        follow::replica::Replica, freshness::Freshness, membership::Peer, rollout::evidence::Report,
+    },
+    async_trait::async_trait,
+    client::Failed,
+    hawthornmount_core::id::{InstanceId, ServiceId},
+    message::{Follow, Update},
+    parking_lot::Mutex,
+    std::sync::Arc,
+    tokio::sync::watch,
+};
+
+/// Report of another instance on a roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerReport {
+    /// Service whose version is rolled out.
+    pub service: ServiceId,
+    /// Name under which the instance reports, new with each of its starts.
+    pub reporter: Arc<str>,
+    /// The report.
+    pub report: Report,
+}
+
+/// Connection to the other instances.
+#[async_trait]
+pub trait Link: Send + Sync {
+    /// Asks an instance for what is newer, and waits for it for the time that the request states.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance gives no valid response in time.
+    async fn follow(&self, peer: &Peer, request: Follow) -> Result<Update, Failed>;
+
+    /// Delivers a report on a roll-out to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance does not confirm the report in time.
+    async fn report(&self, peer: &Peer, report: PeerReport) -> Result<(), Failed>;
+}
+
+/// Data that the follower of the store and the server for other instances share.
+pub struct Shared {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Content of the store.
+    pub replica: Mutex<Replica>,
+    /// Age of the content.
+    pub freshness: Arc<Freshness>,
+    /// Secret that authenticates frames, once it is known.
+    secret: Mutex<Option<Arc<str>>>,
+    reports: Mutex<Vec<PeerReport>>,
+    /// Counts the changes of the replica and the confirmations.
+    progress: watch::Sender<u64>,
+}
+
+impl Shared {
+    /// Creates the shared data of an instance without content.
+    pub fn new(instance: InstanceId, freshness: Arc<Freshness>) -> Self {
+        Self {
+            instance,
+            replica: Mutex::new(Replica::new(rand::random())),
+            freshness,
+            secret: Mutex::default(),
+            reports: Mutex::default(),
+            progress: watch::Sender::new(0),
+        }
+    }
+
+    /// Wakes the requests of followers after a change or a confirmation.
+    pub fn notify(&self) {
+        self.progress.send_modify(|count| *count += 1);
+    }
+
+    /// Sets the secret that authenticates frames.
+    pub fn set_secret(&self, secret: Option<Arc<str>>) {
+        *self.secret.lock() = secret;
+    }
+
+    /// Adds a report of another instance.
+    pub fn add_report(&self, report: PeerReport) {
+        self.reports.lock().push(report);
+    }
+
+    /// Returns the reports of other instances that arrived since the last call.
+    pub fn take_reports(&self) -> Vec<PeerReport> {
+        std::mem::take(&mut self.reports.lock())
+    }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -0,0 +1,153 @@
+//! Answers the requests of instances that follow this one.
+
+use {
+    super::{
+        PeerReport, Shared,
+        message::{
+            Confirmation, Follow, MAX_FRAME_BYTES, Outcome, PATH, Query, Request, Response, Update,
+        },
+    },
+    crate::{follow::replica::Cursor, frontend, rollout::driver, time},
+    bytes::Bytes,
+    hawthornmount_fleet::wire::Keyring,
+    http::StatusCode,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Time in which the head of a request has to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for which a request waits for something newer.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Serves other instances; never returns.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let stream = frontend::accept(&listener).await;
+        let shared = shared.clone();
+        let service = service_fn(move |request: http::Request<Incoming>| {
+            let shared = shared.clone();
+            async move { Ok::<_, Infallible>(respond(&shared, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection from another instance failed; cause={error}");
+            }
+        });
+    }
+}
+
+/// Returns the response to a request, or a status without a body if it is rejected.
+async fn respond(shared: &Shared, request: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
+    let arrived = shared.freshness.now();
+    let frame = if request.uri().path() == PATH {
+        read_frame(request).await
+    } else {
+        Err((StatusCode::NOT_FOUND, "unknown path".into()))
+    };
+    let result = match frame {
+        Ok(frame) => answer(shared, &frame, arrived).await,
+        Err(rejection) => Err(rejection),
+    };
+    match result {
+        Ok(frame) => http::Response::new(Full::from(frame)),
+        Err((status, cause)) => {
+            log::warn!("rejected a frame of another instance; status={status} cause={cause}");
+            let mut response = http::Response::new(Full::default());
+            *response.status_mut() = status;
+            response
+        }
+    }
+}
+
+/// Status and cause of a rejected request.
+type Rejection = (StatusCode, Arc<str>);
+
+async fn read_frame(request: http::Request<Incoming>) -> Result<Bytes, Rejection> {
+    let body = Limited::new(request.into_body(), MAX_FRAME_BYTES).collect().await;
+    let body = body.map_err(|error| (StatusCode::BAD_REQUEST, error.to_string().into()))?;
+    Ok(body.to_bytes())
+}
+
+/// Answers a frame that arrived at `arrived`.
+async fn answer(shared: &Shared, frame: &[u8], arrived: Duration) -> Result<Vec<u8>, Rejection> {
+    let Some(secret) = shared.secret.lock().clone() else {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "not registered yet".into()));
+    };
+    let keyring = Keyring::new(&secret);
+    let request: Request = keyring
+        .open(frame, MAX_FRAME_BYTES)
+        .map_err(|reject| (StatusCode::FORBIDDEN, reject.to_string().into()))?;
+    if request.to != shared.instance {
+        return Err((StatusCode::FORBIDDEN, "addressed to another instance".into()));
+    }
+    let outcome = match request.query {
+        Query::Follow(request) => Outcome::Update(answer_follower(shared, request, arrived).await),
+        Query::Report { service, reporter, report } => {
+            let report = serde_json::from_slice(&report)
+                .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string().into()))?;
+            shared.add_report(PeerReport { service, reporter, report });
+            Outcome::Received
+        }
+    };
+    Ok(keyring.seal(&Response { nonce: request.nonce, outcome }))
+}
+
+/// Returns what is newer than the content that a follower knows, which asked at `arrived`.
+pub async fn answer_follower(shared: &Shared, request: Follow, arrived: Duration) -> Update {
+    let Follow { cursor, confirmation, wait } = request;
+    wait_for_progress(shared, cursor.as_ref(), confirmation, wait.min(MAX_WAIT)).await;
+    update(shared, cursor.as_ref(), arrived)
+}
+
+/// Waits until there is a change after the cursor or another confirmation than the known one.
+async fn wait_for_progress(
+    shared: &Shared,
+    cursor: Option<&Cursor>,
+    confirmation: Option<Confirmation>,
+    wait: Duration,
+) {
+    let deadline = time::now() + wait;
+    let mut progress = shared.progress.subscribe();
+    loop {
+        progress.borrow_and_update();
+        let reached = shared.replica.lock().cursor();
+        let is_known = cursor.is_some_and(|cursor| {
+            cursor.origin == reached.origin && cursor.sequence == reached.sequence
+        });
+        if !is_known || shared.freshness.confirmed().map(micros) != confirmation {
+            return;
+        }
+        let changed = tokio::time::timeout_at(deadline.into(), progress.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+fn update(shared: &Shared, cursor: Option<&Cursor>, arrived: Duration) -> Update {
+    let replica = shared.replica.lock();
+    let confirmed = shared.freshness.confirmed();
+    Update {
+        cursor: replica.cursor(),
+        delta: replica.changes_after(cursor, |key| !driver::is_report(key)),
+        confirmation: confirmed.map(micros),
+        confirmed_after_arrival_us: confirmed
+            .map_or(i64::MIN, |confirmed| signed_micros(confirmed) - signed_micros(arrived)),
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn signed_micros(time: Duration) -> i64 {
+    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
+}
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -11,11 +11,13 @@
         load::Tracker,
         membership::Size,
         registry::{Readiness, Server},
+        relay::PeerReport,
         schema::{Codec, Order, Progress, Stage},
+        time,
         view::Exclusion,
     },
     hawthornmount_core::id::{self, InstanceId, Revision, ServiceId, VersionId},
-    hawthornmount_store::{Entry, Store, Txn},
+    hawthornmount_store::{Entry, Txn},
     parking_lot::Mutex,
     rand::RngExt,
     std::{
@@ -28,6 +30,13 @@
 pub const RECORD_PREFIX: &str = "hawthornmount/rollout/";
 /// Key prefix of the reports on roll-outs, which are stored by service and instance.
 const REPORT_PREFIX: &str = "hawthornmount/report/";
+
+/// Returns whether a key holds a report on a roll-out. Only the instances that read the store use
+/// the reports.
+pub fn is_report(key: &str) -> bool {
+    key.starts_with(REPORT_PREFIX)
+}
+
 /// Longest random delay before a phase is written, so that usually one instance writes it and the
 /// others see it in time.
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(400);
@@ -78,19 +87,60 @@
     received_at: Instant,
 }
 
+/// Report that an instance which follows this one delivered.
+#[derive(Clone, Debug)]
+struct Delivered {
+    report: PeerReport,
+    received_at: Instant,
+}
+
+/// Report that was written or delivered last.
+#[derive(Clone, Debug)]
+struct LastReport {
+    report: Report,
+    /// Part of this instance at that time; the reports of the parts can't be compared.
+    part: Part,
+    at: Instant,
+}
+
 /// State of one service's roll-out.
 #[derive(Clone, Debug)]
 struct Row {
     service: ServiceId,
     ordered: Option<Ordered>,
     recorded: Option<Recorded>,
+    /// Reports in the store, in order of their keys.
     reports: Vec<Reported>,
+    /// Reports of instances that follow this one, in order of their reporters.
+    delivered: Vec<Delivered>,
     /// Whether the evidence has shown the version to be bad. Later responses don't revoke this.
     is_bad: bool,
     /// Phase that is to be written, and when.
     due: Option<(Phase, Instant)>,
-    /// Report that was written last, and when.
-    last_report: Option<(Report, Instant)>,
+    last_report: Option<LastReport>,
+}
+
+/// Part of this instance in the roll-outs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// Reads the store: writes the phases, and reports for itself and its followers.
+    Reader {
+        /// Number of instances that read the store.
+        readers: usize,
+    },
+    /// Follows another instance, to which it delivers its own reports.
+    Follower,
+}
+
+/// What a step of the roll-outs results in.
+#[derive(Debug, Default)]
+pub struct Step {
+    /// Whether the view changes.
+    pub changes_view: bool,
+    /// Writes to the store.
+    pub writes: Vec<Txn>,
+    /// Reports for the instance that this one follows.
+    pub reports: Vec<PeerReport>,
 }
 
 /// Data that the traffic thread collects.
@@ -146,14 +196,37 @@
             log::info!("roll-out ordered; service={service} version={}", order.version);
             collector.lock().forget(service);
         }
-        let received_at = Instant::now();
+        let received_at = time::now();
         row.ordered = order.map(|order| Ordered { revision, order, received_at });
         row.due = None;
         row.last_report = None;
         row.is_bad = false;
+        row.delivered.clear();
         true
     }
 
+    /// Takes the report of an instance that follows this one. Reports only grow, so a smaller one
+    /// arrived late.
+    pub fn deliver(&mut self, report: PeerReport, now: Instant) {
+        let row = self.row(&report.service);
+        let delivered = Delivered { report, received_at: now };
+        let key = |delivered: &Delivered| delivered.report.reporter.clone();
+        match row.delivered.binary_search_by_key(&key(&delivered), key) {
+            Ok(at) => {
+                let count = |delivered: &Delivered| delivered.report.report.response_count();
+                if count(&delivered) >= count(&row.delivered[at]) {
+                    row.delivered[at] = delivered;
+                }
+            }
+            Err(at) => row.delivered.insert(at, delivered),
+        }
+    }
+
+    /// Records that a report was not delivered, so that it is due again.
+    pub fn report_lost(&mut self, service: &ServiceId) {
+        self.row(service).last_report = None;
+    }
+
     /// Applies a changed record or report, and returns whether the view changes.
     pub fn put(&mut self, entry: &Entry) -> bool {
         if let Some(service) = entry.key.strip_prefix(RECORD_PREFIX) {
@@ -230,36 +303,44 @@
         self.rows.iter().any(is_widely_exposed)
     }
 
-    /// Deletes reports that are left over from finished roll-outs. On average, one instance of the
-    /// fleet does so at a time.
-    pub fn delete_leftover_reports(&self, store: &Arc<dyn Store>) {
-        let size = self.fleet_size.get().unwrap_or(1) as f64;
+    /// Returns the writes that delete reports left over from finished roll-outs. On average, one of
+    /// the `readers` instances that read the store does so at a time.
+    pub fn leftover_deletions(&self, readers: usize) -> Vec<Txn> {
         let is_leftover =
             |row: &&Row| row.phase().is_some_and(Phase::is_over) && !row.reports.is_empty();
-        for row in self.rows.iter().filter(is_leftover) {
-            if rand::rng().random::<f64>() * size < 1.0 {
-                let reports = row.reports.iter().take(MAX_DELETED_REPORTS);
-                self.commit(
-                    store,
-                    reports.fold(Txn::new(), |txn, reported| txn.delete(&reported.key)),
-                );
-            }
-        }
+        let is_chosen = |_: &&Row| rand::rng().random::<f64>() * (readers as f64) < 1.0;
+        let deletion = |row: &Row| {
+            let reports = row.reports.iter().take(MAX_DELETED_REPORTS);
+            reports.fold(Txn::new(), |txn, reported| txn.delete(&reported.key))
+        };
+        self.rows.iter().filter(is_leftover).filter(is_chosen).map(deletion).collect()
     }
 
-    /// Writes phases and reports that are due, and returns whether the view changes.
-    pub fn step(&mut self, store: &Arc<dyn Store>, servers: &[Arc<Server>], now: Instant) -> bool {
+    /// Returns the phases and reports that are due.
+    pub fn step(&mut self, part: Part, servers: &[Arc<Server>], now: Instant) -> Step {
         let bad_count = |rows: &[Row]| rows.iter().filter(|row| row.is_bad).count();
         let bad_before = bad_count(&self.rows);
+        let mut step = Step::default();
         for at in 0..self.rows.len() {
-            if let Some(txn) = self.advance(at, servers, now) {
-                self.commit(store, txn);
+            let transition = self.advance(at, servers, now);
+            if let Part::Reader { .. } = part {
+                step.writes.extend(transition);
             }
-            if let Some(txn) = self.report(at, servers, now) {
-                self.commit(store, txn);
+            let Some(report) = self.report(at, part, servers, now) else { continue };
+            match part {
+                Part::Reader { .. } => {
+                    let key = self.report_key(&self.rows[at].service);
+                    step.writes.extend(encode(&report).map(|value| Txn::new().put(&key, value)));
+                }
+                Part::Follower => step.reports.push(PeerReport {
+                    service: self.rows[at].service.clone(),
+                    reporter: self.reporter.clone(),
+                    report,
+                }),
             }
         }
-        bad_count(&self.rows) != bad_before
+        step.changes_view = bad_count(&self.rows) != bad_before;
+        step
     }
 
     /// Returns the write of the next phase, if it is due.
@@ -304,19 +385,23 @@
                 && server.version == *version
                 && server.readiness == Readiness::Ready
         };
-        let (failures, latencies) = self.own_evidence(&row.service, version);
+        let own = self.own_report(&row.service, version);
         let own_key = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own_key);
-        let is_recent =
-            |reported: &&Reported| now < reported.received_at + RUNS_OLD_REPORT_LIFETIME;
+        let is_recent = |at: Instant| now < at + RUNS_OLD_REPORT_LIFETIME;
         let runs_old = self.is_old_version_running(&row.service, version, servers)
-            || others.clone().filter(is_recent).any(|reported| reported.report.runs_old);
-        let is_same_version =
-            |reported: &&Reported| reported.report.version.as_ref() == Some(version);
-        let reports = others.filter(is_same_version).map(|reported| &reported.report);
-        let all_failures =
-            failures.iter().chain(reports.clone().flat_map(|report| &report.failures));
-        let all_latencies = latencies.iter().chain(reports.flat_map(|report| &report.latencies));
+            || row.followers_run_old(is_recent)
+            || others
+                .clone()
+                .any(|reported| is_recent(reported.received_at) && reported.report.runs_old);
+        let is_same_version = |report: &&Report| report.version.as_ref() == Some(version);
+        let delivered = row.delivered.iter().map(|delivered| &delivered.report.report);
+        let single: Vec<&Report> =
+            std::iter::once(&own).chain(delivered.filter(is_same_version)).collect();
+        let merged = others.map(|reported| &reported.report).filter(is_same_version).collect();
+        let reports = evidence::disjoint_reports(single, merged);
+        let all_failures = reports.iter().flat_map(|report| &report.failures);
+        let all_latencies = reports.iter().flat_map(|report| &report.latencies);
         let mut is_bad = row.is_bad;
         if !is_bad
             && let Some(regression) =
@@ -337,7 +422,7 @@
             duration: ordered.order.duration,
             visibility_delay: self.visibility_delay,
             is_bad,
-            is_load_tested: failures.iter().any(evidence::is_load_tested),
+            is_load_tested: reports.iter().any(|report| report.is_load_tested()),
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_old_version_idle: !runs_old,
         })
@@ -388,53 +473,77 @@
                 txn = txn.delete(&reported.key);
             }
         }
-        let (failures, latencies) = self.own_evidence(&row.service, &ordered.order.version);
-        let evidence = describe_evidence(failures.iter(), latencies.iter());
+        let report = self.merged_report(row, &ordered.order.version);
+        let evidence = describe_evidence(report.failures.iter(), report.latencies.iter());
         log::info!("roll-out goes on; service={} phase={phase:?} {evidence}", row.service);
         if !phase.is_over() {
             // Instances that start later compare the new version with these earlier observations.
-            let version = Some(ordered.order.version.clone());
-            let report = Report { version, failures, latencies, runs_old: false };
             txn = txn.put(&self.report_key(&row.service), encode(&report)?);
         }
         Some(txn)
     }
 
-    /// Returns the evidence that this instance has collected.
-    fn own_evidence(
-        &self,
-        service: &ServiceId,
-        version: &VersionId,
-    ) -> (Vec<FailureComparison>, Vec<LatencyComparison>) {
+    /// Returns the report on the evidence that this instance has collected.
+    fn own_report(&self, service: &ServiceId, version: &VersionId) -> Report {
         let collector = self.sources.collector.lock();
-        (collector.failures(service, version), collector.latencies(service, version))
+        Report {
+            version: Some(version.clone()),
+            failures: collector.failures(service, version),
+            latencies: collector.latencies(service, version),
+            runs_old: false,
+            reporters: vec![self.reporter.clone()],
+        }
+    }
+
+    /// Returns the report on the evidence of this instance and of those that follow it.
+    fn merged_report(&self, row: &Row, version: &VersionId) -> Report {
+        let is_same_version = |report: &&Report| report.version.as_ref() == Some(version);
+        let delivered = row.delivered.iter().map(|delivered| &delivered.report.report);
+        let own = self.own_report(&row.service, version);
+        delivered.filter(is_same_version).fold(own, Report::merge)
     }
 
     fn report_key(&self, service: &ServiceId) -> String {
         format!("{REPORT_PREFIX}{service}/{}", self.reporter)
     }
 
-    /// Returns the write of this instance's report, if it is due.
-    fn report(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
+    /// Returns the report of this instance, and of its followers if it reads the store, if it is
+    /// due.
+    fn report(
+        &mut self,
+        at: usize,
+        part: Part,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> Option<Report> {
         let row = &self.rows[at];
         let version = row.ordered.as_ref()?.order.version.clone();
         let phase = row.phase().filter(|phase| !phase.is_over())?;
         let since = row.recorded.as_ref().map(|recorded| now - recorded.received_at)?;
-        let (failures, latencies) = self.own_evidence(&row.service, &version);
-        let runs_old = phase == Phase::Full
+        let is_recent = |at: Instant| now < at + RUNS_OLD_REPORT_LIFETIME;
+        let own_runs_old = phase == Phase::Full
             && since >= RUNS_OLD_REPORT_DELAY
             && self.is_old_version_running(&row.service, &version, servers);
-        let report = Report { version: Some(version), failures, latencies, runs_old };
-        let is_due = match &row.last_report {
+        let (mut report, runs_old, reporters) = match part {
+            Part::Reader { readers } => (
+                self.merged_report(row, &version),
+                own_runs_old || row.followers_run_old(is_recent),
+                readers,
+            ),
+            Part::Follower => (self.own_report(&row.service, &version), own_runs_old, 1),
+        };
+        report.runs_old = runs_old;
+        let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
+        let is_due = match last {
             None => {
                 is_report_urgent(&report, &Report::default())
                     || runs_old
                     || report.latency_count() >= FIRST_REPORT_LATENCIES
             }
-            Some((last, at)) => {
+            Some(LastReport { report: last, at, .. }) => {
                 let has_more_latencies =
                     report.latency_count() >= last.latency_count() + MIN_NEW_LATENCIES;
-                let interval = plan::routine_report_interval(self.fleet_size.get().unwrap_or(1));
+                let interval = plan::routine_report_interval(reporters);
                 let is_routine = has_more_latencies && now >= *at + interval;
                 let is_due_for_content = is_report_urgent(&report, last) || is_routine;
                 let has_changed = is_due_for_content || runs_old != last.runs_old;
@@ -445,23 +554,8 @@
         if !is_due {
             return None;
         }
-        let key = self.report_key(&row.service);
-        let txn = Txn::new().put(&key, encode(&report)?);
-        self.rows[at].last_report = Some((report, now));
-        Some(txn)
-    }
-
-    fn commit(&self, store: &Arc<dyn Store>, txn: Txn) {
-        let store = store.clone();
-        tokio::spawn(async move {
-            match store.commit(txn).await {
-                Ok(commit) if commit.applied => {}
-                Ok(_) => log::debug!("another instance wrote the roll-out first"),
-                Err(error) => {
-                    log::warn!("the store did not confirm a write of a roll-out; cause={error}");
-                }
-            }
-        });
+        self.rows[at].last_report = Some(LastReport { report: report.clone(), part, at: now });
+        Some(report)
     }
 
     fn put_record(&mut self, service: &ServiceId, entry: &Entry) -> bool {
@@ -477,7 +571,7 @@
             record.phase
         );
         row.recorded =
-            Some(Recorded { revision: entry.revision, record, received_at: Instant::now() });
+            Some(Recorded { revision: entry.revision, record, received_at: time::now() });
         row.due = None;
         true
     }
@@ -485,7 +579,7 @@
     fn put_report(&mut self, rest: &str, entry: &Entry) {
         let Some((service, _instance)) = rest.rsplit_once('/') else { return };
         let Some(report) = decode::<Report>(entry) else { return };
-        let reported = Reported { key: entry.key.clone(), report, received_at: Instant::now() };
+        let reported = Reported { key: entry.key.clone(), report, received_at: time::now() };
         let row = self.row(&service.into());
         match row.reports.binary_search_by(|known| known.key.cmp(&entry.key)) {
             Ok(at) => row.reports[at] = reported,
@@ -502,6 +596,7 @@
                     ordered: None,
                     recorded: None,
                     reports: Vec::new(),
+                    delivered: Vec::new(),
                     is_bad: false,
                     due: None,
                     last_report: None,
@@ -514,7 +609,24 @@
     }
 }
 
+impl Part {
+    const fn is_same_kind(self, other: Self) -> bool {
+        matches!(
+            (self, other),
+            (Self::Reader { .. }, Self::Reader { .. }) | (Self::Follower, Self::Follower)
+        )
+    }
+}
+
 impl Row {
+    /// Returns whether requests run on the old version at an instance that follows this one,
+    /// according to its last report, if that one is recent.
+    fn followers_run_old(&self, is_recent: impl Fn(Instant) -> bool) -> bool {
+        self.delivered
+            .iter()
+            .any(|delivered| delivered.report.report.runs_old && is_recent(delivered.received_at))
+    }
+
     /// Returns the phase that this instance acts on. Once its evidence shows the version to be bad,
     /// it sends no requests to that version, even while the roll-back can't be written to the
     /// store.
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -15,6 +15,7 @@
     serde::{Deserialize, Serialize},
     std::{
         fmt::{self, Display, Formatter},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -68,7 +69,7 @@
 /// Response counts of one scope, for the new version and for the other versions.
 pub type FailureComparison = Comparison<Scope, Counts>;
 
-/// Evidence that one instance has collected during a roll-out.
+/// Evidence that one or more instances have collected during a roll-out.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
     /// Version that is rolled out.
@@ -79,8 +80,11 @@
     /// Latencies by stratum.
     #[serde(rename = "paces")]
     pub latencies: Vec<LatencyComparison>,
-    /// Whether requests run on the old version at this instance.
+    /// Whether requests run on the old version at one of the instances.
     pub runs_old: bool,
+    /// Names under which the instances report whose evidence the report contains.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reporters: Vec<Arc<str>>,
 }
 
 impl Report {
@@ -91,6 +95,38 @@
         self.failures.iter().filter(is_counted_once).map(|failures| failures.new.bad).sum()
     }
 
+    /// Returns the number of responses of all versions.
+    pub fn response_count(&self) -> u32 {
+        let all = self.failures.iter().filter(|failures| failures.scope == Scope::Broken);
+        all.map(|failures| failures.new.all + failures.old.all).sum()
+    }
+
+    /// Returns whether enough responses came from servers of the new version under load.
+    pub fn is_load_tested(&self) -> bool {
+        let is_enough = |failures: &FailureComparison| {
+            failures.scope == Scope::Loaded && failures.new.all >= MIN_SCOPE_FAILURES
+        };
+        self.failures.iter().any(is_enough)
+    }
+
+    /// Adds the evidence of another report, which must not contain the same observations.
+    #[must_use]
+    pub fn merge(self, other: &Self) -> Self {
+        let mut reporters = self.reporters;
+        reporters.extend(other.reporters.iter().cloned());
+        Self {
+            version: self.version,
+            failures: comparison::merge(
+                self.failures.into_iter().chain(other.failures.iter().cloned()),
+            ),
+            latencies: comparison::merge(
+                self.latencies.into_iter().chain(other.latencies.iter().cloned()),
+            ),
+            runs_old: self.runs_old || other.runs_old,
+            reporters,
+        }
+    }
+
     /// Returns the number of latency measurements of the new version.
     pub fn latency_count(&self) -> u32 {
         self.latencies.iter().map(|latency| latency.new.count).sum()
@@ -292,9 +328,30 @@
     scopes.into_iter().find(is_failing).map(Regression::FailuresInScope)
 }
 
-/// Returns whether enough responses came from servers of the new version under load.
-pub fn is_load_tested(failures: &FailureComparison) -> bool {
-    failures.scope == Scope::Loaded && failures.new.all >= MIN_SCOPE_FAILURES
+/// Returns reports that don't share observations, with as many of them as possible: `single` are the
+/// reports of one instance each, `merged` those of several instances, whose reporters may be among
+/// the single ones or in several merged reports. An instance that reports to another reader after
+/// the first one failed is in the reports of both.
+pub fn disjoint_reports<'a>(
+    single: Vec<&'a Report>,
+    mut merged: Vec<&'a Report>,
+) -> Vec<&'a Report> {
+    merged.sort_by_key(|report| std::cmp::Reverse(report.response_count()));
+    let (mut single, mut chosen): (Vec<&Report>, Vec<&Report>) = (single, Vec::new());
+    let shares = |a: &Report, b: &Report| a.reporters.iter().any(|one| b.reporters.contains(one));
+    for report in merged {
+        if chosen.iter().any(|other| shares(other, report)) {
+            continue;
+        }
+        let covered = single.iter().filter(|other| shares(other, report));
+        let covered_responses: u32 = covered.map(|other| other.response_count()).sum();
+        if covered_responses < report.response_count() {
+            single.retain(|other| !shares(other, report));
+            chosen.push(report);
+        }
+    }
+    chosen.extend(single);
+    chosen
 }
 
 /// Returns whether the failures are too unlikely at the baseline rate, which is at least
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -26,6 +26,7 @@
         "callers" => json!("127.0.0.1:8080"),
         "readiness" => json!("127.0.0.1:8081"),
         "operators" => json!("127.0.0.1:9100"),
+        "peers" => json!("127.0.0.1:9200"),
         "store" => json!("127.0.0.1:2379"),
         "revocation_ms" => json!(5_000),
         "propagation_ms" => json!(2_500),
@@ -56,6 +57,7 @@
     let mut own: Vec<(&str, SocketAddr)> =
         vec![("callers", settings.callers), ("readiness", settings.readiness)];
     own.extend(settings.operators.map(|address| ("operators", address)));
+    own.extend(settings.peers.map(|address| ("peers", address)));
     for (at, (path, address)) in own.iter().enumerate() {
         let clash = own[..at].iter().find(|(_, other)| other == address && address.port() != 0);
         if let Some((other, _)) = clash {
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -31,6 +31,10 @@
     /// Address at which operators read metrics.
     #[serde(default)]
     pub operators: Option<SocketAddr>,
+    /// Address at which other instances of the fleet follow this one; without it, the instance reads
+    /// the store by itself.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Longest time for which a revoked key may still be accepted.
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod load;
 mod registry;
+mod relay;
 mod rollout;
 mod route;
 mod settings;
--- a/crates/hawthornmount-store/src/etcd/mod.rs
+++ b/crates/hawthornmount-store/src/etcd/mod.rs
@@ -5,7 +5,9 @@
 mod watch;
 
 use {
-    crate::{Commit, Compare, Entry, Error, LeaseId, Page, Result, Store, Txn, Watch, Write},
+    crate::{
+        Commit, Compare, Entry, Error, LeaseId, Page, Result, Stamp, Store, Txn, Watch, Write,
+    },
     async_trait::async_trait,
     hawthornmount_core::id::Revision,
     hawthornmount_http::client::{self, Client},
@@ -104,7 +106,7 @@
         Ok(Page {
             entries: response.kvs.into_iter().map(to_entry).collect(),
             more: response.more,
-            revision: response.header.revision,
+            stamp: Stamp { era: 0, revision: response.header.revision },
         })
     }
 
--- a/crates/hawthornmount-store/src/lib.rs
+++ b/crates/hawthornmount-store/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use {
     error::{Error, Result},
-    txn::{Commit, Compare, Entry, Event, Guard, Page, Put, Txn, Write},
+    txn::{Commit, Compare, Entry, Era, Event, Guard, Page, Put, Stamp, Txn, Write},
 };
 
 use {
--- a/crates/hawthornmount-store/src/memory/state.rs
+++ b/crates/hawthornmount-store/src/memory/state.rs
@@ -1,7 +1,9 @@
 //! Keys, leases and history of the in-memory store.
 
 use {
-    crate::{Commit, Compare, Entry, Error, Event, Guard, LeaseId, Page, Put, Result, Txn, Write},
+    crate::{
+        Commit, Compare, Entry, Error, Event, Guard, LeaseId, Page, Put, Result, Stamp, Txn, Write,
+    },
     hawthornmount_core::{id::Revision, table::Table},
     std::{
         sync::Arc,
@@ -59,7 +61,7 @@
             .collect();
         let more = entries.len() > limit;
         entries.truncate(limit);
-        Page { entries, more, revision: self.revision }
+        Page { entries, more, stamp: Stamp { era: 0, revision: self.revision } }
     }
 
     /// Applies a transaction and adds its changes to `events`. All its writes share one revision.
--- a/crates/hawthornmount-store/src/txn/mod.rs
+++ b/crates/hawthornmount-store/src/txn/mod.rs
@@ -1,6 +1,27 @@
 //! Entries of the store, transactions that change them and events that report changes.
 
-use {crate::LeaseId, bytes::Bytes, hawthornmount_core::id::Revision, std::sync::Arc};
+use {
+    crate::LeaseId,
+    bytes::Bytes,
+    hawthornmount_core::id::Revision,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Number of times that a store has been restored from a copy.
+pub type Era = u64;
+
+/// Point in the history of a store. A store that is restored from a copy continues in a later era,
+/// in which it may assign revisions again that it has assigned before.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Stamp {
+    /// Era of the store.
+    pub era: Era,
+    /// Revision within the era.
+    pub revision: Revision,
+}
 
 /// Key with its value and revisions.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,8 +43,8 @@
     pub entries: Vec<Entry>,
     /// Whether further keys follow the last entry.
     pub more: bool,
-    /// Revision of the store at the time of the listing.
-    pub revision: Revision,
+    /// Point in the history of the store at the time of the listing.
+    pub stamp: Stamp,
 }
 
 /// Condition that a guard places on its key.
