No session moves to a new version in the first half of its roll-out

Cause: a session that was active before the order and continues at another instance counted as new there, so the canary moved it (PINNED), the more often the larger the fleet; the share was made smaller with the fleet (0.0009 at 195 instances) and yielded no evidence there. An instance can't know what the others saw, so no share is right.

Change: in the first half only requests without a session go to the new version (0.02 at any fleet size); in the second half a probe phase sends a tenth of the sessions for 2 s, then the widening phase follows as before. Sessions are assigned by hash and phase alone, so none goes back.

--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -82,17 +82,12 @@
         servers: Vec<&'a Arc<Server>>,
         now: Instant,
     ) -> (Vec<&'a Arc<Server>>, bool) {
-        let session = job.request.session.as_ref();
-        let Some(split) = view.split(&job.service) else {
-            if let Some(session) = session {
-                self.exposure.lock().sessions.assign_old(&job.service, session, now);
-            }
-            return (servers, false);
-        };
+        let Some(split) = view.split(&job.service) else { return (servers, false) };
         let is_first = progress.attempts == 0;
         let is_recent = self.freshness.is_within_propagation_bound();
-        let session = session.unwrap_or(&job.id);
-        let side = self.exposure.lock().assign_side(split, session, is_first, is_recent, now);
+        let session = job.request.session.as_ref();
+        let side =
+            self.exposure.lock().assign_side(split, &job.id, session, is_first, is_recent, now);
         let is_of_side =
             |server: &&&Arc<Server>| (server.version == split.version) == (side == Side::New);
         let assigned: Vec<&Arc<Server>> = servers.iter().filter(is_of_side).copied().collect();
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -208,7 +208,6 @@
             adapters.schema.clone(),
             components.forwarder.sources(),
             follow::visibility_delay(list_interval),
-            components.forwarder.fleet_size(),
         );
         let peers = match components.settings.peers {
             Some(address) => Some(frontend::listen(address).await?),
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -9,7 +9,6 @@
     },
     crate::{
         load::Tracker,
-        membership::Size,
         registry::{Readiness, Server},
         relay::PeerReport,
         schema::{Codec, Order, Progress, Stage},
@@ -161,7 +160,6 @@
     sources: Sources,
     /// Time after which every instance has seen an order.
     visibility_delay: Duration,
-    fleet_size: Size,
     rows: Vec<Row>,
 }
 
@@ -173,10 +171,9 @@
         schema: Arc<dyn Codec>,
         sources: Sources,
         visibility_delay: Duration,
-        fleet_size: Size,
     ) -> Self {
         let reporter = id::generate(instance);
-        Self { reporter, schema, sources, visibility_delay, fleet_size, rows: Vec::new() }
+        Self { reporter, schema, sources, visibility_delay, rows: Vec::new() }
     }
 
     /// Applies an order or its removal, and returns whether the view changes.
@@ -271,9 +268,7 @@
     pub fn splits(&self) -> Vec<Split> {
         let split = |row: &Row| {
             let version = row.ordered.as_ref()?.order.version.clone();
-            let (service, phase) = (row.service.clone(), row.effective_phase()?);
-            let canary_share = row.recorded.as_ref()?.record.canary_share;
-            Some(Split { service, version, phase, canary_share })
+            Some(Split { service: row.service.clone(), version, phase: row.effective_phase()? })
         };
         self.rows.iter().filter_map(split).collect()
     }
@@ -446,15 +441,11 @@
         let row = &self.rows[at];
         let ordered = row.ordered.as_ref()?;
         let version = ordered.order.version.clone();
-        let canary_share = match &row.recorded {
-            Some(recorded) if phase != Phase::Canary => recorded.record.canary_share,
-            _ => plan::canary_share(self.fleet_size.get().unwrap_or(1)),
-        };
         let order = ordered.revision;
-        let record = Record { order, version: version.clone(), phase, canary_share };
+        let record = Record { order, version: version.clone(), phase, canary_share: 0.0 };
         let key = format!("{RECORD_PREFIX}{}", row.service);
         let stage = match phase {
-            Phase::Canary | Phase::Widening | Phase::Full => Stage::Running,
+            Phase::Canary | Phase::Probe | Phase::Widening | Phase::Full => Stage::Running,
             Phase::Completed => Stage::Completed,
             Phase::RolledBack => Stage::RolledBack,
         };
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -25,8 +25,10 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
-    /// A small share of the new sessions goes to the new version.
+    /// A small share of the requests that belong to no session goes to the new version.
     Canary,
+    /// A small share of all sessions goes to the new version.
+    Probe,
     /// A larger share of all sessions goes to the new version.
     Widening,
     /// Every session goes to the new version; the old version finishes its requests.
@@ -46,9 +48,9 @@
     pub version: VersionId,
     /// Phase of the roll-out.
     pub phase: Phase,
-    /// Share of the new sessions that go to the new version in the canary phase. It is stored so
-    /// that all instances assign sessions alike.
-    #[serde(default = "plan::most_canary_share")]
+    /// Share of the sessions that builds without [`Phase::Probe`] assign to the new version in the
+    /// canary phase; it is 0, because they would move sessions in the first half of the roll-out.
+    #[serde(default)]
     pub canary_share: f64,
 }
 
@@ -61,16 +63,15 @@
     pub version: VersionId,
     /// Phase of the roll-out.
     pub phase: Phase,
-    /// Share of the new sessions that go to the new version in the canary phase.
-    pub canary_share: f64,
 }
 
 impl Split {
-    /// Returns the share of the sessions that go to the new version in the current phase. It grows
+    /// Returns the share of the requests that go to the new version in the current phase. It grows
     /// from phase to phase.
     pub const fn share(&self) -> f64 {
         match self.phase {
-            Phase::Canary => self.canary_share,
+            Phase::Canary => plan::CANARY_SHARE,
+            Phase::Probe => plan::PROBE_SHARE,
             Phase::Widening => plan::WIDENING_SHARE,
             Phase::Full | Phase::Completed => 1.0,
             Phase::RolledBack => 0.0,
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -1,22 +1,24 @@
 //! Decides when a roll-out enters its next phase.
 //!
-//! A new version may turn out bad at once, later, only under load or only on one route. It
-//! therefore gets a small share of the sessions until half of the roll-out's time has passed, and
-//! then all of them in two steps. Each step is short enough that evidence against the version stops
-//! the roll-out within the allowed exposure.
+//! Sessions must not change their version in the first half of the roll-out's time. A session can
+//! continue at any instance, and that instance can't know whether the session was active before the
+//! order. No instance therefore sends a session to the new version in the first half; only requests
+//! that belong to no session go there.
+//!
+//! A new version may turn out bad at once, later, only under load or only on one route. In the
+//! second half it therefore gets the sessions in three steps, each of which is short enough that
+//! evidence against the version stops the roll-out within the allowed exposure.
 
 use {super::Phase, std::time::Duration};
 
-/// Share of the new sessions that go to the new version in the canary phase. The users allow a bad
-/// version 0.12 to 0.15 of all requests over the whole roll-out. A session that was active before
-/// the order and continues at another instance counts as new there, so a larger share would move
-/// too many such sessions.
-const CANARY_SHARE: f64 = 0.02;
-/// Number of instances up to which [`CANARY_SHARE`] applies; the users run six and nine. In a
-/// larger fleet there are more requests, so a smaller share yields as much evidence, and more
-/// sessions continue at another instance.
-const SMALL_FLEET_INSTANCES: f64 = 9.0;
-/// Interval at which an instance of a small fleet also reports responses that are not slow. It may
+/// Share of the requests without a session that go to the new version in the canary phase.
+pub const CANARY_SHARE: f64 = 0.02;
+/// Share of the sessions that go to the new version in the probe phase. It yields the evidence that
+/// stops a bad version before most sessions go to it.
+pub const PROBE_SHARE: f64 = 0.1;
+/// Number of reporters up to which [`ROUTINE_REPORT_INTERVAL`] applies.
+const FEW_REPORTERS: f64 = 9.0;
+/// Interval at which one of a few reporters also reports responses that are not slow. It may
 /// stop and lose these observations, and the other instances see only a small share of the
 /// responses.
 const ROUTINE_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
@@ -40,6 +42,12 @@
 const CANARY_MARGIN: Duration = Duration::from_millis(250);
 /// Shortest canary phase at an instance that has only just seen the roll-out.
 const MIN_CANARY_DURATION: Duration = Duration::from_secs(3);
+/// Fraction of the roll-out's time that the probe phase takes, limited by [`MAX_PROBE_DURATION`].
+const PROBE_FRACTION: f64 = 0.08;
+/// Longest probe phase.
+const MAX_PROBE_DURATION: Duration = Duration::from_millis(2_000);
+/// Shortest roll-out with a probe phase; the other phases need the time of a shorter one.
+const MIN_PROBED_DURATION: Duration = Duration::from_secs(16);
 /// Fraction of the roll-out's time that the widening phase takes, limited by
 /// [`MIN_WIDENING_DURATION`] and [`MAX_WIDENING_DURATION`]. Its requests fill a server within two
 /// seconds, and evidence takes up to one second to reach the other instances.
@@ -65,22 +73,12 @@
 /// models last up to ten seconds.
 const COMPLETION_FRACTION: f64 = 0.92;
 
-/// Returns the share of the new sessions in the canary phase for a fleet of `instances` instances.
-pub fn canary_share(instances: usize) -> f64 {
-    CANARY_SHARE * (SMALL_FLEET_INSTANCES / instances.max(1) as f64).min(1.0)
-}
-
-/// Returns the largest share of the new sessions in the canary phase.
-pub const fn most_canary_share() -> f64 {
-    CANARY_SHARE
-}
-
-/// Returns the interval at which an instance reports responses that are not slow. It grows with the
-/// fleet, because each instance sees a smaller part of the responses and all instances write to the
-/// same store.
-pub fn routine_report_interval(instances: usize) -> Duration {
+/// Returns the interval at which each of `reporters` reports responses that are not slow. It grows
+/// with their number, because each sees a smaller part of the responses and all write to the same
+/// store.
+pub fn routine_report_interval(reporters: usize) -> Duration {
     ROUTINE_REPORT_INTERVAL
-        .mul_f64((instances as f64 / SMALL_FLEET_INSTANCES).max(1.0))
+        .mul_f64((reporters as f64 / FEW_REPORTERS).max(1.0))
         .min(MAX_ROUTINE_REPORT_INTERVAL)
 }
 
@@ -121,7 +119,12 @@
             let canary_end = conditions.duration.mul_f64(CANARY_FRACTION) + CANARY_MARGIN;
             let is_due = conditions.since_order >= canary_end
                 && conditions.since_phase >= MIN_CANARY_DURATION;
-            is_due.then_some(Phase::Widening)
+            let is_probed = conditions.duration >= MIN_PROBED_DURATION;
+            is_due.then_some(if is_probed { Phase::Probe } else { Phase::Widening })
+        }
+        Phase::Probe => {
+            let duration = conditions.duration.mul_f64(PROBE_FRACTION).min(MAX_PROBE_DURATION);
+            (conditions.since_phase >= duration).then_some(Phase::Widening)
         }
         Phase::Widening => {
             let min_duration = clamped_fraction(
--- a/crates/hawthornmount-gateway/src/rollout/sessions.rs
+++ b/crates/hawthornmount-gateway/src/rollout/sessions.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Phase, Split},
-    hawthornmount_core::id::{ServiceId, SessionId, VersionId},
+    hawthornmount_core::id::{RequestId, ServiceId, SessionId, VersionId},
     std::{
         hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
@@ -15,14 +15,13 @@
 /// Inactive sessions are removed whenever the number of rows reaches a multiple of this.
 const SWEEP_INTERVAL_ROWS: usize = 512;
 
-/// Factor by which the requests of the new version may exceed the share of sessions of the phase,
-/// because sessions have different numbers of requests.
+/// Factor by which the requests of the new version may exceed the share of the canary phase.
 const MAX_EXCESS_FACTOR: f64 = 1.25;
 /// Number of requests that the new version may get in addition.
 const EXTRA_REQUESTS: f64 = 2.0;
 
 /// Version that a request is sent to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Side {
     /// The version from before the roll-out.
     Old,
@@ -44,35 +43,22 @@
 }
 
 impl Sessions {
-    /// Returns the version for a request and remembers it for the request's session. A session
-    /// without a version gets one by its hash, so that every instance decides alike.
-    pub fn assign_side(
-        &mut self,
-        split: &Split,
-        session: &SessionId,
-        may_use_new: bool,
-        now: Instant,
-    ) -> Side {
+    /// Returns the version for a request of a session and remembers it. A session goes to the new
+    /// version by its hash and the phase, so that every instance decides alike and no session
+    /// returns to the old version unless the new one is rolled back.
+    pub fn assign_side(&mut self, split: &Split, session: &SessionId, now: Instant) -> Side {
         let key = key(&split.service, session);
         let known = self.rows.binary_search_by(|row| row.key.cmp(&key));
         let active = known.ok().map(|at| &self.rows[at]).filter(|row| is_active(row, now));
-        let hashed_side = if unit_fraction(key) < split.share() { Side::New } else { Side::Old };
         let side = match (split.phase, active.map(|row| row.side)) {
-            (Phase::RolledBack, _) => Side::Old,
+            (Phase::Canary | Phase::RolledBack, _) => Side::Old,
             (Phase::Full | Phase::Completed, _) | (_, Some(Side::New)) => Side::New,
-            (Phase::Canary, Some(Side::Old)) => Side::Old,
-            _ if !may_use_new => Side::Old,
-            _ => hashed_side,
+            (Phase::Probe | Phase::Widening, _) => hashed_side(split, key),
         };
         self.assign(key, side, now);
         side
     }
 
-    /// Remembers that a session's request went to the old version while no roll-out was under way.
-    pub fn assign_old(&mut self, service: &ServiceId, session: &SessionId, now: Instant) {
-        self.assign(key(service, session), Side::Old, now);
-    }
-
     fn assign(&mut self, key: u64, side: Side, now: Instant) {
         match self.rows.binary_search_by(|row| row.key.cmp(&key)) {
             Ok(at) => self.rows[at] = Row { key, side, last_request_at: now },
@@ -105,26 +91,22 @@
 }
 
 impl Exposure {
-    /// Returns the version for a request. `is_first` is whether this is the request's first
-    /// attempt, and `is_recent` whether the phase of the roll-out is known to be recent.
+    /// Returns the version for a request, given its id and its session, if it belongs to one.
+    /// `is_first` is whether this is the request's first attempt, and `is_recent` whether the phase
+    /// of the roll-out is known to be recent.
     pub fn assign_side(
         &mut self,
         split: &Split,
-        session: &SessionId,
+        id: &RequestId,
+        session: Option<&SessionId>,
         is_first: bool,
         is_recent: bool,
         now: Instant,
     ) -> Side {
-        if !is_recent && !split.phase.is_over() {
-            // The version may have been rolled back in the meantime.
-            return Side::Old;
-        }
-        let request_count = self.request_count(split);
-        let limit =
-            split.share() * MAX_EXCESS_FACTOR * f64::from(request_count.all) + EXTRA_REQUESTS;
-        // In later phases, a session that another instance has moved must not return.
-        let may_use_new = split.phase > Phase::Canary || f64::from(request_count.new) < limit;
-        let side = self.sessions.assign_side(split, session, may_use_new, now);
+        let side = match session {
+            Some(session) => self.sessions.assign_side(split, session, now),
+            None => self.assign_single(split, id, is_recent),
+        };
         if is_first {
             let request_count = self.request_count(split);
             request_count.all += 1;
@@ -133,6 +115,23 @@
         side
     }
 
+    /// Returns the version for a request that belongs to no session.
+    fn assign_single(&mut self, split: &Split, id: &RequestId, is_recent: bool) -> Side {
+        match split.phase {
+            Phase::RolledBack => return Side::Old,
+            Phase::Full | Phase::Completed => return Side::New,
+            // The version may have been rolled back in the meantime.
+            Phase::Canary | Phase::Probe | Phase::Widening if !is_recent => return Side::Old,
+            Phase::Canary | Phase::Probe | Phase::Widening => {}
+        }
+        let count = self.request_count(split);
+        let limit = split.share() * MAX_EXCESS_FACTOR * f64::from(count.all) + EXTRA_REQUESTS;
+        if split.phase == Phase::Canary && f64::from(count.new) >= limit {
+            return Side::Old;
+        }
+        hashed_side(split, key(&split.service, id))
+    }
+
     fn request_count(&mut self, split: &Split) -> &mut RequestCount {
         let found = self
             .request_counts
@@ -159,12 +158,18 @@
     now < row.last_request_at + SESSION_LIFETIME
 }
 
-fn key(service: &ServiceId, session: &SessionId) -> u64 {
+/// Returns the hash of a session, or of a request without one, of a service.
+fn key(service: &ServiceId, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (service, session).hash(&mut hasher);
+    (service, id).hash(&mut hasher);
     hasher.finish()
 }
 
+/// Returns the version for a hash in the current phase.
+fn hashed_side(split: &Split, key: u64) -> Side {
+    if unit_fraction(key) < split.share() { Side::New } else { Side::Old }
+}
+
 /// Maps a hash to the range from 0 to 1.
 fn unit_fraction(key: u64) -> f64 {
     key as f64 / u64::MAX as f64
