Only readers judge a version; a follower's own evidence is too little

Since the relay a follower no longer has the reports of the others. It also prepared the write of the roll-back every 400 ms, which was dropped.

Change: a follower reports and acts on the phase; phases are judged by instances that have listed the store since they last followed another one.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -73,6 +73,9 @@
     selector: Selector,
     /// Instance that was followed last, and what it sent.
     followed: Option<Followed>,
+    /// Whether this instance has listed the store since it last followed another one, so that it
+    /// has the reports of the other data centres.
+    is_reader: bool,
     /// When this instance last tried to register.
     registered_at: Option<Instant>,
     /// Interval between two lists.
@@ -122,6 +125,7 @@
             link,
             selector: Selector::default(),
             followed: None,
+            is_reader: false,
             registered_at: None,
             list_interval,
             watch: None,
@@ -176,6 +180,7 @@
         let (entries, stamp) = self.list_pages().await?;
         self.relay.replica.lock().replace(&entries, stamp);
         self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
+        self.is_reader = true;
         self.store_responded();
         self.publish();
         self.freshness.confirm(asked_at);
@@ -251,6 +256,7 @@
     /// Asks another instance for what is newer, and applies its response.
     async fn follow_peer(&mut self, peer: Peer) {
         self.watch = None;
+        self.is_reader = false;
         let wait = self.peer_wait();
         let (cursor, confirmation) = self.known_of(&peer);
         let asked = self.freshness.now();
@@ -409,9 +415,10 @@
         for report in self.relay.take_reports() {
             self.state.driver_mut().deliver(report, now);
         }
-        let part = match &self.followed {
-            Some(_) => Part::Follower,
-            None => Part::Reader { readers: self.state.membership().data_centres() },
+        let part = if self.is_reader {
+            Part::Reader { readers: self.state.membership().data_centres() }
+        } else {
+            Part::Follower
         };
         let step = self.state.step_rollouts(part, now);
         for txn in step.writes {
@@ -442,7 +449,10 @@
     /// Delivers a report to the followed instance in the background. A report that is lost is
     /// contained in the next one.
     fn deliver(&mut self, report: PeerReport) {
-        let Some(followed) = &self.followed else { return };
+        let Some(followed) = &self.followed else {
+            self.state.driver_mut().report_lost(&report.service);
+            return;
+        };
         let (peer, link) = (followed.peer.clone(), self.link.clone());
         tokio::spawn(async move {
             if let Err(failed) = link.report(&peer, report).await {
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -317,9 +317,9 @@
         let bad_before = bad_count(&self.rows);
         let mut step = Step::default();
         for at in 0..self.rows.len() {
-            let transition = self.advance(at, servers, now);
+            // A follower has only its own observations, which are too few for a judgement.
             if let Part::Reader { .. } = part {
-                step.writes.extend(transition);
+                step.writes.extend(self.advance(at, servers, now));
             }
             let Some(report) = self.report(at, part, servers, now) else { continue };
             match part {
