Servers that state that they leave, and the time for which a server turns requests away

A server that states that it leaves gets nothing more from this instance, retries, resumes and escalations included, until it starts again (born). The statement is kept apart from the load statistics, which are dropped with the server's entry. A 421 is not taken as the statement of the server that was meant. A server that turns requests away gets none until the time is over; if all servers of a service do, the caller gets 503 at once with the smallest time left.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -253,6 +253,10 @@
         let (parts, body) = response.into_parts();
         let head = self.dialect.parse_response(&parts);
         let now = Instant::now();
+        // Another server may have answered at the address if the expected one is gone.
+        if parts.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_statements(job, server, &head, now);
+        }
         let class = classify(&job.id, parts.status, &head, is_reused);
         if let Class::Invalid(cause) = class {
             self.record_failure(job, server, cause.as_str());
@@ -298,6 +302,23 @@
         }
     }
 
+    /// Records that a server is leaving or wants no requests for a time.
+    fn record_statements(&self, job: &Job, server: &Server, head: &ResponseHead, now: Instant) {
+        let mut loads = self.loads.lock();
+        if head.is_leaving && loads.record_leaving(&server.id, server.start_ms) {
+            log::info!("server is leaving; id={} server={}", job.id, server.id);
+        }
+        if let Some(time) = head.retry_after {
+            loads.stats(&server.id).close(time, now);
+            log::info!(
+                "server turns requests away; id={} server={} for_ms={}",
+                job.id,
+                server.id,
+                time.as_millis()
+            );
+        }
+    }
+
     /// Logs a failure response of a server and reads its body.
     async fn handle_failure(
         &self,
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -230,7 +230,9 @@
             return Err(overloaded());
         }
         let Some(server) = self.choose(job, progress) else {
-            return Err(if progress.retry_reason.is_some() {
+            return Err(if let Some(time) = self.closed_for(job) {
+                overloaded().retry_after(time)
+            } else if progress.retry_reason.is_some() {
                 overloaded()
             } else {
                 no_server(&job.service)
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -27,6 +27,7 @@
             .filter(|server| !progress.tried.contains(&server.id))
             .collect();
         let now = Instant::now();
+        let servers = self.open_servers(servers, now);
         let (servers, is_trial) = self.servers_for_session(&view, job, progress, servers, now);
         let candidates = self.candidates(job, progress.level, &servers, now);
         let trial = if is_trial { balancing::first_unfilled(&candidates) } else { None };
@@ -38,6 +39,33 @@
         Some(servers[at].clone())
     }
 
+    /// Returns the servers that want requests of this instance: they are not leaving and have not
+    /// turned requests away for a time that still lasts.
+    fn open_servers<'a>(
+        &self,
+        servers: Vec<&'a Arc<Server>>,
+        now: Instant,
+    ) -> Vec<&'a Arc<Server>> {
+        let mut loads = self.loads.lock();
+        let mut is_open = |server: &&Arc<Server>| {
+            !loads.is_leaving(&server.id, server.start_ms)
+                && loads.stats(&server.id).closed_for(now).is_zero()
+        };
+        servers.into_iter().filter(|server| is_open(server)).collect()
+    }
+
+    /// Returns the time after which the first server of a service wants requests again, if all of
+    /// them have turned requests away for a time that still lasts.
+    pub(super) fn closed_for(&self, job: &Job) -> Option<Duration> {
+        let (view, now) = (self.cell.load(), Instant::now());
+        let mut loads = self.loads.lock();
+        let servers = view.servers(&job.service).iter();
+        let staying: Vec<_> =
+            servers.filter(|server| !loads.is_leaving(&server.id, server.start_ms)).collect();
+        let times = staying.iter().map(|server| loads.stats(&server.id).closed_for(now));
+        times.min().filter(|time| !time.is_zero())
+    }
+
     /// Returns the servers as candidates for load balancing, for a request at a level of the
     /// cascade.
     fn candidates(
@@ -112,8 +140,9 @@
     /// Returns the least expected wait among the servers for the model at a level of the cascade.
     pub(super) fn least_wait(&self, job: &Job, level: cascade::Level) -> Duration {
         let view = self.cell.load();
-        let servers: Vec<&Arc<Server>> = view.servers(&job.service).iter().collect();
-        let candidates = self.candidates(job, Some(level), &servers, Instant::now());
+        let now = Instant::now();
+        let servers = self.open_servers(view.servers(&job.service).iter().collect(), now);
+        let candidates = self.candidates(job, Some(level), &servers, now);
         let least = candidates.iter().map(Candidate::wait).min_by(f64::total_cmp);
         Duration::from_secs_f64(least.unwrap_or(0.0) / 1_000.0)
     }
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -6,12 +6,15 @@
     crate::message::Part,
     hawthornmount_core::id::{ModelId, ServerId},
     std::{
+        collections::VecDeque,
         fmt::{self, Display, Formatter},
         hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
     },
 };
 
+/// Servers that are remembered as leaving.
+const MAX_LEAVING: usize = 1_024;
 /// Cached prefixes that are tracked for one server.
 const MAX_CACHED_PREFIXES: usize = 256;
 /// Age from which a report is no longer used.
@@ -76,6 +79,8 @@
     report: Option<Report>,
     failures: u32,
     avoided_until: Option<Instant>,
+    /// Time until which the server wants no requests of this instance.
+    closed_until: Option<Instant>,
     cached: Vec<CachedPrefix>,
 }
 
@@ -134,6 +139,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     rows: Vec<ServerStats>,
+    /// Servers that stated that they are leaving, with their start times, oldest statement first.
+    leaving: VecDeque<(ServerId, u64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -155,6 +162,26 @@
         &mut self.rows[at].stats
     }
 
+    /// Records that the server that started at `start_ms` stated that it is leaving, and returns
+    /// whether that is new. The statement outlives the server's statistics: the store may show it as
+    /// ready again when it is restored from a copy.
+    pub fn record_leaving(&mut self, id: &ServerId, start_ms: u64) -> bool {
+        if self.is_leaving(id, start_ms) {
+            return false;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            self.leaving.pop_front();
+        }
+        self.leaving.push_back((id.clone(), start_ms));
+        true
+    }
+
+    /// Returns whether the server that started at `start_ms` is leaving. A later start under the
+    /// same name is another server.
+    pub fn is_leaving(&self, id: &ServerId, start_ms: u64) -> bool {
+        self.leaving.iter().any(|(known, start)| known == id && *start == start_ms)
+    }
+
     /// Removes servers for which `is_known` is false and that have no requests in flight.
     pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
         self.rows.retain(|row| row.stats.in_flight > 0 || is_known(&row.id));
@@ -212,6 +239,16 @@
         self.avoided_until = Some(now + time);
     }
 
+    /// Records that the server turned a request away and wants no others for `time`.
+    pub fn close(&mut self, time: Duration, now: Instant) {
+        self.closed_until = self.closed_until.max(Some(now + time));
+    }
+
+    /// Returns the time for which the server wants no requests of this instance from `now` on.
+    pub fn closed_for(&self, now: Instant) -> Duration {
+        self.closed_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Returns whether the server is avoided at `now` because of a failure.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -81,6 +81,10 @@
     pub confidence: Option<u8>,
     /// Load that the server reports.
     pub load: Option<Load>,
+    /// Whether the server states that it is leaving and wants no further requests.
+    pub is_leaving: bool,
+    /// Time for which the server wants no requests of this instance, if it turned the request away.
+    pub retry_after: Option<Duration>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
     /// Time for which the server keeps an idle connection open.
