A store that is restored from a copy takes nothing back

Before, a configuration written again at a lower revision was never applied, a server that was gone was used again, and a forgotten phase of a roll-out stayed forgotten.

Configurations are ordered by their own version; servers that were draining or gone stay so; known orders keep their roll-out under their new revision; readers write again the phases, the status and the registration that the store lost; nothing is confirmed for 2 s after the change.

One was mended on the way: a finished roll-out whose phase was lost was not stepped, so nobody wrote it again.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -183,7 +183,9 @@
         self.is_reader = true;
         self.store_responded();
         self.publish();
-        self.freshness.confirm(asked_at);
+        if self.state.is_settled(time::now()) {
+            self.freshness.confirm(asked_at);
+        }
         self.relay.notify();
         self.register();
         for txn in self.state.driver().leftover_deletions(self.state.membership().data_centres()) {
@@ -319,7 +321,9 @@
             self.apply_replica(stamp);
         }
         let newer = confirmed.filter(|confirmed| {
-            !is_behind && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
+            !is_behind
+                && self.state.is_settled(time::now())
+                && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
         });
         if let Some(confirmed) = newer {
             self.freshness.confirm(confirmed.min(self.freshness.now()));
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -1,5 +1,11 @@
 //! State that the followed keys of the store describe. For each key, the entry with the highest
 //! revision applies.
+//!
+//! A store that is restored from a copy begins a new era, in which revisions are assigned again.
+//! Its entries are then applied whatever their revisions, but nothing goes back: configurations are
+//! ordered by their own version, servers that were draining or gone stay so, and roll-outs keep
+//! their phase. The operator and the servers write again what the copy lacks; what instances wrote
+//! is written again by those that know it.
 
 use {
     crate::{
@@ -10,13 +16,21 @@
             driver::{Part, Step},
         },
         schema::{Codec, Key},
+        time,
         view::Rules,
     },
     hawthornmount_core::id::{Revision, ServerId, ServiceId},
     hawthornmount_store::{Entry, Stamp},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
+/// Time after the start of an era in which the operator and the servers write again what the copy of
+/// the store lacked.
+const RESTATEMENT_TIME: Duration = Duration::from_secs(2);
+
 /// Known configuration, servers, roll-outs and instances.
 pub struct State {
     schema: Arc<dyn Codec>,
@@ -24,7 +38,9 @@
     registry: Registry,
     driver: Driver,
     membership: Membership,
-    revision: Revision,
+    stamp: Stamp,
+    /// When this instance saw the last change of the era.
+    era_began: Option<Instant>,
     /// Keys and the revisions at which they were applied, in order of the keys.
     applied: Vec<(Arc<str>, Revision)>,
 }
@@ -33,12 +49,27 @@
     /// Creates an empty state.
     pub fn new(schema: Arc<dyn Codec>, driver: Driver, membership: Membership) -> Self {
         let registry = Registry::default();
-        Self { schema, rules: None, registry, driver, membership, revision: 0, applied: Vec::new() }
+        Self {
+            schema,
+            rules: None,
+            registry,
+            driver,
+            membership,
+            stamp: Stamp::default(),
+            era_began: None,
+            applied: Vec::new(),
+        }
     }
 
     /// Returns the revision up to which all changes are known.
     pub const fn revision(&self) -> Revision {
-        self.revision
+        self.stamp.revision
+    }
+
+    /// Returns whether the operator and the servers have had time to write again what the store
+    /// lacked when it was restored. Until then, a list does not prove that nothing newer exists.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.era_began.is_none_or(|began| now >= began + RESTATEMENT_TIME)
     }
 
     /// Returns the rules of the configuration, if there is one.
@@ -81,6 +112,11 @@
         was_store_unreachable: bool,
         now: Instant,
     ) {
+        if stamp.era < self.stamp.era {
+            return;
+        }
+        let is_restored = self.begin_era(stamp, now);
+        let was_store_unreachable = was_store_unreachable || is_restored;
         let revision = stamp.revision;
         let mut present: Vec<ServerId> = Vec::new();
         let mut ordered: Vec<ServiceId> = Vec::new();
@@ -100,12 +136,33 @@
         self.registry.retain_listed(&present, was_store_unreachable, now);
         self.registry.expire(now);
         ordered.sort_unstable();
-        self.driver.retain_ordered(&ordered, revision);
+        self.driver.retain_ordered(&ordered, revision, now);
         let applied = &self.applied;
         let is_listed = |key: &str| position(applied, key).is_ok();
         self.driver.retain_reports(is_listed);
         self.membership.retain_listed(is_listed);
-        self.revision = self.revision.max(revision);
+        self.stamp = self.stamp.max(stamp);
+    }
+
+    /// Prepares for the entries of another era, and returns whether the store was restored from a
+    /// copy since the last list.
+    fn begin_era(&mut self, stamp: Stamp, now: Instant) -> bool {
+        let is_first = self.stamp == Stamp::default();
+        if is_first || stamp.era == self.stamp.era {
+            return false;
+        }
+        log::warn!(
+            "the store was restored from a copy; era={} revision={} before={:?}",
+            stamp.era,
+            stamp.revision,
+            self.stamp
+        );
+        self.stamp = stamp;
+        self.era_began = Some(now);
+        self.applied.clear();
+        self.registry.begin_era(now);
+        self.driver.begin_era(now);
+        true
     }
 
     /// Removes servers whose grace period has ended, and returns whether the view changes.
@@ -120,7 +177,7 @@
 
     /// Applies a changed key, and returns whether the view changes.
     pub fn put(&mut self, entry: &Entry) -> bool {
-        self.revision = self.revision.max(entry.revision);
+        self.stamp.revision = self.stamp.revision.max(entry.revision);
         if !self.is_newer(entry) {
             return false;
         }
@@ -133,7 +190,7 @@
 
     /// Applies the deletion of a key, and returns whether the view changes.
     pub fn delete(&mut self, key: &str, revision: Revision) -> bool {
-        self.revision = self.revision.max(revision);
+        self.stamp.revision = self.stamp.revision.max(revision);
         if let Ok(at) = position(&self.applied, key) {
             self.applied.remove(at);
         }
@@ -167,21 +224,31 @@
     }
 
     fn apply_config(&mut self, entry: &Entry) -> bool {
-        let current = self.rules.as_ref().map_or(0, |rules| rules.revision);
-        if entry.revision <= current {
-            return false;
-        }
-        let Some(config) = self.decode(entry, |schema| schema.decode_config(&entry.value)) else {
+        let Some(configuration) = self.decode(entry, |schema| schema.decode_config(&entry.value))
+        else {
             return false;
         };
-        log::info!("configuration in force; revision={} before={current}", entry.revision);
-        self.rules = Some(Arc::new(Rules::new(entry.revision, &config)));
+        let current = self.rules.as_ref().map_or(0, |rules| rules.version);
+        if self.rules.is_some() && configuration.version <= current {
+            log::info!(
+                "kept the configuration in force; version={current} skipped={} revision={}",
+                configuration.version,
+                entry.revision
+            );
+            return false;
+        }
+        log::info!(
+            "configuration in force; version={} before={current} revision={}",
+            configuration.version,
+            entry.revision
+        );
+        self.rules = Some(Arc::new(Rules::new(entry.revision, &configuration)));
         true
     }
 
     fn apply_server(&mut self, id: &ServerId, entry: &Entry) -> bool {
         match self.decode(entry, |schema| schema.decode_server(id, &entry.value)) {
-            Some(server) => self.registry.put(server),
+            Some(server) => self.registry.put(server, time::now()),
             None => self.registry.remove(id),
         }
         true
--- a/crates/hawthornmount-gateway/src/registry/mod.rs
+++ b/crates/hawthornmount-gateway/src/registry/mod.rs
@@ -3,6 +3,7 @@
 use {
     hawthornmount_core::id::{DataCentreId, ServerId, ServiceId, VersionId},
     std::{
+        collections::VecDeque,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
@@ -14,6 +15,12 @@
 /// store.
 const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Time after the store was restored from a copy in which a server that was gone before is not used
+/// again. Entries of servers that no longer exist expire within it.
+const RESTORED_ENTRY_HOLD: Duration = Duration::from_secs(6);
+/// Number of servers that are remembered as gone.
+const MAX_GONE: usize = 4_096;
+
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Readiness {
@@ -51,36 +58,79 @@
     server: Arc<Server>,
     /// When the entry was first found missing after an outage of the store.
     missing_since: Option<Instant>,
+    /// Until when the server is not used, because it was gone before the store was restored.
+    held_until: Option<Instant>,
 }
 
 /// Registered servers in order of their names.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     rows: Vec<Row>,
+    /// Names and start times of removed servers, the last one last.
+    gone: VecDeque<(ServerId, u64)>,
+    /// When the store was last restored from a copy.
+    restored_at: Option<Instant>,
 }
 
 impl Registry {
     /// Adds or replaces a server. A draining server remains draining until it is restarted.
-    pub fn put(&mut self, mut server: Server) {
+    pub fn put(&mut self, mut server: Server, now: Instant) {
+        let held_until = self.hold(&server, now);
         match self.position(&server.id) {
             Ok(at) => {
                 let known = &self.rows[at].server;
                 if known.readiness == Readiness::Draining && known.start_ms == server.start_ms {
                     server.readiness = Readiness::Draining;
                 }
-                self.rows[at] = Row { server: Arc::new(server), missing_since: None };
+                self.rows[at] = Row { server: Arc::new(server), missing_since: None, held_until };
+            }
+            Err(at) => {
+                let row = Row { server: Arc::new(server), missing_since: None, held_until };
+                self.rows.insert(at, row);
             }
-            Err(at) => self.rows.insert(at, Row { server: Arc::new(server), missing_since: None }),
         }
     }
 
+    /// Returns until when a server is not used because its entry may be that of a server that was
+    /// gone before the store was restored.
+    fn hold(&self, server: &Server, now: Instant) -> Option<Instant> {
+        let until = self.restored_at.map(|at| at + RESTORED_ENTRY_HOLD).filter(|at| now < *at)?;
+        let is_gone =
+            self.gone.iter().any(|(id, start_ms)| *id == server.id && *start_ms == server.start_ms);
+        is_gone.then_some(until)
+    }
+
+    /// Prepares for the entries of a store that was restored from a copy.
+    pub fn begin_era(&mut self, now: Instant) {
+        self.restored_at = Some(now);
+    }
+
     /// Removes a server whose entry was deleted.
     pub fn remove(&mut self, id: &str) {
         if let Ok(at) = self.position(id) {
-            self.rows.remove(at);
+            let row = self.rows.remove(at);
+            self.remember_gone([row.server]);
         }
     }
 
+    fn remember_gone(&mut self, servers: impl IntoIterator<Item = Arc<Server>>) {
+        for server in servers {
+            self.gone.push_back((server.id.clone(), server.start_ms));
+            if self.gone.len() > MAX_GONE {
+                self.gone.pop_front();
+            }
+        }
+    }
+
+    /// Removes the rows for which `is_kept` is false, and returns whether there were any.
+    fn retain(&mut self, is_kept: impl Fn(&Row) -> bool) -> bool {
+        let (kept, removed): (Vec<Row>, Vec<Row>) = self.rows.drain(..).partition(is_kept);
+        self.rows = kept;
+        let is_changed = !removed.is_empty();
+        self.remember_gone(removed.into_iter().map(|row| row.server));
+        is_changed
+    }
+
     /// Removes servers that are missing from a complete list of names. If the store was unreachable
     /// before the list (`was_store_unreachable`), they are removed only after a grace period,
     /// because their entries may have expired during the outage.
@@ -96,31 +146,35 @@
                 row.missing_since.get_or_insert(now);
             }
         } else {
-            self.rows.retain(|row| is_present(row) || row.missing_since.is_some());
+            self.retain(|row| is_present(row) || row.missing_since.is_some());
         }
     }
 
-    /// Removes servers whose grace period has ended, and returns whether any was removed.
+    /// Removes servers whose grace period has ended, uses those whose hold has ended, and returns
+    /// whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let count_before = self.rows.len();
+        let mut is_changed = false;
+        for row in self.rows.iter_mut().filter(|row| row.held_until.is_some_and(|at| now >= at)) {
+            row.held_until = None;
+            is_changed = true;
+        }
         let is_in_grace =
             |row: &Row| row.missing_since.is_none_or(|at| now < at + REREGISTRATION_GRACE);
-        self.rows.retain(is_in_grace);
-        self.rows.len() < count_before
+        self.retain(is_in_grace) || is_changed
     }
 
-    /// Returns when the grace period of the next missing server ends.
+    /// Returns when the grace period of the next missing server, or the next hold, ends.
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.rows
-            .iter()
-            .filter_map(|row| row.missing_since)
-            .min()
-            .map(|at| at + REREGISTRATION_GRACE)
+        let ends = |row: &Row| {
+            let grace_end = row.missing_since.map(|at| at + REREGISTRATION_GRACE);
+            grace_end.into_iter().chain(row.held_until).min()
+        };
+        self.rows.iter().filter_map(ends).min()
     }
 
-    /// Returns the servers in order of their names.
+    /// Returns the servers that may be used, in order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.rows.iter().map(|row| &row.server)
+        self.rows.iter().filter(|row| row.held_until.is_none()).map(|row| &row.server)
     }
 
     fn position(&self, id: &str) -> Result<usize, usize> {
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -62,22 +62,37 @@
 /// Maximum number of reports that are deleted in one write; the store accepts 32 entries per write.
 const MAX_DELETED_REPORTS: usize = 28;
 
+/// Time after the store was restored from a copy within which the operator writes again the orders
+/// that the copy lacked.
+const ORDER_RESTATEMENT_TIME: Duration = Duration::from_secs(10);
+/// Number of earlier orders of a service that are remembered to recognise them in a copy.
+const MAX_EARLIER_ORDERS: usize = 4;
+
 /// Order of a roll-out as received from the store.
 #[derive(Clone, Debug)]
 struct Ordered {
     revision: Revision,
     order: Order,
     received_at: Instant,
+    /// When the store was restored from a copy, unless it has shown the order again since then.
+    unconfirmed_since: Option<Instant>,
 }
 
-/// Record of a roll-out as received from the store.
+/// Record of a roll-out that this instance acts on.
 #[derive(Clone, Debug)]
 struct Recorded {
-    revision: Revision,
     record: Record,
     received_at: Instant,
 }
 
+/// Record of a roll-out in the store. After the store was restored from a copy, it can be older than
+/// the record that the instance acts on.
+#[derive(Clone, Debug)]
+struct Stored {
+    revision: Revision,
+    record: Record,
+}
+
 /// Report of an instance as received from the store.
 #[derive(Clone, Debug)]
 struct Reported {
@@ -107,7 +122,10 @@
 struct Row {
     service: ServiceId,
     ordered: Option<Ordered>,
+    /// Earlier orders, the last one last.
+    earlier_orders: Vec<(Revision, Order)>,
     recorded: Option<Recorded>,
+    stored: Option<Stored>,
     /// Reports in the store, in order of their keys.
     reports: Vec<Reported>,
     /// Reports of instances that follow this one, in order of their reporters.
@@ -185,8 +203,7 @@
     ) -> bool {
         let collector = self.sources.collector.clone();
         let row = self.row(service);
-        let known = row.ordered.as_ref().map_or(0, |ordered| ordered.revision);
-        if revision <= known {
+        if row.is_order_known(revision, order.as_ref()) {
             return false;
         }
         if let Some(order) = &order {
@@ -194,7 +211,14 @@
             collector.lock().forget(service);
         }
         let received_at = time::now();
-        row.ordered = order.map(|order| Ordered { revision, order, received_at });
+        let ordered =
+            order.map(|order| Ordered { revision, order, received_at, unconfirmed_since: None });
+        if let Some(earlier) = std::mem::replace(&mut row.ordered, ordered) {
+            row.earlier_orders.push((earlier.revision, earlier.order));
+            if row.earlier_orders.len() > MAX_EARLIER_ORDERS {
+                row.earlier_orders.remove(0);
+            }
+        }
         row.due = None;
         row.last_report = None;
         row.is_bad = false;
@@ -202,6 +226,19 @@
         true
     }
 
+    /// Prepares for the entries of a store that was restored from a copy at `now`. Orders, phases
+    /// and evidence stay as they are until the store shows newer ones.
+    pub fn begin_era(&mut self, now: Instant) {
+        for row in &mut self.rows {
+            if let Some(ordered) = &mut row.ordered {
+                ordered.unconfirmed_since = Some(now);
+            }
+            row.stored = None;
+            row.due = None;
+            row.last_report = None;
+        }
+    }
+
     /// Takes the report of an instance that follows this one. Reports only grow, so a smaller one
     /// arrived late.
     pub fn deliver(&mut self, report: PeerReport, now: Instant) {
@@ -243,16 +280,21 @@
     }
 
     /// Applies a complete list of the services that had an order at `revision`, in ascending order.
-    /// Orders of other services are removed, unless they are newer than the list.
-    pub fn retain_ordered(&mut self, services: &[ServiceId], revision: Revision) {
+    /// Orders of other services are removed, unless they are newer than the list, or the operator
+    /// may still write them again to a restored store.
+    pub fn retain_ordered(&mut self, services: &[ServiceId], revision: Revision, now: Instant) {
         let is_gone = |row: &&Row| {
-            let is_older = |ordered: &Ordered| ordered.revision <= revision;
-            row.ordered.as_ref().is_some_and(is_older)
+            let is_removed = |ordered: &Ordered| match ordered.unconfirmed_since {
+                Some(restored) => now >= restored + ORDER_RESTATEMENT_TIME,
+                None => ordered.revision <= revision,
+            };
+            row.ordered.as_ref().is_some_and(is_removed)
                 && services.binary_search(&row.service).is_err()
         };
         let gone: Vec<ServiceId> =
             self.rows.iter().filter(is_gone).map(|row| row.service.clone()).collect();
         for service in gone {
+            self.row(&service).confirm_order();
             self.set_order(&service, revision + 1, None);
         }
     }
@@ -284,10 +326,12 @@
         self.rows.iter().filter_map(excluded).collect()
     }
 
-    /// Returns whether a roll-out is under way.
+    /// Returns whether a roll-out is under way, or the store has lost the phase of one.
     pub fn is_active(&self) -> bool {
-        let is_active =
-            |row: &Row| row.ordered.is_some() && !row.phase().is_some_and(Phase::is_over);
+        let is_active = |row: &Row| {
+            let is_over = row.phase().is_some_and(Phase::is_over);
+            row.ordered.is_some() && (!is_over || row.lost_phase().is_some())
+        };
         self.rows.iter().any(is_active)
     }
 
@@ -340,13 +384,19 @@
 
     /// Returns the write of the next phase, if it is due.
     fn advance(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
-        let conditions = self.conditions(at, servers, now)?;
-        let row = &mut self.rows[at];
-        row.is_bad = conditions.is_bad;
-        let Some(next) = plan::next_phase(row.phase(), &conditions) else {
-            row.due = None;
-            return None;
+        let next = if let Some(phase) = self.rows[at].lost_phase() {
+            phase
+        } else {
+            let conditions = self.conditions(at, servers, now)?;
+            let row = &mut self.rows[at];
+            row.is_bad = conditions.is_bad;
+            let Some(next) = plan::next_phase(row.phase(), &conditions) else {
+                row.due = None;
+                return None;
+            };
+            next
         };
+        let row = &mut self.rows[at];
         let Some((phase, due)) = row.due else {
             let max_delay =
                 if next == Phase::RolledBack { MAX_ROLLBACK_DELAY } else { MAX_WRITE_DELAY };
@@ -449,12 +499,12 @@
             Phase::Completed => Stage::Completed,
             Phase::RolledBack => Stage::RolledBack,
         };
-        let mut txn = match &row.recorded {
-            Some(recorded) => Txn::new().if_unchanged(&key, recorded.revision),
+        let mut txn = match &row.stored {
+            Some(stored) => Txn::new().if_unchanged(&key, stored.revision),
             None => Txn::new().if_absent(&key),
         };
         txn = txn.put(&key, encode(&record)?);
-        if matches!(phase, Phase::Canary) || phase.is_over() {
+        if matches!(phase, Phase::Canary) || phase.is_over() || row.lost_phase().is_some() {
             let progress = Progress { version, stage };
             let (key, value) = self.schema.encode_progress(&row.service, &progress);
             txn = txn.put(&key, value);
@@ -552,8 +602,20 @@
     fn put_record(&mut self, service: &ServiceId, entry: &Entry) -> bool {
         let Some(record) = decode::<Record>(entry) else { return false };
         let row = self.row(service);
-        let known = row.recorded.as_ref().map_or(0, |recorded| recorded.revision);
-        if entry.revision <= known {
+        if row.stored.as_ref().is_some_and(|stored| entry.revision <= stored.revision) {
+            return false;
+        }
+        row.stored = Some(Stored { revision: entry.revision, record: record.clone() });
+        row.due = None;
+        if row.is_ahead_of(&record) {
+            log::info!(
+                "kept the phase of a roll-out; service={service} version={} stored={:?}",
+                record.version,
+                record.phase
+            );
+            return false;
+        }
+        if row.recorded.as_ref().is_some_and(|recorded| recorded.record == record) {
             return false;
         }
         log::info!(
@@ -561,9 +623,7 @@
             record.version,
             record.phase
         );
-        row.recorded =
-            Some(Recorded { revision: entry.revision, record, received_at: time::now() });
-        row.due = None;
+        row.recorded = Some(Recorded { record, received_at: time::now() });
         true
     }
 
@@ -585,7 +645,9 @@
                 let row = Row {
                     service: service.clone(),
                     ordered: None,
+                    earlier_orders: Vec::new(),
                     recorded: None,
+                    stored: None,
                     reports: Vec::new(),
                     delivered: Vec::new(),
                     is_bad: false,
@@ -610,6 +672,58 @@
 }
 
 impl Row {
+    /// Returns whether an order, or its removal, is one that this instance knows. A known order that
+    /// a restored store shows again takes its new revision, and so does its record.
+    fn is_order_known(&mut self, revision: Revision, order: Option<&Order>) -> bool {
+        let Some(known) = &mut self.ordered else { return false };
+        if known.unconfirmed_since.is_none() {
+            return revision <= known.revision;
+        }
+        let Some(order) = order else { return false };
+        if *order != known.order {
+            // The copy may hold an earlier order, which the operator's newer one will replace.
+            let is_same =
+                |earlier: &(Revision, Order)| earlier.0 == revision && earlier.1 == *order;
+            return self.earlier_orders.iter().any(is_same);
+        }
+        let before = std::mem::replace(&mut known.revision, revision);
+        known.unconfirmed_since = None;
+        if let Some(recorded) = &mut self.recorded
+            && recorded.record.order == before
+        {
+            recorded.record.order = revision;
+        }
+        true
+    }
+
+    /// Records that the store's answer about the order is final although it was restored.
+    fn confirm_order(&mut self) {
+        if let Some(ordered) = &mut self.ordered {
+            ordered.unconfirmed_since = None;
+            ordered.revision = 0;
+        }
+    }
+
+    /// Returns whether the known phase is later than that of a record in the store, which was then
+    /// restored from a copy.
+    fn is_ahead_of(&self, stored: &Record) -> bool {
+        let (Some(recorded), Some(ordered)) = (&self.recorded, &self.ordered) else { return false };
+        let known = &recorded.record;
+        known.order == ordered.revision
+            && known.version == stored.version
+            && (known.phase > stored.phase || known.order != stored.order)
+            && known.phase >= stored.phase
+    }
+
+    /// Returns the phase that this instance knows and the store lost.
+    fn lost_phase(&self) -> Option<Phase> {
+        let ordered =
+            self.ordered.as_ref().filter(|ordered| ordered.unconfirmed_since.is_none())?;
+        let known = &self.recorded.as_ref()?.record;
+        let is_lost = self.stored.as_ref().is_none_or(|stored| stored.record != *known);
+        (known.order == ordered.revision && is_lost).then_some(known.phase)
+    }
+
     /// Returns whether requests run on the old version at an instance that follows this one,
     /// according to its last report, if that one is recent.
     fn followers_run_old(&self, is_recent: impl Fn(Instant) -> bool) -> bool {
--- a/crates/hawthornmount-gateway/src/schema/mod.rs
+++ b/crates/hawthornmount-gateway/src/schema/mod.rs
@@ -22,6 +22,16 @@
     Other,
 }
 
+/// Configuration as the operator wrote it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Version, which grows with each configuration. It orders configurations even if the store
+    /// was restored from a copy.
+    pub version: u64,
+    /// Content.
+    pub config: Config,
+}
+
 /// Order to move a service's requests to another version.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
@@ -68,7 +78,7 @@
     ///
     /// Returns the reason if the value is not a configuration. Parts that can't be decoded are
     /// skipped with a line in the log.
-    fn decode_config(&self, value: &[u8]) -> Result<Config, DecodeError>;
+    fn decode_config(&self, value: &[u8]) -> Result<Configuration, DecodeError>;
 
     /// Decodes a server's entry.
     ///
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -6,6 +6,7 @@
         registry::{Readiness, Server},
         rollout::{Phase, Split},
         route::Table,
+        schema::Configuration,
     },
     arc_swap::ArcSwap,
     hawthornmount_core::{
@@ -54,6 +55,8 @@
 pub struct Rules {
     /// Revision of the configuration; 0 if there is none yet.
     pub revision: Revision,
+    /// Version that the operator gave the configuration.
+    pub version: u64,
     /// Routes.
     pub routes: Table,
     /// Limits for callers.
@@ -75,9 +78,11 @@
 
 impl Rules {
     /// Creates the rules of a configuration.
-    pub fn new(revision: Revision, config: &Config) -> Self {
+    pub fn new(revision: Revision, configuration: &Configuration) -> Self {
+        let config = &configuration.config;
         Self {
             revision,
+            version: configuration.version,
             routes: Table::new(config),
             limits: config.limits.clone(),
             requires_keys: !config.accounts.is_empty(),
--- a/crates/hawthornmount-gateway/tests/gateway/registry.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/registry.rs
@@ -25,10 +25,10 @@
 #[test]
 fn draining_lasts_until_the_server_restarts() {
     let mut registry = Registry::default();
-    registry.put(server("i-1", 1, Readiness::Draining));
-    registry.put(server("i-1", 1, Readiness::Ready));
+    registry.put(server("i-1", 1, Readiness::Draining), Instant::now());
+    registry.put(server("i-1", 1, Readiness::Ready), Instant::now());
     assert_eq!(readiness_by_id(&registry), [("i-1".to_owned(), Readiness::Draining)]);
-    registry.put(server("i-1", 2, Readiness::Ready));
+    registry.put(server("i-1", 2, Readiness::Ready), Instant::now());
     assert_eq!(readiness_by_id(&registry), [("i-1".to_owned(), Readiness::Ready)]);
 }
 
@@ -37,8 +37,8 @@
     let now = Instant::now();
     for was_store_unreachable in [false, true] {
         let mut registry = Registry::default();
-        registry.put(server("i-1", 1, Readiness::Ready));
-        registry.put(server("i-2", 1, Readiness::Ready));
+        registry.put(server("i-1", 1, Readiness::Ready), Instant::now());
+        registry.put(server("i-2", 1, Readiness::Ready), Instant::now());
         registry.retain_listed(&["i-2".into()], was_store_unreachable, now);
         assert_eq!(readiness_by_id(&registry).len(), if was_store_unreachable { 2 } else { 1 });
         assert!(!registry.expire(now + Duration::from_millis(1_900)));
@@ -51,8 +51,8 @@
 fn server_that_registers_again_within_the_grace_stays() {
     let now = Instant::now();
     let mut registry = Registry::default();
-    registry.put(server("i-1", 1, Readiness::Ready));
+    registry.put(server("i-1", 1, Readiness::Ready), Instant::now());
     registry.retain_listed(&[], true, now);
-    registry.put(server("i-1", 1, Readiness::Ready));
+    registry.put(server("i-1", 1, Readiness::Ready), Instant::now());
     assert!(!registry.expire(now + Duration::from_secs(9)));
 }
