A version that can't be loaded before the deadline gets all sessions late

Change: the probe (0.06 of the sessions now, with the trial on one server after the other) goes on while the mean number of requests in flight would not load a server of the new version, and then all sessions move so late that even a bad version stays within the allowed exposure, a new setting. A tested or testable version goes on as before. Phases are written within 200 ms, not 400, since only readers write them.

Kept: a mean over 4 s with a margin.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -56,8 +56,6 @@
 const MIN_WAIT: Duration = Duration::from_millis(300);
 /// Interval between two lists if no bound is given.
 const DEFAULT_LIST_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which due phases and reports of roll-outs are written.
-const STEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of keys that are listed per call.
 const PAGE_ENTRIES: usize = 500;
 
@@ -496,7 +494,7 @@
 
 impl Ticks {
     fn new(follower: &Follower) -> Self {
-        let mut step = tokio::time::interval(STEP_INTERVAL);
+        let mut step = tokio::time::interval(driver::STEP_INTERVAL);
         step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = Self { step, is_active: false, expiry: None };
         ticks.update(follower);
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -123,7 +123,7 @@
         if assigned.is_empty() && may_use_other_version {
             return (servers, false);
         }
-        let is_trial = side == Side::New && split.phase == Phase::Widening;
+        let is_trial = side == Side::New && matches!(split.phase, Phase::Probe | Phase::Widening);
         (assigned, is_trial && job.request.prompt_tokens <= plan::SHORT_PROMPT_TOKENS)
     }
 
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -9,7 +9,7 @@
         membership::{Contact, Membership},
         message::Dialect,
         relay,
-        rollout::Driver,
+        rollout::{Driver, driver::Limits},
         schema::Codec,
         settings::Settings,
         view::Cell,
@@ -207,7 +207,10 @@
             &components.settings.instance,
             adapters.schema.clone(),
             components.forwarder.sources(),
-            follow::visibility_delay(list_interval),
+            Limits {
+                visibility_delay: follow::visibility_delay(list_interval),
+                allowed_exposure: components.settings.allowed_exposure,
+            },
         );
         let peers = match components.settings.peers {
             Some(address) => Some(frontend::listen(address).await?),
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -38,7 +38,7 @@
 
 /// Longest random delay before a phase is written, so that usually one instance writes it and the
 /// others see it in time.
-const MAX_WRITE_DELAY: Duration = Duration::from_millis(400);
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(200);
 /// Longest random delay before a roll-back is written.
 const MAX_ROLLBACK_DELAY: Duration = Duration::from_millis(60);
 /// Number of new latencies of the rolled-out version after which a report is written again, if the
@@ -59,6 +59,10 @@
 const RUNS_OLD_REPORT_DELAY: Duration = Duration::from_millis(1_500);
 /// Age after which a report no longer shows that requests run on the old version.
 const RUNS_OLD_REPORT_LIFETIME: Duration = Duration::from_secs(6);
+/// Time over which the number of requests in flight is averaged.
+const IN_FLIGHT_MEAN_TIME: Duration = Duration::from_secs(4);
+/// Interval at which [`Driver::step`] is called.
+pub const STEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of reports that are deleted in one write; the store accepts 32 entries per write.
 const MAX_DELETED_REPORTS: usize = 28;
 
@@ -130,6 +134,9 @@
     reports: Vec<Reported>,
     /// Reports of instances that follow this one, in order of their reporters.
     delivered: Vec<Delivered>,
+    /// Mean number of requests in flight at the old version, and since when it is measured.
+    mean_in_flight: f64,
+    in_flight_since: Option<Instant>,
     /// Whether the evidence has shown the version to be bad. Later responses don't revoke this.
     is_bad: bool,
     /// Phase that is to be written, and when.
@@ -176,22 +183,29 @@
     reporter: Arc<str>,
     schema: Arc<dyn Codec>,
     sources: Sources,
-    /// Time after which every instance has seen an order.
-    visibility_delay: Duration,
+    limits: Limits,
     rows: Vec<Row>,
 }
 
+/// Limits that roll-outs keep.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time after which every instance has seen an order.
+    pub visibility_delay: Duration,
+    /// Share of all requests of the roll-out's time that a bad version may get.
+    pub allowed_exposure: f64,
+}
+
 impl Driver {
-    /// Creates a driver for an instance. `visibility_delay` is the time after which every instance
-    /// has seen an order.
+    /// Creates a driver for an instance.
     pub fn new(
         instance: &InstanceId,
         schema: Arc<dyn Codec>,
         sources: Sources,
-        visibility_delay: Duration,
+        limits: Limits,
     ) -> Self {
         let reporter = id::generate(instance);
-        Self { reporter, schema, sources, visibility_delay, rows: Vec::new() }
+        Self { reporter, schema, sources, limits, rows: Vec::new() }
     }
 
     /// Applies an order or its removal, and returns whether the view changes.
@@ -223,6 +237,7 @@
         row.last_report = None;
         row.is_bad = false;
         row.delivered.clear();
+        row.in_flight_since = None;
         true
     }
 
@@ -363,6 +378,7 @@
         for at in 0..self.rows.len() {
             // A follower has only its own observations, which are too few for a judgement.
             if let Part::Reader { .. } = part {
+                self.update_in_flight(at, servers, now);
                 step.writes.extend(self.advance(at, servers, now));
             }
             let Some(report) = self.report(at, part, servers, now) else { continue };
@@ -416,6 +432,24 @@
         self.transition(at, next)
     }
 
+    /// Updates the mean number of requests in flight at the old version, before most sessions move to
+    /// the new one.
+    fn update_in_flight(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) {
+        let row = &self.rows[at];
+        let is_early =
+            row.phase().is_none_or(|phase| matches!(phase, Phase::Canary | Phase::Probe));
+        let Some(ordered) = row.ordered.as_ref().filter(|_| is_early) else { return };
+        let version = ordered.order.version.clone();
+        let (in_flight, _) = self.in_flight(&row.service, &version, servers, now);
+        let row = &mut self.rows[at];
+        if row.in_flight_since.is_none() {
+            row.in_flight_since = Some(now);
+            row.mean_in_flight = in_flight;
+        }
+        let weight = STEP_INTERVAL.as_secs_f64() / IN_FLIGHT_MEAN_TIME.as_secs_f64();
+        row.mean_in_flight += (in_flight - row.mean_in_flight) * weight;
+    }
+
     /// Returns the conditions for the next phase, or `None` if no roll-out of the service is under
     /// way.
     fn conditions(&self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Conditions> {
@@ -430,6 +464,10 @@
                 && server.version == *version
                 && server.readiness == Readiness::Ready
         };
+        let slots = self.in_flight(&row.service, version, servers, now).1;
+        let in_flight_is_steady = row
+            .in_flight_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= IN_FLIGHT_MEAN_TIME);
         let own = self.own_report(&row.service, version);
         let own_key = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own_key);
@@ -465,14 +503,37 @@
                 now.saturating_duration_since(recorded.received_at)
             }),
             duration: ordered.order.duration,
-            visibility_delay: self.visibility_delay,
+            visibility_delay: self.limits.visibility_delay,
             is_bad,
             is_load_tested: reports.iter().any(|report| report.is_load_tested()),
+            is_load_testable: slots.is_some_and(|slots| {
+                in_flight_is_steady && evidence::could_load(row.mean_in_flight, slots)
+            }),
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_old_version_idle: !runs_old,
+            allowed_exposure: self.limits.allowed_exposure,
         })
     }
 
+    /// Returns the estimated number of requests in flight at the servers of the other versions of a
+    /// service, and the fewest slots of a server of the version, if it has servers.
+    fn in_flight(
+        &self,
+        service: &ServiceId,
+        version: &VersionId,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> (f64, Option<u32>) {
+        let mut loads = self.sources.loads.lock();
+        let (new, old): (Vec<_>, Vec<_>) = servers
+            .iter()
+            .filter(|server| server.service == *service)
+            .partition(|server| server.version == *version);
+        let load = |server: &&Arc<Server>| loads.stats(&server.id).load(server.slots, now);
+        let in_flight: u32 = old.iter().map(load).map(|load| load.running + load.waiting).sum();
+        (f64::from(in_flight), new.iter().map(|server| server.slots).min())
+    }
+
     fn is_old_version_running(
         &self,
         service: &ServiceId,
@@ -650,6 +711,8 @@
                     stored: None,
                     reports: Vec::new(),
                     delivered: Vec::new(),
+                    mean_in_flight: 0.0,
+                    in_flight_since: None,
                     is_bad: false,
                     due: None,
                     last_report: None,
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -9,6 +9,7 @@
     super::{
         comparison::{self, Aggregate, Comparison, Table},
         latency::{self, LatencyComparison, Moments, Shift, Span, Stratum},
+        plan,
     },
     crate::{load::Load, route::RouteId},
     hawthornmount_core::id::{ModelId, ServiceId, VersionId},
@@ -22,6 +23,9 @@
 
 /// Fraction of a server's slots that must be in use for it to count as loaded.
 const LOADED_FRACTION: f64 = 0.5;
+/// Factor by which an estimate of the requests in flight has to exceed the needed number: the load
+/// reports that it adds up are up to some seconds old.
+const LOAD_ESTIMATE_MARGIN: f64 = 1.35;
 /// Fewest failed responses on all routes that count as evidence against a version.
 const MIN_FAILURES: u32 = 4;
 /// Fewest failed responses in one scope that count as evidence against a version.
@@ -374,6 +378,12 @@
     f64::from(new.all) * divergence >= MIN_REGRESSION_WEIGHT
 }
 
+/// Returns whether a server with `slots` would certainly count as loaded with the share of `in_flight`
+/// requests that a version gets in the widening phase.
+pub fn could_load(in_flight: f64, slots: u32) -> bool {
+    in_flight * plan::WIDENING_SHARE >= f64::from(slots) * LOADED_FRACTION * LOAD_ESTIMATE_MARGIN
+}
+
 /// Returns whether a server counts as loaded.
 fn is_loaded(load: Load) -> bool {
     f64::from(load.running + load.waiting) >= f64::from(load.slots) * LOADED_FRACTION
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -7,7 +7,10 @@
 //!
 //! A new version may turn out bad at once, later, only under load or only on one route. In the
 //! second half it therefore gets the sessions in three steps, each of which is short enough that
-//! evidence against the version stops the roll-out within the allowed exposure.
+//! evidence against the version stops the roll-out within the allowed exposure. A version can be
+//! faulty only under load. While too few requests are in flight to load one of its servers, widening
+//! would show nothing; it then gets all sessions so late that even a bad version stays within the
+//! allowed exposure.
 
 use {super::Phase, std::time::Duration};
 
@@ -15,7 +18,7 @@
 pub const CANARY_SHARE: f64 = 0.02;
 /// Share of the sessions that go to the new version in the probe phase. It yields the evidence that
 /// stops a bad version before most sessions go to it.
-pub const PROBE_SHARE: f64 = 0.1;
+pub const PROBE_SHARE: f64 = 0.06;
 /// Number of reporters up to which [`ROUTINE_REPORT_INTERVAL`] applies.
 const FEW_REPORTERS: f64 = 9.0;
 /// Interval at which one of a few reporters also reports responses that are not slow. It may
@@ -48,6 +51,13 @@
 const MAX_PROBE_DURATION: Duration = Duration::from_millis(2_000);
 /// Shortest roll-out with a probe phase; the other phases need the time of a shorter one.
 const MIN_PROBED_DURATION: Duration = Duration::from_secs(16);
+/// Fraction of the allowed exposure that the plan for a version without a load test uses. The rest
+/// allows for traffic that grows towards the deadline.
+const PLANNED_EXPOSURE: f64 = 0.85;
+/// Latest start of the full phase, as a fraction of the roll-out's time.
+const LATEST_FULL_FRACTION: f64 = 0.93;
+/// Minimum duration of a full phase that began late.
+const MIN_LATE_FULL_DURATION: Duration = Duration::from_millis(600);
 /// Fraction of the roll-out's time that the widening phase takes, limited by
 /// [`MIN_WIDENING_DURATION`] and [`MAX_WIDENING_DURATION`]. Its requests fill a server within two
 /// seconds, and evidence takes up to one second to reach the other instances.
@@ -99,10 +109,15 @@
     pub is_bad: bool,
     /// Whether servers of the new version have responded under load.
     pub is_load_tested: bool,
+    /// Whether the requests in flight are enough to load a server of the new version in the widening
+    /// phase.
+    pub is_load_testable: bool,
     /// Whether a server of the new version accepts requests.
     pub has_servers: bool,
     /// Whether no request runs on the old version any more.
     pub is_old_version_idle: bool,
+    /// Share of all requests of the roll-out's time that a bad version may get.
+    pub allowed_exposure: f64,
 }
 
 /// Returns the phase that is due next, or `None` if the current phase continues.
@@ -124,7 +139,11 @@
         }
         Phase::Probe => {
             let duration = conditions.duration.mul_f64(PROBE_FRACTION).min(MAX_PROBE_DURATION);
-            (conditions.since_phase >= duration).then_some(Phase::Widening)
+            let is_early = conditions.is_load_tested || conditions.is_load_testable;
+            if is_early && conditions.since_phase >= duration {
+                return Some(Phase::Widening);
+            }
+            (conditions.since_order >= untested_full_start(conditions)).then_some(Phase::Full)
         }
         Phase::Widening => {
             let min_duration = clamped_fraction(
@@ -149,14 +168,24 @@
             );
             let is_out_of_time =
                 conditions.since_order >= conditions.duration.mul_f64(COMPLETION_FRACTION);
-            (conditions.since_phase >= min_duration
-                && (conditions.is_old_version_idle || is_out_of_time))
-                .then_some(Phase::Completed)
+            let is_done = conditions.since_phase >= min_duration
+                && (conditions.is_old_version_idle || is_out_of_time);
+            let is_last_moment = is_out_of_time && conditions.since_phase >= MIN_LATE_FULL_DURATION;
+            (is_done || is_last_moment).then_some(Phase::Completed)
         }
         Phase::Completed | Phase::RolledBack => None,
     }
 }
 
+/// Returns the time after the order at which a version without a load test gets all sessions: from
+/// then to the deadline it gets what the probe phase leaves of the allowed exposure.
+fn untested_full_start(conditions: &Conditions) -> Duration {
+    let exposure = conditions.allowed_exposure * PLANNED_EXPOSURE;
+    let rest = (exposure - PROBE_SHARE * (1.0 - CANARY_FRACTION)) / (1.0 - PROBE_SHARE);
+    let fraction = (1.0 - rest).clamp(CANARY_FRACTION, LATEST_FULL_FRACTION);
+    conditions.duration.mul_f64(fraction)
+}
+
 fn clamped_fraction(duration: Duration, fraction: f64, min: Duration, max: Duration) -> Duration {
     duration.mul_f64(fraction).clamp(min, max)
 }
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -30,6 +30,7 @@
         "store" => json!("127.0.0.1:2379"),
         "revocation_ms" => json!(5_000),
         "propagation_ms" => json!(2_500),
+        "allowed_exposure" => json!(0.12),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
         "grace_ms" => json!(8_000),
         "log" => json!("info"),
@@ -76,6 +77,9 @@
         let remedy = format!("give at least {}", MIN_PROPAGATION.as_millis());
         problems.push(Problem::new("propagation_ms", "is too short", &remedy));
     }
+    if !(0.01..=1.0).contains(&settings.allowed_exposure) {
+        problems.push(Problem::new("allowed_exposure", "is out of range", "give 0.01 to 1"));
+    }
     let retries = &settings.retries;
     if !(0.0..=10.0).contains(&retries.ratio) {
         problems.push(Problem::new("retries.ratio", "is out of range", "give 0 to 10"));
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -13,6 +13,9 @@
     std::{net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
 
+/// Share of the requests that a bad version may get if the settings state none.
+const DEFAULT_ALLOWED_EXPOSURE: f64 = 0.12;
+
 /// Settings of one gateway.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -45,6 +48,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "propagation_ms")]
     pub propagation: Duration,
+    /// Share of all requests of a roll-out's time that a bad version may get.
+    #[serde(default = "default_allowed_exposure")]
+    pub allowed_exposure: f64,
     /// Limits on retries.
     pub retries: Retries,
     /// Time in which the instance must end after the stop signal.
@@ -96,6 +102,10 @@
     }
 }
 
+fn default_allowed_exposure() -> f64 {
+    DEFAULT_ALLOWED_EXPOSURE
+}
+
 fn default_level() -> Arc<str> {
     "info".into()
 }
