--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -74,6 +74,8 @@
     /// Whether this instance has listed the store since it last followed another one, so that it
     /// has the reports of the other data centres.
     is_reader: bool,
+    /// Whether the store is the source, as last logged.
+    reads_store: bool,
     /// When this instance last tried to register.
     registered_at: Option<Instant>,
     /// Interval between two lists.
@@ -124,6 +126,7 @@
             selector: Selector::default(),
             followed: None,
             is_reader: false,
+            reads_store: true,
             registered_at: None,
             list_interval,
             watch: None,
@@ -144,8 +147,10 @@
 
     /// Lists all keys, and waits until the next list is due.
     async fn read_store(&mut self) {
-        if let Some(followed) = self.followed.take() {
-            log::info!("reads the store; followed_before={}", followed.peer.id);
+        self.followed = None;
+        if !self.reads_store {
+            log::info!("reads the store; confirmed_ms={}", self.freshness.age().as_millis());
+            self.reads_store = true;
         }
         let skipped = self.selector.store_delay(time::now());
         if !skipped.is_zero() {
@@ -292,6 +297,7 @@
             }
             _ => {
                 log::info!("follows another instance; peer={}", peer.id);
+                self.reads_store = false;
                 let cursor = self.relay.replica.lock().cursor();
                 let cursor = (cursor.stamp != Stamp::default()).then_some(cursor);
                 self.followed = Some(Followed { peer: peer.clone(), cursor, confirmation: None });
