Readers estimate the requests in flight from what their followers state

Cause: single readers estimated the fleet's requests in flight from load reports up to 4 s old (36 to 104 for the same moment). A follower now states its own with each request to its reader, which takes the other data centres to have as many.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -265,7 +265,7 @@
         let wait = self.peer_wait();
         let (cursor, confirmation) = self.known_of(&peer);
         let asked = self.freshness.now();
-        let request = Follow { cursor, confirmation, wait };
+        let request = Follow { cursor, confirmation, wait, in_flight: self.state.in_flight() };
         let (link, asked_peer) = (self.link.clone(), peer.clone());
         let mut response = pin!(async move { link.follow(&asked_peer, request).await });
         let mut ticks = Ticks::new(self);
@@ -420,6 +420,7 @@
     /// instance that this one follows.
     fn step_rollouts(&mut self) {
         let now = time::now();
+        self.state.driver_mut().set_followers_in_flight(self.relay.in_flight());
         for report in self.relay.take_reports() {
             self.state.driver_mut().deliver(report, now);
         }
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -11,6 +11,7 @@
     crate::{
         membership::Membership,
         registry::{Registry, Server},
+        relay::message::InFlight,
         rollout::{
             Driver,
             driver::{Part, Step},
@@ -97,6 +98,13 @@
         &mut self.driver
     }
 
+    /// Returns the requests of this instance in flight at the old version, for each service under a
+    /// roll-out.
+    pub fn in_flight(&self) -> Vec<InFlight> {
+        let servers: Vec<Arc<Server>> = self.registry.iter().cloned().collect();
+        self.driver.in_flight(&servers)
+    }
+
     /// Returns the phases and reports of roll-outs that are due.
     pub fn step_rollouts(&mut self, part: Part, now: Instant) -> Step {
         let servers: Vec<Arc<Server>> = self.registry.iter().cloned().collect();
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -237,7 +237,7 @@
             components.cell.clone(),
             state,
             shared.clone(),
-            Arc::new(relay::client::Client::default()),
+            Arc::new(relay::client::Client::new(components.settings.instance.clone())),
             list_interval,
         );
         let listener = peers.map(|bound| bound.listener.into_std()).transpose()?;
--- a/crates/hawthornmount-gateway/src/relay/client.rs
+++ b/crates/hawthornmount-gateway/src/relay/client.rs
@@ -55,8 +55,8 @@
 }
 
 /// Sends requests to other instances over connections that it keeps open.
-#[derive(Default)]
 pub struct Client {
+    instance: InstanceId,
     idle: Mutex<Vec<Idle>>,
 }
 
@@ -83,6 +83,11 @@
 }
 
 impl Client {
+    /// Creates a client of the instance `instance`.
+    pub fn new(instance: InstanceId) -> Self {
+        Self { instance, idle: Mutex::default() }
+    }
+
     async fn send(&self, peer: &Peer, query: Query, timeout: Duration) -> Result<Outcome, Failed> {
         let exchange = tokio::time::timeout(timeout, self.exchange(peer, query));
         exchange.await.unwrap_or(Err(Failed::Timeout))
@@ -90,7 +95,8 @@
 
     async fn exchange(&self, peer: &Peer, query: Query) -> Result<Outcome, Failed> {
         let keyring = Keyring::new(&peer.contact.secret);
-        let request = Request { nonce: rand::random(), to: peer.id.clone(), query };
+        let (from, to) = (self.instance.clone(), peer.id.clone());
+        let request = Request { nonce: rand::random(), from, to, query };
         let frame: Bytes = keyring.seal(&request).into();
         let (connection, response) = self.post(peer, frame).await?;
         if response.status() != StatusCode::OK {
--- a/crates/hawthornmount-gateway/src/relay/message.rs
+++ b/crates/hawthornmount-gateway/src/relay/message.rs
@@ -25,15 +25,26 @@
 pub struct Request {
     /// Random number that the response repeats.
     pub nonce: u64,
+    /// Instance that sends the request.
+    pub from: InstanceId,
     /// Instance that the request is addressed to; any other instance rejects it.
     pub to: InstanceId,
     /// What is asked for.
     pub query: Query,
 }
 
+/// Requests of an instance that are in flight at the old version of a service under a roll-out.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct InFlight {
+    /// The service.
+    pub service: ServiceId,
+    /// Number of requests.
+    pub requests: u32,
+}
+
 /// Request for what is newer than the known content.
 #[serde_as]
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Follow {
     /// Point up to which the sender has the content; `None` for the complete content.
     pub cursor: Option<Cursor>,
@@ -43,6 +54,8 @@
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "wait_us")]
     pub wait: Duration,
+    /// Requests of the sender in flight, for each service under a roll-out.
+    pub in_flight: Vec<InFlight>,
 }
 
 /// What a request asks for.
--- a/crates/hawthornmount-gateway/src/relay/mod.rs
+++ b/crates/hawthornmount-gateway/src/relay/mod.rs
@@ -27,9 +27,9 @@
     async_trait::async_trait,
     client::Failed,
     hawthornmount_core::id::{InstanceId, ServiceId},
-    message::{Follow, Update},
+    message::{Follow, InFlight, Update},
     parking_lot::Mutex,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::sync::watch,
 };
 
@@ -62,6 +62,16 @@
     async fn report(&self, peer: &Peer, report: PeerReport) -> Result<(), Failed>;
 }
 
+/// Time for which the load that a follower stated counts. It states a new one with each request.
+const FOLLOWER_LOAD_LIFETIME: Duration = Duration::from_secs(4);
+
+/// Requests that a follower has in flight.
+struct FollowerLoad {
+    follower: InstanceId,
+    services: Vec<InFlight>,
+    arrived: Duration,
+}
+
 /// Data that the follower of the store and the server for other instances share.
 pub struct Shared {
     /// Name of this instance.
@@ -73,6 +83,7 @@
     /// Secret that authenticates frames, once it is known.
     secret: Mutex<Option<Arc<str>>>,
     reports: Mutex<Vec<PeerReport>>,
+    in_flight: Mutex<Vec<FollowerLoad>>,
     /// Counts the changes of the replica and the confirmations.
     progress: watch::Sender<u64>,
 }
@@ -86,6 +97,7 @@
             freshness,
             secret: Mutex::default(),
             reports: Mutex::default(),
+            in_flight: Mutex::default(),
             progress: watch::Sender::new(0),
         }
     }
@@ -100,6 +112,37 @@
         *self.secret.lock() = secret;
     }
 
+    /// Records the requests that a follower has in flight, as it stated at `arrived`.
+    pub fn record_in_flight(
+        &self,
+        follower: &InstanceId,
+        services: Vec<InFlight>,
+        arrived: Duration,
+    ) {
+        let load = FollowerLoad { follower: follower.clone(), services, arrived };
+        let mut loads = self.in_flight.lock();
+        match loads.binary_search_by(|known| known.follower.cmp(follower)) {
+            Ok(at) => loads[at] = load,
+            Err(at) => loads.insert(at, load),
+        }
+    }
+
+    /// Returns the requests that the followers have in flight, by service. Instances that have
+    /// stopped following don't count.
+    pub fn in_flight(&self) -> Vec<InFlight> {
+        let now = self.freshness.now();
+        let mut loads = self.in_flight.lock();
+        loads.retain(|load| now < load.arrived + FOLLOWER_LOAD_LIFETIME);
+        let mut sums: Vec<InFlight> = Vec::new();
+        for one in loads.iter().flat_map(|load| &load.services) {
+            match sums.binary_search_by(|sum| sum.service.cmp(&one.service)) {
+                Ok(at) => sums[at].requests += one.requests,
+                Err(at) => sums.insert(at, one.clone()),
+            }
+        }
+        sums
+    }
+
     /// Adds a report of another instance.
     pub fn add_report(&self, report: PeerReport) {
         self.reports.lock().push(report);
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -9,6 +9,7 @@
     },
     crate::{follow::replica::Cursor, frontend, rollout::driver, time},
     bytes::Bytes,
+    hawthornmount_core::id::InstanceId,
     hawthornmount_fleet::wire::Keyring,
     http::StatusCode,
     http_body_util::{BodyExt, Full, Limited},
@@ -89,7 +90,9 @@
         return Err((StatusCode::FORBIDDEN, "addressed to another instance".into()));
     }
     let outcome = match request.query {
-        Query::Follow(request) => Outcome::Update(answer_follower(shared, request, arrived).await),
+        Query::Follow(follow) => {
+            Outcome::Update(answer_follower(shared, &request.from, follow, arrived).await)
+        }
         Query::Report { service, reporter, report } => {
             let report = serde_json::from_slice(&report)
                 .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string().into()))?;
@@ -101,8 +104,14 @@
 }
 
 /// Returns what is newer than the content that a follower knows, which asked at `arrived`.
-pub async fn answer_follower(shared: &Shared, request: Follow, arrived: Duration) -> Update {
-    let Follow { cursor, confirmation, wait } = request;
+pub async fn answer_follower(
+    shared: &Shared,
+    follower: &InstanceId,
+    request: Follow,
+    arrived: Duration,
+) -> Update {
+    let Follow { cursor, confirmation, wait, in_flight } = request;
+    shared.record_in_flight(follower, in_flight, arrived);
     wait_for_progress(shared, cursor.as_ref(), confirmation, wait.min(MAX_WAIT)).await;
     update(shared, cursor.as_ref(), arrived)
 }
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -10,7 +10,7 @@
     crate::{
         load::Tracker,
         registry::{Readiness, Server},
-        relay::PeerReport,
+        relay::{PeerReport, message::InFlight},
         schema::{Codec, Order, Progress, Stage},
         time,
         view::Exclusion,
@@ -184,6 +184,7 @@
     schema: Arc<dyn Codec>,
     sources: Sources,
     limits: Limits,
+    followers_in_flight: Vec<InFlight>,
     rows: Vec<Row>,
 }
 
@@ -205,7 +206,8 @@
         limits: Limits,
     ) -> Self {
         let reporter = id::generate(instance);
-        Self { reporter, schema, sources, limits, rows: Vec::new() }
+        let (followers_in_flight, rows) = (Vec::new(), Vec::new());
+        Self { reporter, schema, sources, limits, followers_in_flight, rows }
     }
 
     /// Applies an order or its removal, and returns whether the view changes.
@@ -377,8 +379,8 @@
         let mut step = Step::default();
         for at in 0..self.rows.len() {
             // A follower has only its own observations, which are too few for a judgement.
-            if let Part::Reader { .. } = part {
-                self.update_in_flight(at, servers, now);
+            if let Part::Reader { readers } = part {
+                self.update_in_flight(at, readers, servers, now);
                 step.writes.extend(self.advance(at, servers, now));
             }
             let Some(report) = self.report(at, part, servers, now) else { continue };
@@ -434,13 +436,23 @@
 
     /// Updates the mean number of requests in flight at the old version, before most sessions move to
     /// the new one.
-    fn update_in_flight(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) {
+    /// Each of the `readers` has about the same part of them, with its followers.
+    fn update_in_flight(
+        &mut self,
+        at: usize,
+        readers: usize,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) {
         let row = &self.rows[at];
         let is_early =
             row.phase().is_none_or(|phase| matches!(phase, Phase::Canary | Phase::Probe));
         let Some(ordered) = row.ordered.as_ref().filter(|_| is_early) else { return };
         let version = ordered.order.version.clone();
-        let (in_flight, _) = self.in_flight(&row.service, &version, servers, now);
+        let own = self.in_flight_at_old(&row.service, &version, servers);
+        let followers = self.followers_in_flight.iter().filter(|one| one.service == row.service);
+        let sum = own + followers.map(|one| one.requests).sum::<u32>();
+        let in_flight = f64::from(sum) * readers as f64;
         let row = &mut self.rows[at];
         if row.in_flight_since.is_none() {
             row.in_flight_since = Some(now);
@@ -464,7 +476,7 @@
                 && server.version == *version
                 && server.readiness == Readiness::Ready
         };
-        let slots = self.in_flight(&row.service, version, servers, now).1;
+        let slots = servers.iter().filter(is_new).map(|server| server.slots).min();
         let in_flight_is_steady = row
             .in_flight_since
             .is_some_and(|since| now.saturating_duration_since(since) >= IN_FLIGHT_MEAN_TIME);
@@ -515,23 +527,35 @@
         })
     }
 
-    /// Returns the estimated number of requests in flight at the servers of the other versions of a
-    /// service, and the fewest slots of a server of the version, if it has servers.
-    fn in_flight(
+    /// Returns the requests of this instance in flight at the old version, for each service under a
+    /// roll-out.
+    pub fn in_flight(&self, servers: &[Arc<Server>]) -> Vec<InFlight> {
+        let in_flight = |row: &Row| {
+            let version = &row.ordered.as_ref()?.order.version;
+            let requests = self.in_flight_at_old(&row.service, version, servers);
+            Some(InFlight { service: row.service.clone(), requests })
+        };
+        self.rows.iter().filter_map(in_flight).collect()
+    }
+
+    /// Sets the requests that the instances which follow this one have in flight.
+    pub fn set_followers_in_flight(&mut self, in_flight: Vec<InFlight>) {
+        self.followers_in_flight = in_flight;
+    }
+
+    /// Returns the number of requests of this instance in flight at the servers of the other
+    /// versions of a service.
+    fn in_flight_at_old(
         &self,
         service: &ServiceId,
         version: &VersionId,
         servers: &[Arc<Server>],
-        now: Instant,
-    ) -> (f64, Option<u32>) {
+    ) -> u32 {
         let mut loads = self.sources.loads.lock();
-        let (new, old): (Vec<_>, Vec<_>) = servers
+        let old = servers
             .iter()
-            .filter(|server| server.service == *service)
-            .partition(|server| server.version == *version);
-        let load = |server: &&Arc<Server>| loads.stats(&server.id).load(server.slots, now);
-        let in_flight: u32 = old.iter().map(load).map(|load| load.running + load.waiting).sum();
-        (f64::from(in_flight), new.iter().map(|server| server.slots).min())
+            .filter(|server| server.service == *service && server.version != *version);
+        old.map(|server| loads.stats(&server.id).in_flight).sum()
     }
 
     fn is_old_version_running(
@@ -540,11 +564,7 @@
         version: &VersionId,
         servers: &[Arc<Server>],
     ) -> bool {
-        let mut loads = self.sources.loads.lock();
-        let old = servers
-            .iter()
-            .filter(|server| server.service == *service && server.version != *version);
-        old.map(|server| loads.stats(&server.id).in_flight).any(|in_flight| in_flight > 0)
+        self.in_flight_at_old(service, version, servers) > 0
     }
 
     /// Returns the write that moves the roll-out to a phase.
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -23,8 +23,8 @@
 
 /// Fraction of a server's slots that must be in use for it to count as loaded.
 const LOADED_FRACTION: f64 = 0.5;
-/// Factor by which an estimate of the requests in flight has to exceed the needed number: the load
-/// reports that it adds up are up to some seconds old.
+/// Factor by which an estimate of the requests in flight has to exceed the needed number: a reader
+/// knows those of its data centre and takes the others to have as many.
 const LOAD_ESTIMATE_MARGIN: f64 = 1.35;
 /// Fewest failed responses on all routes that count as evidence against a version.
 const MIN_FAILURES: u32 = 4;
--- a/crates/hawthornmount-gateway/tests/gateway/relay.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/relay.rs
@@ -1,12 +1,15 @@
 //! Tests of the relay between instances: its source, its replica and the reports that it merges.
 
 use {
+    hawthornmount_core::clock::Manual,
     hawthornmount_fleet::wire::{Keyring, Reject},
     hawthornmount_gateway::{
         follow::replica::{Cursor, Replica},
+        freshness::Freshness,
         membership::{Contact, Membership, Peer, Size},
         relay::{
-            message::{Follow, MAX_FRAME_BYTES, Query, Request},
+            Shared,
+            message::{Follow, InFlight, MAX_FRAME_BYTES, Query, Request},
             source::{Selector, Source},
         },
         rollout::{
@@ -17,7 +20,10 @@
     hawthornmount_store::{Entry, Stamp},
     proptest::prelude::*,
     rstest::rstest,
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 fn contact(data_centre: &str) -> Contact {
@@ -108,12 +114,37 @@
     assert!(orders.iter().all(|order| *order == orders[0]), "{orders:?}");
 }
 
+/// Load: followers that state how many requests they have in flight, of which one has gone.
+#[test]
+fn reader_sums_the_requests_of_its_recent_followers() {
+    let clock = Arc::new(Manual::new());
+    let bound = Duration::from_secs(5);
+    let shared = Shared::new("one".into(), Arc::new(Freshness::new(clock.clone(), bound, bound)));
+    let state = |follower: &str, requests| {
+        let in_flight = vec![InFlight { service: "s".into(), requests }];
+        shared.record_in_flight(&follower.into(), in_flight, shared.freshness.now());
+    };
+    state("gone", 100);
+    clock.advance(Duration::from_secs(3));
+    state("two", 50);
+    clock.advance(Duration::from_secs(2));
+    state("three", 7);
+    state("two", 5);
+    assert_eq!(shared.in_flight(), [InFlight { service: "s".into(), requests: 12 }]);
+}
+
 #[test]
 fn frames_of_strangers_and_other_versions_are_rejected() {
     let request = Request {
         nonce: 1,
+        from: "two".into(),
         to: "one".into(),
-        query: Query::Follow(Follow { cursor: None, confirmation: None, wait: Duration::ZERO }),
+        query: Query::Follow(Follow {
+            cursor: None,
+            confirmation: None,
+            wait: Duration::ZERO,
+            in_flight: Vec::new(),
+        }),
     };
     let frame = Keyring::new("secret").seal(&request);
     let open =
