--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -101,12 +101,19 @@
 struct InFlightGuard {
     loads: Arc<Mutex<Tracker>>,
     server: ServerId,
+    is_trial_sized: bool,
 }
 
 impl InFlightGuard {
-    fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId) -> Self {
-        loads.lock().stats(server).in_flight += 1;
-        Self { loads: loads.clone(), server: server.clone() }
+    fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, job: &Job) -> Self {
+        let is_trial_sized = job.is_trial_sized();
+        {
+            let mut loads = loads.lock();
+            let stats = loads.stats(server);
+            stats.in_flight += 1;
+            stats.trial_in_flight += u32::from(is_trial_sized);
+        }
+        Self { loads: loads.clone(), server: server.clone(), is_trial_sized }
     }
 }
 
@@ -115,6 +122,8 @@
         let mut loads = self.loads.lock();
         let stats = loads.stats(&self.server);
         stats.in_flight = stats.in_flight.saturating_sub(1);
+        stats.trial_in_flight =
+            stats.trial_in_flight.saturating_sub(u32::from(self.is_trial_sized));
     }
 }
 
@@ -166,7 +175,7 @@
         progress: &mut Progress,
         resume_after: Option<EventId>,
     ) -> Outcome {
-        let in_flight = InFlightGuard::new(&self.loads, &server.id);
+        let in_flight = InFlightGuard::new(&self.loads, &server.id, job);
         let _prefill = PrefillGuard::new(&self.loads, &server.id, progress.prefill_ms);
         let mut pooled = self.pool.take(&server.id);
         loop {
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -6,6 +6,7 @@
         filter::{Exchange, Response},
         load::Load,
         message::{EventId, RequestHead},
+        rollout::plan,
         route::Entry,
         view::{Principal, View},
     },
@@ -126,6 +127,11 @@
             == self.principal.as_ref().map(|principal| &principal.account)
     }
 
+    /// Returns whether a trial of a new version could use the request: its prompt is short.
+    pub const fn is_trial_sized(&self) -> bool {
+        self.request.prompt_tokens <= plan::SHORT_PROMPT_TOKENS
+    }
+
     /// Returns the priority of the account, or that of the route if the account has none.
     pub fn rank(&self) -> Rank {
         let own = self.principal.as_ref().and_then(|principal| principal.rank);
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -7,7 +7,7 @@
         balancing::{self, Candidate, Locality},
         cascade,
         registry::Server,
-        rollout::{Phase, plan, sessions::Side},
+        rollout::{Phase, sessions::Side},
         view::View,
     },
     std::{
@@ -124,7 +124,7 @@
             return (servers, false);
         }
         let is_trial = side == Side::New && matches!(split.phase, Phase::Probe | Phase::Widening);
-        (assigned, is_trial && job.request.prompt_tokens <= plan::SHORT_PROMPT_TOKENS)
+        (assigned, is_trial && job.is_trial_sized())
     }
 
     /// Returns the location of a server relative to this instance.
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -71,6 +71,8 @@
 pub struct Stats {
     /// Requests of this instance that are in flight at the server.
     pub in_flight: u32,
+    /// Those of them that a trial of a new version could use.
+    pub trial_in_flight: u32,
     /// Prefill time of the prompts that this instance sent and whose responses have not started, in
     /// milliseconds.
     pub prefill_backlog_ms: f64,
--- a/crates/hawthornmount-gateway/src/relay/message.rs
+++ b/crates/hawthornmount-gateway/src/relay/message.rs
@@ -33,7 +33,8 @@
     pub query: Query,
 }
 
-/// Requests of an instance that are in flight at the old version of a service under a roll-out.
+/// Requests of an instance that are in flight at the old version of a service under a roll-out and
+/// that a trial of the new version could use.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct InFlight {
     /// The service.
--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver.rs
@@ -434,7 +434,7 @@
         self.transition(at, next)
     }
 
-    /// Updates the mean number of requests in flight at the old version, before most sessions move to
+    /// Updates the mean number of requests in flight that a trial could use, before most sessions move to
     /// the new one.
     /// Each of the `readers` has about the same part of them, with its followers.
     fn update_in_flight(
@@ -449,7 +449,7 @@
             row.phase().is_none_or(|phase| matches!(phase, Phase::Canary | Phase::Probe));
         let Some(ordered) = row.ordered.as_ref().filter(|_| is_early) else { return };
         let version = ordered.order.version.clone();
-        let own = self.in_flight_at_old(&row.service, &version, servers);
+        let own = self.trial_in_flight_at_old(&row.service, &version, servers);
         let followers = self.followers_in_flight.iter().filter(|one| one.service == row.service);
         let sum = own + followers.map(|one| one.requests).sum::<u32>();
         let in_flight = f64::from(sum) * readers as f64;
@@ -527,12 +527,12 @@
         })
     }
 
-    /// Returns the requests of this instance in flight at the old version, for each service under a
-    /// roll-out.
+    /// Returns the requests of this instance in flight at the old version that a trial could use, for
+    /// each service under a roll-out.
     pub fn in_flight(&self, servers: &[Arc<Server>]) -> Vec<InFlight> {
         let in_flight = |row: &Row| {
             let version = &row.ordered.as_ref()?.order.version;
-            let requests = self.in_flight_at_old(&row.service, version, servers);
+            let requests = self.trial_in_flight_at_old(&row.service, version, servers);
             Some(InFlight { service: row.service.clone(), requests })
         };
         self.rows.iter().filter_map(in_flight).collect()
@@ -544,8 +544,8 @@
     }
 
     /// Returns the number of requests of this instance in flight at the servers of the other
-    /// versions of a service.
-    fn in_flight_at_old(
+    /// versions of a service that a trial could use.
+    fn trial_in_flight_at_old(
         &self,
         service: &ServiceId,
         version: &VersionId,
@@ -555,7 +555,7 @@
         let old = servers
             .iter()
             .filter(|server| server.service == *service && server.version != *version);
-        old.map(|server| loads.stats(&server.id).in_flight).sum()
+        old.map(|server| loads.stats(&server.id).trial_in_flight).sum()
     }
 
     fn is_old_version_running(
@@ -564,7 +564,11 @@
         version: &VersionId,
         servers: &[Arc<Server>],
     ) -> bool {
-        self.in_flight_at_old(service, version, servers) > 0
+        let mut loads = self.sources.loads.lock();
+        let mut old = servers
+            .iter()
+            .filter(|server| server.service == *service && server.version != *version);
+        old.any(|server| loads.stats(&server.id).in_flight > 0)
     }
 
     /// Returns the write that moves the roll-out to a phase.
