--- a/crates/hawthornmount-gateway/src/rollout/driver.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -1,10 +1,12 @@
 //! Drives roll-outs: reads orders, records and reports from the store, and writes the next phase.
 
+mod report;
+mod row;
+
 use {
     super::{
         Phase, Record, Split,
-        evidence::{self, Collector, FailureComparison, Report},
-        latency::{self, LatencyComparison},
+        evidence::{self, Collector, Report},
         plan::{self, Conditions},
     },
     crate::{
@@ -19,6 +21,8 @@
     hawthornmount_store::{Entry, Txn},
     parking_lot::Mutex,
     rand::RngExt,
+    report::{MAX_DELETED_REPORTS, RUNS_OLD_REPORT_LIFETIME, describe_evidence},
+    row::{Ordered, Recorded, Row, Stored},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -41,30 +45,10 @@
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(200);
 /// Longest random delay before a roll-back is written.
 const MAX_ROLLBACK_DELAY: Duration = Duration::from_millis(60);
-/// Number of new latencies of the rolled-out version after which a report is written again, if the
-/// version is slow or a routine report is due.
-const MIN_NEW_LATENCIES: u32 = 2;
-/// Number of latencies of the rolled-out version from which an instance writes its first report in
-/// any case.
-const FIRST_REPORT_LATENCIES: u32 = 3;
-/// Smallest shift of the mean logarithm of an instance's own latencies at which it reports them to
-/// the others early.
-const MIN_REPORTED_SHIFT: f64 = 0.3;
-/// Minimum interval between two reports of an instance.
-const REPORT_INTERVAL: Duration = Duration::from_millis(600);
-/// Interval at which an instance repeats its report that requests still run on the old version.
-const RUNS_OLD_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
-/// Time in the full phase after which an instance reports that requests still run on the old
-/// version.
-const RUNS_OLD_REPORT_DELAY: Duration = Duration::from_millis(1_500);
-/// Age after which a report no longer shows that requests run on the old version.
-const RUNS_OLD_REPORT_LIFETIME: Duration = Duration::from_secs(6);
 /// Time over which the number of requests in flight is averaged.
 const IN_FLIGHT_MEAN_TIME: Duration = Duration::from_secs(4);
 /// Interval at which [`Driver::step`] is called.
 pub const STEP_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum number of reports that are deleted in one write; the store accepts 32 entries per write.
-const MAX_DELETED_REPORTS: usize = 28;
 
 /// Time after the store was restored from a copy within which the operator writes again the orders
 /// that the copy lacked.
@@ -72,78 +56,6 @@
 /// Number of earlier orders of a service that are remembered to recognise them in a copy.
 const MAX_EARLIER_ORDERS: usize = 4;
 
-/// Order of a roll-out as received from the store.
-#[derive(Clone, Debug)]
-struct Ordered {
-    revision: Revision,
-    order: Order,
-    received_at: Instant,
-    /// When the store was restored from a copy, unless it has shown the order again since then.
-    unconfirmed_since: Option<Instant>,
-}
-
-/// Record of a roll-out that this instance acts on.
-#[derive(Clone, Debug)]
-struct Recorded {
-    record: Record,
-    received_at: Instant,
-}
-
-/// Record of a roll-out in the store. After the store was restored from a copy, it can be older than
-/// the record that the instance acts on.
-#[derive(Clone, Debug)]
-struct Stored {
-    revision: Revision,
-    record: Record,
-}
-
-/// Report of an instance as received from the store.
-#[derive(Clone, Debug)]
-struct Reported {
-    key: Arc<str>,
-    report: Report,
-    received_at: Instant,
-}
-
-/// Report that an instance which follows this one delivered.
-#[derive(Clone, Debug)]
-struct Delivered {
-    report: PeerReport,
-    received_at: Instant,
-}
-
-/// Report that was written or delivered last.
-#[derive(Clone, Debug)]
-struct LastReport {
-    report: Report,
-    /// Part of this instance at that time; the reports of the parts can't be compared.
-    part: Part,
-    at: Instant,
-}
-
-/// State of one service's roll-out.
-#[derive(Clone, Debug)]
-struct Row {
-    service: ServiceId,
-    ordered: Option<Ordered>,
-    /// Earlier orders, the last one last.
-    earlier_orders: Vec<(Revision, Order)>,
-    recorded: Option<Recorded>,
-    stored: Option<Stored>,
-    /// Reports in the store, in order of their keys.
-    reports: Vec<Reported>,
-    /// Reports of instances that follow this one, in order of their reporters.
-    delivered: Vec<Delivered>,
-    /// Mean number of requests in flight at the old version, and since when it is measured.
-    mean_in_flight: f64,
-    in_flight_since: Option<Instant>,
-    /// Whether the evidence has shown the version to be bad. Later responses don't revoke this.
-    is_bad: bool,
-    /// Phase that is to be written, and when.
-    due: Option<(Phase, Instant)>,
-    last_report: Option<LastReport>,
-}
-
 /// Part of this instance in the roll-outs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Part {
@@ -219,7 +131,7 @@
     ) -> bool {
         let collector = self.sources.collector.clone();
         let row = self.row(service);
-        if row.is_order_known(revision, order.as_ref()) {
+        if row.accept_known_order(revision, order.as_ref()) {
             return false;
         }
         if let Some(order) = &order {
@@ -256,28 +168,6 @@
         }
     }
 
-    /// Takes the report of an instance that follows this one. Reports only grow, so a smaller one
-    /// arrived late.
-    pub fn deliver(&mut self, report: PeerReport, now: Instant) {
-        let row = self.row(&report.service);
-        let delivered = Delivered { report, received_at: now };
-        let key = |delivered: &Delivered| delivered.report.reporter.clone();
-        match row.delivered.binary_search_by_key(&key(&delivered), key) {
-            Ok(at) => {
-                let count = |delivered: &Delivered| delivered.report.report.response_count();
-                if count(&delivered) >= count(&row.delivered[at]) {
-                    row.delivered[at] = delivered;
-                }
-            }
-            Err(at) => row.delivered.insert(at, delivered),
-        }
-    }
-
-    /// Records that a report was not delivered, so that it is due again.
-    pub fn report_lost(&mut self, service: &ServiceId) {
-        self.row(service).last_report = None;
-    }
-
     /// Applies a changed record or report, and returns whether the view changes.
     pub fn put(&mut self, entry: &Entry) -> bool {
         if let Some(service) = entry.key.strip_prefix(RECORD_PREFIX) {
@@ -359,19 +249,6 @@
         self.rows.iter().any(is_widely_exposed)
     }
 
-    /// Returns the writes that delete reports left over from finished roll-outs. On average, one of
-    /// the `readers` instances that read the store does so at a time.
-    pub fn leftover_deletions(&self, readers: usize) -> Vec<Txn> {
-        let is_leftover =
-            |row: &&Row| row.phase().is_some_and(Phase::is_over) && !row.reports.is_empty();
-        let is_chosen = |_: &&Row| rand::rng().random::<f64>() * (readers as f64) < 1.0;
-        let deletion = |row: &Row| {
-            let reports = row.reports.iter().take(MAX_DELETED_REPORTS);
-            reports.fold(Txn::new(), |txn, reported| txn.delete(&reported.key))
-        };
-        self.rows.iter().filter(is_leftover).filter(is_chosen).map(deletion).collect()
-    }
-
     /// Returns the phases and reports that are due.
     pub fn step(&mut self, part: Part, servers: &[Arc<Server>], now: Instant) -> Step {
         let bad_count = |rows: &[Row]| rows.iter().filter(|row| row.is_bad).count();
@@ -609,81 +486,6 @@
         Some(txn)
     }
 
-    /// Returns the report on the evidence that this instance has collected.
-    fn own_report(&self, service: &ServiceId, version: &VersionId) -> Report {
-        let collector = self.sources.collector.lock();
-        Report {
-            version: Some(version.clone()),
-            failures: collector.failures(service, version),
-            latencies: collector.latencies(service, version),
-            runs_old: false,
-            reporters: vec![self.reporter.clone()],
-        }
-    }
-
-    /// Returns the report on the evidence of this instance and of those that follow it.
-    fn merged_report(&self, row: &Row, version: &VersionId) -> Report {
-        let is_same_version = |report: &&Report| report.version.as_ref() == Some(version);
-        let delivered = row.delivered.iter().map(|delivered| &delivered.report.report);
-        let own = self.own_report(&row.service, version);
-        delivered.filter(is_same_version).fold(own, Report::merge)
-    }
-
-    fn report_key(&self, service: &ServiceId) -> String {
-        format!("{REPORT_PREFIX}{service}/{}", self.reporter)
-    }
-
-    /// Returns the report of this instance, and of its followers if it reads the store, if it is
-    /// due.
-    fn report(
-        &mut self,
-        at: usize,
-        part: Part,
-        servers: &[Arc<Server>],
-        now: Instant,
-    ) -> Option<Report> {
-        let row = &self.rows[at];
-        let version = row.ordered.as_ref()?.order.version.clone();
-        let phase = row.phase().filter(|phase| !phase.is_over())?;
-        let since = row.recorded.as_ref().map(|recorded| now - recorded.received_at)?;
-        let is_recent = |at: Instant| now < at + RUNS_OLD_REPORT_LIFETIME;
-        let own_runs_old = phase == Phase::Full
-            && since >= RUNS_OLD_REPORT_DELAY
-            && self.is_old_version_running(&row.service, &version, servers);
-        let (mut report, runs_old, reporters) = match part {
-            Part::Reader { readers } => (
-                self.merged_report(row, &version),
-                own_runs_old || row.followers_run_old(is_recent),
-                readers,
-            ),
-            Part::Follower => (self.own_report(&row.service, &version), own_runs_old, 1),
-        };
-        report.runs_old = runs_old;
-        let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
-        let is_due = match last {
-            None => {
-                is_report_urgent(&report, &Report::default())
-                    || runs_old
-                    || report.latency_count() >= FIRST_REPORT_LATENCIES
-            }
-            Some(LastReport { report: last, at, .. }) => {
-                let has_more_latencies =
-                    report.latency_count() >= last.latency_count() + MIN_NEW_LATENCIES;
-                let interval = plan::routine_report_interval(reporters);
-                let is_routine = has_more_latencies && now >= *at + interval;
-                let is_due_for_content = is_report_urgent(&report, last) || is_routine;
-                let has_changed = is_due_for_content || runs_old != last.runs_old;
-                (has_changed && now >= *at + REPORT_INTERVAL)
-                    || (runs_old && now >= *at + RUNS_OLD_REPORT_INTERVAL)
-            }
-        };
-        if !is_due {
-            return None;
-        }
-        self.rows[at].last_report = Some(LastReport { report: report.clone(), part, at: now });
-        Some(report)
-    }
-
     fn put_record(&mut self, service: &ServiceId, entry: &Entry) -> bool {
         let Some(record) = decode::<Record>(entry) else { return false };
         let row = self.row(service);
@@ -712,17 +514,6 @@
         true
     }
 
-    fn put_report(&mut self, rest: &str, entry: &Entry) {
-        let Some((service, _instance)) = rest.rsplit_once('/') else { return };
-        let Some(report) = decode::<Report>(entry) else { return };
-        let reported = Reported { key: entry.key.clone(), report, received_at: time::now() };
-        let row = self.row(&service.into());
-        match row.reports.binary_search_by(|known| known.key.cmp(&entry.key)) {
-            Ok(at) => row.reports[at] = reported,
-            Err(at) => row.reports.insert(at, reported),
-        }
-    }
-
     fn row(&mut self, service: &ServiceId) -> &mut Row {
         let at = match self.rows.binary_search_by(|row| row.service.cmp(service)) {
             Ok(at) => at,
@@ -749,116 +540,6 @@
     }
 }
 
-impl Part {
-    const fn is_same_kind(self, other: Self) -> bool {
-        matches!(
-            (self, other),
-            (Self::Reader { .. }, Self::Reader { .. }) | (Self::Follower, Self::Follower)
-        )
-    }
-}
-
-impl Row {
-    /// Returns whether an order, or its removal, is one that this instance knows. A known order that
-    /// a restored store shows again takes its new revision, and so does its record.
-    fn is_order_known(&mut self, revision: Revision, order: Option<&Order>) -> bool {
-        let Some(known) = &mut self.ordered else { return false };
-        if known.unconfirmed_since.is_none() {
-            return revision <= known.revision;
-        }
-        let Some(order) = order else { return false };
-        if *order != known.order {
-            // The copy may hold an earlier order, which the operator's newer one will replace.
-            let is_same =
-                |earlier: &(Revision, Order)| earlier.0 == revision && earlier.1 == *order;
-            return self.earlier_orders.iter().any(is_same);
-        }
-        let before = std::mem::replace(&mut known.revision, revision);
-        known.unconfirmed_since = None;
-        if let Some(recorded) = &mut self.recorded
-            && recorded.record.order == before
-        {
-            recorded.record.order = revision;
-        }
-        true
-    }
-
-    /// Records that the store's answer about the order is final although it was restored.
-    fn confirm_order(&mut self) {
-        if let Some(ordered) = &mut self.ordered {
-            ordered.unconfirmed_since = None;
-            ordered.revision = 0;
-        }
-    }
-
-    /// Returns whether the known phase is later than that of a record in the store, which was then
-    /// restored from a copy.
-    fn is_ahead_of(&self, stored: &Record) -> bool {
-        let (Some(recorded), Some(ordered)) = (&self.recorded, &self.ordered) else { return false };
-        let known = &recorded.record;
-        known.order == ordered.revision
-            && known.version == stored.version
-            && (known.phase > stored.phase || known.order != stored.order)
-            && known.phase >= stored.phase
-    }
-
-    /// Returns the phase that this instance knows and the store lost.
-    fn lost_phase(&self) -> Option<Phase> {
-        let ordered =
-            self.ordered.as_ref().filter(|ordered| ordered.unconfirmed_since.is_none())?;
-        let known = &self.recorded.as_ref()?.record;
-        let is_lost = self.stored.as_ref().is_none_or(|stored| stored.record != *known);
-        (known.order == ordered.revision && is_lost).then_some(known.phase)
-    }
-
-    /// Returns whether requests run on the old version at an instance that follows this one,
-    /// according to its last report, if that one is recent.
-    fn followers_run_old(&self, is_recent: impl Fn(Instant) -> bool) -> bool {
-        self.delivered
-            .iter()
-            .any(|delivered| delivered.report.report.runs_old && is_recent(delivered.received_at))
-    }
-
-    /// Returns the phase that this instance acts on. Once its evidence shows the version to be bad,
-    /// it sends no requests to that version, even while the roll-back can't be written to the
-    /// store.
-    fn effective_phase(&self) -> Option<Phase> {
-        let phase = self.phase()?;
-        Some(if self.is_bad && !phase.is_over() { Phase::RolledBack } else { phase })
-    }
-
-    /// Returns the phase of the current order, if its roll-out has started.
-    fn phase(&self) -> Option<Phase> {
-        let recorded = self.recorded.as_ref()?;
-        let ordered = self.ordered.as_ref()?;
-        (recorded.record.order == ordered.revision).then_some(recorded.record.phase)
-    }
-}
-
-/// Returns whether a report has to be written soon because it contains more evidence against the
-/// new version than `last`: at least one more failure, or more latencies while they are longer than
-/// those of the other versions.
-fn is_report_urgent(report: &Report, last: &Report) -> bool {
-    if report.failure_count() > last.failure_count() {
-        return true;
-    }
-    let has_more_latencies = report.latency_count() >= last.latency_count() + MIN_NEW_LATENCIES;
-    has_more_latencies && latency::mean_shift(report.latencies.iter()).mean >= MIN_REPORTED_SHIFT
-}
-
-/// Formats the evidence for the log.
-fn describe_evidence<'a>(
-    failures: impl Iterator<Item = &'a FailureComparison>,
-    latencies: impl Iterator<Item = &'a LatencyComparison>,
-) -> String {
-    let compared = latencies.filter(|latency| latency.new.count > 0 && latency.old.count > 0);
-    let parts: Vec<String> = failures
-        .map(FailureComparison::to_string)
-        .chain(compared.map(LatencyComparison::to_string))
-        .collect();
-    parts.join(" ")
-}
-
 fn decode<T: serde::de::DeserializeOwned>(entry: &Entry) -> Option<T> {
     match serde_json::from_slice(&entry.value) {
         Ok(value) => Some(value),
