Followers with an older list get the changes and the names of the keys, not all values

A follower whose first list was older than its reader's got the complete content, some 1 MB each for 50 followers over the reader's 10 to 20 Mbit/s.

Change: the reader sends what changed since the follower's list, and hashes of the keys that exist if it does not know all deletions since then. Test: follower_with_an_older_list_gets_only_what_changed; the property test now restarts readers.

--- a/crates/hawthornmount-gateway/src/follow/replica.rs
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -3,6 +3,7 @@
 
 use {
     hawthornmount_core::id::Revision,
+    hawthornmount_fleet::role,
     hawthornmount_store::{Entry, Stamp},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -12,6 +13,9 @@
 /// forgotten key gets the complete content instead of the changes.
 const MAX_DELETED: usize = 2_048;
 
+/// Context of the hashes of keys.
+const KEY_HASH: &str = "key";
+
 /// Number of a change within one replica.
 pub type Sequence = u64;
 
@@ -44,8 +48,14 @@
     pub is_complete: bool,
     /// The changes, in order of their keys.
     pub changes: Vec<Change>,
+    /// Hashes of all keys that exist, in ascending order, if the replica does not know all deletions
+    /// since the cursor. Keys that are not among them were deleted.
+    pub existing: Option<Vec<KeyHash>>,
 }
 
+/// Hash of a key.
+pub type KeyHash = u64;
+
 #[derive(Clone, Debug)]
 struct Row {
     key: Arc<str>,
@@ -156,18 +166,30 @@
         for entry in &entries {
             self.put_in(is_new_era, entry);
         }
+        if let Some(existing) = delta.existing {
+            let is_deleted = |row: &&Row| {
+                row.entry.is_some() && existing.binary_search(&key_hash(&row.key)).is_err()
+            };
+            let deleted: Vec<Arc<str>> =
+                self.rows.iter().filter(is_deleted).map(|row| row.key.clone()).collect();
+            for key in deleted {
+                self.set(&key, stamp.revision, None);
+            }
+        }
         self.cursor.stamp = stamp;
         self.forget_deleted();
         self.cursor.sequence > before
     }
 
     /// Returns the changes after a cursor, of keys for which `is_relayed` is true. A cursor of
-    /// another replica is continued from its stamp, if this replica knows all changes since then.
+    /// another replica is continued from its stamp. If this replica does not know all deletions since
+    /// then, the result names the keys that exist, which takes far less space than their values.
     pub fn changes_after(
         &self,
         cursor: Option<&Cursor>,
         is_relayed: impl Fn(&str) -> bool,
     ) -> Delta {
+        let mut existing = None;
         let is_after: Box<dyn Fn(&Row) -> bool> = match cursor {
             Some(cursor)
                 if cursor.origin == self.cursor.origin
@@ -177,19 +199,29 @@
             }
             Some(cursor)
                 if cursor.stamp.era == self.cursor.stamp.era
-                    && cursor.stamp >= self.oldest_stamp
                     && cursor.stamp <= self.cursor.stamp =>
             {
+                if cursor.stamp < self.oldest_stamp {
+                    existing = Some(self.existing(&is_relayed));
+                }
                 Box::new(move |row| row.revision > cursor.stamp.revision)
             }
             _ => {
                 let rows = self.rows.iter().filter(|row| row.entry.is_some());
                 let changes = rows.filter(|row| is_relayed(&row.key)).map(change).collect();
-                return Delta { is_complete: true, changes };
+                return Delta { is_complete: true, changes, existing: None };
             }
         };
         let rows = self.rows.iter().filter(|row| is_after(row) && is_relayed(&row.key));
-        Delta { is_complete: false, changes: rows.map(change).collect() }
+        Delta { is_complete: false, changes: rows.map(change).collect(), existing }
+    }
+
+    /// Returns the hashes of the keys that exist and are relayed.
+    fn existing(&self, is_relayed: impl Fn(&str) -> bool) -> Vec<KeyHash> {
+        let rows = self.rows.iter().filter(|row| row.entry.is_some() && is_relayed(&row.key));
+        let mut hashes: Vec<KeyHash> = rows.map(|row| key_hash(&row.key)).collect();
+        hashes.sort_unstable();
+        hashes
     }
 
     /// Returns whether `stamp` is the first one of an era. Revisions of earlier eras can't be compared
@@ -252,6 +284,11 @@
     }
 }
 
+/// Returns the hash of a key, which is the same in every build.
+fn key_hash(key: &str) -> KeyHash {
+    role::weight(&key.into(), KEY_HASH)
+}
+
 fn change(row: &Row) -> Change {
     let value = row.entry.as_ref().map(|entry| (entry.value.to_vec(), entry.created));
     Change { key: row.key.clone(), revision: row.revision, value }
--- a/crates/hawthornmount-gateway/tests/gateway/relay.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/relay.rs
@@ -169,6 +169,8 @@
     Delete(u8),
     /// The store is restored from a copy that lacks the last so many changes.
     Restore(usize),
+    /// The reader starts again and lists the store.
+    RestartReader,
     /// The follower asks for the changes.
     Ask,
     /// The follower asks without knowing the reader's changes, only its stamp.
@@ -180,6 +182,7 @@
         4 => (0_u8..6).prop_map(Step::Put),
         2 => (0_u8..6).prop_map(Step::Delete),
         1 => (0_usize..4).prop_map(Step::Restore),
+        1 => Just(Step::RestartReader),
         2 => Just(Step::Ask),
         1 => Just(Step::AskByStamp),
     ]
@@ -213,6 +216,7 @@
                     content = copies[copies.len() - 1].clone();
                     stamp = Stamp { era: stamp.era + 1, revision: copies.len() as u64 };
                 }
+                Step::RestartReader => reader = Replica::new(reader.cursor().origin + 2),
                 Step::Ask | Step::AskByStamp => {
                     if matches!(step, Step::AskByStamp) {
                         known = Some(follower.cursor()).filter(|at| at.stamp.revision > 0);
@@ -233,6 +237,24 @@
     }
 }
 
+/// Load: hundreds of followers whose first list is older than their reader's, as when all start. The
+/// content must not be sent to each of them again.
+#[test]
+fn follower_with_an_older_list_gets_only_what_changed() {
+    let (mut reader, mut follower) = (Replica::new(1), Replica::new(2));
+    let at = |revision| Stamp { era: 1, revision };
+    let old: Vec<Entry> = (1..9).map(|key| entry(key, u64::from(key))).collect();
+    follower.replace(&old, at(8));
+    // Key 3 was deleted and key 9 written before the reader's first list.
+    let mut new: Vec<Entry> = old.iter().filter(|entry| entry.revision != 3).cloned().collect();
+    new.push(entry(9, 10));
+    reader.replace(&new, at(10));
+    let delta = reader.changes_after(Some(&follower.cursor()), |_| true);
+    assert_eq!((delta.is_complete, delta.changes.len()), (false, 1));
+    follower.apply(delta, reader.cursor().stamp);
+    assert_eq!(follower.entries(), new);
+}
+
 #[test]
 fn replica_that_is_behind_takes_nothing_back() {
     let (mut ahead, mut behind) = (Replica::new(1), Replica::new(2));
