--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -25,7 +25,7 @@
             source::{Selector, Source},
         },
         rollout::driver::{self, Part},
-        schema::Codec,
+        schema::{Codec, Key},
         time,
         view::{Cell, View},
     },
@@ -213,7 +213,8 @@
     /// Lists all keys and publishes the resulting view.
     async fn list(&mut self) -> store::Result<()> {
         let asked_at = self.freshness.now();
-        let (entries, stamp) = self.list_pages().await?;
+        let (mut entries, stamp) = self.list_pages().await?;
+        self.keep_equal_servers(&mut entries, stamp);
         self.relay.replica.lock().replace(&entries, stamp);
         self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
         self.is_reader = true;
@@ -227,6 +228,28 @@
         Ok(())
     }
 
+    /// Replaces the entries of servers that differ from the known ones only in what no instance uses,
+    /// such as the number of their heartbeat, by the known ones. They are then not relayed to every
+    /// follower again.
+    fn keep_equal_servers(&self, entries: &mut [store::Entry], stamp: Stamp) {
+        let replica = self.relay.replica.lock();
+        if replica.cursor().stamp.era != stamp.era {
+            return;
+        }
+        for entry in entries {
+            let Key::Server(id) = self.schema.parse_key(&entry.key) else { continue };
+            let Some(known) = replica.get(&entry.key) else { continue };
+            let is_equal = || {
+                let decode = |value: &[u8]| self.schema.decode_server(&id, value).ok();
+                let server = decode(&entry.value);
+                server.is_some() && server == decode(&known.value)
+            };
+            if known.value == entry.value || is_equal() {
+                *entry = known.clone();
+            }
+        }
+    }
+
     /// Lists the pages of all keys. They are not a snapshot, so the stamp is that of the first
     /// page.
     async fn list_pages(&self) -> store::Result<(Vec<store::Entry>, Stamp)> {
--- a/crates/hawthornmount-gateway/src/follow/replica.rs
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -97,6 +97,11 @@
         self.rows.iter().filter_map(|row| row.entry.clone()).collect()
     }
 
+    /// Returns the entry of a key that exists.
+    pub fn get(&self, key: &str) -> Option<&Entry> {
+        self.rows[self.position(key).ok()?].entry.as_ref()
+    }
+
     /// Applies a complete list of the keys, in ascending order, and returns whether anything
     /// changed.
     pub fn replace(&mut self, entries: &[Entry], stamp: Stamp) -> bool {
@@ -244,13 +249,11 @@
 
     /// Returns the revision of a key that exists.
     fn revision(&self, key: &str) -> Option<Revision> {
-        let at = self.position(key).ok()?;
-        self.rows[at].entry.as_ref().map(|entry| entry.revision)
+        self.get(key).map(|entry| entry.revision)
     }
 
     fn set_entry(&mut self, entry: &Entry) -> bool {
-        let known = self.position(&entry.key).ok().and_then(|at| self.rows[at].entry.as_ref());
-        if known == Some(entry) {
+        if self.get(&entry.key) == Some(entry) {
             return false;
         }
         self.set(&entry.key, entry.revision, Some(entry.clone()));
