--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -9,19 +9,18 @@
 //! while the new version of a roll-out gets most requests, because they contain the evidence of
 //! other data centres.
 
+mod peer;
 pub mod replica;
 mod state;
+mod tick;
 
 pub use state::State;
 
 use {
     crate::{
         freshness::Freshness,
-        membership::Peer,
         relay::{
             Link, PeerReport, Shared,
-            client::Failed,
-            message::{Confirmation, Follow, Update},
             source::{Selector, Source},
         },
         rollout::driver::{self, Part},
@@ -29,14 +28,13 @@
         time,
         view::{Cell, View},
     },
-    futures::StreamExt,
     hawthornmount_store::{self as store, Event, Stamp, Store, Txn, Watch},
-    replica::Cursor,
+    peer::Followed,
     std::{
-        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
+    tick::{Tick, Ticks},
 };
 
 /// Fraction of the shortest bound on the age of changes after which all keys are listed again. The
@@ -49,12 +47,6 @@
 /// Time beyond the list interval within which every instance has seen an order. It allows for a
 /// list that fails once and is retried, and for an instance that has to find another reader.
 const VISIBILITY_MARGIN: Duration = Duration::from_millis(1_200);
-/// List intervals without a confirmation after which another source is tried.
-const STALE_INTERVALS: f64 = 1.25;
-/// Time for the calls of the reader in which its confirmation may arrive late.
-const STALE_MARGIN: Duration = Duration::from_millis(200);
-/// Shortest wait for a confirmation of an instance that is asked for the first time.
-const MIN_WAIT: Duration = Duration::from_millis(300);
 /// Interval between two lists if no bound is given.
 const DEFAULT_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of keys that are listed per call.
@@ -91,23 +83,6 @@
     is_store_unreachable: bool,
 }
 
-/// Point up to which the content of another instance is known.
-struct Followed {
-    peer: Peer,
-    cursor: Option<Cursor>,
-    confirmation: Option<Confirmation>,
-}
-
-/// What happens while the follower waits.
-enum Tick {
-    /// A change of the watched keys.
-    Watch(Option<store::Result<Event>>),
-    /// The phases and reports of roll-outs are checked.
-    Step,
-    /// The grace period of a missing server ends.
-    Expiry,
-}
-
 impl Follower {
     /// Creates a follower that publishes to `cell` and, while it reads the store, lists all keys
     /// every `list_interval`.
@@ -311,117 +286,6 @@
         }
     }
 
-    /// Asks another instance for what is newer, and applies its response.
-    async fn follow_peer(&mut self, peer: Peer) {
-        self.watch = None;
-        self.is_reader = false;
-        self.listed = None;
-        let wait = self.peer_wait();
-        let (cursor, confirmation) = self.known_of(&peer);
-        let asked = self.freshness.now();
-        let request = Follow { cursor, confirmation, wait, in_flight: self.state.in_flight() };
-        let (link, asked_peer) = (self.link.clone(), peer.clone());
-        let mut response = pin!(async move { link.follow(&asked_peer, request).await });
-        let mut ticks = Ticks::new(self);
-        let result = loop {
-            let tick = tokio::select! {
-                result = &mut response => break result,
-                tick = ticks.next(None) => tick,
-            };
-            self.handle(tick, &mut ticks);
-        };
-        match result {
-            Ok(update) => self.apply_update(&peer, update, asked),
-            Err(failed) => self.peer_failed(&peer, &failed),
-        }
-    }
-
-    /// Returns how long to wait for a confirmation: until the last one is older than a reader's
-    /// confirmations usually get.
-    fn peer_wait(&self) -> Duration {
-        let stale = self.list_interval.mul_f64(STALE_INTERVALS) + STALE_MARGIN;
-        stale.saturating_sub(self.freshness.age()).max(MIN_WAIT)
-    }
-
-    /// Returns the point up to which the content of an instance is known, and its last confirmation.
-    fn known_of(&mut self, peer: &Peer) -> (Option<Cursor>, Option<Confirmation>) {
-        match &self.followed {
-            Some(followed) if followed.peer.id == peer.id => {
-                (followed.cursor, followed.confirmation)
-            }
-            _ => {
-                log::info!("follows another instance; peer={}", peer.id);
-                self.reads_store = false;
-                let cursor = self.relay.replica.lock().cursor();
-                let cursor = (cursor.stamp != Stamp::default()).then_some(cursor);
-                self.followed = Some(Followed { peer: peer.clone(), cursor, confirmation: None });
-                (cursor, None)
-            }
-        }
-    }
-
-    /// Applies the response of another instance to a request that was sent at `asked`.
-    fn apply_update(&mut self, peer: &Peer, update: Update, asked: Duration) {
-        let before = self.followed.replace(Followed {
-            peer: peer.clone(),
-            cursor: Some(update.cursor),
-            confirmation: update.confirmation,
-        });
-        let is_first = before.is_none_or(|followed| followed.confirmation.is_none());
-        let confirmed = confirmed_at(asked, update.confirmed_after_arrival_us);
-        let stamp = update.stamp();
-        let (has_changes, is_behind) = {
-            let mut replica = self.relay.replica.lock();
-            let is_behind = stamp < replica.cursor().stamp;
-            (replica.apply(update.delta, stamp), is_behind)
-        };
-        if has_changes {
-            self.apply_replica(stamp);
-        }
-        let newer = confirmed.filter(|confirmed| {
-            !is_behind
-                && self.state.is_settled(time::now())
-                && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
-        });
-        if let Some(confirmed) = newer {
-            self.freshness.confirm(confirmed.min(self.freshness.now()));
-            self.selector.peer_succeeded(&peer.id);
-            self.store_responded();
-        } else if !is_first && self.freshness.age() >= self.stale_age() {
-            // The first response comes at once, so the instance may be about to get a confirmation.
-            log::info!("the followed instance has no recent confirmation; peer={}", peer.id);
-            self.selector.peer_failed(&peer.id, time::now());
-            self.followed = None;
-        }
-        self.relay.notify();
-    }
-
-    /// Returns the age of the last confirmation from which another source is tried.
-    fn stale_age(&self) -> Duration {
-        self.list_interval.mul_f64(STALE_INTERVALS)
-    }
-
-    /// Applies the content of the replica after changes of another instance.
-    fn apply_replica(&mut self, stamp: Stamp) {
-        let entries = self.relay.replica.lock().entries();
-        // Entries may have expired while no source was available.
-        let was_unreachable = self.is_store_unreachable || self.freshness.age() > self.outage();
-        self.state.apply_list(&entries, stamp, was_unreachable, time::now());
-        self.publish();
-        self.register();
-    }
-
-    /// Returns the age of the last confirmation from which the store counts as having been away.
-    fn outage(&self) -> Duration {
-        self.list_interval.mul_f64(STALE_INTERVALS) * 2
-    }
-
-    fn peer_failed(&mut self, peer: &Peer, failed: &Failed) {
-        log::info!("the followed instance gave no answer; peer={} cause={failed}", peer.id);
-        self.selector.peer_failed(&peer.id, time::now());
-        self.followed = None;
-    }
-
     /// Opens the watch of the phases of roll-outs.
     async fn open_watch(&self) -> Option<Watch> {
         match self.store.watch(driver::RECORD_PREFIX, self.state.revision() + 1).await {
@@ -546,58 +410,6 @@
     }
 }
 
-/// Timers that run while the follower waits.
-struct Ticks {
-    step: tokio::time::Interval,
-    is_active: bool,
-    expiry: Option<Instant>,
-}
-
-impl Ticks {
-    fn new(follower: &Follower) -> Self {
-        let mut step = tokio::time::interval(driver::STEP_INTERVAL);
-        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut ticks = Self { step, is_active: false, expiry: None };
-        ticks.update(follower);
-        ticks
-    }
-
-    fn update(&mut self, follower: &Follower) {
-        self.is_active = follower.state.driver().is_active();
-        // A server whose grace period has ended is removed before the next list, unless the store
-        // is unreachable again.
-        self.expiry = follower.state.next_expiry().filter(|_| !follower.is_store_unreachable);
-    }
-
-    async fn next(&mut self, watch: Option<&mut Watch>) -> Tick {
-        let event = async {
-            match watch {
-                Some(watch) => watch.next().await,
-                None => std::future::pending().await,
-            }
-        };
-        let expiry = self.expiry;
-        let expired = async {
-            match expiry {
-                Some(at) => tokio::time::sleep_until(at.into()).await,
-                None => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            event = event => Tick::Watch(event),
-            _ = self.step.tick(), if self.is_active => Tick::Step,
-            () = expired => Tick::Expiry,
-        }
-    }
-}
-
-/// Returns the time of the call to the store that a relayed confirmation answers, as far as the
-/// follower knows: the request arrived after it was sent at `asked`, so the call was not earlier.
-fn confirmed_at(asked: Duration, after_arrival_us: i64) -> Option<Duration> {
-    let offset = Duration::from_micros(after_arrival_us.unsigned_abs());
-    if after_arrival_us >= 0 { asked.checked_add(offset) } else { asked.checked_sub(offset) }
-}
-
 /// Returns the interval between two lists for bounds on the time within which changes must be in
 /// force.
 pub fn list_interval(bounds: &[Duration]) -> Duration {
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -0,0 +1,149 @@
+//! Following of another instance in place of the store.
+
+use {
+    super::{Follower, replica::Cursor, tick::Ticks},
+    crate::{
+        membership::Peer,
+        relay::{
+            client::Failed,
+            message::{Confirmation, Follow, Update},
+        },
+        time,
+    },
+    hawthornmount_store::Stamp,
+    std::{pin::pin, time::Duration},
+};
+
+/// List intervals without a confirmation after which another source is tried.
+const STALE_INTERVALS: f64 = 1.25;
+/// Time for the calls of the reader in which its confirmation may arrive late.
+const STALE_MARGIN: Duration = Duration::from_millis(200);
+/// Shortest wait for a confirmation of an instance that is asked for the first time.
+const MIN_WAIT: Duration = Duration::from_millis(300);
+
+/// Point up to which the content of another instance is known.
+pub struct Followed {
+    pub peer: Peer,
+    pub cursor: Option<Cursor>,
+    pub confirmation: Option<Confirmation>,
+}
+
+impl Follower {
+    /// Asks another instance for what is newer, and applies its response.
+    pub(super) async fn follow_peer(&mut self, peer: Peer) {
+        self.watch = None;
+        self.is_reader = false;
+        self.listed = None;
+        let wait = self.peer_wait();
+        let (cursor, confirmation) = self.known_of(&peer);
+        let asked = self.freshness.now();
+        let request = Follow { cursor, confirmation, wait, in_flight: self.state.in_flight() };
+        let (link, asked_peer) = (self.link.clone(), peer.clone());
+        let mut response = pin!(async move { link.follow(&asked_peer, request).await });
+        let mut ticks = Ticks::new(self);
+        let result = loop {
+            let tick = tokio::select! {
+                result = &mut response => break result,
+                tick = ticks.next(None) => tick,
+            };
+            self.handle(tick, &mut ticks);
+        };
+        match result {
+            Ok(update) => self.apply_update(&peer, update, asked),
+            Err(failed) => self.peer_failed(&peer, &failed),
+        }
+    }
+
+    /// Returns how long to wait for a confirmation: until the last one is older than a reader's
+    /// confirmations usually get.
+    fn peer_wait(&self) -> Duration {
+        let stale = self.list_interval.mul_f64(STALE_INTERVALS) + STALE_MARGIN;
+        stale.saturating_sub(self.freshness.age()).max(MIN_WAIT)
+    }
+
+    /// Returns the point up to which the content of an instance is known, and its last confirmation.
+    fn known_of(&mut self, peer: &Peer) -> (Option<Cursor>, Option<Confirmation>) {
+        match &self.followed {
+            Some(followed) if followed.peer.id == peer.id => {
+                (followed.cursor, followed.confirmation)
+            }
+            _ => {
+                log::info!("follows another instance; peer={}", peer.id);
+                self.reads_store = false;
+                let cursor = self.relay.replica.lock().cursor();
+                let cursor = (cursor.stamp != Stamp::default()).then_some(cursor);
+                self.followed = Some(Followed { peer: peer.clone(), cursor, confirmation: None });
+                (cursor, None)
+            }
+        }
+    }
+
+    /// Applies the response of another instance to a request that was sent at `asked`.
+    fn apply_update(&mut self, peer: &Peer, update: Update, asked: Duration) {
+        let before = self.followed.replace(Followed {
+            peer: peer.clone(),
+            cursor: Some(update.cursor),
+            confirmation: update.confirmation,
+        });
+        let is_first = before.is_none_or(|followed| followed.confirmation.is_none());
+        let confirmed = confirmed_at(asked, update.confirmed_after_arrival_us);
+        let stamp = update.stamp();
+        let (has_changes, is_behind) = {
+            let mut replica = self.relay.replica.lock();
+            let is_behind = stamp < replica.cursor().stamp;
+            (replica.apply(update.delta, stamp), is_behind)
+        };
+        if has_changes {
+            self.apply_replica(stamp);
+        }
+        let newer = confirmed.filter(|confirmed| {
+            !is_behind
+                && self.state.is_settled(time::now())
+                && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
+        });
+        if let Some(confirmed) = newer {
+            self.freshness.confirm(confirmed.min(self.freshness.now()));
+            self.selector.peer_succeeded(&peer.id);
+            self.store_responded();
+        } else if !is_first && self.freshness.age() >= self.stale_age() {
+            // The first response comes at once, so the instance may be about to get a confirmation.
+            log::info!("the followed instance has no recent confirmation; peer={}", peer.id);
+            self.selector.peer_failed(&peer.id, time::now());
+            self.followed = None;
+        }
+        self.relay.notify();
+    }
+
+    /// Returns the age of the last confirmation from which another source is tried.
+    fn stale_age(&self) -> Duration {
+        self.list_interval.mul_f64(STALE_INTERVALS)
+    }
+
+    /// Applies the content of the replica after changes of another instance.
+    fn apply_replica(&mut self, stamp: Stamp) {
+        let entries = self.relay.replica.lock().entries();
+        // Entries may have expired while no source was available.
+        let was_unreachable = self.is_store_unreachable || self.freshness.age() > self.outage();
+        self.state.apply_list(&entries, stamp, was_unreachable, time::now());
+        self.publish();
+        self.register();
+    }
+
+    /// Returns the age of the last confirmation from which the store counts as having been away.
+    fn outage(&self) -> Duration {
+        self.list_interval.mul_f64(STALE_INTERVALS) * 2
+    }
+
+    fn peer_failed(&mut self, peer: &Peer, failed: &Failed) {
+        log::info!("the followed instance gave no answer; peer={} cause={failed}", peer.id);
+        self.selector.peer_failed(&peer.id, time::now());
+        self.followed = None;
+    }
+}
+
+/// Returns the time of the call to the store that a relayed confirmation answers, as far as the
+/// follower knows: the request arrived after it was sent at `asked`, so the call was not earlier.
+fn confirmed_at(asked: Duration, after_arrival_us: i64) -> Option<Duration> {
+    let offset = Duration::from_micros(after_arrival_us.unsigned_abs());
+    if after_arrival_us >= 0 { asked.checked_add(offset) } else { asked.checked_sub(offset) }
+}
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/follow/tick.rs
@@ -0,0 +1,64 @@
+//! Timers and events that the follower handles while it waits.
+
+use {
+    super::Follower,
+    crate::rollout::driver,
+    futures::StreamExt,
+    hawthornmount_store::{self as store, Event, Watch},
+    std::time::Instant,
+};
+
+/// What happens while the follower waits.
+pub enum Tick {
+    /// A change of the watched keys.
+    Watch(Option<store::Result<Event>>),
+    /// The phases and reports of roll-outs are checked.
+    Step,
+    /// The grace period of a missing server ends.
+    Expiry,
+}
+
+/// Timers that run while the follower waits.
+pub struct Ticks {
+    step: tokio::time::Interval,
+    is_active: bool,
+    expiry: Option<Instant>,
+}
+
+impl Ticks {
+    pub fn new(follower: &Follower) -> Self {
+        let mut step = tokio::time::interval(driver::STEP_INTERVAL);
+        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = Self { step, is_active: false, expiry: None };
+        ticks.update(follower);
+        ticks
+    }
+
+    pub fn update(&mut self, follower: &Follower) {
+        self.is_active = follower.state.driver().is_active();
+        // A server whose grace period has ended is removed before the next list, unless the store
+        // is unreachable again.
+        self.expiry = follower.state.next_expiry().filter(|_| !follower.is_store_unreachable);
+    }
+
+    pub async fn next(&mut self, watch: Option<&mut Watch>) -> Tick {
+        let event = async {
+            match watch {
+                Some(watch) => watch.next().await,
+                None => std::future::pending().await,
+            }
+        };
+        let expiry = self.expiry;
+        let expired = async {
+            match expiry {
+                Some(at) => tokio::time::sleep_until(at.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            event = event => Tick::Watch(event),
+            _ = self.step.tick(), if self.is_active => Tick::Step,
+            () = expired => Tick::Expiry,
+        }
+    }
+}
