One piece of code for keys that are gone, and a sorted list of leaving servers

They are in order of their ids now; if there are too many, the one that started first is forgotten, not the one that was recorded first. A comment said that the reader always lists.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Lists all keys, and waits until the next list is due.
+    /// Reads the store, and waits until the next read is due.
     async fn read_store(&mut self) {
         self.followed = None;
         if !self.reads_store {
--- a/crates/hawthornmount-gateway/src/follow/replica.rs
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -108,15 +108,7 @@
         let before = self.cursor.sequence;
         let is_new_era = self.begin_era(stamp);
         let is_listed = |key: &str| entries.binary_search_by(|entry| (*entry.key).cmp(key)).is_ok();
-        let deleted: Vec<Arc<str>> = self
-            .rows
-            .iter()
-            .filter(|row| row.entry.is_some() && !is_listed(&row.key))
-            .map(|row| row.key.clone())
-            .collect();
-        for key in deleted {
-            self.set(&key, stamp.revision, None);
-        }
+        self.retain(is_listed, stamp.revision);
         for entry in entries {
             self.put_in(is_new_era, entry);
         }
@@ -172,14 +164,8 @@
             self.put_in(is_new_era, entry);
         }
         if let Some(existing) = delta.existing {
-            let is_deleted = |row: &&Row| {
-                row.entry.is_some() && existing.binary_search(&key_hash(&row.key)).is_err()
-            };
-            let deleted: Vec<Arc<str>> =
-                self.rows.iter().filter(is_deleted).map(|row| row.key.clone()).collect();
-            for key in deleted {
-                self.set(&key, stamp.revision, None);
-            }
+            let is_existing = |key: &str| existing.binary_search(&key_hash(key)).is_ok();
+            self.retain(is_existing, stamp.revision);
         }
         self.cursor.stamp = stamp;
         self.forget_deleted();
@@ -239,6 +225,16 @@
         is_new_era
     }
 
+    /// Records the deletion, at a revision, of the keys for which `is_kept` is false.
+    fn retain(&mut self, is_kept: impl Fn(&str) -> bool, revision: Revision) {
+        let is_deleted = |row: &&Row| row.entry.is_some() && !is_kept(&row.key);
+        let deleted: Vec<Arc<str>> =
+            self.rows.iter().filter(is_deleted).map(|row| row.key.clone()).collect();
+        for key in deleted {
+            self.set(&key, revision, None);
+        }
+    }
+
     fn put_in(&mut self, is_new_era: bool, entry: &Entry) {
         if is_new_era {
             self.set_entry(entry);
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -6,7 +6,6 @@
     crate::message::Part,
     hawthornmount_core::id::{ModelId, ServerId},
     std::{
-        collections::VecDeque,
         fmt::{self, Display, Formatter},
         hash::{DefaultHasher, Hash, Hasher},
         time::{Duration, Instant},
@@ -141,8 +140,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     rows: Vec<ServerStats>,
-    /// Servers that stated that they are leaving, with their start times, oldest statement first.
-    leaving: VecDeque<(ServerId, u64)>,
+    /// Servers that stated that they are leaving, with their start times, in order of their ids.
+    leaving: Vec<(ServerId, u64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -171,17 +170,28 @@
         if self.is_leaving(id, start_ms) {
             return false;
         }
-        if self.leaving.len() >= MAX_LEAVING {
-            self.leaving.pop_front();
+        match self.leaving_position(id) {
+            Ok(at) => self.leaving[at].1 = start_ms,
+            Err(at) => self.leaving.insert(at, (id.clone(), start_ms)),
+        }
+        if self.leaving.len() > MAX_LEAVING {
+            // The server that started first is the most likely to be gone.
+            let starts = self.leaving.iter().map(|(_, start)| *start).enumerate();
+            if let Some((oldest, _)) = starts.min_by_key(|(_, start)| *start) {
+                self.leaving.remove(oldest);
+            }
         }
-        self.leaving.push_back((id.clone(), start_ms));
         true
     }
 
     /// Returns whether the server that started at `start_ms` is leaving. A later start under the
     /// same name is another server.
     pub fn is_leaving(&self, id: &ServerId, start_ms: u64) -> bool {
-        self.leaving.iter().any(|(known, start)| known == id && *start == start_ms)
+        self.leaving_position(id).is_ok_and(|at| self.leaving[at].1 == start_ms)
+    }
+
+    fn leaving_position(&self, id: &ServerId) -> Result<usize, usize> {
+        self.leaving.binary_search_by(|(known, _)| known.cmp(id))
     }
 
     /// Removes servers for which `is_known` is false and that have no requests in flight.
