Log why a stream is truncated and why a connection is closed early

Three hypotheses on the requests without an answer could not be told apart: a truncated stream left no line of its own and the reason why no server took over was dropped, a refusal did not say whether the request's body had been read, and a connection closed under an earlier idle timeout was only visible at the debug level. Each has a line now, and truncated streams a counter.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     futures::stream,
-    hawthornmount_core::reason::Retry,
+    hawthornmount_core::reason::{Refusal, Retry},
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
@@ -115,7 +115,8 @@
                 }
                 Step::Broken(cause) => {
                     self.abandon_server(cause);
-                    if !self.resume().await {
+                    if let Err(reason) = self.resume().await {
+                        self.log_truncation(cause, reason);
                         return Some(Err(Truncated));
                     }
                 }
@@ -171,6 +172,21 @@
         );
     }
 
+    /// Logs and counts a stream that ends before its last event: why its server was given up, and why
+    /// no other server took over.
+    fn log_truncation(&self, cause: Retry, reason: Refusal) {
+        self.forwarder.metrics.dropped.with_label_values(&["stream", cause.as_str()]).inc();
+        log::info!(
+            "stream truncated; id={} route={} cause={cause} silent_ms={} events={} attempts={} \
+             not_resumed={reason}",
+            self.job.id,
+            self.job.route.id,
+            self.last_event.elapsed().as_millis(),
+            self.relayed,
+            self.progress.attempts,
+        );
+    }
+
     /// Records the mean event gap of the current server as evidence, once per server.
     fn record_event_gap(&mut self) {
         let (since, count) = self.gap_measurement.get_or_insert_with(|| (Instant::now(), 0));
@@ -220,32 +236,36 @@
         self.progress.retry_reason = Some(cause);
     }
 
-    /// Resumes the stream at another server after the last complete event, and returns whether that
-    /// succeeded.
-    async fn resume(&mut self) -> bool {
+    /// Resumes the stream at another server after the last complete event.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no server took over.
+    async fn resume(&mut self) -> Result<(), Refusal> {
         if !self.job.route.config.resumable {
-            return false;
+            return Err(Refusal::ServerFailed);
         }
         loop {
-            let Ok(server) = self.forwarder.next_server(&self.job, &mut self.progress) else {
-                return false;
+            let server = match self.forwarder.next_server(&self.job, &mut self.progress) {
+                Ok(server) => server,
+                Err(problem) => return Err(problem.reason),
             };
             let (job, after) = (self.job.clone(), self.splitter.last_id());
             let attempt = self.forwarder.attempt(&job, &server, &mut self.progress, after);
             let outcome = match tokio::time::timeout_at(job.deadline().into(), attempt).await {
                 Ok(outcome) => outcome,
-                Err(_elapsed) => return false,
+                Err(_elapsed) => return Err(Refusal::Deadline),
             };
             self.progress.record_outcome(&server.id, &outcome);
             match outcome {
                 Outcome::Success(success) => match success.body {
                     Body::Streaming(upstream) => {
                         self.upstream = Some(upstream);
-                        return true;
+                        return Ok(());
                     }
-                    Body::Complete(_) => return false,
+                    Body::Complete(_) => return Err(Refusal::Internal),
                 },
-                Outcome::KeyUnconfirmed => return false,
+                Outcome::KeyUnconfirmed => return Err(Refusal::StoreUnavailable),
                 Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => {}
             }
         }
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -57,7 +57,15 @@
                 connection.await
             }
         };
-        if let Err(error) = result {
+        let Err(error) = result else { return };
+        let in_force = self.components.cell.load().rules.limits.idle_timeout;
+        if error.is_timeout() && limits.idle_timeout != in_force {
+            log::info!(
+                "closed an idle connection under an earlier limit; limit_ms={} in_force_ms={}",
+                limits.idle_timeout.as_millis(),
+                in_force.as_millis()
+            );
+        } else {
             log::debug!("connection from a caller failed; cause={error}");
         }
     }
@@ -89,13 +97,14 @@
             response: None,
         };
         let outcome = self.run(&mut exchange).await;
+        let has_unread_body = exchange.incoming.as_ref().is_some_and(|body| !body.is_end_stream());
         let mut response = match outcome {
             Ok(response) => response,
             Err(problem) => {
                 self.components.metrics.count_refusal(problem.reason);
                 log::info!(
                     "no answer; id={} reason={} status={} route={} account={} revision={} \
-                     confirmed_ms={} waited_ms={} detail={}",
+                     confirmed_ms={} waited_ms={} unread_body={has_unread_body} detail={}",
                     exchange.id,
                     problem.reason,
                     problem.status,
@@ -109,7 +118,6 @@
                 response::problem(&problem, &exchange.id)
             }
         };
-        let has_unread_body = exchange.incoming.as_ref().is_some_and(|body| !body.is_end_stream());
         if self.components.is_stopping() || has_unread_body {
             response.headers_mut().insert(header::CONNECTION, response::CLOSE);
         }
