Keep what belongs to one attempt apart from the progress of its request

No change of behaviour. The load, the prefill and the trial of the server that was chosen last stood in the progress of the request, so a second attempt could not begin while the first one ran. They are an Attempt now, with a marker that tells whether its request may have reached the server.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -1,8 +1,9 @@
 //! A single attempt: forwards a request to one server and evaluates its response.
 
 use {
-    super::{Class, Forwarder, Job, Progress, classify, full_body},
+    super::{Class, Forwarder, Job, Progress, classify, full_body, job::Marker},
     crate::{
+        cascade::Level,
         filter::Response,
         load::{Load, Tracker},
         message::{EventId, ForwardHead, ResponseHead},
@@ -27,6 +28,28 @@
 /// Largest response that is buffered completely, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// An attempt at one server.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The server.
+    pub server: Arc<Server>,
+    /// Level of the cascade whose model is requested, if the router chooses the model.
+    pub level: Option<Level>,
+    /// Whether the request is part of the trial of a version, which fills one server after the
+    /// other to test the version under load.
+    pub is_trial: bool,
+    /// Prompt tokens that the server has not cached.
+    pub uncached_tokens: u32,
+    /// Prefill time of the uncached tokens, in milliseconds.
+    pub prefill_ms: f64,
+    /// Wait that was expected when the server was chosen.
+    pub expected_wait: Duration,
+    /// Load that the server reported with its response.
+    pub reported_load: Option<Load>,
+    /// Marks whether the request may have reached the server.
+    pub marker: Marker,
+}
+
 /// Outcome of an attempt.
 pub enum Outcome {
     /// The server responded with success.
@@ -44,10 +67,10 @@
 }
 
 impl Progress {
-    /// Records the outcome of the attempt at a server.
-    pub(super) fn record_outcome(&mut self, server: &ServerId, outcome: &Outcome) {
-        self.is_pending = false;
-        self.tried.push(server.clone());
+    /// Records the outcome of an attempt.
+    pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
+        self.end(&attempt.marker);
+        self.tried.push(attempt.server.id.clone());
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
         self.retry_reason = match outcome {
@@ -66,8 +89,6 @@
 
 /// A successful response; the body may still be arriving.
 pub struct Success {
-    /// Server that responded.
-    pub server: Arc<Server>,
     /// HTTP status.
     pub status: StatusCode,
     /// Headers as the server sent them.
@@ -171,12 +192,13 @@
     pub(super) async fn attempt(
         &self,
         job: &Job,
-        server: &Arc<Server>,
-        progress: &mut Progress,
+        attempt: &mut Attempt,
         resume_after: Option<EventId>,
     ) -> Outcome {
+        let server = attempt.server.clone();
+        let server = &server;
         let in_flight = InFlightGuard::new(&self.loads, &server.id, job);
-        let _prefill = PrefillGuard::new(&self.loads, &server.id, progress.prefill_ms);
+        let _prefill = PrefillGuard::new(&self.loads, &server.id, attempt.prefill_ms);
         let mut pooled = self.pool.take(&server.id);
         loop {
             let is_reused = pooled.is_some();
@@ -190,21 +212,21 @@
             if !self.may_send(job) {
                 return Outcome::KeyUnconfirmed;
             }
-            let request = self.request(job, server, progress, resume_after);
+            let request = self.request(job, attempt, resume_after);
             self.loads.lock().stats(&server.id).record_prompt(
-                job.model(progress.level),
+                job.model(attempt.level),
                 &job.request.prompt,
                 Instant::now(),
             );
-            progress.is_pending = true;
-            progress.reported_load = None;
+            attempt.marker.set(true);
+            attempt.reported_load = None;
             match connection.send(request).await {
                 Ok(response) => {
                     let received = Received { connection, response, in_flight, is_reused };
-                    return self.handle_response(job, server, received, progress).await;
+                    return self.handle_response(job, received, attempt).await;
                 }
                 Err(failure) if failure.is_unsent() => {
-                    progress.is_pending = false;
+                    attempt.marker.set(false);
                     if !is_reused {
                         return self.record_unsent(job, server, &failure);
                     }
@@ -230,13 +252,12 @@
     fn request(
         &self,
         job: &Job,
-        server: &Server,
-        progress: &Progress,
+        attempt: &Attempt,
         resume_after: Option<EventId>,
     ) -> http::Request<Full<Bytes>> {
-        let model = progress.level.and_then(|level| job.route.config.ladder.get(level));
+        let model = attempt.level.and_then(|level| job.route.config.ladder.get(level));
         let forward_head = ForwardHead {
-            server: server.id.clone(),
+            server: attempt.server.id.clone(),
             account: job.principal.as_ref().map(|principal| principal.account.clone()),
             model: model.cloned(),
             rank: job.rank(),
@@ -254,10 +275,10 @@
     async fn handle_response(
         &self,
         job: &Job,
-        server: &Arc<Server>,
         received: Received,
-        progress: &mut Progress,
+        attempt: &mut Attempt,
     ) -> Outcome {
+        let server = &attempt.server;
         let Received { connection, response, in_flight, is_reused } = received;
         let (parts, body) = response.into_parts();
         let head = self.dialect.parse_response(&parts);
@@ -271,7 +292,7 @@
             self.record_failure(job, server, cause.as_str());
             return Outcome::Unknown(cause);
         }
-        progress.reported_load = head.load;
+        attempt.reported_load = head.load;
         if let Some(load) = head.load {
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
@@ -304,8 +325,7 @@
                         }
                     }
                 };
-                let (server, status) = (server.clone(), parts.status);
-                let success = Success { server, status, headers: parts.headers, head, body };
+                let success = Success { status: parts.status, headers: parts.headers, head, body };
                 Outcome::Success(Box::new(success))
             }
         }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -4,7 +4,6 @@
     crate::{
         cascade::{self, Level},
         filter::{Exchange, Response},
-        load::Load,
         message::{EventId, RequestHead},
         rollout::plan,
         route::Entry,
@@ -18,7 +17,10 @@
     },
     http::{HeaderMap, Method, Uri},
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -58,7 +60,7 @@
     pub caller_deadline: Instant,
 }
 
-/// Progress of a request: its attempts so far and the server that was chosen last.
+/// Progress of a request over its attempts.
 #[derive(Debug, Default)]
 pub struct Progress {
     /// Number of attempts in which the request was, or may have been, sent to a server.
@@ -67,27 +69,54 @@
     pub tried: Vec<ServerId>,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
-    /// Whether an attempt that may have reached a server is still running.
-    pub is_pending: bool,
+    /// Attempts that are still running.
+    pub pending: Vec<Marker>,
     /// Level of the cascade whose model is requested, if the router chooses the model.
     pub level: Option<Level>,
     /// Last failure response of a server, which is returned to the caller if no attempt succeeds.
     pub server_failure: Option<Response>,
-    /// Whether the request is part of the trial of a version, which fills one server after the
-    /// other to test the version under load.
-    pub is_trial: bool,
-    /// Prompt tokens that the last server has not cached.
-    pub uncached_tokens: u32,
-    /// Prefill time of the uncached tokens at the last server, in milliseconds.
-    pub prefill_ms: f64,
-    /// Wait that was expected when the last server was chosen.
-    pub expected_wait: Duration,
-    /// Load that the last server reported with its response.
-    pub reported_load: Option<Load>,
     /// Reason for the next attempt, if the request is retried.
     pub retry_reason: Option<Retry>,
 }
 
+/// Marks whether the request of an attempt may have reached its server.
+#[derive(Clone, Debug, Default)]
+pub struct Marker(Arc<AtomicBool>);
+
+impl Marker {
+    /// Sets whether the request may have reached the server.
+    pub fn set(&self, is_sent: bool) {
+        self.0.store(is_sent, Ordering::Relaxed);
+    }
+
+    /// Returns whether the request may have reached the server.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether both mark the same attempt.
+    fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+impl Progress {
+    /// Adds an attempt that begins.
+    pub fn begin(&mut self, marker: &Marker) {
+        self.pending.push(marker.clone());
+    }
+
+    /// Removes an attempt that has ended.
+    pub fn end(&mut self, marker: &Marker) {
+        self.pending.retain(|pending| !pending.is_same(marker));
+    }
+
+    /// Returns whether a server may have run the request, or may do so now.
+    pub fn may_run(&self) -> bool {
+        self.may_have_run || self.pending.iter().any(Marker::get)
+    }
+}
+
 impl Job {
     /// Creates a job that sends the request of an exchange to a service.
     pub fn new(exchange: &Exchange, route: Arc<Entry>, service: ServiceId) -> Self {
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -22,7 +22,6 @@
         membership::Size,
         message::Dialect,
         pool::Pool,
-        registry::Server,
         rollout::{
             Phase,
             driver::Sources,
@@ -33,7 +32,7 @@
         settings::{Retries, Settings},
         view::Cell,
     },
-    attempt::{Outcome, Success},
+    attempt::{Attempt, Outcome, Success},
     hawthornmount_core::{
         id::{RegionId, ServiceId},
         metrics::Metrics,
@@ -132,12 +131,12 @@
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         let deadline = job.deadline().into();
         let result = timeout_at(deadline, self.try_servers(&job, &mut progress)).await;
-        let success = match result {
-            Ok(Ok(success)) => success,
+        let (attempt, success) = match result {
+            Ok(Ok(answer)) => answer,
             Ok(Err(problem)) => return self.failure_response(progress, problem),
             Err(_elapsed) => return self.failure_response(progress, deadline_exceeded()),
         };
-        Ok(self.respond(job, progress, success))
+        Ok(self.respond(job, progress, attempt, success))
     }
 
     /// Returns the shared number of instances, which the follower of the store updates.
@@ -164,41 +163,41 @@
         &self,
         job: &Arc<Job>,
         progress: &mut Progress,
-    ) -> Result<Success, Problem> {
+    ) -> Result<(Attempt, Success), Problem> {
         loop {
-            let server = self.next_server(job, progress)?;
-            let timeout = self.attempt_timeout(job, progress);
+            let mut attempt = self.next_attempt(job, progress)?;
+            let timeout = self.attempt_timeout(job, progress, &attempt);
             let began = Instant::now();
-            let attempt = self.attempt(job, &server, progress, job.resume_after());
+            let sent = self.attempt(job, &mut attempt, job.resume_after());
             let outcome = match timeout {
-                Some(timeout) => match tokio::time::timeout(timeout, attempt).await {
+                Some(timeout) => match tokio::time::timeout(timeout, sent).await {
                     Ok(outcome) => outcome,
                     Err(_elapsed) => {
-                        self.loads.lock().stats(&server.id).record_failure(Instant::now());
+                        self.loads.lock().stats(&attempt.server.id).record_failure(Instant::now());
                         Outcome::Unknown(Retry::ServerTimeout)
                     }
                 },
-                None => attempt.await,
+                None => sent.await,
             };
-            progress.record_outcome(&server.id, &outcome);
+            progress.record_outcome(&attempt, &outcome);
             match &outcome {
                 Outcome::Success(_) => {
-                    let model = job.model(progress.level);
+                    let model = job.model(attempt.level);
                     self.prefill_times.lock().record(
                         model,
-                        progress.uncached_tokens,
+                        attempt.uncached_tokens,
                         began.elapsed(),
                     );
-                    self.record_evidence(job, progress, &server, Signal::Started(began.elapsed()));
+                    self.record_evidence(job, &attempt, Signal::Started(began.elapsed()));
                 }
-                Outcome::Failed(_) => self.record_evidence(job, progress, &server, Signal::Failed),
-                Outcome::Unknown(_) => self.record_evidence(job, progress, &server, Signal::Broken),
+                Outcome::Failed(_) => self.record_evidence(job, &attempt, Signal::Failed),
+                Outcome::Unknown(_) => self.record_evidence(job, &attempt, Signal::Broken),
                 Outcome::Refused | Outcome::Unsent | Outcome::KeyUnconfirmed => {}
             }
             match outcome {
                 Outcome::Success(success) => {
                     let Some(level) = self.escalate(job, progress, &success) else {
-                        return Ok(*success);
+                        return Ok((attempt, *success));
                     };
                     progress.level = Some(level);
                     progress.tried.clear();
@@ -218,18 +217,23 @@
 
     /// Returns the time in which the current attempt has to start its response; the last attempt is
     /// limited only by the deadline of the request.
-    fn attempt_timeout(&self, job: &Job, progress: &Progress) -> Option<Duration> {
+    fn attempt_timeout(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        attempt: &Attempt,
+    ) -> Option<Duration> {
         let is_last = progress.attempts >= job.route.config.attempts;
-        if is_last { None } else { job.attempt_timeout(progress.expected_wait) }
+        if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
     }
 
     /// Chooses the server for the next attempt, and counts it against the attempts of the route and
     /// the retry budget.
-    fn next_server(&self, job: &Job, progress: &mut Progress) -> Result<Arc<Server>, Problem> {
+    fn next_attempt(&self, job: &Job, progress: &mut Progress) -> Result<Attempt, Problem> {
         if progress.attempts >= job.route.config.attempts {
             return Err(overloaded());
         }
-        let Some(server) = self.choose(job, progress) else {
+        let Some(attempt) = self.choose(job, progress) else {
             return Err(if let Some(time) = self.closed_for(job) {
                 overloaded().retry_after(time)
             } else if progress.retry_reason.is_some() {
@@ -252,11 +256,13 @@
             self.metrics.count_retry(cause);
         }
         progress.attempts += 1;
-        Ok(server)
+        progress.begin(&attempt.marker);
+        Ok(attempt)
     }
 
     /// Records the result of an attempt as evidence for the evaluation of the server's version.
-    fn record_evidence(&self, job: &Job, progress: &Progress, server: &Server, signal: Signal) {
+    fn record_evidence(&self, job: &Job, attempt: &Attempt, signal: Signal) {
+        let server = &attempt.server;
         let view = self.cell.load();
         let is_only_version =
             view.split(&job.service).is_some_and(|split| split.phase >= Phase::Full);
@@ -264,11 +270,11 @@
             service: &job.service,
             version: &server.version,
             route: &job.route.id,
-            model: job.model(progress.level),
-            is_trial: progress.is_trial,
+            model: job.model(attempt.level),
+            is_trial: attempt.is_trial,
             is_only_version,
-            uncached_tokens: progress.uncached_tokens,
-            load: progress.reported_load,
+            uncached_tokens: attempt.uncached_tokens,
+            load: attempt.reported_load,
             signal,
         });
     }
@@ -295,15 +301,21 @@
     }
 
     /// Returns the response to the caller, with the complete body or a stream that is relayed.
-    fn respond(self: &Arc<Self>, job: Arc<Job>, progress: Progress, success: Success) -> Response {
-        log_late_response(&job, &progress, &success);
+    fn respond(
+        self: &Arc<Self>,
+        job: Arc<Job>,
+        progress: Progress,
+        attempt: Attempt,
+        success: Success,
+    ) -> Response {
+        log_late_response(&job, &progress, &attempt, &success);
         let mut response = http::Response::new(());
         *response.status_mut() = success.status;
         *response.headers_mut() = self.dialect.caller_headers(&success.headers);
         let body = match success.body {
             attempt::Body::Complete(bytes) => full_body(bytes),
             attempt::Body::Streaming(upstream) => {
-                Relay::new(self.clone(), job, progress, upstream).into_body()
+                Relay::new(self.clone(), job, progress, attempt, upstream).into_body()
             }
         };
         response.map(|()| body)
@@ -315,7 +327,7 @@
         if let Some(response) = progress.server_failure {
             return Ok(response);
         }
-        if !progress.may_have_run && !progress.is_pending {
+        if !progress.may_run() {
             return Err(problem);
         }
         let detail = "the server gave no whole answer: the request may have run";
@@ -356,7 +368,7 @@
 }
 
 /// Logs a response that starts after the target latency of the route.
-fn log_late_response(job: &Job, progress: &Progress, success: &Success) {
+fn log_late_response(job: &Job, progress: &Progress, attempt: &Attempt, success: &Success) {
     let waited = job.arrived.elapsed();
     if waited <= job.route.config.target_latency {
         return;
@@ -367,12 +379,12 @@
          retry={cause} unread={} load={}",
         job.id,
         job.route.id,
-        success.server.id,
-        success.server.version,
+        attempt.server.id,
+        attempt.server.version,
         waited.as_millis(),
         progress.attempts,
-        progress.level.map_or(-1, |level| level as i64),
-        progress.uncached_tokens,
+        attempt.level.map_or(-1, |level| level as i64),
+        attempt.uncached_tokens,
         attempt::format_load(success.head.load),
     );
 }
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Forwarder, Job, Progress,
-        attempt::{Body, Outcome, Upstream},
+        attempt::{Attempt, Body, Outcome, Upstream},
     },
     crate::{
         filter::{self, Truncated},
@@ -39,6 +39,8 @@
     forwarder: Arc<Forwarder>,
     job: Arc<Job>,
     progress: Progress,
+    /// Attempt at the current server.
+    attempt: Attempt,
     upstream: Option<Upstream>,
     splitter: Splitter,
     /// Number of chunks of complete events that were sent to the caller.
@@ -68,6 +70,7 @@
         forwarder: Arc<Forwarder>,
         job: Arc<Job>,
         progress: Progress,
+        attempt: Attempt,
         upstream: Upstream,
     ) -> Self {
         let splitter = Splitter::new(job.resume_after());
@@ -75,6 +78,7 @@
             forwarder,
             job,
             progress,
+            attempt,
             upstream: Some(upstream),
             splitter,
             relayed: 0,
@@ -195,14 +199,7 @@
             return;
         }
         let gap = since.elapsed() / (EVENT_GAP_CHUNKS - 1);
-        if let Some(upstream) = &self.upstream {
-            self.forwarder.record_evidence(
-                &self.job,
-                &self.progress,
-                &upstream.server,
-                Signal::EventGap(gap),
-            );
-        }
+        self.forwarder.record_evidence(&self.job, &self.attempt, Signal::EventGap(gap));
     }
 
     /// Returns the time in which the next event has to arrive before the server counts as
@@ -221,15 +218,11 @@
     /// Records the failure of the current server and closes the connection to it, which also
     /// cancels the request there.
     fn abandon_server(&mut self, cause: Retry) {
-        if let Some(upstream) = self.upstream.take() {
-            self.forwarder.record_evidence(
-                &self.job,
-                &self.progress,
-                &upstream.server,
-                Signal::Broken,
-            );
-            self.forwarder.record_failure(&self.job, &upstream.server, cause.as_str());
-            self.progress.tried.push(upstream.server.id.clone());
+        if self.upstream.take().is_some() {
+            let server = &self.attempt.server;
+            self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
+            self.forwarder.record_failure(&self.job, server, cause.as_str());
+            self.progress.tried.push(server.id.clone());
         }
         self.gap_measurement = None;
         self.splitter.discard_partial_event();
@@ -246,20 +239,21 @@
             return Err(Refusal::ServerFailed);
         }
         loop {
-            let server = match self.forwarder.next_server(&self.job, &mut self.progress) {
-                Ok(server) => server,
+            let mut attempt = match self.forwarder.next_attempt(&self.job, &mut self.progress) {
+                Ok(attempt) => attempt,
                 Err(problem) => return Err(problem.reason),
             };
             let (job, after) = (self.job.clone(), self.splitter.last_id());
-            let attempt = self.forwarder.attempt(&job, &server, &mut self.progress, after);
-            let outcome = match tokio::time::timeout_at(job.deadline().into(), attempt).await {
+            let sent = self.forwarder.attempt(&job, &mut attempt, after);
+            let outcome = match tokio::time::timeout_at(job.deadline().into(), sent).await {
                 Ok(outcome) => outcome,
                 Err(_elapsed) => return Err(Refusal::Deadline),
             };
-            self.progress.record_outcome(&server.id, &outcome);
+            self.progress.record_outcome(&attempt, &outcome);
             match outcome {
                 Outcome::Success(success) => match success.body {
                     Body::Streaming(upstream) => {
+                        self.attempt = attempt;
                         self.upstream = Some(upstream);
                         return Ok(());
                     }
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -1,7 +1,7 @@
 //! Choice of the server for the next attempt of a request.
 
 use {
-    super::{Forwarder, Job, Progress},
+    super::{Forwarder, Job, Progress, attempt::Attempt, job::Marker},
     crate::{
         affinity,
         balancing::{self, Candidate, Locality},
@@ -17,9 +17,8 @@
 };
 
 impl Forwarder {
-    /// Chooses the server for the next attempt and records its expected wait and prefill in
-    /// `progress`; returns `None` if there is no server left to try.
-    pub(super) fn choose(&self, job: &Job, progress: &mut Progress) -> Option<Arc<Server>> {
+    /// Chooses the server for the next attempt; returns `None` if there is no server left to try.
+    pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let view = self.cell.load();
         let servers: Vec<&Arc<Server>> = view
             .servers(&job.service)
@@ -32,11 +31,17 @@
         let candidates = self.candidates(job, progress.level, &servers, now);
         let trial = if is_trial { balancing::first_unfilled(&candidates) } else { None };
         let at = trial.or_else(|| balancing::choose(&candidates, rand::random()))?;
-        progress.is_trial = is_trial;
-        progress.expected_wait = Duration::from_secs_f64(candidates[at].wait() / 1_000.0);
-        progress.uncached_tokens = candidates[at].uncached_tokens;
-        progress.prefill_ms = f64::from(progress.uncached_tokens) * candidates[at].token_prefill_ms;
-        Some(servers[at].clone())
+        let candidate = &candidates[at];
+        Some(Attempt {
+            server: servers[at].clone(),
+            level: progress.level,
+            is_trial,
+            uncached_tokens: candidate.uncached_tokens,
+            prefill_ms: f64::from(candidate.uncached_tokens) * candidate.token_prefill_ms,
+            expected_wait: Duration::from_secs_f64(candidate.wait() / 1_000.0),
+            reported_load: None,
+            marker: Marker::default(),
+        })
     }
 
     /// Returns the servers that want requests of this instance: they are not leaving and have not
