Keep a silent server until another one has taken the request

What callers saw: a stream whose server was silent for a second and then went on ended truncated; an idempotent request was answered 502 while its server was still at work. On deployments with servers that fall silent, beside changes of the configuration, this counts as a lost request.

Cause: silence was treated as a failure. The connection to the server was closed first and another server looked for afterwards. If the retry budget was exhausted, no server was left or the others refused, nothing remained to answer with. The class: giving up what one has before the replacement is certain.

Evidence: eight of nine cases of silence.rs failed before and pass now, with others that refuse, turn away, fail, close the connection or don't exist, in the middle of a stream, before its first event and before the head. The ninth, a request that may not run twice, was kept before already.

Why it works: the silent server is kept until another one has been sent the request and has had 300 ms to refuse; whichever answers first is used, and if no other server takes the request the silent one is waited for until the deadline.

Ruled out for these cases: the configuration has no part in it, the tests change none.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -29,7 +29,7 @@
 const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// An attempt at one server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Attempt {
     /// The server.
     pub server: Arc<Server>,
@@ -46,7 +46,7 @@
     pub expected_wait: Duration,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
-    /// Marks whether the request may have reached the server.
+    /// Marks when the request may have reached the server.
     pub marker: Marker,
 }
 
@@ -67,6 +67,12 @@
 }
 
 impl Progress {
+    /// Records that the server of an attempt that is still running is silent.
+    pub(super) fn record_silence(&mut self, attempt: &Attempt) {
+        self.tried.push(attempt.server.id.clone());
+        self.retry_reason = Some(Retry::ServerTimeout);
+    }
+
     /// Records the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
@@ -218,7 +224,7 @@
                 &job.request.prompt,
                 Instant::now(),
             );
-            attempt.marker.set(true);
+            attempt.marker.set_sent();
             attempt.reported_load = None;
             match connection.send(request).await {
                 Ok(response) => {
@@ -226,7 +232,7 @@
                     return self.handle_response(job, received, attempt).await;
                 }
                 Err(failure) if failure.is_unsent() => {
-                    attempt.marker.set(false);
+                    attempt.marker.clear();
                     if !is_reused {
                         return self.record_unsent(job, server, &failure);
                     }
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/handover.rs
@@ -0,0 +1,153 @@
+//! Handover of a request from a server that is silent to another one.
+//!
+//! A silent server may go on, and another one may refuse, so the silent one is kept until the other
+//! has had time to refuse.
+
+use {
+    super::{
+        Forwarder, Job,
+        attempt::{Attempt, Outcome},
+        job::Marker,
+    },
+    futures::{
+        FutureExt,
+        future::{self, BoxFuture},
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Time after which a silent server is given up, counted from the time at which another one was sent
+/// the request. A refusal arrives within a round trip.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
+
+/// Returns the time at which a silent server is given up for the attempt that `marker` marks; `None`
+/// if that is now.
+pub fn end(marker: &Marker, now: Instant) -> Option<Instant> {
+    let end = marker.sent_at().unwrap_or(now) + HANDOVER_TIME;
+    (end > now).then_some(end)
+}
+
+/// An attempt that is running.
+struct Running<'a> {
+    attempt: Attempt,
+    future: BoxFuture<'a, (Attempt, Outcome)>,
+    began: Instant,
+    /// Time until which the server has to answer, or until which a silent one is kept.
+    until: Option<Instant>,
+    is_silent: bool,
+}
+
+/// Attempts of one request that run at the same time: the newest, and a silent one before it.
+#[derive(Default)]
+pub struct Handover<'a> {
+    running: Vec<Running<'a>>,
+}
+
+/// What happens to an attempt.
+pub enum Event {
+    /// It has ended; `began` is when it began.
+    Ended {
+        /// The attempt.
+        attempt: Attempt,
+        /// Its outcome.
+        outcome: Outcome,
+        /// When it began.
+        began: Instant,
+    },
+    /// Its server has not answered in time; another one is to be tried.
+    Silent(Attempt),
+    /// Another server has taken the request of a silent one.
+    GivenUp(Attempt),
+}
+
+impl<'a> Handover<'a> {
+    /// Returns whether no attempt is running.
+    pub const fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Returns whether the server of each running attempt is silent, so that another one is tried.
+    pub fn needs_server(&self) -> bool {
+        self.running.iter().all(|running| running.is_silent)
+    }
+
+    /// Starts an attempt whose server has to answer within `timeout`.
+    pub fn start(
+        &mut self,
+        forwarder: &'a Forwarder,
+        job: &'a Job,
+        attempt: Attempt,
+        timeout: Option<Duration>,
+    ) {
+        let now = Instant::now();
+        for silent in &mut self.running {
+            silent.until = end(&attempt.marker, now);
+        }
+        let mut sent = attempt.clone();
+        let future = async move {
+            let outcome = forwarder.attempt(job, &mut sent, job.resume_after()).await;
+            (sent, outcome)
+        };
+        self.running.push(Running {
+            attempt,
+            future: future.boxed(),
+            began: now,
+            until: timeout.map(|timeout| now + timeout),
+            is_silent: false,
+        });
+    }
+
+    /// Keeps the silent servers, since no other one is left to try.
+    pub fn keep(&mut self) {
+        for silent in &mut self.running {
+            silent.until = None;
+            silent.is_silent = false;
+        }
+    }
+
+    /// Gives up all running attempts.
+    pub fn clear(&mut self) {
+        self.running.clear();
+    }
+
+    /// Waits for what happens next.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no attempt is running.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            let until = self.running.iter().filter_map(|running| running.until).min();
+            let ended = future::select_all(self.running.iter_mut().map(|one| &mut one.future));
+            let ended = match until {
+                Some(until) => tokio::time::timeout_at(until.into(), ended).await.ok(),
+                None => Some(ended.await),
+            };
+            if let Some(((attempt, outcome), at, _)) = ended {
+                let began = self.running.remove(at).began;
+                return Event::Ended { attempt, outcome, began };
+            }
+            if let Some(event) = self.expire(Instant::now()) {
+                return event;
+            }
+        }
+    }
+
+    /// Returns what happens to an attempt whose time is over.
+    fn expire(&mut self, now: Instant) -> Option<Event> {
+        let newest = self.running.last().map(|running| running.attempt.marker.clone())?;
+        let is_over = |running: &Running| running.until.is_some_and(|until| until <= now);
+        let at = self.running.iter().position(is_over)?;
+        if !self.running[at].is_silent {
+            let running = &mut self.running[at];
+            running.is_silent = true;
+            running.until = None;
+            return Some(Event::Silent(running.attempt.clone()));
+        }
+        self.running[at].until = end(&newest, now);
+        if self.running[at].until.is_some() {
+            return None;
+        }
+        Some(Event::GivenUp(self.running.remove(at).attempt))
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -16,11 +16,9 @@
         reason::Retry,
     },
     http::{HeaderMap, Method, Uri},
+    parking_lot::Mutex,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -79,19 +77,24 @@
     pub retry_reason: Option<Retry>,
 }
 
-/// Marks whether the request of an attempt may have reached its server.
+/// Marks when the request of an attempt may have reached its server.
 #[derive(Clone, Debug, Default)]
-pub struct Marker(Arc<AtomicBool>);
+pub struct Marker(Arc<Mutex<Option<Instant>>>);
 
 impl Marker {
-    /// Sets whether the request may have reached the server.
-    pub fn set(&self, is_sent: bool) {
-        self.0.store(is_sent, Ordering::Relaxed);
+    /// Records that the request may reach the server from now on.
+    pub fn set_sent(&self) {
+        *self.0.lock() = Some(Instant::now());
     }
 
-    /// Returns whether the request may have reached the server.
-    pub fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    /// Records that nothing of the request was sent.
+    pub fn clear(&self) {
+        *self.0.lock() = None;
+    }
+
+    /// Returns the time from which the request may have reached the server.
+    pub fn sent_at(&self) -> Option<Instant> {
+        *self.0.lock()
     }
 
     /// Returns whether both mark the same attempt.
@@ -113,7 +116,7 @@
 
     /// Returns whether a server may have run the request, or may do so now.
     pub fn may_run(&self) -> bool {
-        self.may_have_run || self.pending.iter().any(Marker::get)
+        self.may_have_run || self.pending.iter().any(|marker| marker.sent_at().is_some())
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod classify;
+mod handover;
 mod job;
 mod relay;
 mod select;
@@ -33,6 +34,7 @@
         view::Cell,
     },
     attempt::{Attempt, Outcome, Success},
+    handover::{Event, Handover},
     hawthornmount_core::{
         id::{RegionId, ServiceId},
         metrics::Metrics,
@@ -158,47 +160,52 @@
         self.loads.lock().retain(is_known);
     }
 
-    /// Tries servers until one gives a response that can be returned to the caller.
+    /// Tries servers until one gives a response that can be returned to the caller. A server that
+    /// does not respond in time is kept until another one has taken the request.
     async fn try_servers(
         &self,
-        job: &Arc<Job>,
+        job: &Job,
         progress: &mut Progress,
     ) -> Result<(Attempt, Success), Problem> {
+        let mut handover = Handover::default();
         loop {
-            let mut attempt = self.next_attempt(job, progress)?;
-            let timeout = self.attempt_timeout(job, progress, &attempt);
-            let began = Instant::now();
-            let sent = self.attempt(job, &mut attempt, job.resume_after());
-            let outcome = match timeout {
-                Some(timeout) => match tokio::time::timeout(timeout, sent).await {
-                    Ok(outcome) => outcome,
-                    Err(_elapsed) => {
-                        self.loads.lock().stats(&attempt.server.id).record_failure(Instant::now());
-                        Outcome::Unknown(Retry::ServerTimeout)
+            if handover.needs_server() {
+                match self.next_attempt(job, progress) {
+                    Ok(attempt) => {
+                        let timeout = self.attempt_timeout(job, progress, &attempt);
+                        handover.start(self, job, attempt, timeout);
                     }
-                },
-                None => sent.await,
-            };
-            progress.record_outcome(&attempt, &outcome);
-            match &outcome {
-                Outcome::Success(_) => {
-                    let model = job.model(attempt.level);
-                    self.prefill_times.lock().record(
-                        model,
-                        attempt.uncached_tokens,
-                        began.elapsed(),
-                    );
-                    self.record_evidence(job, &attempt, Signal::Started(began.elapsed()));
+                    Err(problem) if handover.is_empty() => return Err(problem),
+                    Err(problem) => {
+                        log_kept_server(job, problem.reason);
+                        handover.keep();
+                    }
+                }
+            }
+            let (attempt, outcome, began) = match handover.next().await {
+                Event::Ended { attempt, outcome, began } => (attempt, outcome, began),
+                Event::Silent(attempt) => {
+                    let mut loads = self.loads.lock();
+                    loads.stats(&attempt.server.id).record_failure(Instant::now());
+                    progress.record_silence(&attempt);
+                    continue;
                 }
-                Outcome::Failed(_) => self.record_evidence(job, &attempt, Signal::Failed),
-                Outcome::Unknown(_) => self.record_evidence(job, &attempt, Signal::Broken),
-                Outcome::Refused | Outcome::Unsent | Outcome::KeyUnconfirmed => {}
+                Event::GivenUp(attempt) => {
+                    let outcome = Outcome::Unknown(Retry::ServerTimeout);
+                    self.record_outcome(job, progress, &attempt, &outcome);
+                    continue;
+                }
+            };
+            if matches!(outcome, Outcome::Success(_)) {
+                self.record_start(job, &attempt, began.elapsed());
             }
+            self.record_outcome(job, progress, &attempt, &outcome);
             match outcome {
                 Outcome::Success(success) => {
                     let Some(level) = self.escalate(job, progress, &success) else {
                         return Ok((attempt, *success));
                     };
+                    handover.clear();
                     progress.level = Some(level);
                     progress.tried.clear();
                     progress.retry_reason = Some(Retry::Escalation);
@@ -207,7 +214,8 @@
                 Outcome::Failed(response) => progress.server_failure = Some(response),
                 Outcome::Unknown(_) => {}
                 Outcome::Refused | Outcome::Unsent => continue,
-                Outcome::KeyUnconfirmed => return Err(key_unconfirmed()),
+                Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
+                Outcome::KeyUnconfirmed => continue,
             }
             if !job.route.config.is_idempotent() {
                 return Err(server_failed());
@@ -215,6 +223,29 @@
         }
     }
 
+    /// Records the outcome of an attempt, also as evidence.
+    fn record_outcome(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+        attempt: &Attempt,
+        outcome: &Outcome,
+    ) {
+        progress.record_outcome(attempt, outcome);
+        match outcome {
+            Outcome::Failed(_) => self.record_evidence(job, attempt, Signal::Failed),
+            Outcome::Unknown(_) => self.record_evidence(job, attempt, Signal::Broken),
+            Outcome::Success(_) | Outcome::Refused | Outcome::Unsent | Outcome::KeyUnconfirmed => {}
+        }
+    }
+
+    /// Records the time until a server began its response.
+    fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
+        let model = job.model(attempt.level);
+        self.prefill_times.lock().record(model, attempt.uncached_tokens, time);
+        self.record_evidence(job, attempt, Signal::Started(time));
+    }
+
     /// Returns the time in which the current attempt has to start its response; the last attempt is
     /// limited only by the deadline of the request.
     fn attempt_timeout(
@@ -367,6 +398,16 @@
     }
 }
 
+/// Logs that a silent server is kept, and why no other one takes the request.
+fn log_kept_server(job: &Job, reason: Refusal) {
+    log::info!(
+        "kept a silent server; id={} route={} waited_ms={} no_other={reason}",
+        job.id,
+        job.route.id,
+        job.arrived.elapsed().as_millis(),
+    );
+}
+
 /// Logs a response that starts after the target latency of the route.
 fn log_late_response(job: &Job, progress: &Progress, attempt: &Attempt, success: &Success) {
     let waited = job.arrived.elapsed();
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -5,6 +5,7 @@
     super::{
         Forwarder, Job, Progress,
         attempt::{Attempt, Body, Outcome, Upstream},
+        handover, log_kept_server,
     },
     crate::{
         filter::{self, Truncated},
@@ -17,6 +18,7 @@
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -42,6 +44,8 @@
     /// Attempt at the current server.
     attempt: Attempt,
     upstream: Option<Upstream>,
+    /// Whether the current server has been silent for too long since its last event.
+    is_silent: bool,
     splitter: Splitter,
     /// Number of chunks of complete events that were sent to the caller.
     relayed: usize,
@@ -62,6 +66,20 @@
     End,
     /// The stream was interrupted.
     Broken(Retry),
+    /// The server has been silent for too long; the stream may go on.
+    Silent,
+}
+
+/// Result of the attempt to move a stream to another server.
+enum Resumption {
+    /// Another server has taken the stream, or the silent one has gone on.
+    Resumed,
+    /// The silent server has gone on with these events.
+    Events(Bytes),
+    /// The silent server has ended the stream.
+    Ended,
+    /// No other server takes the stream.
+    Failed(Refusal),
 }
 
 impl Relay {
@@ -80,6 +98,7 @@
             progress,
             attempt,
             upstream: Some(upstream),
+            is_silent: false,
             splitter,
             relayed: 0,
             gap_measurement: None,
@@ -103,26 +122,44 @@
     /// Returns the next events for the caller, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
         loop {
-            match self.step().await {
-                Step::Events(bytes) => {
+            let resumption = match self.step().await {
+                Step::Events(bytes) => Resumption::Events(bytes),
+                Step::Incomplete => Resumption::Resumed,
+                Step::End => Resumption::Ended,
+                Step::Silent if self.is_out_of_time() => {
+                    self.abandon_server(Retry::ServerTimeout);
+                    Resumption::Failed(Refusal::Deadline)
+                }
+                Step::Silent => {
+                    self.record_silence();
+                    self.resume(Retry::ServerTimeout).await
+                }
+                Step::Broken(cause) => {
+                    self.abandon_server(cause);
+                    self.resume(cause).await
+                }
+            };
+            match resumption {
+                Resumption::Resumed => {}
+                Resumption::Events(bytes) => {
+                    self.is_silent = false;
                     self.log_long_gap();
                     self.relayed += 1;
                     self.record_event_gap();
                     return Some(Ok(bytes));
                 }
-                Step::Incomplete => {}
-                Step::End => {
+                Resumption::Ended => {
                     if let Some(upstream) = self.upstream.take() {
                         upstream.finish(&self.forwarder);
                     }
                     return None;
                 }
-                Step::Broken(cause) => {
-                    self.abandon_server(cause);
-                    if let Err(reason) = self.resume().await {
-                        self.log_truncation(cause, reason);
-                        return Some(Err(Truncated));
-                    }
+                Resumption::Failed(reason) if self.upstream.is_some() => {
+                    log_kept_server(&self.job, reason);
+                }
+                Resumption::Failed(reason) => {
+                    self.log_truncation(reason);
+                    return Some(Err(Truncated));
                 }
             }
         }
@@ -132,26 +169,8 @@
     async fn step(&mut self) -> Step {
         let timeout = self.silence_timeout();
         let Some(upstream) = &mut self.upstream else { return Step::Broken(Retry::CutAnswer) };
-        let frame = match timeout {
-            Some(timeout) => match tokio::time::timeout(timeout, upstream.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_elapsed) => return Step::Broken(Retry::ServerTimeout),
-            },
-            None => upstream.body.frame().await,
-        };
-        match frame {
-            None if self.splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
-            None => Step::End,
-            Some(Err(_)) => Step::Broken(Retry::CutAnswer),
-            Some(Ok(frame)) => match frame.into_data() {
-                Err(_trailers) => Step::Incomplete,
-                Ok(bytes) => match self.splitter.push(&bytes) {
-                    Ok(events) if events.count == 0 => Step::Incomplete,
-                    Ok(events) => Step::Events(events.bytes),
-                    Err(_fault) => Step::Broken(Retry::CutAnswer),
-                },
-            },
-        }
+        let read = read(upstream, &mut self.splitter);
+        tokio::time::timeout(timeout, read).await.unwrap_or(Step::Silent)
     }
 
     /// Logs a gap between events that is longer than the route allows.
@@ -178,7 +197,8 @@
 
     /// Logs and counts a stream that ends before its last event: why its server was given up, and why
     /// no other server took over.
-    fn log_truncation(&self, cause: Retry, reason: Refusal) {
+    fn log_truncation(&self, reason: Refusal) {
+        let cause = self.progress.retry_reason.unwrap_or(Retry::CutAnswer);
         self.forwarder.metrics.dropped.with_label_values(&["stream", cause.as_str()]).inc();
         log::info!(
             "stream truncated; id={} route={} cause={cause} silent_ms={} events={} attempts={} \
@@ -203,65 +223,139 @@
     }
 
     /// Returns the time in which the next event has to arrive before the server counts as
-    /// unresponsive, or `None` if the stream can't be resumed at another server.
-    fn silence_timeout(&self) -> Option<Duration> {
+    /// unresponsive. A stream that can't be resumed is given that time and the rest of the time until
+    /// its deadline.
+    fn silence_timeout(&self) -> Duration {
         let route = &self.job.route.config;
-        if !route.resumable || self.progress.attempts >= route.attempts {
-            return None;
+        let timeout = if self.relayed == 0 {
+            route.target_latency * UNRESPONSIVE_TARGETS
+        } else {
+            route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS
+        };
+        if route.resumable && self.progress.attempts < route.attempts {
+            return timeout;
         }
-        if self.relayed == 0 {
-            return Some(route.target_latency * UNRESPONSIVE_TARGETS);
+        timeout.max(self.job.deadline().saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns whether the deadline of the request has passed.
+    fn is_out_of_time(&self) -> bool {
+        Instant::now() >= self.job.deadline()
+    }
+
+    /// Records that the current server is silent, once until it goes on. It is kept until another
+    /// one takes the stream.
+    fn record_silence(&mut self) {
+        if !std::mem::replace(&mut self.is_silent, true) {
+            self.record_failure(Retry::ServerTimeout);
         }
-        Some(route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS)
     }
 
     /// Records the failure of the current server and closes the connection to it, which also
     /// cancels the request there.
     fn abandon_server(&mut self, cause: Retry) {
-        if self.upstream.take().is_some() {
-            let server = &self.attempt.server;
-            self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
-            self.forwarder.record_failure(&self.job, server, cause.as_str());
-            self.progress.tried.push(server.id.clone());
+        if self.upstream.is_some() {
+            self.record_failure(cause);
+            self.drop_upstream();
         }
-        self.gap_measurement = None;
-        self.splitter.discard_partial_event();
+    }
+
+    /// Records a failure of the current server, which is then not chosen for another attempt.
+    fn record_failure(&mut self, cause: Retry) {
+        let server = &self.attempt.server;
+        self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
+        self.forwarder.record_failure(&self.job, server, cause.as_str());
+        self.progress.tried.push(server.id.clone());
         self.progress.retry_reason = Some(cause);
     }
 
     /// Resumes the stream at another server after the last complete event.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason why no server took over.
-    async fn resume(&mut self) -> Result<(), Refusal> {
+    async fn resume(&mut self, cause: Retry) -> Resumption {
         if !self.job.route.config.resumable {
-            return Err(Refusal::ServerFailed);
+            return Resumption::Failed(Refusal::ServerFailed);
         }
         loop {
-            let mut attempt = match self.forwarder.next_attempt(&self.job, &mut self.progress) {
+            self.progress.retry_reason = Some(cause);
+            let attempt = match self.forwarder.next_attempt(&self.job, &mut self.progress) {
                 Ok(attempt) => attempt,
-                Err(problem) => return Err(problem.reason),
-            };
-            let (job, after) = (self.job.clone(), self.splitter.last_id());
-            let sent = self.forwarder.attempt(&job, &mut attempt, after);
-            let outcome = match tokio::time::timeout_at(job.deadline().into(), sent).await {
-                Ok(outcome) => outcome,
-                Err(_elapsed) => return Err(Refusal::Deadline),
+                Err(problem) => return Resumption::Failed(problem.reason),
             };
-            self.progress.record_outcome(&attempt, &outcome);
-            match outcome {
-                Outcome::Success(success) => match success.body {
-                    Body::Streaming(upstream) => {
-                        self.attempt = attempt;
-                        self.upstream = Some(upstream);
-                        return Ok(());
+            if let Some(resumption) = self.resume_at(attempt).await {
+                return resumption;
+            }
+        }
+    }
+
+    /// Resumes the stream at the server of an attempt, and returns `None` if that server does not
+    /// take it. A silent server is read meanwhile, and given up once the other has had time to
+    /// refuse.
+    async fn resume_at(&mut self, mut attempt: Attempt) -> Option<Resumption> {
+        let (job, after) = (self.job.clone(), self.splitter.last_id());
+        let forwarder = self.forwarder.clone();
+        let marker = attempt.marker.clone();
+        let outcome = {
+            let sent = forwarder.attempt(&job, &mut attempt, after);
+            let mut sent = pin!(tokio::time::timeout_at(job.deadline().into(), sent));
+            let mut until = handover::end(&marker, Instant::now());
+            loop {
+                let Some(upstream) = &mut self.upstream else { break sent.await };
+                let wait = until.unwrap_or_else(Instant::now);
+                tokio::select! {
+                    outcome = &mut sent => break outcome,
+                    step = read(upstream, &mut self.splitter) => match step {
+                        Step::Incomplete => {}
+                        Step::Events(bytes) => return Some(Resumption::Events(bytes)),
+                        Step::End => return Some(Resumption::Ended),
+                        Step::Broken(_) | Step::Silent => self.drop_upstream(),
+                    },
+                    () = tokio::time::sleep_until(wait.into()) => {
+                        until = handover::end(&marker, Instant::now());
+                        if until.is_none() {
+                            self.drop_upstream();
+                        }
                     }
-                    Body::Complete(_) => return Err(Refusal::Internal),
-                },
-                Outcome::KeyUnconfirmed => return Err(Refusal::StoreUnavailable),
-                Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => {}
+                }
             }
+        };
+        let Ok(outcome) = outcome else { return Some(Resumption::Failed(Refusal::Deadline)) };
+        self.progress.record_outcome(&attempt, &outcome);
+        match outcome {
+            Outcome::Success(success) => match success.body {
+                Body::Streaming(upstream) => {
+                    self.drop_upstream();
+                    self.attempt = attempt;
+                    self.upstream = Some(upstream);
+                    Some(Resumption::Resumed)
+                }
+                Body::Complete(_) => Some(Resumption::Failed(Refusal::Internal)),
+            },
+            Outcome::KeyUnconfirmed => Some(Resumption::Failed(Refusal::StoreUnavailable)),
+            Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => None,
         }
     }
+
+    /// Closes the connection to the current server, whose failure has been recorded.
+    fn drop_upstream(&mut self) {
+        self.upstream = None;
+        self.is_silent = false;
+        self.gap_measurement = None;
+        self.splitter.discard_partial_event();
+    }
+}
+
+/// Reads the next piece of a stream.
+async fn read(upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
+    match upstream.body.frame().await {
+        None if splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
+        None => Step::End,
+        Some(Err(_)) => Step::Broken(Retry::CutAnswer),
+        Some(Ok(frame)) => match frame.into_data() {
+            Err(_trailers) => Step::Incomplete,
+            Ok(bytes) => match splitter.push(&bytes) {
+                Ok(events) if events.count == 0 => Step::Incomplete,
+                Ok(events) => Step::Events(events.bytes),
+                Err(_fault) => Step::Broken(Retry::CutAnswer),
+            },
+        },
+    }
 }
