Close idle connections by the limit of the configuration in force

What callers saw: after a configuration that raised idle_timeout_ms, a connection that had been open before was closed at the old limit, and a request that its caller sent on it within the new one got neither an answer nor a refusal.

Cause: the limit was handed to the connection when it was accepted. The time for which a connection has been idle is now compared with the limit in force. The connection is polled first, so a request that has arrived is never closed unread.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -1,16 +1,16 @@
 //! Connections from callers.
 
 use {
-    super::{accept, response},
+    super::{accept, activity::Activity, response},
     crate::{
         filter::{self, Exchange, Filter, Response},
         instance::Components,
     },
-    hawthornmount_core::{id, problem::Problem},
+    hawthornmount_core::{config::Limits, id, problem::Problem},
     http::header,
     http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::rt::{TokioIo, TokioTimer},
+    hyper_util::rt::TokioIo,
     std::{convert::Infallible, pin::pin, sync::Arc, time::Instant},
     tokio::net::{TcpListener, TcpStream},
 };
@@ -35,41 +35,58 @@
 }
 
 impl Frontend {
-    /// Serves one connection. When the instance stops, requests in flight are completed before the
-    /// connection is closed.
+    /// Serves one connection until it has been idle for the limit of the configuration in force. When
+    /// the instance stops, requests in flight are completed before the connection is closed.
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
-        let limits = self.components.cell.load().rules.limits.clone();
-        let frontend = self.clone();
+        let head_bytes = self.limits().head_bytes;
+        let activity = Activity::new();
+        let (frontend, active) = (self.clone(), activity.clone());
         let service = service_fn(move |request| {
-            let frontend = frontend.clone();
-            async move { Ok::<_, Infallible>(frontend.handle(request).await) }
+            let (frontend, guard) = (frontend.clone(), active.enter());
+            async move {
+                let response = frontend.handle(request).await;
+                Ok::<_, Infallible>(response::with_guard(response, guard))
+            }
         });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let result = tokio::select! {
+            // A request that has arrived is read before the connection counts as idle.
+            biased;
             result = connection.as_mut() => result,
             () = self.wait_for_closing() => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
+            () = self.wait_for_idle_limit(&activity) => {
+                log::debug!("closed an idle connection of a caller");
+                return;
+            }
         };
-        let Err(error) = result else { return };
-        let in_force = self.components.cell.load().rules.limits.idle_timeout;
-        if error.is_timeout() && limits.idle_timeout != in_force {
-            log::info!(
-                "closed an idle connection under an earlier limit; limit_ms={} in_force_ms={}",
-                limits.idle_timeout.as_millis(),
-                in_force.as_millis()
-            );
-        } else {
+        if let Err(error) = result {
             log::debug!("connection from a caller failed; cause={error}");
         }
     }
 
+    /// Waits until a connection has been idle for the limit of the configuration in force.
+    async fn wait_for_idle_limit(&self, activity: &Activity) {
+        loop {
+            let left =
+                self.limits().idle_timeout.saturating_sub(activity.idle_time(Instant::now()));
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+
+    /// Returns the limits of the configuration in force.
+    fn limits(&self) -> Limits {
+        self.components.cell.load().rules.limits.clone()
+    }
+
     /// Waits until the instance closes its connections.
     async fn wait_for_closing(&self) {
         let mut closing = self.components.closing.subscribe();
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 //! metrics. They use hyper's connection interface, so that a shutdown can close idle connections
 //! and let requests in flight finish.
 
+mod activity;
 mod caller;
 mod response;
 
--- a/crates/hawthornmount-gateway/src/frontend/response.rs
+++ b/crates/hawthornmount-gateway/src/frontend/response.rs
@@ -1,7 +1,7 @@
 //! Responses that the gateway itself creates.
 
 use {
-    crate::{filter::Response, forward::full_body, instance::InFlightGuard},
+    crate::{filter::Response, forward::full_body},
     bytes::Bytes,
     hawthornmount_core::{problem::Problem, reason::Refusal},
     http::{HeaderValue, StatusCode, header},
@@ -44,18 +44,18 @@
     problem(&fault.execution_unknown(), "")
 }
 
-/// Counts a request as in flight until the body of its response is sent or dropped.
-pub fn with_guard(response: Response, in_flight: InFlightGuard) -> Response {
-    response.map(|body| Guarded { body, _in_flight: in_flight }.boxed_unsync())
+/// Keeps a guard of the request until the body of its response is sent or dropped.
+pub fn with_guard<G: Send + Unpin + 'static>(response: Response, guard: G) -> Response {
+    response.map(|body| Guarded { body, _guard: guard }.boxed_unsync())
 }
 
-/// Body that holds the in-flight guard of its request.
-struct Guarded<B> {
+/// Body that holds a guard of its request.
+struct Guarded<B, G> {
     body: B,
-    _in_flight: InFlightGuard,
+    _guard: G,
 }
 
-impl<B: Body<Data = Bytes> + Unpin> Body for Guarded<B> {
+impl<B: Body<Data = Bytes> + Unpin, G: Unpin> Body for Guarded<B, G> {
     type Data = Bytes;
     type Error = B::Error;
 
