Deliver the answer of the small model if the larger one gives none

What callers saw: 502 or the 500 of a server, although a server had made an answer. An answer of low confidence was dropped before the larger model was asked; if that refused, failed or broke off, nothing was left. The same class of fault as with silent servers: giving up what one has before its replacement is certain.

Evidence: the four cases of answer_is_kept_until_the_larger_model_answers failed before (502 three times, 500 once) and pass.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -160,14 +160,26 @@
         self.loads.lock().retain(is_known);
     }
 
-    /// Tries servers until one gives a response that can be returned to the caller. A server that
-    /// does not respond in time is kept until another one has taken the request.
+    /// Returns the answer of the first server that gives one, or an answer of low confidence if the
+    /// larger model gives none.
     async fn try_servers(
         &self,
         job: &Job,
         progress: &mut Progress,
     ) -> Result<(Attempt, Success), Problem> {
         let mut handover = Handover::default();
+        let result = self.race_servers(job, progress, &mut handover).await;
+        result.or_else(|problem| handover.take_answer().ok_or(problem))
+    }
+
+    /// Tries servers until one gives a response that can be returned to the caller. A server that
+    /// does not respond in time is kept until another one has taken the request.
+    async fn race_servers<'a>(
+        &'a self,
+        job: &'a Job,
+        progress: &mut Progress,
+        handover: &mut Handover<'a>,
+    ) -> Result<(Attempt, Success), Problem> {
         loop {
             if handover.needs_server() {
                 match self.next_attempt(job, progress) {
@@ -205,7 +217,7 @@
                     let Some(level) = self.escalate(job, progress, &success) else {
                         return Ok((attempt, *success));
                     };
-                    handover.clear();
+                    handover.keep_answer(attempt, success);
                     progress.level = Some(level);
                     progress.tried.clear();
                     progress.retry_reason = Some(Retry::Escalation);
