Stop only after the last answers are written

What callers saw: the end of an answer was missing when an instance stopped.

Cause: a request counted as in flight until its answer was handed to the connection. The stop waited for that and ended the process, and with it connections that had bytes left to write. The same class: an accepted request is let go before its answer is certain to arrive.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -11,7 +11,12 @@
     http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{convert::Infallible, pin::pin, sync::Arc, time::Instant},
+    std::{
+        convert::Infallible,
+        pin::pin,
+        sync::{Arc, OnceLock},
+        time::Instant,
+    },
     tokio::net::{TcpListener, TcpStream},
 };
 
@@ -40,8 +45,11 @@
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let head_bytes = self.limits().head_bytes;
         let activity = Activity::new();
-        let (frontend, active) = (self.clone(), activity.clone());
+        // Counts the connection from its first request until it is closed.
+        let serving = Arc::new(OnceLock::new());
+        let (frontend, active, first) = (self.clone(), activity.clone(), serving.clone());
         let service = service_fn(move |request| {
+            first.get_or_init(|| frontend.components.serving.enter());
             let (frontend, guard) = (frontend.clone(), active.enter());
             async move {
                 let response = frontend.handle(request).await;
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -74,17 +74,19 @@
     pub dialect: Arc<dyn Dialect>,
     /// Requests in flight.
     pub in_flight: InFlight,
+    /// Connections of callers that have carried a request.
+    pub serving: InFlight,
     /// Whether the connections of callers are to be closed.
     pub closing: watch::Sender<bool>,
     /// When the stop signal arrived.
     stopping_since: OnceLock<Instant>,
 }
 
-/// Number of requests in flight.
+/// Number of requests in flight, or of connections.
 #[derive(Clone, Debug, Default)]
 pub struct InFlight(Arc<AtomicUsize>);
 
-/// Guard that counts a request as in flight until it is dropped.
+/// Guard that counts a request or a connection until it is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard(Arc<AtomicUsize>);
 
@@ -102,7 +104,8 @@
 /// Result of a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Stopped {
-    /// Number of requests that were still in flight at the end of the grace period.
+    /// Number of requests that were still in flight, or whose answers were not written, at the end of
+    /// the grace period.
     pub interrupted: usize,
 }
 
@@ -117,13 +120,13 @@
 }
 
 impl InFlight {
-    /// Counts a request until the returned guard is dropped.
+    /// Counts one more until the returned guard is dropped.
     pub fn enter(&self) -> InFlightGuard {
         self.0.fetch_add(1, Ordering::SeqCst);
         InFlightGuard(self.0.clone())
     }
 
-    /// Returns the number of requests in flight.
+    /// Returns the number.
     pub fn count(&self) -> usize {
         self.0.load(Ordering::SeqCst)
     }
@@ -156,6 +159,7 @@
             forwarder: Arc::new(forwarder),
             dialect,
             in_flight: InFlight::default(),
+            serving: InFlight::default(),
             closing: watch::Sender::new(false),
             stopping_since: OnceLock::new(),
         }
@@ -287,7 +291,8 @@
     }
 
     /// Stops the instance gracefully. It is not ready from now on, closes idle connections once the
-    /// load balancer has noticed, and waits within the grace period for requests in flight.
+    /// load balancer has noticed, and waits within the grace period until the requests in flight have
+    /// been answered and the answers are written.
     pub async fn stop(self) -> Stopped {
         let deadline = Instant::now() + self.components.settings.grace.saturating_sub(EXIT_MARGIN);
         self.components.stopping_since.get_or_init(Instant::now);
@@ -297,13 +302,16 @@
             STOP_ACCEPT_TIME.saturating_sub(BALANCER_DETECTION_TIME) + DRAIN_POLL_INTERVAL,
         )
         .await;
-        while self.components.in_flight.count() > 0 && Instant::now() < deadline {
+        // A connection is closed once its last answer is written, which may be after its request
+        // has ended.
+        let (in_flight, serving) = (&self.components.in_flight, &self.components.serving);
+        while in_flight.count() + serving.count() > 0 && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         for task in &self.tasks {
             task.abort();
         }
-        Stopped { interrupted: self.components.in_flight.count() }
+        Stopped { interrupted: in_flight.count().max(serving.count()) }
     }
 }
 
