--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -6,6 +6,7 @@
         filter::Response,
         load::{Load, Tracker},
         message::{EventId, ForwardHead, ResponseHead},
+        quarantine::start::Start,
         registry::Server,
     },
     bytes::Bytes,
@@ -92,6 +93,8 @@
     pub body: Incoming,
     /// Server that sends the body.
     pub server: Arc<Server>,
+    /// Progress of the answer.
+    pub start: Start,
     connection: Connection,
     head: ResponseHead,
     _in_flight: InFlightGuard,
@@ -275,8 +278,9 @@
         if let Some(load) = head.load {
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
-        let upstream =
-            Upstream { body, server: server.clone(), connection, head, _in_flight: in_flight };
+        let (server, start) = (server.clone(), Start::new(now));
+        let upstream = Upstream { body, server, start, connection, head, _in_flight: in_flight };
+        let server = &upstream.server.clone();
         match class {
             Class::Refused => {
                 log::debug!("request refused by server; id={} server={}", job.id, server.id);
@@ -300,6 +304,7 @@
                         Ok(bytes) => Body::Complete(bytes),
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
+                            self.record_break(job, server, &start);
                             return Outcome::Unknown(Retry::CutAnswer);
                         }
                     }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod classify;
 mod job;
+mod quarantine;
 mod relay;
 mod select;
 
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -213,6 +213,9 @@
                 Signal::Broken,
             );
             self.forwarder.record_failure(&self.job, &upstream.server, cause.as_str());
+            if cause == Retry::CutAnswer {
+                self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
+            }
             self.progress.tried.push(upstream.server.id.clone());
         }
         self.gap_measurement = None;
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod message;
 pub mod pool;
+pub mod quarantine;
 pub mod registry;
 pub mod relay;
 pub mod rollout;
