Keep requests with a part that ends servers away from them

Cause: nothing remembered under what a server had ended. Each such request was sent as if it were the first, was carried on to two more servers, and the instances did not tell each other.

An answer that breaks off right after its head is now evidence against the shared parts of its prompt, and an answer that goes on is evidence in their favour. Each instance writes what it saw to a key of its own in the store and judges all reports. After three servers and two requests a part is in quarantine: requests with it get 503 with Retry-After before anything is sent, first attempts, retries and resumed streams alike. A request that ended two servers gets no third one while its parts are suspect.

Requests whose answer had not begun, or had been going on for a while, broke with the server and say nothing about their parts. That a part is blamed for a server explains all the other answers that broke there.

--- a/crates/hawthornmount-core/src/problem/mod.rs
+++ b/crates/hawthornmount-core/src/problem/mod.rs
@@ -112,6 +112,7 @@
         | Refusal::UsageBacklog
         | Refusal::NotReady
         | Refusal::Stopping
+        | Refusal::Quarantined
         | Refusal::SessionLost => 503,
         Refusal::Internal => 500,
     }
--- a/crates/hawthornmount-core/src/reason/mod.rs
+++ b/crates/hawthornmount-core/src/reason/mod.rs
@@ -75,6 +75,8 @@
         ServerFailed = "server_failed",
         /// The server's answer was incomplete or belonged to another request.
         BadAnswer = "bad_answer",
+        /// Servers end when they begin to answer requests with a part of this prompt.
+        Quarantined = "quarantined",
         /// The session's version was withdrawn and no other version is available.
         SessionLost = "session_lost",
         /// An internal error of the router.
--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -140,7 +140,8 @@
         let delay = match self.read().await {
             Ok(()) => {
                 self.selector.store_succeeded();
-                if self.state.driver().is_widely_exposed() {
+                let is_gathering = || self.state.quarantine().is_some_and(|one| one.is_gathering());
+                if self.state.driver().is_widely_exposed() || is_gathering() {
                     self.list_interval.mul_f64(EXPOSED_FRACTION)
                 } else {
                     self.list_interval
@@ -307,6 +308,7 @@
             }
             Tick::Watch(None) => self.watch = None,
             Tick::Step => self.step_rollouts(),
+            Tick::Report => self.report_ends(),
             Tick::Expiry => {
                 if self.state.expire(time::now()) {
                     self.publish();
@@ -373,6 +375,20 @@
         });
     }
 
+    /// Writes the report on ends of servers, if it is due. Every instance writes its own report, so
+    /// that evidence does not depend on the reader of the data centre.
+    fn report_ends(&self) {
+        let Some(quarantine) = self.state.quarantine().cloned() else { return };
+        let Some(txn) = quarantine.take_report() else { return };
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            if let Err(error) = store.commit(txn).await {
+                log::warn!("the store did not confirm a report on ends of servers; cause={error}");
+                quarantine.report_lost();
+            }
+        });
+    }
+
     /// Delivers a report to the followed instance in the background. A report that is lost is
     /// contained in the next one.
     fn deliver(&mut self, report: PeerReport) {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -10,6 +10,7 @@
 use {
     crate::{
         membership::Membership,
+        quarantine::monitor::Monitor,
         registry::{Registry, Server},
         relay::message::InFlight,
         rollout::{
@@ -39,6 +40,8 @@
     registry: Registry,
     driver: Driver,
     membership: Membership,
+    /// Quarantine whose reports this instance exchanges with others.
+    quarantine: Option<Arc<Monitor>>,
     stamp: Stamp,
     /// When this instance saw the last change of the era.
     era_began: Option<Instant>,
@@ -56,12 +59,25 @@
             registry,
             driver,
             membership,
+            quarantine: None,
             stamp: Stamp::default(),
             era_began: None,
             applied: Vec::new(),
         }
     }
 
+    /// Applies the reports on ends of servers to a quarantine.
+    #[must_use]
+    pub fn with_quarantine(mut self, quarantine: Arc<Monitor>) -> Self {
+        self.quarantine = Some(quarantine);
+        self
+    }
+
+    /// Returns the quarantine, if there is one.
+    pub const fn quarantine(&self) -> Option<&Arc<Monitor>> {
+        self.quarantine.as_ref()
+    }
+
     /// Returns the revision up to which all changes are known.
     pub const fn revision(&self) -> Revision {
         self.stamp.revision
@@ -149,6 +165,9 @@
         let is_listed = |key: &str| position(applied, key).is_ok();
         self.driver.retain_reports(is_listed);
         self.membership.retain_listed(is_listed);
+        if let Some(quarantine) = &self.quarantine {
+            quarantine.retain_listed(is_listed);
+        }
         self.stamp = self.stamp.max(stamp);
     }
 
@@ -227,7 +246,10 @@
                 let order = self.decode(entry, |schema| schema.decode_order(&entry.value));
                 self.driver.set_order(&service, entry.revision, order)
             }
-            Key::Other => !self.membership.put(entry) && self.driver.put(entry),
+            Key::Other => {
+                let is_report = self.quarantine.as_ref().is_some_and(|one| one.put(entry));
+                !is_report && !self.membership.put(entry) && self.driver.put(entry)
+            }
         }
     }
 
--- a/crates/hawthornmount-gateway/src/follow/tick.rs
+++ b/crates/hawthornmount-gateway/src/follow/tick.rs
@@ -5,15 +5,20 @@
     crate::rollout::driver,
     futures::StreamExt,
     hawthornmount_store::{self as store, Event, Watch},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
+/// Interval at which a report on ends of servers is checked to be due.
+const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What happens while the follower waits.
 pub enum Tick {
     /// A change of the watched keys.
     Watch(Option<store::Result<Event>>),
     /// The phases and reports of roll-outs are checked.
     Step,
+    /// The report on ends of servers is checked.
+    Report,
     /// The grace period of a missing server ends.
     Expiry,
 }
@@ -21,6 +26,7 @@
 /// Timers that run while the follower waits.
 pub struct Ticks {
     step: tokio::time::Interval,
+    report: tokio::time::Interval,
     is_active: bool,
     expiry: Option<Instant>,
 }
@@ -29,7 +35,9 @@
     pub fn new(follower: &Follower) -> Self {
         let mut step = tokio::time::interval(driver::STEP_INTERVAL);
         step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut ticks = Self { step, is_active: false, expiry: None };
+        let mut report = tokio::time::interval(REPORT_CHECK_INTERVAL);
+        report.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = Self { step, report, is_active: false, expiry: None };
         ticks.update(follower);
         ticks
     }
@@ -58,6 +66,7 @@
         tokio::select! {
             event = event => Tick::Watch(event),
             _ = self.step.tick(), if self.is_active => Tick::Step,
+            _ = self.report.tick() => Tick::Report,
             () = expired => Tick::Expiry,
         }
     }
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -301,10 +301,13 @@
                     Body::Streaming(upstream)
                 } else {
                     match self.read_body(upstream).await {
-                        Ok(bytes) => Body::Complete(bytes),
+                        Ok(bytes) => {
+                            self.record_proof(job);
+                            Body::Complete(bytes)
+                        }
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
-                            self.record_break(job, server, &start);
+                            self.record_break(job, progress, server, &start);
                             return Outcome::Unknown(Retry::CutAnswer);
                         }
                     }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -67,6 +67,8 @@
     pub tried: Vec<ServerId>,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
+    /// Number of servers that ended right after they began to answer.
+    pub ended_servers: u32,
     /// Whether an attempt that may have reached a server is still running.
     pub is_pending: bool,
     /// Level of the cascade whose model is requested, if the router chooses the model.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -23,6 +23,7 @@
         membership::Size,
         message::Dialect,
         pool::Pool,
+        quarantine::monitor::Monitor,
         registry::Server,
         rollout::{
             Phase,
@@ -74,6 +75,7 @@
     /// Versions of the sessions, and numbers of requests that new versions got during roll-outs.
     exposure: Mutex<Exposure>,
     evidence: Arc<Mutex<Collector>>,
+    quarantine: Arc<Monitor>,
     retries: Retries,
     fleet_size: Size,
     data_centre: Arc<str>,
@@ -89,6 +91,7 @@
         dialect: Arc<dyn Dialect>,
         metrics: Metrics,
     ) -> Self {
+        let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
         Self {
             cell,
             freshness,
@@ -100,6 +103,7 @@
             budgets: Mutex::default(),
             exposure: Mutex::default(),
             evidence: Arc::default(),
+            quarantine: Arc::new(quarantine),
             retries: settings.retries.clone(),
             fleet_size: Size::default(),
             data_centre: settings.data_centre.clone(),
@@ -151,6 +155,11 @@
         Sources { collector: self.evidence.clone(), loads: self.loads.clone() }
     }
 
+    /// Returns the quarantine, whose reports the follower of the store exchanges.
+    pub fn quarantine(&self) -> Arc<Monitor> {
+        self.quarantine.clone()
+    }
+
     /// Closes expired idle connections, and removes the connections and the load statistics of
     /// servers that are no longer in the view.
     pub fn sweep(&self) {
@@ -158,6 +167,7 @@
         let is_known = |id: &Arc<str>| view.has_server(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
+        self.quarantine.expire();
     }
 
     /// Tries servers until one gives a response that can be returned to the caller.
@@ -227,6 +237,7 @@
     /// Chooses the server for the next attempt, and counts it against the attempts of the route and
     /// the retry budget.
     fn next_server(&self, job: &Job, progress: &mut Progress) -> Result<Arc<Server>, Problem> {
+        self.check_quarantine(job, progress)?;
         if progress.attempts >= job.route.config.attempts {
             return Err(overloaded());
         }
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -104,11 +104,15 @@
                     self.log_long_gap();
                     self.relayed += 1;
                     self.record_event_gap();
+                    self.record_piece();
                     return Some(Ok(bytes));
                 }
                 Step::Incomplete => {}
                 Step::End => {
                     if let Some(upstream) = self.upstream.take() {
+                        if self.relayed > 0 {
+                            self.forwarder.record_proof(&self.job);
+                        }
                         upstream.finish(&self.forwarder);
                     }
                     return None;
@@ -189,6 +193,14 @@
         }
     }
 
+    /// Records that the answer of the current server goes on.
+    fn record_piece(&mut self) {
+        let now = Instant::now();
+        if self.upstream.as_mut().is_some_and(|upstream| upstream.start.record_piece(now)) {
+            self.forwarder.record_proof(&self.job);
+        }
+    }
+
     /// Returns the time in which the next event has to arrive before the server counts as
     /// unresponsive, or `None` if the stream can't be resumed at another server.
     fn silence_timeout(&self) -> Option<Duration> {
@@ -214,7 +226,8 @@
             );
             self.forwarder.record_failure(&self.job, &upstream.server, cause.as_str());
             if cause == Retry::CutAnswer {
-                self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
+                let (server, start) = (&upstream.server, &upstream.start);
+                self.forwarder.record_break(&self.job, &mut self.progress, server, start);
             }
             self.progress.tried.push(upstream.server.id.clone());
         }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -226,7 +226,8 @@
             contact,
             components.forwarder.fleet_size(),
         );
-        let state = State::new(adapters.schema.clone(), driver, membership);
+        let state = State::new(adapters.schema.clone(), driver, membership)
+            .with_quarantine(components.forwarder.quarantine());
         let shared = Arc::new(relay::Shared::new(
             components.settings.instance.clone(),
             components.freshness.clone(),
