--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -7,6 +7,7 @@
         filter::Response,
         load::{Load, Tracker},
         message::{EventId, ForwardHead, ResponseHead},
+        quarantine::start::Start,
         registry::Server,
     },
     bytes::Bytes,
@@ -44,6 +45,8 @@
     pub prefill_ms: f64,
     /// Wait that was expected when the server was chosen.
     pub expected_wait: Duration,
+    /// Whether the server ended right after it began to answer.
+    pub has_ended_server: bool,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
     /// Marks when the request may have reached the server.
@@ -76,6 +79,7 @@
     /// Records the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
+        self.ended_servers += u32::from(attempt.has_ended_server);
         self.tried.push(attempt.server.id.clone());
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
@@ -119,6 +123,8 @@
     pub body: Incoming,
     /// Server that sends the body.
     pub server: Arc<Server>,
+    /// Progress of the answer.
+    pub start: Start,
     connection: Connection,
     head: ResponseHead,
     _in_flight: InFlightGuard,
@@ -302,8 +308,9 @@
         if let Some(load) = head.load {
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
-        let upstream =
-            Upstream { body, server: server.clone(), connection, head, _in_flight: in_flight };
+        let (server, start) = (server.clone(), Start::new(now));
+        let upstream = Upstream { body, server, start, connection, head, _in_flight: in_flight };
+        let server = &upstream.server.clone();
         match class {
             Class::Refused => {
                 log::debug!("request refused by server; id={} server={}", job.id, server.id);
@@ -324,9 +331,13 @@
                     Body::Streaming(upstream)
                 } else {
                     match self.read_body(upstream).await {
-                        Ok(bytes) => Body::Complete(bytes),
+                        Ok(bytes) => {
+                            self.record_proof(job);
+                            Body::Complete(bytes)
+                        }
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
+                            attempt.has_ended_server = self.record_break(job, server, &start);
                             return Outcome::Unknown(Retry::CutAnswer);
                         }
                     }
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -146,10 +146,14 @@
                     self.log_long_gap();
                     self.relayed += 1;
                     self.record_event_gap();
+                    self.record_piece();
                     return Some(Ok(bytes));
                 }
                 Resumption::Ended => {
                     if let Some(upstream) = self.upstream.take() {
+                        if self.relayed > 0 {
+                            self.forwarder.record_proof(&self.job);
+                        }
                         upstream.finish(&self.forwarder);
                     }
                     return None;
@@ -222,6 +226,14 @@
         self.forwarder.record_evidence(&self.job, &self.attempt, Signal::EventGap(gap));
     }
 
+    /// Records that the answer of the current server goes on.
+    fn record_piece(&mut self) {
+        let now = Instant::now();
+        if self.upstream.as_mut().is_some_and(|upstream| upstream.start.record_piece(now)) {
+            self.forwarder.record_proof(&self.job);
+        }
+    }
+
     /// Returns the time in which the next event has to arrive before the server counts as
     /// unresponsive. A stream that can't be resumed is given that time and the rest of the time until
     /// its deadline.
@@ -256,10 +268,20 @@
     fn abandon_server(&mut self, cause: Retry) {
         if self.upstream.is_some() {
             self.record_failure(cause);
+            if cause == Retry::CutAnswer {
+                self.record_break();
+            }
             self.drop_upstream();
         }
     }
 
+    /// Records that the connection of the current server broke.
+    fn record_break(&mut self) {
+        let Some(upstream) = &self.upstream else { return };
+        let is_end = self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
+        self.progress.ended_servers += u32::from(is_end);
+    }
+
     /// Records a failure of the current server, which is then not chosen for another attempt.
     fn record_failure(&mut self, cause: Retry) {
         let server = &self.attempt.server;
