Acquit parts whose ends other parts explain

All parts with enough evidence are now candidates, and the ones whose ends others explain are acquitted, the weakest first. Nothing is blamed before 20 answers went on at some instance. Four servers instead of three have to end, and an instance reports the answers that clear a part which others would blame.

--- a/crates/hawthornmount-gateway/src/quarantine/evidence.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/evidence.rs
@@ -10,6 +10,9 @@
 /// keys.
 pub const REPORT_PREFIX: &str = "hawthornmount/quarantine/";
 
+/// Name and start of a server. A server may start again under its name.
+pub type ServerRun<'a> = (&'a ServerId, u64);
+
 /// A request whose answer broke off right after its head.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct End {
@@ -33,8 +36,8 @@
 }
 
 impl End {
-    /// Returns the run of the server that ended. A server may start again under its id.
-    pub fn server_run(&self) -> (&ServerId, u64) {
+    /// Returns the run of the server that ended.
+    pub fn server_run(&self) -> ServerRun<'_> {
         (&self.server, self.start_ms)
     }
 }
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -30,7 +30,10 @@
     evidence::{End, Report},
     hawthornmount_core::id::InstanceId,
     proof::Counter,
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
 };
 
 /// Age up to which an end counts as evidence.
@@ -42,16 +45,23 @@
 /// Time after the end of a quarantine in which one more end renews it.
 const PROBATION: Duration = Duration::from_secs(3_600);
 /// Number of own ends that are remembered and reported.
-const MAX_OWN_ENDS: usize = 16;
+const MAX_OWN_ENDS: usize = 32;
+/// Number of ends of all instances that are judged, the most recent ones.
+const MAX_JUDGED_ENDS: usize = 256;
 /// Number of reports of other instances that are remembered.
 const MAX_REPORTS: usize = 512;
 /// Number of parts whose proofs a report states.
-const MAX_REPORTED_PROOFS: usize = 32;
+const MAX_REPORTED_PROOFS: usize = 64;
 /// Minimum interval between two reports, and after a report that the store did not confirm.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 const FAILED_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after a report in which a list of the store may still show the one before.
+const LIST_DELAY: Duration = Duration::from_secs(3);
 /// Time after the last end during which more ends, and reports of other instances, are expected.
 const GATHERING_TIME: Duration = Duration::from_secs(5);
+/// Number of answers that have to go on, at any instances, before parts are blamed. Before that, no
+/// part has proofs, and those that most requests share seem the worst.
+const MIN_PROOFS: u32 = 20;
 /// Number of servers that a request may end before it is held back while its parts are suspect.
 pub const MAX_ENDS_PER_REQUEST: u32 = 2;
 
@@ -95,7 +105,7 @@
     },
     /// The time of the quarantine has passed.
     Expired(PartId),
-    /// Answers with the part went on.
+    /// Answers with the part went on, or other parts explain the ends.
     Cleared(PartId),
 }
 
@@ -110,9 +120,13 @@
     reports: Vec<Reported>,
     /// Parts that are or were in quarantine, in order of their ids.
     rows: Vec<Row>,
+    /// Whether reports arrived on which nothing was decided yet.
+    has_new_reports: bool,
     /// Report that was written last.
     written: Option<Report>,
     is_report_due: bool,
+    /// Whether the store showed another report than the one that was written last.
+    is_lost: bool,
     next_report_at: Option<Instant>,
 }
 
@@ -125,8 +139,10 @@
             proofs: Counter::new(now),
             reports: Vec::new(),
             rows: Vec::new(),
+            has_new_reports: false,
             written: None,
             is_report_due: false,
+            is_lost: false,
             next_report_at: None,
         }
     }
@@ -146,9 +162,11 @@
 
     /// Returns whether servers ended under one of the parts, and no answer with it went on.
     pub fn is_suspect(&self, parts: &[PartId], now: Instant) -> bool {
-        let open = self.open_ends(now);
+        let ends = self.ends_in_force(now);
+        let active = self.active_parts(now);
         let is_suspect = |part: &PartId| {
-            verdict::servers(&open, *part) >= verdict::SUSPECT_SERVERS
+            verdict::servers(&ends, *part) >= verdict::SUSPECT_SERVERS
+                && !verdict::is_explained(&ends, *part, &active)
                 && self.proof_count(*part, now) == 0
         };
         parts.iter().any(is_suspect)
@@ -186,7 +204,7 @@
     /// Records an answer that went on for a while or was complete.
     pub fn record_proof(&mut self, parts: &[PartId], now: Instant) -> Vec<Change> {
         for part in parts {
-            self.proofs.add(*part, now);
+            self.proofs.add(*part, 1, now);
         }
         if self.find(parts.iter().copied(), now).is_none() {
             return Vec::new();
@@ -196,11 +214,12 @@
         self.judge(now)
     }
 
-    /// Applies the report that an instance wrote to the store.
-    pub fn put(&mut self, instance: &InstanceId, report: Report, now: Instant) -> Vec<Change> {
+    /// Takes the report that an instance wrote to the store, until [`Self::judge_reports`].
+    pub fn put(&mut self, instance: &InstanceId, report: Report, now: Instant) {
+        self.has_new_reports |= !report.ends.is_empty();
         if *instance == self.own {
             self.put_own(report, now);
-            return self.judge(now);
+            return;
         }
         let at = self.reports.binary_search_by(|known| known.instance.cmp(instance));
         let before = at.ok().map(|at| &self.reports[at]);
@@ -219,19 +238,27 @@
             Err(at) if self.reports.len() < MAX_REPORTS => self.reports.insert(at, row),
             Err(_) => {}
         }
-        self.judge(now)
+    }
+
+    /// Decides on the reports that arrived since the last time.
+    pub fn judge_reports(&mut self, now: Instant) -> Vec<Change> {
+        let is_due = std::mem::take(&mut self.has_new_reports);
+        if is_due { self.judge(now) } else { Vec::new() }
     }
 
     /// Records that the own report is missing from the store, which was then restored from a copy.
     pub fn record_missing(&mut self) {
-        self.is_report_due |= self.written.as_ref().is_some_and(|report| !report.ends.is_empty());
+        self.is_lost = self.written.as_ref().is_some_and(|report| !report.ends.is_empty());
     }
 
     /// Returns the report on the own evidence, if one is due.
     pub fn take_report(&mut self, now: Instant) -> Option<Report> {
-        if !self.is_report_due || self.next_report_at.is_some_and(|at| now < at) {
+        let is_lost = self.is_lost && self.next_report_at.is_none_or(|at| now >= at + LIST_DELAY);
+        let is_due = self.is_report_due && self.next_report_at.is_none_or(|at| now >= at);
+        if !is_lost && !is_due {
             return None;
         }
+        self.is_lost = false;
         let report = self.report(now);
         self.is_report_due = false;
         self.next_report_at = Some(now + REPORT_INTERVAL);
@@ -279,65 +306,109 @@
                     self.ends.insert(0, Known { end: end.clone(), at: now });
                 }
             }
+            for (part, count) in &report.proofs {
+                self.proofs.add(*part, *count, now);
+            }
             self.written = Some(report);
-        } else if self.written.as_ref().is_some_and(|written| written.ends != report.ends) {
-            self.is_report_due = true;
+        } else {
+            self.is_lost = self.written.as_ref().is_some_and(|last| last.ends != report.ends);
         }
     }
 
     fn report(&self, now: Instant) -> Report {
         let ends: Vec<End> = self.ends.iter().map(|known| known.end.clone()).collect();
-        let mut parts: Vec<PartId> =
-            self.all_ends().flat_map(|known| known.end.parts.iter().copied()).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let proofs = parts.into_iter().map(|part| (part, self.proofs.count(part, now)));
-        let proofs = proofs.filter(|(_, count)| *count > 0).take(MAX_REPORTED_PROOFS).collect();
+        // The most suspect parts first.
+        let mut counts = verdict::counts(&self.ends_in_force(now));
+        counts.sort_by_key(|(_, servers)| Reverse(*servers));
+        let proofs = counts.into_iter().map(|(part, _)| (part, self.proofs.count(part, now)));
+        let proofs = proofs.filter(|(_, count)| *count > 0).take(MAX_REPORTED_PROOFS);
+        let mut proofs: Vec<(PartId, u32)> = proofs.collect();
+        proofs.sort_unstable();
         Report { ends, proofs }
     }
 
     /// Puts parts into quarantine, or takes them out of it, according to the evidence.
     fn judge(&mut self, now: Instant) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for part in self.active_parts(now) {
-            let ends: Vec<&End> = self.all_ends().map(|known| &known.end).collect();
-            let (servers, proofs) = (verdict::servers(&ends, part), self.proof_count(part, now));
-            if verdict::is_cleared(servers, proofs) {
-                self.rows.retain(|row| row.part != part);
-                changes.push(Change::Cleared(part));
-            }
-        }
-        let open = self.open_ends(now);
-        let candidate = |part| verdict::Record {
+        let ends = self.ends_in_force(now);
+        let record = |part| verdict::Record {
             proofs: self.proof_count(part, now),
-            is_on_probation: self.row(part).is_some(),
+            is_on_probation: self.row(part).is_some_and(|row| row.until <= now),
+        };
+        let blamed = verdict::blame(&ends, record);
+        let parts: Vec<PartId> = blamed.iter().map(|blamed| blamed.part).collect();
+        let is_cleared = |part: &PartId| {
+            let (servers, proofs) = (verdict::servers(&ends, *part), self.proof_count(*part, now));
+            !parts.contains(part)
+                && (verdict::is_cleared(servers, proofs)
+                    || verdict::is_explained(&ends, *part, &parts))
+        };
+        let cleared: Vec<PartId> = self.active_parts(now).into_iter().filter(is_cleared).collect();
+        let has_proofs = self.total_proofs(now) >= MIN_PROOFS;
+        let is_contested = self.is_contested(&ends, now);
+        let is_new = |blamed: &&verdict::Blamed| match self.row(blamed.part) {
+            Some(row) => row.until <= now,
+            None => has_proofs,
         };
-        for blamed in verdict::blame(&open, candidate) {
-            let term = self.row(blamed.part).map_or(FIRST_TERM, |row| (row.term * 2).min(MAX_TERM));
-            let row = Row { part: blamed.part, until: now + term, term, is_announced: false };
-            match self.rows.binary_search_by_key(&blamed.part, |row| row.part) {
+        let entered: Vec<verdict::Blamed> = blamed.iter().filter(is_new).copied().collect();
+        self.rows.retain(|row| !cleared.contains(&row.part));
+        self.is_report_due |= is_contested;
+        let mut changes: Vec<Change> = cleared.into_iter().map(Change::Cleared).collect();
+        for verdict::Blamed { part, servers } in entered {
+            let term = self.row(part).map_or(FIRST_TERM, |row| (row.term * 2).min(MAX_TERM));
+            let row = Row { part, until: now + term, term, is_announced: false };
+            match self.rows.binary_search_by_key(&part, |row| row.part) {
                 Ok(at) => self.rows[at] = row,
                 Err(at) => self.rows.insert(at, row),
             }
-            changes.push(Change::Entered { part: blamed.part, servers: blamed.servers, term });
+            changes.push(Change::Entered { part, servers, term });
         }
         changes
     }
 
-    /// Returns the recent ends that no part in quarantine explains.
-    fn open_ends(&self, now: Instant) -> Vec<&End> {
-        let is_explained = |known: &&Known| {
-            let explains = |row: &Row| now < row.until || known.at < row.until;
-            known.end.parts.iter().any(|part| self.row(*part).is_some_and(explains))
+    /// Returns whether others would blame a part that the answers at this instance clear, and that
+    /// this instance has not reported.
+    fn is_contested(&self, ends: &[&End], now: Instant) -> bool {
+        let is_contested = |(part, servers): &(PartId, usize)| {
+            let own = self.proofs.count(*part, now);
+            let written = self.written.as_ref().map_or(0, |report| count_of(&report.proofs, *part));
+            let others = self.reported_proofs(*part, now);
+            verdict::is_cleared(*servers, others.saturating_add(own))
+                && !verdict::is_cleared(*servers, others.saturating_add(written))
         };
-        let mut explained: Vec<_> =
-            self.all_ends().filter(is_explained).map(|known| known.end.server_run()).collect();
-        explained.sort_unstable();
-        self.all_ends()
-            .filter(|known| now < known.at + EVIDENCE_LIFETIME)
-            .map(|known| &known.end)
-            .filter(|end| explained.binary_search(&end.server_run()).is_err())
-            .collect()
+        let counts = verdict::counts(ends);
+        counts.iter().filter(|(_, servers)| *servers > verdict::SUSPECT_SERVERS).any(is_contested)
+    }
+
+    /// Returns the ends that count: recent ones, and those that led to a quarantine which lasts. Ends
+    /// before a quarantine that is over don't count any more.
+    fn ends_in_force(&self, now: Instant) -> Vec<&End> {
+        let is_over = |known: &&Known| {
+            let is_before = |row: &Row| row.until <= now && known.at < row.until;
+            known.end.parts.iter().any(|part| self.row(*part).is_some_and(is_before))
+        };
+        let is_active = |part: &PartId| self.row(*part).is_some_and(|row| now < row.until);
+        let is_in_force = |known: &&Known| {
+            now < known.at + EVIDENCE_LIFETIME || known.end.parts.iter().any(is_active)
+        };
+        let mut over: Vec<_> =
+            self.all_ends().filter(is_over).map(|known| known.end.server_run()).collect();
+        over.sort_unstable();
+        let mut known: Vec<&Known> = self
+            .all_ends()
+            .filter(is_in_force)
+            .filter(|known| over.binary_search(&known.end.server_run()).is_err())
+            .collect();
+        known.sort_by_key(|known| Reverse(known.at));
+        known.truncate(MAX_JUDGED_ENDS);
+        known.into_iter().map(|known| &known.end).collect()
+    }
+
+    /// Returns the number of answers that went on, at all instances.
+    fn total_proofs(&self, now: Instant) -> u32 {
+        let recent = self.reports.iter().filter(|row| now < row.received_at + EVIDENCE_LIFETIME);
+        let reported =
+            recent.filter_map(|report| report.proofs.iter().map(|(_, count)| *count).max());
+        reported.fold(self.proofs.largest(now), u32::saturating_add)
     }
 
     fn all_ends(&self) -> impl Iterator<Item = &Known> {
@@ -346,12 +417,13 @@
 
     /// Returns the number of answers with a part that went on, at all instances.
     fn proof_count(&self, part: PartId, now: Instant) -> u32 {
+        self.reported_proofs(part, now).saturating_add(self.proofs.count(part, now))
+    }
+
+    /// Returns the number of answers with a part that went on, at the other instances.
+    fn reported_proofs(&self, part: PartId, now: Instant) -> u32 {
         let recent = self.reports.iter().filter(|row| now < row.received_at + EVIDENCE_LIFETIME);
-        let reported = recent.filter_map(|report| {
-            let at = report.proofs.binary_search_by_key(&part, |(part, _)| *part).ok()?;
-            Some(report.proofs[at].1)
-        });
-        reported.fold(self.proofs.count(part, now), u32::saturating_add)
+        recent.map(|row| count_of(&row.proofs, part)).fold(0, u32::saturating_add)
     }
 
     fn active_parts(&self, now: Instant) -> Vec<PartId> {
@@ -363,3 +435,8 @@
         Some(&self.rows[at])
     }
 }
+
+/// Returns the number of answers with a part, of counts in order of the parts.
+fn count_of(proofs: &[(PartId, u32)], part: PartId) -> u32 {
+    proofs.binary_search_by_key(&part, |(part, _)| *part).map_or(0, |at| proofs[at].1)
+}
--- a/crates/hawthornmount-gateway/src/quarantine/monitor.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/monitor.rs
@@ -60,13 +60,13 @@
         self.update(|quarantine| quarantine.expire(time::now()));
     }
 
-    /// Applies a key of the store, and returns whether it holds the report of an instance.
+    /// Takes a key of the store, and returns whether it holds the report of an instance. Reports are
+    /// applied after the complete list.
     pub fn put(&self, entry: &Entry) -> bool {
         let Some(instance) = entry.key.strip_prefix(REPORT_PREFIX) else { return false };
         match serde_json::from_slice::<Report>(&entry.value) {
             Ok(report) => {
-                let instance = instance.into();
-                self.update(|quarantine| quarantine.put(&instance, report, time::now()));
+                self.quarantine.lock().put(&instance.into(), report, time::now());
             }
             Err(error) => {
                 log::warn!("skipped a report on ends of servers; key={} cause={error}", entry.key);
@@ -80,6 +80,7 @@
         if !is_listed(&self.key()) {
             self.quarantine.lock().record_missing();
         }
+        self.update(|quarantine| quarantine.judge_reports(time::now()));
     }
 
     /// Returns the write of the own report, if one is due.
@@ -125,7 +126,7 @@
                     log::info!("part of prompts leaves quarantine; part={part:x} cause=time");
                 }
                 Change::Cleared(part) => {
-                    log::info!("part of prompts leaves quarantine; part={part:x} cause=answers");
+                    log::info!("part of prompts leaves quarantine; part={part:x} cause=evidence");
                 }
             }
         }
--- a/crates/hawthornmount-gateway/src/quarantine/proof.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/proof.rs
@@ -32,13 +32,13 @@
         Self { rows: Vec::new(), began: now }
     }
 
-    /// Counts an answer with a part.
-    pub fn add(&mut self, part: PartId, now: Instant) {
+    /// Counts answers with a part.
+    pub fn add(&mut self, part: PartId, count: u32, now: Instant) {
         self.begin_period(now);
         match self.rows.binary_search_by_key(&part, |row| row.part) {
-            Ok(at) => self.rows[at].current = self.rows[at].current.saturating_add(1),
+            Ok(at) => self.rows[at].current = self.rows[at].current.saturating_add(count),
             Err(at) if self.rows.len() < MAX_PARTS => {
-                self.rows.insert(at, Row { part, current: 1, previous: 0 });
+                self.rows.insert(at, Row { part, current: count, previous: 0 });
             }
             Err(_) => {}
         }
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the number of recent answers with the part that has the most.
+    pub fn largest(&self, now: Instant) -> u32 {
+        self.rows.iter().map(|row| self.count(row.part, now)).max().unwrap_or(0)
+    }
+
     /// Begins new periods for the time that has passed.
     fn begin_period(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.began);
--- a/crates/hawthornmount-gateway/src/quarantine/verdict.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict.rs
@@ -1,19 +1,28 @@
 //! Which parts are to blame for ends of servers.
 //!
-//! A server ends once, under one request, but the answers of others may break off in the same moment
-//! right after their own heads. Parts are therefore blamed one after the other, those without proofs
-//! and with the most servers first, and a blamed part explains the ends of all servers that ended
-//! under it.
+//! A server ends once, under one request, but that request has several parts, and the answers of other
+//! requests may break off in the same moment right after their own heads. Every part against which
+//! there is enough evidence is a candidate. A candidate is acquitted if other ones, with no more
+//! proofs in their favour, explain its ends: such a part is often used together with bad ones, or its
+//! requests ran beside theirs.
 
-use {super::evidence::End, crate::message::PartId, std::cmp::Reverse};
+use {
+    super::evidence::{End, ServerRun},
+    crate::message::PartId,
+    hawthornmount_core::id::RequestId,
+    std::cmp::Reverse,
+};
 
 /// Number of servers that have to end under a part before it is blamed, and of requests.
-const MIN_SERVERS: usize = 3;
+const MIN_SERVERS: usize = 4;
 const MIN_REQUESTS: usize = 2;
 /// Number of servers that one answer which went on outweighs.
 const SERVERS_PER_PROOF: usize = 4;
 /// Number of servers from which a part without proofs is suspect.
 pub const SUSPECT_SERVERS: usize = 2;
+/// Number of servers for which no other candidate is to blame, from which a candidate is not
+/// acquitted.
+const MIN_UNEXPLAINED: usize = 2;
 
 /// What is known of a part apart from the ends.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,51 +42,81 @@
     pub servers: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
+/// A part with the servers and requests that ended under it, in order.
+#[derive(Clone, Debug)]
+struct Candidate<'a> {
     part: PartId,
-    servers: usize,
+    runs: Vec<ServerRun<'a>>,
     requests: usize,
-    proofs: u32,
     /// Whether the part begins a prompt.
     is_first: bool,
+    record: Record,
 }
 
-impl Candidate {
-    /// Returns how strongly the evidence speaks against the part.
-    const fn weight(&self) -> (Reverse<u32>, usize, usize) {
-        (Reverse(self.proofs), self.servers, self.requests)
+impl Candidate<'_> {
+    /// Returns whether there is enough evidence against the part.
+    fn is_blamed(&self) -> bool {
+        let (servers, requests) =
+            if self.record.is_on_probation { (1, 1) } else { (MIN_SERVERS, MIN_REQUESTS) };
+        let needed = servers + SERVERS_PER_PROOF * self.record.proofs as usize;
+        self.runs.len() >= needed && self.requests >= requests
+    }
+
+    /// Returns whether another candidate may explain the ends under this one.
+    fn is_explained_by(&self, other: &Self) -> bool {
+        if other.part == self.part || other.record.proofs > self.record.proofs {
+            return false;
+        }
+        // Parts that can't be told apart don't acquit each other, except that most requests share
+        // the first part.
+        other.runs != self.runs || self.is_first && !other.is_first
+    }
+
+    /// Returns the number of servers that ended under this part and under none of the others.
+    fn unexplained(&self, others: &[Self]) -> usize {
+        let others: Vec<&Self> =
+            others.iter().filter(|other| self.is_explained_by(other)).collect();
+        let is_explained =
+            |run: &ServerRun<'_>| others.iter().any(|other| other.runs.binary_search(run).is_ok());
+        self.runs.iter().filter(|run| !is_explained(run)).count()
     }
 }
 
-/// Returns the parts that are to blame for the ends.
+/// Returns the parts that are to blame for the ends, in order of their ids.
 pub fn blame(ends: &[&End], record: impl Fn(PartId) -> Record) -> Vec<Blamed> {
-    let mut open = ends.to_vec();
-    let mut blamed = Vec::new();
-    loop {
-        let candidates = candidates(&open, &record);
-        let Some(weight) = candidates.iter().map(Candidate::weight).max() else { return blamed };
-        let worst: Vec<&Candidate> =
-            candidates.iter().filter(|candidate| candidate.weight() == weight).collect();
-        // Most requests share the first part, so another one that explains the same is to blame.
-        let spares_first = worst.iter().any(|candidate| !candidate.is_first);
-        for candidate in worst.iter().filter(|candidate| !(spares_first && candidate.is_first)) {
-            let (part, servers) = (candidate.part, candidate.servers);
-            blamed.push(Blamed { part, servers });
-        }
-        let is_explained = |end: &&&End| {
-            end.parts.iter().any(|part| blamed.iter().any(|blamed| blamed.part == *part))
-        };
-        let explained: Vec<_> =
-            open.iter().filter(is_explained).map(|end| end.server_run()).collect();
-        open.retain(|end| !explained.contains(&end.server_run()));
+    let mut candidates = candidates(ends, &record);
+    while let Some(at) = acquitted(&candidates) {
+        candidates.remove(at);
     }
+    let blamed = |one: Candidate<'_>| Blamed { part: one.part, servers: one.runs.len() };
+    let mut blamed: Vec<Blamed> = candidates.into_iter().map(blamed).collect();
+    blamed.sort_unstable_by_key(|one| one.part);
+    blamed
+}
+
+/// Returns the candidate against which the evidence is weakest, if others explain its ends.
+fn acquitted(candidates: &[Candidate<'_>]) -> Option<usize> {
+    let unexplained = |one: &Candidate<'_>| {
+        let needed = if one.record.is_on_probation { 1 } else { MIN_UNEXPLAINED };
+        Some(one.unexplained(candidates)).filter(|count| *count < needed)
+    };
+    let rows = candidates.iter().enumerate().filter_map(|(at, one)| {
+        let weight = (unexplained(one)?, Reverse(one.record.proofs), Reverse(one.runs.len()));
+        Some((weight, at))
+    });
+    rows.min().map(|(_, at)| at)
+}
+
+/// Returns whether servers ended under a part, and all of them under one of the `others` too.
+pub fn is_explained(ends: &[&End], part: PartId, others: &[PartId]) -> bool {
+    let own = runs(ends, |one| one == part);
+    let explained = runs(ends, |one| one != part && others.contains(&one));
+    !own.is_empty() && own.iter().all(|run| explained.binary_search(run).is_ok())
 }
 
 /// Returns the number of servers that ended under a part.
 pub fn servers(ends: &[&End], part: PartId) -> usize {
-    let of_part = ends.iter().filter(|end| end.parts.contains(&part));
-    distinct(of_part.map(|end| end.server_run()))
+    runs(ends, |one| one == part).len()
 }
 
 /// Returns whether the answers with a part that went on outweigh the servers that ended under it.
@@ -85,32 +124,51 @@
     proofs > 0 && servers < MIN_SERVERS + SERVERS_PER_PROOF * proofs as usize
 }
 
+/// Returns the parts of ends with the number of servers that ended under each, in order of the parts.
+pub fn counts(ends: &[&End]) -> Vec<(PartId, usize)> {
+    groups(ends, &|_| Record::default()).map(|one| (one.part, one.runs.len())).collect()
+}
+
 /// Returns the parts against which there is enough evidence.
-fn candidates(ends: &[&End], record: &impl Fn(PartId) -> Record) -> Vec<Candidate> {
-    let mut parts: Vec<PartId> = ends.iter().flat_map(|end| end.parts.iter().copied()).collect();
-    parts.sort_unstable();
-    parts.dedup();
-    let candidate = |part: PartId| {
-        let of_part = || ends.iter().filter(|end| end.parts.contains(&part));
-        let Record { proofs, is_on_probation } = record(part);
-        let candidate = Candidate {
-            part,
-            servers: distinct(of_part().map(|end| end.server_run())),
-            requests: distinct(of_part().map(|end| &end.request)),
-            proofs,
-            is_first: of_part().any(|end| end.parts.first() == Some(&part)),
-        };
-        let (servers, requests) =
-            if is_on_probation { (1, 1) } else { (MIN_SERVERS, MIN_REQUESTS) };
-        let needed = servers + SERVERS_PER_PROOF * proofs as usize;
-        (candidate.servers >= needed && candidate.requests >= requests).then_some(candidate)
+fn candidates<'a>(ends: &[&'a End], record: &impl Fn(PartId) -> Record) -> Vec<Candidate<'a>> {
+    groups(ends, record).filter(Candidate::is_blamed).collect()
+}
+
+/// Returns the evidence against each part, in order of the parts.
+fn groups<'a>(
+    ends: &[&'a End],
+    record: &impl Fn(PartId) -> Record,
+) -> impl Iterator<Item = Candidate<'a>> {
+    let row = |end: &'a End| {
+        let parts = end.parts.iter().enumerate();
+        parts.map(move |(at, part)| (*part, end.server_run(), &end.request, at == 0))
+    };
+    let mut rows: Vec<(PartId, ServerRun<'a>, &'a RequestId, bool)> =
+        ends.iter().copied().flat_map(row).collect();
+    rows.sort_unstable();
+    let candidate = |rows: &[(PartId, ServerRun<'a>, &'a RequestId, bool)]| {
+        let mut runs: Vec<_> = rows.iter().map(|row| row.1).collect();
+        runs.dedup();
+        let mut requests: Vec<_> = rows.iter().map(|row| row.2).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        Candidate {
+            part: rows[0].0,
+            runs,
+            requests: requests.len(),
+            is_first: rows.iter().any(|row| row.3),
+            record: record(rows[0].0),
+        }
     };
-    parts.into_iter().filter_map(candidate).collect()
+    let groups: Vec<_> = rows.chunk_by(|a, b| a.0 == b.0).map(candidate).collect();
+    groups.into_iter()
 }
 
-fn distinct<T: Ord>(items: impl Iterator<Item = T>) -> usize {
-    let mut items: Vec<T> = items.collect();
-    items.sort_unstable();
-    items.dedup();
-    items.len()
+/// Returns the runs of servers that ended under a part for which `is_so` holds, in order.
+fn runs<'a>(ends: &[&'a End], is_so: impl Fn(PartId) -> bool) -> Vec<ServerRun<'a>> {
+    let ended = ends.iter().filter(|end| end.parts.iter().any(|part| is_so(*part)));
+    let mut runs: Vec<_> = ended.map(|end| end.server_run()).collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs
 }
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod classify;
 mod freshness;
 mod load;
+mod quarantine;
 mod registry;
 mod relay;
 mod rollout;
