Bound the size of reports on ends of servers

A prompt may have as many parts as the limit on a request's head allows, and a report of 32 ends with a thousand parts each would be larger than a store takes. An end keeps the first 64 parts of its prompt, and a report the newest ends with 512 parts in all. The new test, which allows 16 KB, was not run on the code before.

--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -50,6 +50,10 @@
 const MAX_JUDGED_ENDS: usize = 256;
 /// Number of reports of other instances that are remembered.
 const MAX_REPORTS: usize = 512;
+/// Number of parts of a prompt that are looked at.
+const MAX_PARTS: usize = 64;
+/// Number of parts in the ends of a report, which limits its size.
+const MAX_REPORTED_PARTS: usize = 512;
 /// Number of parts whose proofs a report states.
 const MAX_REPORTED_PROOFS: usize = 64;
 /// Minimum interval between two reports, and after a report that the store did not confirm.
@@ -189,7 +193,8 @@
     }
 
     /// Records a request whose answer broke off right after its head.
-    pub fn record_end(&mut self, end: End, now: Instant) -> Vec<Change> {
+    pub fn record_end(&mut self, mut end: End, now: Instant) -> Vec<Change> {
+        end.parts.truncate(MAX_PARTS);
         if end.parts.is_empty() || self.ends.iter().any(|known| known.end == end) {
             return Vec::new();
         }
@@ -316,7 +321,13 @@
     }
 
     fn report(&self, now: Instant) -> Report {
-        let ends: Vec<End> = self.ends.iter().map(|known| known.end.clone()).collect();
+        let mut parts = 0;
+        let newest = self.ends.iter().rev().map(|known| &known.end).take_while(|end| {
+            parts += end.parts.len();
+            parts <= MAX_REPORTED_PARTS
+        });
+        let mut ends: Vec<End> = newest.cloned().collect();
+        ends.reverse();
         // The most suspect parts first.
         let mut counts = verdict::counts(&self.ends_in_force(now));
         counts.sort_by_key(|(_, servers)| Reverse(*servers));
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -225,3 +225,18 @@
     quarantine.record_missing();
     assert_eq!(quarantine.take_report(later + Duration::from_secs(9)), None);
 }
+
+/// Load: prompts of very many parts, as far as the limit on the head of a request allows.
+#[test]
+fn report_stays_small_when_prompts_have_many_parts() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new("one".into(), now);
+    for at in 0..100 {
+        let parts: Vec<PartId> = (0..1_000).map(|part| u64::MAX - 1_000 * at - part).collect();
+        quarantine.record_end(end(&format!("server-{at}"), &format!("request-{at}"), &parts), now);
+    }
+    let report = quarantine.take_report(now).expect("a report is due");
+    assert!(!report.ends.is_empty());
+    let bytes = serde_json::to_vec(&report).expect("a report is encoded").len();
+    assert!(bytes <= 16 << 10, "{bytes} bytes");
+}
