Resume a stream that ends with its connection before its first event

A stream with neither a length nor chunks ends with its connection. If its server ended right after the head, callers got an empty stream that looked complete, and the end was no evidence against the parts of the prompt. Such a stream has broken off: it is resumed at another server.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     hawthornmount_core::{config::Kind, id::ServerId, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
-    http::{HeaderMap, StatusCode},
+    http::{HeaderMap, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     parking_lot::Mutex,
@@ -95,6 +95,8 @@
     pub server: Arc<Server>,
     /// Progress of the answer.
     pub start: Start,
+    /// Whether the end of the body is marked, so that it can be told from a connection that broke.
+    pub is_delimited: bool,
     connection: Connection,
     head: ResponseHead,
     _in_flight: InFlightGuard,
@@ -162,6 +164,11 @@
 }
 
 impl Upstream {
+    /// Returns whether a stream that ends now broke off before its first event.
+    pub const fn is_without_events(&self) -> bool {
+        !self.is_delimited && !self.start.has_pieces()
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub fn finish(self, forwarder: &Forwarder) {
         forwarder.return_connection(&self.server, self.connection, &self.head);
@@ -279,7 +286,10 @@
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
         let (server, start) = (server.clone(), Start::new(now));
-        let upstream = Upstream { body, server, start, connection, head, _in_flight: in_flight };
+        let is_delimited = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        let upstream =
+            Upstream { body, server, start, is_delimited, connection, head, _in_flight: in_flight };
         let server = &upstream.server.clone();
         match class {
             Class::Refused => {
@@ -302,7 +312,9 @@
                 } else {
                     match self.read_body(upstream).await {
                         Ok(bytes) => {
-                            self.record_proof(job);
+                            if is_delimited {
+                                self.record_proof(job);
+                            }
                             Body::Complete(bytes)
                         }
                         Err(cause) => {
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -110,7 +110,7 @@
                 Step::Incomplete => {}
                 Step::End => {
                     if let Some(upstream) = self.upstream.take() {
-                        if self.relayed > 0 {
+                        if self.relayed > 0 && upstream.is_delimited {
                             self.forwarder.record_proof(&self.job);
                         }
                         upstream.finish(&self.forwarder);
@@ -139,7 +139,9 @@
             None => upstream.body.frame().await,
         };
         match frame {
-            None if self.splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
+            None if self.splitter.has_partial_event() || upstream.is_without_events() => {
+                Step::Broken(Retry::CutAnswer)
+            }
             None => Step::End,
             Some(Err(_)) => Step::Broken(Retry::CutAnswer),
             Some(Ok(frame)) => match frame.into_data() {
