--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -151,7 +151,7 @@
                 }
                 Resumption::Ended => {
                     if let Some(upstream) = self.upstream.take() {
-                        if self.relayed > 0 {
+                        if self.relayed > 0 && upstream.is_delimited {
                             self.forwarder.record_proof(&self.job);
                         }
                         upstream.finish(&self.forwarder);
@@ -368,7 +368,9 @@
 /// Reads the next piece of a stream.
 async fn read(upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
     match upstream.body.frame().await {
-        None if splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
+        None if splitter.has_partial_event() || upstream.is_without_events() => {
+            Step::Broken(Retry::CutAnswer)
+        }
         None => Step::End,
         Some(Err(_)) => Step::Broken(Retry::CutAnswer),
         Some(Ok(frame)) => match frame.into_data() {
