Model check of the fence: whatever an instance confirms is in force

What callers saw: nothing yet.

The check runs the product's own followers, one to three, on simulated time. Their calls to the store and to each other wait until the model answers them, and it plays all orders of the events (writes, late and lost answers, dropped history, restarts, restores, late relays, changes of the reader) up to 5 to 8 events a case. Five more cases break what the product relies on (answers older than their question, confirmations made younger by the relay, lost writes written again too late, a hidden restore) and expect the violation.

--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod cascade;
 mod classify;
+mod fence;
 mod freshness;
 mod load;
 mod registry;
