A late answer of a store that was just restored confirms nothing

Seen: the model check found that an instance confirms a configuration that lacks a revocation the store had forgotten. Schedule: Wait, Configure, Deliver(0, 0), Restore, Deliver(0, 0), Wait, Wait, Deliver(0, 1). The list is asked for 1.6 s after the instance saw the restore. The operator writes the configuration again 1.9 s after the restore, the answer without it arrives after 2 s.

Cause: whether the instance had settled after a restore was asked at the time of the answer, while the confirmation counts from the question. An answer that is up to 2 s late (the timeout of a call) could pass.

Change: State::is_settled takes the age of the question. The same holds for relayed confirmations.

Lists that are answered at once are asked for at 1.6 s and 3.2 s after the restore, as before, so the first confirmation after a restore comes no later.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -179,12 +179,18 @@
 
     /// Records that the store, asked at `asked_at`, has no newer content than the known one.
     fn confirm(&self, asked_at: Duration) {
-        if self.state.is_settled(time::now()) {
+        if self.is_settled(asked_at) {
             self.freshness.confirm(asked_at);
         }
         self.relay.notify();
     }
 
+    /// Returns whether an answer to a question of `asked_at` is proof even if the store was restored.
+    fn is_settled(&self, asked_at: Duration) -> bool {
+        let age = self.freshness.now().saturating_sub(asked_at);
+        self.state.is_settled(time::now(), age)
+    }
+
     /// Lists all keys and publishes the resulting view.
     async fn list(&mut self) -> store::Result<()> {
         let asked_at = self.freshness.now();
--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -98,7 +98,7 @@
         }
         let newer = confirmed.filter(|confirmed| {
             !is_behind
-                && self.state.is_settled(time::now())
+                && self.is_settled(*confirmed)
                 && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
         });
         if let Some(confirmed) = newer {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -67,10 +67,14 @@
         self.stamp.revision
     }
 
-    /// Returns whether the operator and the servers have had time to write again what the store
-    /// lacked when it was restored. Until then, a list does not prove that nothing newer exists.
-    pub fn is_settled(&self, now: Instant) -> bool {
-        self.era_began.is_none_or(|began| now >= began + RESTATEMENT_TIME)
+    /// Returns whether the operator and the servers had had time to write again what the store
+    /// lacked when it was restored, at the time `age` before `now` when the store was asked. A list
+    /// that was asked for earlier does not prove that nothing newer exists, however late it arrives.
+    pub fn is_settled(&self, now: Instant, age: Duration) -> bool {
+        self.era_began.is_none_or(|began| {
+            let settled = now.checked_duration_since(began + RESTATEMENT_TIME);
+            settled.is_some_and(|settled| settled >= age)
+        })
     }
 
     /// Returns the rules of the configuration, if there is one.
