A follower notices a restore from a copy that equals what it knows

Seen: the model check found a follower that confirms a configuration without a revocation which the store had forgotten. First events of the case: Wait, Deliver(0, 0), Reply(1), Configure, Restore, Restart(0), Deliver(0, 0), Arrive(1); schedule after them: Reply(1), Arrive(1), Wait, Deliver(0, 0), Reply(1). The configuration is written and lost before any instance has listed it. The reader starts after the restore, so it knows nothing of before and confirms at once; the follower does know, but confirmed what the reader said.

Cause: a follower began the new era only when a relayed update contained changes. If the copy equals what the follower knows there are none: only its cursor moved to the new era, and the 2 s in which nothing is confirmed never began for it. They began with the next change instead, however late, which refused keys for 2 s without a reason.

Change: an update of a later era is applied even if it contains no changes. A request of a follower also counts a new era as progress; otherwise a follower would learn of it only with its reader's next confirmation, 3.2 s later, and its 2 s would begin then.

All 156 tests of the gateway pass, and the suites restore, fleet and revocation of the platform (19 tests).

--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -93,7 +93,8 @@
             let is_behind = stamp < replica.cursor().stamp;
             (replica.apply(update.delta, stamp), is_behind)
         };
-        if has_changes {
+        // The copy that the store was restored from may hold exactly what is known.
+        if has_changes || stamp.era > self.state.era() {
             self.apply_replica(stamp);
         }
         let newer = confirmed.filter(|confirmed| {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -21,7 +21,7 @@
         view::Rules,
     },
     hawthornmount_core::id::{Revision, ServerId, ServiceId},
-    hawthornmount_store::{Entry, Stamp},
+    hawthornmount_store::{Entry, Era, Stamp},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -67,6 +67,11 @@
         self.stamp.revision
     }
 
+    /// Returns the era of the store whose entries were applied last.
+    pub const fn era(&self) -> Era {
+        self.stamp.era
+    }
+
     /// Returns whether the operator and the servers had had time to write again what the store
     /// lacked when it was restored, at the time `age` before `now` when the store was asked. A list
     /// that was asked for earlier does not prove that nothing newer exists, however late it arrives.
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -129,7 +129,9 @@
         progress.borrow_and_update();
         let reached = shared.replica.lock().cursor();
         let is_known = cursor.is_some_and(|cursor| {
-            cursor.origin == reached.origin && cursor.sequence == reached.sequence
+            cursor.origin == reached.origin
+                && cursor.sequence == reached.sequence
+                && cursor.stamp.era == reached.stamp.era
         });
         if !is_known || shared.freshness.confirmed().map(micros) != confirmation {
             return;
--- a/crates/hawthornmount-gateway/tests/gateway/relay.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/relay.rs
@@ -10,6 +10,7 @@
         relay::{
             Shared,
             message::{Follow, InFlight, MAX_FRAME_BYTES, Query, Request},
+            server,
             source::{Selector, Source},
         },
         rollout::{
@@ -269,6 +270,24 @@
     assert_eq!(ahead.entries().len(), 2, "an older deletion");
 }
 
+/// A follower that waits for a newer confirmation must start to count its settling time with its
+/// reader, not when the wait ends.
+#[tokio::test(start_paused = true)]
+async fn follower_is_told_at_once_of_a_restore_that_changes_nothing() {
+    let bound = Duration::from_secs(5);
+    let freshness = Freshness::new(Arc::new(Manual::new()), bound, bound);
+    let shared = Shared::new("one".into(), Arc::new(freshness));
+    let at = |era| Stamp { era, revision: 1 };
+    shared.replica.lock().replace(&[entry(1, 1)], at(1));
+    let cursor = Some(shared.replica.lock().cursor());
+    shared.replica.lock().replace(&[entry(1, 1)], at(2));
+    let wait = Duration::from_secs(2);
+    let request = Follow { cursor, confirmation: None, wait, in_flight: Vec::new() };
+    let asked = tokio::time::Instant::now();
+    let update = server::answer_follower(&shared, &"two".into(), request, Duration::ZERO).await;
+    assert_eq!((asked.elapsed(), update.stamp()), (Duration::ZERO, at(2)));
+}
+
 fn report(reporters: &[&str], responses: u32) -> Report {
     let counts = Counts { all: responses, bad: 0 };
     let failures = Comparison { scope: Scope::Broken, new: counts, old: Counts::default() };
