--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -93,12 +93,13 @@
             let is_behind = stamp < replica.cursor().stamp;
             (replica.apply(update.delta, stamp), is_behind)
         };
-        if has_changes {
+        // The copy that the store was restored from may hold exactly what is known.
+        if has_changes || stamp.era > self.state.era() {
             self.apply_replica(stamp);
         }
         let newer = confirmed.filter(|confirmed| {
             !is_behind
-                && self.state.is_settled(time::now())
+                && self.is_settled(*confirmed)
                 && self.freshness.confirmed().is_none_or(|known| *confirmed > known)
         });
         if let Some(confirmed) = newer {
