Log why an attempt at a server failed, and print it when the test of leaving servers fails

The test printed neither the problem document nor the log, and the log of an instance would not have told the cause: a failed attempt was in the trace of its request only, the error of a broken connection was dropped, and an empty retry budget left no line.

An instance now writes a line for each failed attempt, for the error of a broken connection, and for a retry that the budget doesn't allow. The test prints the problem document, the trace of the request and the log of its instances.

--- a/crates/hawthornmount-entry/src/filter/forwarding/attempt.rs
+++ b/crates/hawthornmount-entry/src/filter/forwarding/attempt.rs
@@ -200,7 +200,7 @@
                 self.possible_runs.fetch_sub(1, Ordering::SeqCst);
                 Failure::Unreachable
             } else {
-                Failure::Broken
+                broken(&self.id, &error)
             }
         })?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
@@ -214,11 +214,11 @@
         }
         let content_type: Arc<str> = text_header(&response, header::CONTENT_TYPE.as_str()).into();
         if self.is_stream && content_type.starts_with(EVENT_STREAM) {
-            return stream_answer(status, content_type, response).await;
+            return stream_answer(&self.id, status, content_type, response).await;
         }
         let body = client::read_body(self.address, response.into_body())
             .await
-            .map_err(|_| Failure::Broken)?;
+            .map_err(|error| broken(&self.id, &error))?;
         if self.is_completion && status.is_success() && answer::read_completion(&body).is_none() {
             return Err(Failure::BadAnswer("the answer is truncated"));
         }
@@ -228,15 +228,22 @@
 
 /// Waits for the first event and returns the answer as a stream.
 async fn stream_answer(
+    id: &str,
     status: StatusCode,
     content_type: Arc<str>,
     response: Response,
 ) -> Result<Answer, Failure> {
     let mut reader = events::Reader::new(response.into_body());
-    reader.wait_first().await.map_err(|_| Failure::Broken)?;
+    reader.wait_first().await.map_err(|error| broken(id, &error))?;
     Ok(Answer { status, content_type, content: Content::Streamed(Box::new(reader)) })
 }
 
+/// Logs the error of a connection that broke after the attempt may have been sent.
+fn broken(id: &str, error: &dyn std::error::Error) -> Failure {
+    log::info!("the connection to a server broke; attempt={id} cause={error}");
+    Failure::Broken
+}
+
 /// Checks that the answer carries the id of this attempt.
 fn check_id(response: &Response, id: &str) -> Result<(), Failure> {
     if text_header(response, REQUEST_ID_HEADER) == id {
--- a/crates/hawthornmount-entry/src/filter/forwarding/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/forwarding/mod.rs
@@ -234,10 +234,12 @@
             let idempotent = is_idempotent(&exchange.kind);
             let is_safe = failure.cannot_have_run() || idempotent;
             let has_attempts = history.attempts < MAX_ATTEMPTS && exchange.time_left().is_ok();
-            if !is_safe
-                || !has_attempts
-                || !self.components.router.try_acquire_retry(Instant::now())
-            {
+            if !is_safe || !has_attempts {
+                return Err(history.mark_possible_run(failure.problem(idempotent)));
+            }
+            if !self.components.router.try_acquire_retry(Instant::now()) {
+                log::info!("no retry: the retry budget is used up; request={}", exchange.id);
+                exchange.trace.step("no retry: the retry budget is used up");
                 return Err(history.mark_possible_run(failure.problem(idempotent)));
             }
             self.components.metrics.count_retry(failure.retry_reason());
@@ -405,7 +407,16 @@
     };
     let outcome = match &completed.result {
         Ok(answer) => format!("status {}", answer.status.as_u16()),
-        Err(failure) => failure.to_string(),
+        Err(failure) => {
+            log::info!(
+                "attempt failed; request={} server={} model={model} version={version} ms={} \
+                 cause={failure}",
+                exchange.id,
+                completed.choice.server,
+                completed.elapsed.as_millis(),
+            );
+            failure.to_string()
+        }
     };
     if let Some(reason) = reason {
         log::debug!("retried; request={} reason={reason}", exchange.id);
--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -1,7 +1,9 @@
 //! Submissions run at most once; caller disconnects, leaving servers and stopping instances.
 
 use {
+    crate::captured_log,
     hawthornmount_demo::deployment::Deployment,
+    hawthornmount_entry::Instance,
     hawthornmount_http::{Body, Method, Request, client::Client},
     hawthornmount_standin::service::Faults,
     http_body_util::BodyExt,
@@ -19,12 +21,13 @@
 /// Time-out of a wait for an asynchronous event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Status and problem fields of a response.
+/// Status, problem fields and body of a response.
 #[derive(Debug)]
 struct CallResult {
     status: u16,
     reason: String,
     ran: String,
+    body: serde_json::Value,
 }
 
 fn submission(key: &str, body: &'static str) -> Request {
@@ -57,7 +60,16 @@
     let response = Client::new().call(address, request, TIMEOUT).await.expect("a response arrives");
     let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
     let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
-    CallResult { status: response.status.as_u16(), reason: text("reason"), ran: text("ran") }
+    let (reason, ran) = (text("reason"), text("ran"));
+    CallResult { status: response.status.as_u16(), reason, ran, body }
+}
+
+/// Returns the body of a problem and the instance's trace of the request.
+fn describe(deployment: &Deployment, result: &CallResult) -> String {
+    let id = result.body["request_id"].as_str().unwrap_or_default();
+    let find = |instance: &Instance| instance.components().journal.find(id);
+    let trace = deployment.instances.iter().find_map(find);
+    format!("{:#}\n{trace:#?}", result.body)
 }
 
 /// Polls `condition` until it is true and fails after [`EVENT_TIMEOUT`].
@@ -186,6 +198,7 @@
 #[case::reported_by_the_instance_list(true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_server_gets_no_new_requests(#[case] listed: bool) {
+    captured_log::start();
     let deployment = Deployment::start().await.expect("the demo starts");
     let leaving_server = &deployment.engines[0];
     if listed {
@@ -203,7 +216,8 @@
     tokio::time::sleep(LEAVE_TIMEOUT).await;
     let before = leaving_server.engine.runs().len();
     for address in deployment.callers().into_iter().cycle().take(24) {
-        assert_eq!(call(address, completion(2, false)).await.status, 200);
+        let result = call(address, completion(2, false)).await;
+        assert_eq!(result.status, 200, "{}", describe(&deployment, &result));
     }
     assert_eq!(leaving_server.engine.runs().len(), before);
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! platform.
 
 mod at_most_once;
+mod captured_log;
 mod command_line;
 mod config;
 mod demo;
