Print what each instance knows when the lossy fleet's suspension test runs out of time

The test now prints the members, servers and suspensions that each instance knows, and the log of its instances.

--- a/tests/testsuite/version/lossy.rs
+++ b/tests/testsuite/version/lossy.rs
@@ -2,11 +2,13 @@
 
 use {
     super::{
-        BackgroundLoad, PROPAGATION_LIMIT, apply_patch, count_runs, wait_until, withdrawal_patch,
+        BackgroundLoad, PROPAGATION_LIMIT, apply_patch, count_runs, wait_until,
+        wait_until_or_describe, withdrawal_patch,
     },
+    crate::captured_log,
     hawthornmount_core::{
         config::State as VersionState,
-        snapshot::{Health, Release},
+        snapshot::{Backend, Health, Member, Release},
     },
     hawthornmount_demo::deployment::{Deployment, Size},
     hawthornmount_entry::{Instance, instance::Builder},
@@ -56,17 +58,38 @@
     }
     deployment.list.set(listed);
     let servers = deployment.engines.len() + 1;
-    wait_until("the lossy fleet has joined and knows all servers", || {
-        deployment.instances.iter().all(|instance| {
-            let snapshot = instance.components().snapshot.load();
-            let up =
-                snapshot.backends.iter().filter(|backend| backend.health == Health::Up).count();
-            snapshot.members.len() == LOSSY_INSTANCES && up == servers
-        })
-    })
+    let has_joined = |instance: &Instance| {
+        let snapshot = instance.components().snapshot.load();
+        let up = snapshot.backends.iter().filter(|backend| backend.health == Health::Up).count();
+        snapshot.members.len() == LOSSY_INSTANCES && up == servers
+    };
+    wait_until_or_describe(
+        "the lossy fleet has joined and knows all servers",
+        || deployment.instances.iter().all(has_joined),
+        || describe_views(deployment),
+    )
     .await;
 }
 
+/// Returns what each instance knows of members, servers and suspensions.
+fn describe_views(deployment: &Deployment) -> String {
+    let view = |instance: &Instance| {
+        let components = instance.components();
+        let snapshot = components.snapshot.load();
+        let member = |member: &Member| format!("{} {:?}", member.id, member.liveness);
+        let server = |backend: &Backend| format!("{} {:?}", backend.id, backend.health);
+        format!(
+            "{} revision={} members={:?} servers={:?} suspended={:?}",
+            components.settings.instance,
+            snapshot.revision,
+            snapshot.members.iter().map(member).collect::<Vec<_>>(),
+            snapshot.backends.iter().map(server).collect::<Vec<_>>(),
+            snapshot.suspended,
+        )
+    };
+    deployment.instances.iter().map(view).collect::<Vec<_>>().join("\n")
+}
+
 /// Guards against a withdrawal that spreads too slowly when frames are lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn withdrawal_reaches_every_instance_although_frames_are_lost() {
@@ -98,6 +121,7 @@
 /// Guards against a suspension that needs the store or the arrival of every frame to spread.
 #[tokio::test(flavor = "multi_thread")]
 async fn suspension_reaches_every_instance_while_the_store_is_down() {
+    captured_log::start();
     let mut deployment = Deployment::start().await.expect("the demo starts");
     start_lossy_fleet(&mut deployment).await;
     deployment.store.faults().set_down(true);
@@ -110,12 +134,13 @@
     let suspensions = vec![first.monitor.suspensions()[0].clone()];
     hawthornmount_rollout::gossip::publish_suspensions(&*first.fleet, &suspensions);
     let published = Instant::now();
-    wait_until("v1 is suspended everywhere", || {
-        deployment
-            .instances
-            .iter()
-            .all(|instance| instance.components().snapshot.load().is_suspended(&release))
-    })
+    let has_suspended =
+        |instance: &Instance| instance.components().snapshot.load().is_suspended(&release);
+    wait_until_or_describe(
+        "v1 is suspended everywhere",
+        || deployment.instances.iter().all(has_suspended),
+        || describe_views(&deployment),
+    )
     .await;
     assert!(
         published.elapsed() < PROPAGATION_LIMIT,
--- a/tests/testsuite/version/mod.rs
+++ b/tests/testsuite/version/mod.rs
@@ -111,10 +111,19 @@
 }
 
 /// Polls `condition` until it is true and fails after [`EVENT_TIMEOUT`].
-async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+async fn wait_until(what: &str, condition: impl FnMut() -> bool) {
+    wait_until_or_describe(what, condition, String::new).await;
+}
+
+/// Polls `condition` until it is true. Fails after [`EVENT_TIMEOUT`] with the text of `describe`.
+async fn wait_until_or_describe(
+    what: &str,
+    mut condition: impl FnMut() -> bool,
+    describe: impl Fn() -> String,
+) {
     let deadline = Instant::now() + EVENT_TIMEOUT;
     while !condition() {
-        assert!(Instant::now() < deadline, "not in time: {what}");
+        assert!(Instant::now() < deadline, "not in time: {what}\n{}", describe());
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
