The test of leaving servers uses servers that don't fail at random

Seen: in leaving_server_gets_no_new_requests one of 24 completions was answered 502 where 200 is wanted; once in seven runs of the whole suite.

Cause: the stand-in engines of the demo answer one completion in a hundred with status 500, whether a server leaves or not. An instance repeats such a completion within its retry budget, which is one retry until it has had successes (docs/design/retries.md); a completion that meets two failures in a row is answered 502 with `ran` unknown. The instances did as designed, the test was wrong.

Evidence: with the trace printed, 2 of 200 runs of the test failed. Both traces show one completion, two attempts at two servers that were not leaving, each `the server failed with status 500`, then `no retry: the retry budget is used up`. In 150 of the runs, all 39 failed attempts were of this kind, which is one in a hundred of the 3,600 completions.

Ruled out: a kept connection that the leaving server closes, and a refusal while it leaves: no attempt of these runs failed with a broken connection, and none was sent to the leaving server.

Change: the engines of this test don't fail at random, so each answer other than 200 is a fault. The check is stricter: the leaving engine refuses what it is sent, so the number of its runs alone could not grow; what it refused counts now as well. A test of its own states what the budget allows.

Measured: 98 runs of the new test passed, beside others on a busy machine. On a copy that ignores the leaving state which servers report, the test fails, as the old one did.

--- a/crates/hawthornmount-demo/src/deployment/mod.rs
+++ b/crates/hawthornmount-demo/src/deployment/mod.rs
@@ -48,6 +48,8 @@
 
 /// Maximum number of concurrent requests of an engine.
 pub(crate) const ENGINE_SLOTS: u32 = 16;
+/// Probability that a completion fails at an engine with status 500.
+const ERROR_RATE: f64 = 0.01;
 /// Delay of every call to the stand-in store.
 const STORE_DELAY: Duration = Duration::from_millis(2);
 /// Time limit for the instances to become ready.
@@ -158,6 +160,13 @@
         self.instances.iter().map(Instance::caller_address).collect()
     }
 
+    /// Sets the probability that a completion fails at an engine with status 500.
+    pub fn set_error_rate(&self, error_rate: f64) {
+        for named in &self.engines {
+            set_behaviours(&named.engine, error_rate);
+        }
+    }
+
     /// Returns the example configuration merged with the data centres and servers of this
     /// deployment.
     ///
@@ -244,9 +253,7 @@
             let checks_fencing = number == 1;
             let engine =
                 Engine::start(any_port(), ENGINE_SLOTS, checks_fencing, loaded.to_vec()).await?;
-            engine.set_behaviour("draft-small", "v1", behaviour(0.75, 10, 1));
-            engine.set_behaviour("draft-small", "v2", behaviour(0.8, 10, 1));
-            engine.set_behaviour("draft-large", "v1", behaviour(0.98, 30, 2));
+            set_behaviours(&engine, ERROR_RATE);
             engines.push(NamedEngine {
                 id: format!("engine-{data_centre}-{number}").into(),
                 data_centre: data_centre.into(),
@@ -257,13 +264,17 @@
     Ok(engines)
 }
 
-const fn behaviour(quality: f64, first_token_ms: u64, per_token_ms: u64) -> Behaviour {
-    Behaviour {
+/// Sets the behaviour of every version of the example configuration.
+fn set_behaviours(engine: &Engine, error_rate: f64) {
+    let behaviour = |quality, first_token_ms, per_token_ms| Behaviour {
         quality,
-        error_rate: 0.01,
+        error_rate,
         first_token: Duration::from_millis(first_token_ms),
         per_token: Duration::from_millis(per_token_ms),
-    }
+    };
+    engine.set_behaviour("draft-small", "v1", behaviour(0.75, 10, 1));
+    engine.set_behaviour("draft-small", "v2", behaviour(0.8, 10, 1));
+    engine.set_behaviour("draft-large", "v1", behaviour(0.98, 30, 2));
 }
 
 /// Returns the settings of an instance on loopback that uses only the store: it has no instance
--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -81,6 +81,7 @@
     let at = Instant::now();
     let loaded = Loaded { model: completion.model.clone(), version };
     if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
+        shared.refused.fetch_add(1, Ordering::SeqCst);
         return not_run();
     }
     let load = LoadGuard::new(shared.clone());
--- a/crates/hawthornmount-standin/src/engine/mod.rs
+++ b/crates/hawthornmount-standin/src/engine/mod.rs
@@ -113,6 +113,7 @@
     loaded: Mutex<Vec<Loaded>>,
     runs: Mutex<Vec<Run>>,
     cancelled: AtomicU64,
+    refused: AtomicU64,
     leaving: AtomicU32,
     checks_fencing: bool,
     highest_fence: AtomicU64,
@@ -147,6 +148,7 @@
             loaded: Mutex::new(loaded),
             runs: Mutex::new(Vec::new()),
             cancelled: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
             leaving: AtomicU32::new(0),
             checks_fencing,
             highest_fence: AtomicU64::new(0),
@@ -220,6 +222,11 @@
         self.shared.cancelled.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of requests that were refused before they ran.
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::SeqCst)
+    }
+
     /// Returns the loaded versions.
     pub fn loaded(&self) -> Vec<Loaded> {
         self.shared.loaded.lock().clone()
--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -200,6 +200,8 @@
 async fn leaving_server_gets_no_new_requests(#[case] listed: bool) {
     captured_log::start();
     let deployment = Deployment::start().await.expect("the demo starts");
+    // A request whose servers fail gets 502 once the retry budget is used up.
+    deployment.set_error_rate(0.0);
     let leaving_server = &deployment.engines[0];
     if listed {
         let leaving = hawthornmount_standin::list::Listed {
@@ -214,12 +216,27 @@
         leaving_server.engine.set_leaving(true);
     }
     tokio::time::sleep(LEAVE_TIMEOUT).await;
-    let before = leaving_server.engine.runs().len();
+    let received = || (leaving_server.engine.runs().len(), leaving_server.engine.refused());
+    let before = received();
     for address in deployment.callers().into_iter().cycle().take(24) {
         let result = call(address, completion(2, false)).await;
         assert_eq!(result.status, 200, "{}", describe(&deployment, &result));
     }
-    assert_eq!(leaving_server.engine.runs().len(), before);
+    assert_eq!(received(), before);
+}
+
+/// Guards against retries beyond the budget: an instance without successes has one retry, although
+/// more attempts and servers are left.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_completion_is_not_retried_once_the_retry_budget_is_used_up() {
+    let deployment = Deployment::start().await.expect("the demo starts");
+    deployment.set_error_rate(1.0);
+    let result = call(deployment.callers()[0], completion(2, false)).await;
+    let described = describe(&deployment, &result);
+    let expected = (502, "server_failed", "unknown");
+    assert_eq!((result.status, &*result.reason, &*result.ran), expected, "{described}");
+    let retries = &deployment.instances[0].components().metrics.retries;
+    assert_eq!(retries.with_label_values(&["server_error"]).get(), 1, "{described}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
