The stand-in service runs no call without a request id

Seen: submission_with_one_key_runs_at_most_once failed in one of 40 runs of the whole suite on a busy machine: the service had run two calls where one is allowed. The log showed one attempt only.

Cause: the second call was not the instances'. The service counted every request as a run, except for load reports. Another program on the machine asked at an address that it had used before, which the system had meanwhile assigned to the service.

Change: entry instances set an id on every call, so the service refuses those without one, as a server does, and says that they were not run. The check counts what it counted before.

The new test makes such a call; it failed before: status 200 instead of 400.

--- a/crates/hawthornmount-standin/src/engine/completion.rs
+++ b/crates/hawthornmount-standin/src/engine/completion.rs
@@ -6,7 +6,7 @@
         batch::{MAX_SLICES, MIN_SLICE},
         faults::Outcome,
     },
-    crate::http::empty,
+    crate::http::{empty, not_run},
     bytes::Bytes,
     hawthornmount_http::{
         Body, HeaderValue, Response, StatusCode,
@@ -82,7 +82,7 @@
     let loaded = Loaded { model: completion.model.clone(), version };
     if !shared.is_loaded(&loaded) || shared.leaving.load(Ordering::SeqCst) > 0 {
         shared.refused.fetch_add(1, Ordering::SeqCst);
-        return not_run();
+        return not_run(StatusCode::SERVICE_UNAVAILABLE);
     }
     let load = LoadGuard::new(shared.clone());
     let behaviour = shared.behaviour(&loaded);
@@ -290,13 +290,6 @@
     with_id(response, id)
 }
 
-/// Returns a refusal whose header says that the request did not run.
-fn not_run() -> Response {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-    response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
-    response
-}
-
 fn with_id(mut response: Response, id: &str) -> Response {
     if let Ok(value) = HeaderValue::from_str(id) {
         response.headers_mut().insert("x-request-id", value);
--- a/crates/hawthornmount-standin/src/http/mod.rs
+++ b/crates/hawthornmount-standin/src/http/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    hawthornmount_http::{HeaderMap, Request, Response, StatusCode, server},
+    hawthornmount_http::{HeaderMap, HeaderValue, Request, Response, StatusCode, server},
     http_body_util::BodyExt,
     serde::de::DeserializeOwned,
 };
@@ -31,3 +31,10 @@
 pub fn empty(status: StatusCode) -> Response {
     server::text(status, String::new())
 }
+
+/// Returns a response with an empty body which reports that the request was not run.
+pub fn not_run(status: StatusCode) -> Response {
+    let mut response = empty(status);
+    response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
+    response
+}
--- a/crates/hawthornmount-standin/src/service/mod.rs
+++ b/crates/hawthornmount-standin/src/service/mod.rs
@@ -5,7 +5,7 @@
 pub use faults::Faults;
 
 use {
-    crate::http::{self, empty, header},
+    crate::http::{self, header, not_run},
     async_trait::async_trait,
     faults::{Injector, Outcome},
     hawthornmount_http::{
@@ -101,8 +101,12 @@
             });
             return server::json(StatusCode::OK, &report);
         }
+        // Entry instances set an id. Other programs may call an address that they used before.
+        let Some(id) = header(request.headers(), "x-request-id") else {
+            return not_run(StatusCode::BAD_REQUEST);
+        };
         let run = Run {
-            request: header(request.headers(), "x-request-id").unwrap_or_default().into(),
+            request: id.into(),
             key: header(request.headers(), "idempotency-key").map(Into::into),
             method: request.method().as_str().into(),
             path: request.uri().path().into(),
@@ -111,9 +115,7 @@
         let _ = http::body(request).await;
         let outcome = self.0.injector.next();
         if outcome == Outcome::Refuse {
-            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-            response.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
-            return response;
+            return not_run(StatusCode::SERVICE_UNAVAILABLE);
         }
         self.0.runs.lock().push(run.clone());
         if let Outcome::Late(delay) = outcome {
--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -126,6 +126,7 @@
 })]
 #[tokio::test(flavor = "multi_thread")]
 async fn submission_with_one_key_runs_at_most_once(#[case] case: Case) {
+    captured_log::start();
     let deployment = Deployment::start().await.expect("the demo starts");
     deployment.service.set_faults(case.faults, 1);
     let first = call(deployment.callers()[0], submission("k", "{}")).await;
@@ -135,7 +136,23 @@
     assert_eq!((second.status, &*second.reason, &*second.ran), case.second);
     let other = call(deployment.callers()[1], submission("k", "{\"other\":1}")).await;
     assert_eq!((other.status, &*other.ran), (422, "no"));
-    assert_eq!(deployment.service.runs().len(), case.runs);
+    let runs = deployment.service.runs();
+    assert_eq!(runs.len(), case.runs, "{runs:#?}");
+}
+
+/// Guards against counting a call of another program, at an address that was in use before, as a run
+/// of a submission.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_without_a_request_id_is_not_run_by_the_service() {
+    let deployment = Deployment::start().await.expect("the demo starts");
+    let request = http::Request::builder()
+        .uri("/instances?of=another-program")
+        .body(Body::empty())
+        .expect("the request is valid");
+    let result = call(deployment.service.address(), request).await;
+    assert_eq!(result.status, 400);
+    let runs = deployment.service.runs();
+    assert!(runs.is_empty(), "{runs:#?}");
 }
 
 /// Guards against running a submission again after the instance that claimed its key was killed:
