--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -5,7 +5,7 @@
     hawthornmount_demo::deployment::Deployment,
     hawthornmount_entry::Instance,
     hawthornmount_http::{Body, Method, Request, client::Client},
-    hawthornmount_standin::service::Faults,
+    hawthornmount_standin::{engine::Behaviour, service::Faults},
     http_body_util::BodyExt,
     rstest::rstest,
     std::{
@@ -20,6 +20,10 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time-out of a wait for an asynchronous event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which an instance without requests stops.
+const STOP_TIME: Duration = Duration::from_secs(2);
+/// Tokens of an answer that the buffers of its connection can't hold.
+const LARGE_ANSWER_TOKENS: u64 = 1_000_000;
 
 /// Status, problem fields and body of a response.
 #[derive(Debug)]
@@ -276,3 +280,28 @@
     let repeated = call(deployment.callers()[2], submission("k", "{}")).await;
     assert_eq!((repeated.status, deployment.service.runs().len()), (200, 1));
 }
+
+/// Guards against a graceful stop that cuts an answer which was handed to the connection but not
+/// yet written to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_waits_until_answers_are_written() {
+    let mut deployment = Deployment::start().await.expect("the demo starts");
+    for named in &deployment.engines {
+        let immediate = Behaviour {
+            quality: 1.0,
+            error_rate: 0.0,
+            first_token: Duration::ZERO,
+            per_token: Duration::ZERO,
+        };
+        named.engine.set_behaviour("draft-large", "v1", immediate);
+    }
+    let client = Client::new();
+    let answer = client.send(deployment.callers()[0], completion(LARGE_ANSWER_TOKENS, false)).await;
+    let answer = answer.expect("a response arrives");
+    assert_eq!(answer.status(), 200);
+    let stop = tokio::spawn(deployment.instances.remove(0).stop());
+    tokio::time::sleep(STOP_TIME).await;
+    let body = answer.into_body().collect().await.expect("the answer is complete").to_bytes();
+    assert!(body.ends_with(b"}"), "the answer is truncated");
+    assert_eq!(stop.await.expect("the task ends").interrupted, 0);
+}
