Peers keep the copies of a batch that is still being copied

Cause: while the store is out of reach, batches wait at their origin and peers keep copies. When the last waiting batch was written, the origin told the peers to drop the copies of all batches with a number below the next one to take. A batch that was being copied at that moment has such a number, is not among the waiting ones yet and is not durable: the peers dropped its copies. If its origin was killed before its own write, the records were lost, although their answers had been sent.

Evidence: found by reading; the new test makes this sequence with a fleet whose requests take time. It failed before: one of two records was counted.

Change: the origin releases only the batches before the one in progress.

--- a/crates/hawthornmount-ledger/src/billing/mod.rs
+++ b/crates/hawthornmount-ledger/src/billing/mod.rs
@@ -82,6 +82,8 @@
     recent_requests: VecDeque<RequestId>,
     /// Number of the next batch.
     next: u64,
+    /// Number of the batch that is being written or copied.
+    in_progress: Option<u64>,
     /// Whether a task runs [`Billing::write_queue`].
     writer_running: bool,
     /// Whether a task runs [`Billing::retry_waiting`].
@@ -221,6 +223,7 @@
             tokio::time::sleep(pause).await;
             let pending = self.take_batch();
             let result = self.persist(&pending.batch).await;
+            self.state.lock().in_progress = None;
             for sender in pending.senders {
                 drop(sender.send(result.clone()));
             }
@@ -252,6 +255,7 @@
         let items: Vec<Item> = state.queue.drain(..count).collect();
         let (records, senders) = items.into_iter().map(|item| (item.usage, item.sender)).unzip();
         let batch = Batch { origin: self.origin.clone(), number: state.next, records };
+        state.in_progress = Some(state.next);
         state.next += 1;
         PendingBatch { batch, senders }
     }
@@ -310,7 +314,8 @@
                     continue;
                 }
                 state.retry_running = false;
-                state.next
+                // Peers may already hold copies of the batch in progress, which is not durable.
+                state.in_progress.unwrap_or(state.next)
             };
             self.release_copies(next).await;
             return;
@@ -391,6 +396,7 @@
             waiting: VecDeque::new(),
             recent_requests: VecDeque::new(),
             next: 0,
+            in_progress: None,
             writer_running: false,
             retry_running: false,
         }
--- a/crates/hawthornmount-ledger/src/billing/tests.rs
+++ b/crates/hawthornmount-ledger/src/billing/tests.rs
@@ -104,6 +104,25 @@
     assert_eq!(rig.requests().await, 1);
 }
 
+/// Guards against a lost bill: peers dropped the copies of a batch that was still being copied when
+/// the batches before it became durable.
+#[tokio::test(start_paused = true)]
+async fn peers_keep_a_batch_that_is_copied_while_earlier_ones_are_written() {
+    let rig = rig(100);
+    // Longer than a write, and the copies of a batch take longer than the interval of the retries.
+    rig.mesh.set_delay(RETRY_INTERVAL * 3 / 5);
+    rig.set_down(true);
+    rig.billings[0].record(usage("a", "oikos")).await.expect("copied");
+    tokio::time::sleep(RETRY_INTERVAL * 3 / 5).await;
+    rig.set_down(false);
+    rig.billings[0].record(usage("b", "oikos")).await.expect("copied");
+    tokio::time::sleep(RETRY_INTERVAL / 2).await;
+    rig.mesh.cut("attica-1", true);
+    rig.stores[0].faults.down.store(true, Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(rig.requests().await, 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn full_backlog_refuses_records() {
     let rig = rig(10);
--- a/crates/hawthornmount-ledger/src/fakes/mod.rs
+++ b/crates/hawthornmount-ledger/src/fakes/mod.rs
@@ -134,6 +134,7 @@
 pub struct Mesh {
     members: Mutex<Vec<Member>>,
     nodes: Mutex<Vec<Node>>,
+    delay: Mutex<Duration>,
 }
 
 /// Member of a [`Mesh`].
@@ -162,6 +163,11 @@
         nodes.iter_mut().filter(|node| *node.id == *id).for_each(|node| node.cut = cut);
     }
 
+    /// Sets the time until a request reaches its peer.
+    pub fn set_delay(&self, delay: Duration) {
+        *self.delay.lock() = delay;
+    }
+
     fn responder(&self, from: &str, peer: &str, topic: Topic) -> Option<Arc<dyn Responder>> {
         let nodes = self.nodes.lock();
         if nodes.iter().any(|node| *node.id == *from && node.cut) {
@@ -193,6 +199,8 @@
         topic: Topic,
         payload: Bytes,
     ) -> std::result::Result<Bytes, FleetError> {
+        let delay = *self.mesh.delay.lock();
+        tokio::time::sleep(delay).await;
         let responder = self
             .mesh
             .responder(&self.id, peer, topic)
