--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -1,9 +1,11 @@
 //! Submissions run at most once; caller disconnects, leaving servers and stopping instances.
 
 use {
+    crate::captured_log,
     hawthornmount_demo::deployment::Deployment,
+    hawthornmount_entry::Instance,
     hawthornmount_http::{Body, Method, Request, client::Client},
-    hawthornmount_standin::service::Faults,
+    hawthornmount_standin::{engine::Behaviour, service::Faults},
     http_body_util::BodyExt,
     rstest::rstest,
     std::{
@@ -18,13 +20,18 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time-out of a wait for an asynchronous event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which an instance without requests stops.
+const STOP_TIME: Duration = Duration::from_secs(2);
+/// Tokens of an answer that the buffers of its connection can't hold.
+const LARGE_ANSWER_TOKENS: u64 = 1_000_000;
 
-/// Status and problem fields of a response.
+/// Status, problem fields and body of a response.
 #[derive(Debug)]
 struct CallResult {
     status: u16,
     reason: String,
     ran: String,
+    body: serde_json::Value,
 }
 
 fn submission(key: &str, body: &'static str) -> Request {
@@ -57,7 +64,16 @@
     let response = Client::new().call(address, request, TIMEOUT).await.expect("a response arrives");
     let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
     let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
-    CallResult { status: response.status.as_u16(), reason: text("reason"), ran: text("ran") }
+    let (reason, ran) = (text("reason"), text("ran"));
+    CallResult { status: response.status.as_u16(), reason, ran, body }
+}
+
+/// Returns the body of a problem and the instance's trace of the request.
+fn describe(deployment: &Deployment, result: &CallResult) -> String {
+    let id = result.body["request_id"].as_str().unwrap_or_default();
+    let find = |instance: &Instance| instance.components().journal.find(id);
+    let trace = deployment.instances.iter().find_map(find);
+    format!("{:#}\n{trace:#?}", result.body)
 }
 
 /// Polls `condition` until it is true and fails after [`EVENT_TIMEOUT`].
@@ -114,6 +130,7 @@
 })]
 #[tokio::test(flavor = "multi_thread")]
 async fn submission_with_one_key_runs_at_most_once(#[case] case: Case) {
+    captured_log::start();
     let deployment = Deployment::start().await.expect("the demo starts");
     deployment.service.set_faults(case.faults, 1);
     let first = call(deployment.callers()[0], submission("k", "{}")).await;
@@ -123,7 +140,23 @@
     assert_eq!((second.status, &*second.reason, &*second.ran), case.second);
     let other = call(deployment.callers()[1], submission("k", "{\"other\":1}")).await;
     assert_eq!((other.status, &*other.ran), (422, "no"));
-    assert_eq!(deployment.service.runs().len(), case.runs);
+    let runs = deployment.service.runs();
+    assert_eq!(runs.len(), case.runs, "{runs:#?}");
+}
+
+/// Guards against counting a call of another program, at an address that was in use before, as a run
+/// of a submission.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_without_a_request_id_is_not_run_by_the_service() {
+    let deployment = Deployment::start().await.expect("the demo starts");
+    let request = http::Request::builder()
+        .uri("/instances?of=another-program")
+        .body(Body::empty())
+        .expect("the request is valid");
+    let result = call(deployment.service.address(), request).await;
+    assert_eq!(result.status, 400);
+    let runs = deployment.service.runs();
+    assert!(runs.is_empty(), "{runs:#?}");
 }
 
 /// Guards against running a submission again after the instance that claimed its key was killed:
@@ -186,7 +219,10 @@
 #[case::reported_by_the_instance_list(true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_server_gets_no_new_requests(#[case] listed: bool) {
+    captured_log::start();
     let deployment = Deployment::start().await.expect("the demo starts");
+    // A request whose servers fail gets 502 once the retry budget is used up.
+    deployment.set_error_rate(0.0);
     let leaving_server = &deployment.engines[0];
     if listed {
         let leaving = hawthornmount_standin::list::Listed {
@@ -201,11 +237,27 @@
         leaving_server.engine.set_leaving(true);
     }
     tokio::time::sleep(LEAVE_TIMEOUT).await;
-    let before = leaving_server.engine.runs().len();
+    let received = || (leaving_server.engine.runs().len(), leaving_server.engine.refused());
+    let before = received();
     for address in deployment.callers().into_iter().cycle().take(24) {
-        assert_eq!(call(address, completion(2, false)).await.status, 200);
+        let result = call(address, completion(2, false)).await;
+        assert_eq!(result.status, 200, "{}", describe(&deployment, &result));
     }
-    assert_eq!(leaving_server.engine.runs().len(), before);
+    assert_eq!(received(), before);
+}
+
+/// Guards against retries beyond the budget: an instance without successes has one retry, although
+/// more attempts and servers are left.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_completion_is_not_retried_once_the_retry_budget_is_used_up() {
+    let deployment = Deployment::start().await.expect("the demo starts");
+    deployment.set_error_rate(1.0);
+    let result = call(deployment.callers()[0], completion(2, false)).await;
+    let described = describe(&deployment, &result);
+    let expected = (502, "server_failed", "unknown");
+    assert_eq!((result.status, &*result.reason, &*result.ran), expected, "{described}");
+    let retries = &deployment.instances[0].components().metrics.retries;
+    assert_eq!(retries.with_label_values(&["server_error"]).get(), 1, "{described}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -228,3 +280,28 @@
     let repeated = call(deployment.callers()[2], submission("k", "{}")).await;
     assert_eq!((repeated.status, deployment.service.runs().len()), (200, 1));
 }
+
+/// Guards against a graceful stop that cuts an answer which was handed to the connection but not
+/// yet written to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_waits_until_answers_are_written() {
+    let mut deployment = Deployment::start().await.expect("the demo starts");
+    for named in &deployment.engines {
+        let immediate = Behaviour {
+            quality: 1.0,
+            error_rate: 0.0,
+            first_token: Duration::ZERO,
+            per_token: Duration::ZERO,
+        };
+        named.engine.set_behaviour("draft-large", "v1", immediate);
+    }
+    let client = Client::new();
+    let answer = client.send(deployment.callers()[0], completion(LARGE_ANSWER_TOKENS, false)).await;
+    let answer = answer.expect("a response arrives");
+    assert_eq!(answer.status(), 200);
+    let stop = tokio::spawn(deployment.instances.remove(0).stop());
+    tokio::time::sleep(STOP_TIME).await;
+    let body = answer.into_body().collect().await.expect("the answer is complete").to_bytes();
+    assert!(body.ends_with(b"}"), "the answer is truncated");
+    assert_eq!(stop.await.expect("the task ends").interrupted, 0);
+}
