Bound the time and the bytes of a refusal's body

A caller got 504 "may have run" at its deadline, or 502, although the server had stated that it did not run the request: the head of the refusal was followed by a body without end, and the gateway read it to its end, up to 4 MB and without a time limit, to reuse the connection. The attempt was still pending when the deadline passed.

The attempt is no longer pending once the head states that the request was not run. At most 64 KiB are read for at most 100 ms; if the body has not ended by then, the connection is closed, the failure is logged with the limit, the server gets nothing for the time after a failure, and another server is tried.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -12,7 +12,7 @@
     hawthornmount_core::{config::Kind, id::ServerId, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
     http::{HeaderMap, StatusCode},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::body::Incoming,
     parking_lot::Mutex,
     std::{
@@ -26,6 +26,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest response that is buffered completely, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of a refusal that is read to reuse its connection, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Time in which the body of a refusal has to end for its connection to be reused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Outcome of an attempt.
 pub enum Outcome {
@@ -283,7 +287,8 @@
                 if parts.status == StatusCode::MISDIRECTED_REQUEST {
                     self.loads.lock().stats(&server.id).record_failure(now);
                 }
-                self.drain(upstream).await;
+                progress.is_pending = false;
+                self.drain(job, upstream).await;
                 Outcome::Refused
             }
             Class::Failure => {
@@ -296,7 +301,7 @@
                 let body = if is_stream {
                     Body::Streaming(upstream)
                 } else {
-                    match self.read_body(upstream).await {
+                    match self.read_body(upstream, MAX_BODY_BYTES).await {
                         Ok(bytes) => Body::Complete(bytes),
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
@@ -345,7 +350,7 @@
             server.version,
             format_load(upstream.head.load)
         );
-        match self.read_body(upstream).await {
+        match self.read_body(upstream, MAX_BODY_BYTES).await {
             Ok(bytes) => {
                 let mut response = http::Response::new(full_body(bytes));
                 *response.status_mut() = status;
@@ -359,23 +364,32 @@
         }
     }
 
-    /// Reads a body to its end and returns its connection to the pool.
-    async fn read_body(&self, mut upstream: Upstream) -> Result<Bytes, String> {
-        let collected = Limited::new(&mut upstream.body, MAX_BODY_BYTES).collect().await;
-        match collected {
+    /// Reads a body of at most `limit` bytes to its end and returns its connection to the pool.
+    async fn read_body(&self, mut upstream: Upstream, limit: usize) -> Result<Bytes, String> {
+        match Limited::new(&mut upstream.body, limit).collect().await {
             Ok(collected) => {
                 upstream.finish(self);
                 Ok(collected.to_bytes())
             }
+            Err(error) if error.is::<LengthLimitError>() => {
+                Err(format!("the body is longer than {limit} bytes"))
+            }
             Err(error) => Err(error.to_string()),
         }
     }
 
     /// Reads the body of a refusal, so that its connection can be reused.
-    async fn drain(&self, upstream: Upstream) {
-        if let Err(cause) = self.read_body(upstream).await {
-            log::debug!("body of a refusal can't be read to its end; cause={cause}");
-        }
+    async fn drain(&self, job: &Job, upstream: Upstream) {
+        let server = upstream.server.clone();
+        let read = self.read_body(upstream, MAX_REFUSAL_BYTES);
+        let cause = match tokio::time::timeout(REFUSAL_TIMEOUT, read).await {
+            Ok(Ok(_unused)) => return,
+            Ok(Err(cause)) => cause,
+            Err(_elapsed) => {
+                format!("the body of a refusal took over {} ms", REFUSAL_TIMEOUT.as_millis())
+            }
+        };
+        self.record_failure(job, &server, &cause);
     }
 
     /// Returns a connection to the pool, unless the server closes it.
