Measure the silence of a stream from its last whole event

A caller of a stream that may be resumed waited without end: its server went on to send a few bytes of an event that never ended, and each piece that arrived started the time for an unresponsive server again.

The time now runs from the moment at which the relay begins to wait for an event, and a new server gets the whole of it. Time in which the caller takes no events doesn't count. The slow cases of an endless event, body and chunks in tests/suite/flood/stream.rs hung for the 20 s of the test's client before; they pass, and the stream goes on at the other server within 1.2 s.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -20,6 +20,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::time::timeout_at,
 };
 
 /// Longest gap between two events if the route configures none.
@@ -48,6 +49,8 @@
     gap_measurement: Option<(Instant, u32)>,
     /// Time at which events last arrived, from any server.
     last_event: Instant,
+    /// Time since which the relay waits for a complete event of the current server.
+    silent_since: Instant,
 }
 
 /// Result of reading from the current server.
@@ -80,6 +83,7 @@
             relayed: 0,
             gap_measurement: None,
             last_event: Instant::now(),
+            silent_since: Instant::now(),
         }
     }
 
@@ -98,6 +102,8 @@
 
     /// Returns the next events for the caller, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
+        // Time in which the caller took no events is not the server's.
+        self.silent_since = Instant::now();
         loop {
             match self.step().await {
                 Step::Events(bytes) => {
@@ -127,8 +133,10 @@
     async fn step(&mut self) -> Step {
         let timeout = self.silence_timeout();
         let Some(upstream) = &mut self.upstream else { return Step::Broken(Retry::CutAnswer) };
-        let frame = match timeout {
-            Some(timeout) => match tokio::time::timeout(timeout, upstream.body.frame()).await {
+        let frame = match timeout.map(|timeout| self.silent_since + timeout) {
+            // Bytes that complete no event don't extend the time.
+            Some(end) if Instant::now() >= end => return Step::Broken(Retry::ServerTimeout),
+            Some(end) => match timeout_at(end.into(), upstream.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_elapsed) => return Step::Broken(Retry::ServerTimeout),
             },
@@ -232,7 +240,7 @@
             };
             let (job, after) = (self.job.clone(), self.splitter.last_id());
             let attempt = self.forwarder.attempt(&job, &server, &mut self.progress, after);
-            let outcome = match tokio::time::timeout_at(job.deadline().into(), attempt).await {
+            let outcome = match timeout_at(job.deadline().into(), attempt).await {
                 Ok(outcome) => outcome,
                 Err(_elapsed) => return false,
             };
@@ -241,6 +249,7 @@
                 Outcome::Success(success) => match success.body {
                     Body::Streaming(upstream) => {
                         self.upstream = Some(upstream);
+                        self.silent_since = Instant::now();
                         return true;
                     }
                     Body::Complete(_) => return false,
