End a stream at the deadline of its request

A stream that its server continued for ever was relayed for ever: the deadline of the caller and the timeout of the route bounded only the time until the head. The same held for an event that never ends on a route whose streams can't be resumed, where no time for silence applies. Each held its connections, one request in flight and a place at the server until the caller left.

The relay now ends the answer at the deadline, without the end of its body, so that it doesn't look complete, and closes the connection to the server, which stops work at the same time by the time left that it was sent. The line `stream ended at its deadline` says how many events there were; a server that was still sending events is not recorded as failed. A sound endless stream of events is thus relayed whole until the deadline.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -63,6 +63,8 @@
     End,
     /// The stream was interrupted.
     Broken(Retry),
+    /// The deadline of the request has passed.
+    Expired,
 }
 
 impl Relay {
@@ -119,6 +121,11 @@
                     }
                     return None;
                 }
+                Step::Expired => {
+                    self.log_expired();
+                    self.upstream = None;
+                    return Some(Err(Truncated));
+                }
                 Step::Broken(cause) => {
                     self.abandon_server(cause);
                     if !self.resume().await {
@@ -133,14 +140,21 @@
     async fn step(&mut self) -> Step {
         let timeout = self.silence_timeout();
         let Some(upstream) = &mut self.upstream else { return Step::Broken(Retry::CutAnswer) };
-        let frame = match timeout.map(|timeout| self.silent_since + timeout) {
-            // Bytes that complete no event don't extend the time.
-            Some(end) if Instant::now() >= end => return Step::Broken(Retry::ServerTimeout),
-            Some(end) => match timeout_at(end.into(), upstream.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_elapsed) => return Step::Broken(Retry::ServerTimeout),
-            },
-            None => upstream.body.frame().await,
+        let deadline = self.job.deadline();
+        let silence_end = timeout.map(|timeout| self.silent_since + timeout);
+        let end = silence_end.map_or(deadline, |end| end.min(deadline));
+        // Bytes that complete no event don't extend the time.
+        let frame = if Instant::now() < end {
+            timeout_at(end.into(), upstream.body.frame()).await.ok()
+        } else {
+            None
+        };
+        let Some(frame) = frame else {
+            return if end == deadline {
+                Step::Expired
+            } else {
+                Step::Broken(Retry::ServerTimeout)
+            };
         };
         match frame {
             None if self.splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
@@ -157,6 +171,20 @@
         }
     }
 
+    /// Logs that the stream is ended at the deadline of the request.
+    fn log_expired(&self) {
+        let Some(upstream) = &self.upstream else { return };
+        log::info!(
+            "stream ended at its deadline; id={} route={} server={} version={} events={} silent_ms={}",
+            self.job.id,
+            self.job.route.id,
+            upstream.server.id,
+            upstream.server.version,
+            self.relayed,
+            self.silent_since.elapsed().as_millis(),
+        );
+    }
+
     /// Logs a gap between events that is longer than the route allows.
     fn log_long_gap(&mut self) {
         let gap = std::mem::replace(&mut self.last_event, Instant::now()).elapsed();
