Bound the bytes that are read from a server

Interim responses without end, or a chunk size with digits without end, were read until the attempt or the request timed out, by all of an instance's clients. hyper takes them in long turns that hold up everything else on the thread: in a debug build readiness came after 43 to 73 s beside four such servers, and answers up to 13 s after the deadline.

A connection now meters what it reads.

`server failed` names the limit; for streams the new line `stream broke` does. Messages of errors now include those of their sources, of which the first, "error reading a body from connection", said nothing.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -7,12 +7,14 @@
         load::{Load, Tracker},
         message::{EventId, ForwardHead, ResponseHead},
         registry::Server,
+        sse::MAX_EVENT_BYTES,
     },
     bytes::Bytes,
     hawthornmount_core::{config::Kind, id::ServerId, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
     http::{HeaderMap, StatusCode},
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body::Frame,
+    http_body_util::Full,
     hyper::body::Incoming,
     parking_lot::Mutex,
     std::{
@@ -92,8 +94,7 @@
 
 /// A body that is still arriving, with its connection; dropping it closes the connection.
 pub struct Upstream {
-    /// Rest of the body.
-    pub body: Incoming,
+    body: Incoming,
     /// Server that sends the body.
     pub server: Arc<Server>,
     connection: Connection,
@@ -163,6 +164,16 @@
 }
 
 impl Upstream {
+    /// Reads the next piece of the body.
+    pub async fn frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        self.connection.read_frame(&mut self.body).await
+    }
+
+    /// Allows the server to send another event.
+    pub fn allow_event(&self) {
+        self.connection.allow(MAX_EVENT_BYTES);
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub fn finish(self, forwarder: &Forwarder) {
         forwarder.return_connection(&self.server, self.connection, &self.head);
@@ -299,6 +310,7 @@
                 let is_stream = job.route.config.kind == Kind::Stream;
                 let head = upstream.head.clone();
                 let body = if is_stream {
+                    upstream.allow_event();
                     Body::Streaming(upstream)
                 } else {
                     match self.read_body(upstream, MAX_BODY_BYTES).await {
@@ -366,16 +378,10 @@
 
     /// Reads a body of at most `limit` bytes to its end and returns its connection to the pool.
     async fn read_body(&self, mut upstream: Upstream, limit: usize) -> Result<Bytes, String> {
-        match Limited::new(&mut upstream.body, limit).collect().await {
-            Ok(collected) => {
-                upstream.finish(self);
-                Ok(collected.to_bytes())
-            }
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(format!("the body is longer than {limit} bytes"))
-            }
-            Err(error) => Err(error.to_string()),
-        }
+        let read = upstream.connection.read_body(&mut upstream.body, limit).await;
+        let bytes = read.map_err(|failure| failure.to_string())?;
+        upstream.finish(self);
+        Ok(bytes)
     }
 
     /// Reads the body of a refusal, so that its connection can be reused.
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -14,6 +14,7 @@
     bytes::Bytes,
     futures::stream,
     hawthornmount_core::reason::Retry,
+    hawthornmount_http::connection,
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
@@ -145,7 +146,7 @@
         let end = silence_end.map_or(deadline, |end| end.min(deadline));
         // Bytes that complete no event don't extend the time.
         let frame = if Instant::now() < end {
-            timeout_at(end.into(), upstream.body.frame()).await.ok()
+            timeout_at(end.into(), upstream.frame()).await.ok()
         } else {
             None
         };
@@ -159,13 +160,16 @@
         match frame {
             None if self.splitter.has_partial_event() => Step::Broken(Retry::CutAnswer),
             None => Step::End,
-            Some(Err(_)) => Step::Broken(Retry::CutAnswer),
+            Some(Err(error)) => self.broken(&connection::describe(&error)),
             Some(Ok(frame)) => match frame.into_data() {
                 Err(_trailers) => Step::Incomplete,
                 Ok(bytes) => match self.splitter.push(&bytes) {
                     Ok(events) if events.count == 0 => Step::Incomplete,
-                    Ok(events) => Step::Events(events.bytes),
-                    Err(_fault) => Step::Broken(Retry::CutAnswer),
+                    Ok(events) => {
+                        upstream.allow_event();
+                        Step::Events(events.bytes)
+                    }
+                    Err(fault) => self.broken(&fault.to_string()),
                 },
             },
         }
@@ -185,6 +189,13 @@
         );
     }
 
+    /// Logs why the stream of the current server can't be relayed any further.
+    fn broken(&self, cause: &str) -> Step {
+        let server = self.upstream.as_ref().map_or("none", |upstream| &*upstream.server.id);
+        log::info!("stream broke; id={} server={server} cause={cause}", self.job.id);
+        Step::Broken(Retry::CutAnswer)
+    }
+
     /// Logs a gap between events that is longer than the route allows.
     fn log_long_gap(&mut self) {
         let gap = std::mem::replace(&mut self.last_event, Instant::now()).elapsed();
--- a/crates/hawthornmount-gateway/src/relay/client.rs
+++ b/crates/hawthornmount-gateway/src/relay/client.rs
@@ -13,7 +13,7 @@
     hawthornmount_fleet::wire::{Keyring, Reject},
     hawthornmount_http::connection::{Connection, Failure},
     http::{Method, StatusCode, header},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
 };
@@ -29,9 +29,6 @@
     /// The connection failed.
     #[display("{_0}")]
     Connection(Failure),
-    /// The response is incomplete.
-    #[display("the response is incomplete; cause={_0}")]
-    Incomplete(#[error(not(source))] Arc<str>),
     /// The response did not arrive in time.
     #[display("no response in time")]
     Timeout,
@@ -98,12 +95,12 @@
         let (from, to) = (self.instance.clone(), peer.id.clone());
         let request = Request { nonce: rand::random(), from, to, query };
         let frame: Bytes = keyring.seal(&request).into();
-        let (connection, response) = self.post(peer, frame).await?;
+        let (connection, mut response) = self.post(peer, frame).await?;
         if response.status() != StatusCode::OK {
             return Err(Failed::Rejected(response.status()));
         }
-        let body = Limited::new(response.into_body(), MAX_FRAME_BYTES).collect().await;
-        let body = body.map_err(|error| Failed::Incomplete(error.to_string().into()))?.to_bytes();
+        let body = connection.read_body(response.body_mut(), MAX_FRAME_BYTES).await;
+        let body = body.map_err(Failed::Connection)?;
         let response: Response = keyring.open(&body, MAX_FRAME_BYTES).map_err(Failed::Frame)?;
         if response.nonce != request.nonce {
             return Err(Failed::Crossed);
--- a/crates/hawthornmount-gateway/src/sse/mod.rs
+++ b/crates/hawthornmount-gateway/src/sse/mod.rs
@@ -4,17 +4,20 @@
 use {
     crate::message::EventId,
     bytes::{Bytes, BytesMut},
+    derive_more::Display,
 };
 
 /// Size up to which an incomplete event is buffered, in bytes; no server sends a longer event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Why a stream can't be relayed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Fault {
     /// An event exceeds the size limit.
+    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
     /// The id of an event is not the successor of the last one.
+    #[display("events are missing")]
     MissingEvents,
 }
 
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -3,16 +3,26 @@
 //! The owner of a connection decides whether to reuse it. Dropping it closes it at once, which also
 //! makes the server abandon the request in progress.
 
+mod meter;
+
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
-    http_body_util::Full,
+    http_body::Frame,
+    http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
+    meter::{Allowance, MAX_PIECE_BYTES, Meter},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
+/// Largest head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest number of bytes that frame a body or an event: sizes and extensions of chunks, and
+/// trailers.
+const MAX_FRAMING_BYTES: usize = 1 << 20;
+
 /// Response whose body has not been read yet.
 pub type Response = http::Response<Incoming>;
 
@@ -41,6 +51,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Task that runs the connection's protocol.
     driver: AbortHandle,
+    allowance: Allowance,
 }
 
 impl Connection {
@@ -60,8 +71,12 @@
                 "can't set TCP_NODELAY, writes may be delayed; address={address} cause={error}"
             );
         }
+        let allowance = Allowance::default();
+        let meter = Meter::new(stream, allowance.clone());
+        allowance.set(MAX_PIECE_BYTES);
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(meter))
             .await
             .map_err(|error| Failure::unsent(&error))?;
         let driver = tokio::spawn(async move {
@@ -70,10 +85,12 @@
             }
         });
         let driver = driver.abort_handle();
-        Ok(Self { sender, driver })
+        Ok(Self { sender, driver, allowance })
     }
 
-    /// Sends a request and returns the response once its head has arrived.
+    /// Sends a request and returns the response once its head has arrived. The body is read
+    /// with [`Connection::read_body`], or with [`Connection::read_frame`] after
+    /// [`Connection::allow`].
     ///
     /// # Errors
     ///
@@ -82,12 +99,47 @@
         if let Err(error) = self.sender.ready().await {
             return Err(Failure::unsent(&error));
         }
+        self.allowance.set(MAX_PIECE_BYTES);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             // hyper returns the request if it failed before it began to write it.
             Err(error) if error.message().is_some() => Err(Failure::unsent(error.error())),
-            Err(error) => Err(Failure::Broken { cause: error.error().to_string().into() }),
+            Err(error) => Err(Failure::broken(error.error())),
+        }
+    }
+
+    /// Reads a body of at most `limit` bytes to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Broken`] if the body does not end, or the server sends bytes that add
+    /// nothing to it.
+    pub async fn read_body(&self, body: &mut Incoming, limit: usize) -> Result<Bytes, Failure> {
+        self.allow(limit);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = self.read_frame(body).await {
+            let frame = frame.map_err(|error| Failure::broken(&error))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if bytes.len() + data.len() > limit {
+                let cause = format!("the body is longer than {limit} bytes");
+                return Err(Failure::Broken { cause: cause.into() });
+            }
+            bytes.extend_from_slice(&data);
         }
+        Ok(bytes.freeze())
+    }
+
+    /// Reads the next piece of a body.
+    pub async fn read_frame(&self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
+        let frame = body.frame().await;
+        self.allowance.set_piece();
+        frame
+    }
+
+    /// Allows the server to send another `bytes` bytes and their framing from now on. When it has
+    /// sent them, reading fails and the connection is closed.
+    pub fn allow(&self, bytes: usize) {
+        self.allowance.set(bytes + MAX_FRAMING_BYTES);
     }
 
     /// Returns whether the connection is open, can take a request and has received no unsolicited
@@ -109,7 +161,22 @@
         matches!(self, Self::Unsent { .. })
     }
 
+    fn broken(error: &dyn std::error::Error) -> Self {
+        Self::Broken { cause: describe(error).into() }
+    }
+
     fn unsent(error: &dyn std::error::Error) -> Self {
-        Self::Unsent { cause: error.to_string().into() }
+        Self::Unsent { cause: describe(error).into() }
+    }
+}
+
+/// Returns the messages of an error and of its sources.
+pub fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(error) = source {
+        text.push_str(&format!(": {error}"));
+        source = error.source();
     }
+    text
 }
