Bound the time in which another instance sends a frame

A connection to the address `peers` that sent the head of a request, and then a byte at a time, was kept until 4 MB had arrived, or for ever if the bytes were the digits of a chunk size. The frame now has to arrive within 5 s of its head, which has as long; the answer is 408 and the connection is closed.

--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -19,8 +19,8 @@
     tokio::net::TcpListener,
 };
 
-/// Time in which the head of a request has to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which the head of a request has to arrive, and then its frame.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for which a request waits for something newer.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -35,7 +35,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(READ_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -72,7 +72,10 @@
 type Rejection = (StatusCode, Arc<str>);
 
 async fn read_frame(request: http::Request<Incoming>) -> Result<Bytes, Rejection> {
-    let body = Limited::new(request.into_body(), MAX_FRAME_BYTES).collect().await;
+    let read = Limited::new(request.into_body(), MAX_FRAME_BYTES).collect();
+    let Ok(body) = tokio::time::timeout(READ_TIMEOUT, read).await else {
+        return Err((StatusCode::REQUEST_TIMEOUT, "the frame did not arrive in time".into()));
+    };
     let body = body.map_err(|error| (StatusCode::BAD_REQUEST, error.to_string().into()))?;
     Ok(body.to_bytes())
 }
