Merge bounds on servers that send bytes without end

Joined with the handover: a stream whose server is silent or sends bytes that complete no event moves to another server as before, and ends at the deadline of its request.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -9,12 +9,14 @@
         message::{EventId, ForwardHead, ResponseHead},
         quarantine::start::Start,
         registry::Server,
+        sse::MAX_EVENT_BYTES,
     },
     bytes::Bytes,
     hawthornmount_core::{config::Kind, id::ServerId, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
     http::{HeaderMap, StatusCode, header},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body::Frame,
+    http_body_util::Full,
     hyper::body::Incoming,
     parking_lot::Mutex,
     std::{
@@ -28,6 +30,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest response that is buffered completely, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of a refusal that is read to reuse its connection, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Time in which the body of a refusal has to end for its connection to be reused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// An attempt at one server.
 #[derive(Clone, Debug)]
@@ -119,8 +125,7 @@
 
 /// A body that is still arriving, with its connection; dropping it closes the connection.
 pub struct Upstream {
-    /// Rest of the body.
-    pub body: Incoming,
+    body: Incoming,
     /// Server that sends the body.
     pub server: Arc<Server>,
     /// Progress of the answer.
@@ -199,6 +204,16 @@
         !self.is_delimited && !self.start.has_pieces()
     }
 
+    /// Reads the next piece of the body.
+    pub async fn frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        self.connection.read_frame(&mut self.body).await
+    }
+
+    /// Allows the server to send another event.
+    pub fn allow_event(&self) {
+        self.connection.allow(MAX_EVENT_BYTES);
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub fn finish(self, forwarder: &Forwarder) {
         forwarder.return_connection(&self.server, self.connection, &self.head);
@@ -327,7 +342,8 @@
                 if parts.status == StatusCode::MISDIRECTED_REQUEST {
                     self.loads.lock().stats(&server.id).record_failure(now);
                 }
-                self.drain(upstream).await;
+                attempt.marker.clear();
+                self.drain(job, upstream).await;
                 Outcome::Refused
             }
             Class::Failure => {
@@ -338,9 +354,10 @@
                 let is_stream = job.route.config.kind == Kind::Stream;
                 let head = upstream.head.clone();
                 let body = if is_stream {
+                    upstream.allow_event();
                     Body::Streaming(upstream)
                 } else {
-                    match self.read_body(upstream).await {
+                    match self.read_body(upstream, MAX_BODY_BYTES).await {
                         Ok(bytes) => {
                             if is_delimited {
                                 self.record_proof(job);
@@ -394,7 +411,7 @@
             server.version,
             format_load(upstream.head.load)
         );
-        match self.read_body(upstream).await {
+        match self.read_body(upstream, MAX_BODY_BYTES).await {
             Ok(bytes) => {
                 let mut response = http::Response::new(full_body(bytes));
                 *response.status_mut() = status;
@@ -408,23 +425,26 @@
         }
     }
 
-    /// Reads a body to its end and returns its connection to the pool.
-    async fn read_body(&self, mut upstream: Upstream) -> Result<Bytes, String> {
-        let collected = Limited::new(&mut upstream.body, MAX_BODY_BYTES).collect().await;
-        match collected {
-            Ok(collected) => {
-                upstream.finish(self);
-                Ok(collected.to_bytes())
-            }
-            Err(error) => Err(error.to_string()),
-        }
+    /// Reads a body of at most `limit` bytes to its end and returns its connection to the pool.
+    async fn read_body(&self, mut upstream: Upstream, limit: usize) -> Result<Bytes, String> {
+        let read = upstream.connection.read_body(&mut upstream.body, limit).await;
+        let bytes = read.map_err(|failure| failure.to_string())?;
+        upstream.finish(self);
+        Ok(bytes)
     }
 
     /// Reads the body of a refusal, so that its connection can be reused.
-    async fn drain(&self, upstream: Upstream) {
-        if let Err(cause) = self.read_body(upstream).await {
-            log::debug!("body of a refusal can't be read to its end; cause={cause}");
-        }
+    async fn drain(&self, job: &Job, upstream: Upstream) {
+        let server = upstream.server.clone();
+        let read = self.read_body(upstream, MAX_REFUSAL_BYTES);
+        let cause = match tokio::time::timeout(REFUSAL_TIMEOUT, read).await {
+            Ok(Ok(_unused)) => return,
+            Ok(Err(cause)) => cause,
+            Err(_elapsed) => {
+                format!("the body of a refusal took over {} ms", REFUSAL_TIMEOUT.as_millis())
+            }
+        };
+        self.record_failure(job, &server, &cause);
     }
 
     /// Returns a connection to the pool, unless the server closes it.
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -15,6 +15,7 @@
     bytes::Bytes,
     futures::stream,
     hawthornmount_core::reason::{Refusal, Retry},
+    hawthornmount_http::connection,
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
@@ -22,6 +23,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::time::timeout_at,
 };
 
 /// Longest gap between two events if the route configures none.
@@ -54,6 +56,8 @@
     gap_measurement: Option<(Instant, u32)>,
     /// Time at which events last arrived, from any server.
     last_event: Instant,
+    /// Time since which the relay waits for a complete event of the current server.
+    silent_since: Instant,
 }
 
 /// Result of reading from the current server.
@@ -68,6 +72,8 @@
     Broken(Retry),
     /// The server has been silent for too long; the stream may go on.
     Silent,
+    /// The deadline of the request has passed.
+    Expired,
 }
 
 /// Result of the attempt to move a stream to another server.
@@ -103,6 +109,7 @@
             relayed: 0,
             gap_measurement: None,
             last_event: Instant::now(),
+            silent_since: Instant::now(),
         }
     }
 
@@ -121,14 +128,17 @@
 
     /// Returns the next events for the caller, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, Truncated>> {
+        // Time in which the caller took no events is not the server's.
+        self.silent_since = Instant::now();
         loop {
             let resumption = match self.step().await {
                 Step::Events(bytes) => Resumption::Events(bytes),
                 Step::Incomplete => Resumption::Resumed,
                 Step::End => Resumption::Ended,
-                Step::Silent if self.is_out_of_time() => {
-                    self.abandon_server(Retry::ServerTimeout);
-                    Resumption::Failed(Refusal::Deadline)
+                Step::Expired => {
+                    self.log_expired();
+                    self.drop_upstream();
+                    return Some(Err(Truncated));
                 }
                 Step::Silent => {
                     self.record_silence();
@@ -169,12 +179,34 @@
         }
     }
 
-    /// Reads the next piece of the stream from the current server.
+    /// Reads the next piece of the stream from the current server. Bytes that complete no event don't
+    /// extend the time for it.
     async fn step(&mut self) -> Step {
-        let timeout = self.silence_timeout();
+        let deadline = self.job.deadline();
+        let end = self.silence_timeout().map_or(deadline, |timeout| self.silent_since + timeout);
+        let end = end.min(deadline);
         let Some(upstream) = &mut self.upstream else { return Step::Broken(Retry::CutAnswer) };
-        let read = read(upstream, &mut self.splitter);
-        tokio::time::timeout(timeout, read).await.unwrap_or(Step::Silent)
+        if Instant::now() < end {
+            let read = read(&self.job, upstream, &mut self.splitter);
+            if let Ok(step) = timeout_at(end.into(), read).await {
+                return step;
+            }
+        }
+        if end == deadline { Step::Expired } else { Step::Silent }
+    }
+
+    /// Logs that the stream is ended at the deadline of the request.
+    fn log_expired(&self) {
+        let Some(upstream) = &self.upstream else { return };
+        log::info!(
+            "stream ended at its deadline; id={} route={} server={} version={} events={} silent_ms={}",
+            self.job.id,
+            self.job.route.id,
+            upstream.server.id,
+            upstream.server.version,
+            self.relayed,
+            self.silent_since.elapsed().as_millis(),
+        );
     }
 
     /// Logs a gap between events that is longer than the route allows.
@@ -235,29 +267,22 @@
     }
 
     /// Returns the time in which the next event has to arrive before the server counts as
-    /// unresponsive. A stream that can't be resumed is given that time and the rest of the time until
-    /// its deadline.
-    fn silence_timeout(&self) -> Duration {
+    /// unresponsive, or `None` if the stream can't be resumed at another server.
+    fn silence_timeout(&self) -> Option<Duration> {
         let route = &self.job.route.config;
-        let timeout = if self.relayed == 0 {
-            route.target_latency * UNRESPONSIVE_TARGETS
-        } else {
-            route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS
-        };
-        if route.resumable && self.progress.attempts < route.attempts {
-            return timeout;
+        if !route.resumable || self.progress.attempts >= route.attempts {
+            return None;
         }
-        timeout.max(self.job.deadline().saturating_duration_since(Instant::now()))
-    }
-
-    /// Returns whether the deadline of the request has passed.
-    fn is_out_of_time(&self) -> bool {
-        Instant::now() >= self.job.deadline()
+        if self.relayed == 0 {
+            return Some(route.target_latency * UNRESPONSIVE_TARGETS);
+        }
+        Some(route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS)
     }
 
     /// Records that the current server is silent, once until it goes on. It is kept until another
     /// one takes the stream.
     fn record_silence(&mut self) {
+        self.silent_since = Instant::now();
         if !std::mem::replace(&mut self.is_silent, true) {
             self.record_failure(Retry::ServerTimeout);
         }
@@ -317,18 +342,18 @@
         let marker = attempt.marker.clone();
         let outcome = {
             let sent = forwarder.attempt(&job, &mut attempt, after);
-            let mut sent = pin!(tokio::time::timeout_at(job.deadline().into(), sent));
+            let mut sent = pin!(timeout_at(job.deadline().into(), sent));
             let mut until = handover::end(&marker, Instant::now());
             loop {
                 let Some(upstream) = &mut self.upstream else { break sent.await };
                 let wait = until.unwrap_or_else(Instant::now);
                 tokio::select! {
                     outcome = &mut sent => break outcome,
-                    step = read(upstream, &mut self.splitter) => match step {
+                    step = read(&self.job, upstream, &mut self.splitter) => match step {
                         Step::Incomplete => {}
                         Step::Events(bytes) => return Some(Resumption::Events(bytes)),
                         Step::End => return Some(Resumption::Ended),
-                        Step::Broken(_) | Step::Silent => self.drop_upstream(),
+                        Step::Broken(_) | Step::Silent | Step::Expired => self.drop_upstream(),
                     },
                     () = tokio::time::sleep_until(wait.into()) => {
                         until = handover::end(&marker, Instant::now());
@@ -347,6 +372,7 @@
                     self.drop_upstream();
                     self.attempt = attempt;
                     self.upstream = Some(upstream);
+                    self.silent_since = Instant::now();
                     Some(Resumption::Resumed)
                 }
                 Body::Complete(_) => Some(Resumption::Failed(Refusal::Internal)),
@@ -365,20 +391,27 @@
     }
 }
 
-/// Reads the next piece of a stream.
-async fn read(upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
-    match upstream.body.frame().await {
+/// Reads the next piece of a stream, and logs why it can't be relayed any further.
+async fn read(job: &Job, upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
+    let broken = |server: &str, cause: &str| {
+        log::info!("stream broke; id={} server={server} cause={cause}", job.id);
+        Step::Broken(Retry::CutAnswer)
+    };
+    match upstream.frame().await {
         None if splitter.has_partial_event() || upstream.is_without_events() => {
             Step::Broken(Retry::CutAnswer)
         }
         None => Step::End,
-        Some(Err(_)) => Step::Broken(Retry::CutAnswer),
+        Some(Err(error)) => broken(&upstream.server.id, &connection::describe(&error)),
         Some(Ok(frame)) => match frame.into_data() {
             Err(_trailers) => Step::Incomplete,
             Ok(bytes) => match splitter.push(&bytes) {
                 Ok(events) if events.count == 0 => Step::Incomplete,
-                Ok(events) => Step::Events(events.bytes),
-                Err(_fault) => Step::Broken(Retry::CutAnswer),
+                Ok(events) => {
+                    upstream.allow_event();
+                    Step::Events(events.bytes)
+                }
+                Err(fault) => broken(&upstream.server.id, &fault.to_string()),
             },
         },
     }
