Blame bad parts that run beside each other, and clear sound ones later

Requests that run beside others explain the ends under fewer than six servers only; the same requests explain any number. An instance checks once a second whether its answers clear a part that others would blame, and reports them. The interval between reports grows to 1.2 s while servers end.

--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -45,9 +45,9 @@
 /// Time after the end of a quarantine in which one more end renews it.
 const PROBATION: Duration = Duration::from_secs(3_600);
 /// Number of own ends that are remembered and reported.
-const MAX_OWN_ENDS: usize = 32;
+const MAX_OWN_ENDS: usize = 64;
 /// Number of ends of all instances that are judged, the most recent ones.
-const MAX_JUDGED_ENDS: usize = 256;
+const MAX_JUDGED_ENDS: usize = 512;
 /// Number of reports of other instances that are remembered.
 const MAX_REPORTS: usize = 512;
 /// Number of parts of a prompt that are looked at.
@@ -56,8 +56,11 @@
 const MAX_REPORTED_PARTS: usize = 512;
 /// Number of parts whose proofs a report states.
 const MAX_REPORTED_PROOFS: usize = 64;
-/// Minimum interval between two reports, and after a report that the store did not confirm.
+/// Minimum interval between the first two reports. It grows by as much with each further report, up to
+/// [`MAX_REPORT_INTERVAL`], until no report was written for [`GATHERING_TIME`].
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Interval after a report that the store did not confirm.
 const FAILED_REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after a report in which a list of the store may still show the one before.
 const LIST_DELAY: Duration = Duration::from_secs(3);
@@ -132,6 +135,8 @@
     /// Whether the store showed another report than the one that was written last.
     is_lost: bool,
     next_report_at: Option<Instant>,
+    /// Interval after the last report.
+    interval: Duration,
 }
 
 impl Quarantine {
@@ -148,6 +153,7 @@
             is_report_due: false,
             is_lost: false,
             next_report_at: None,
+            interval: REPORT_INTERVAL,
         }
     }
 
@@ -266,7 +272,10 @@
         self.is_lost = false;
         let report = self.report(now);
         self.is_report_due = false;
-        self.next_report_at = Some(now + REPORT_INTERVAL);
+        let is_first = self.next_report_at.is_none_or(|at| now >= at + GATHERING_TIME);
+        let interval = if is_first { REPORT_INTERVAL } else { self.interval + REPORT_INTERVAL };
+        self.interval = interval.min(MAX_REPORT_INTERVAL);
+        self.next_report_at = Some(now + self.interval);
         if report.ends.is_empty() && self.written.as_ref().is_none_or(|last| last.ends.is_empty()) {
             return None;
         }
@@ -300,6 +309,9 @@
         for report in &mut self.reports {
             report.ends.retain(is_kept);
         }
+        // Answers that went on since the last ends may clear a part.
+        let is_contested = self.is_contested(&self.ends_in_force(now), now);
+        self.is_report_due |= is_contested;
         changes
     }
 
@@ -345,13 +357,10 @@
             proofs: self.proof_count(part, now),
             is_on_probation: self.row(part).is_some_and(|row| row.until <= now),
         };
-        let blamed = verdict::blame(&ends, record);
-        let parts: Vec<PartId> = blamed.iter().map(|blamed| blamed.part).collect();
+        let verdict::Verdict { blamed, acquitted } = verdict::judge(&ends, record);
         let is_cleared = |part: &PartId| {
             let (servers, proofs) = (verdict::servers(&ends, *part), self.proof_count(*part, now));
-            !parts.contains(part)
-                && (verdict::is_cleared(servers, proofs)
-                    || verdict::is_explained(&ends, *part, &parts))
+            acquitted.contains(part) || verdict::is_cleared(servers, proofs)
         };
         let cleared: Vec<PartId> = self.active_parts(now).into_iter().filter(is_cleared).collect();
         let has_proofs = self.total_proofs(now) >= MIN_PROOFS;
--- a/crates/hawthornmount-gateway/src/quarantine/verdict.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict.rs
@@ -4,7 +4,8 @@
 //! requests may break off in the same moment right after their own heads. Every part against which
 //! there is enough evidence is a candidate. A candidate is acquitted if other ones, with no more
 //! proofs in their favour, explain its ends: such a part is often used together with bad ones, or its
-//! requests ran beside theirs.
+//! requests ran beside theirs. The latter is a coincidence and explains few ends only; the requests of
+//! several bad parts often run beside each other.
 
 use {
     super::evidence::{End, ServerRun},
@@ -24,6 +25,9 @@
 /// acquitted.
 const MIN_UNEXPLAINED: usize = 2;
 
+/// Number of servers from which it is no coincidence that the requests with a part ran beside others.
+const MAX_COINCIDENCES: usize = 6;
+
 /// What is known of a part apart from the ends.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Record {
@@ -42,11 +46,22 @@
     pub servers: usize,
 }
 
+/// The parts that are to blame, and those that are not although there is enough evidence.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Verdict {
+    /// Parts to blame, in order of their ids.
+    pub blamed: Vec<Blamed>,
+    /// Parts whose ends the blamed ones explain.
+    pub acquitted: Vec<PartId>,
+}
+
 /// A part with the servers and requests that ended under it, in order.
 #[derive(Clone, Debug)]
 struct Candidate<'a> {
     part: PartId,
     runs: Vec<ServerRun<'a>>,
+    /// Servers with the requests under which they ended, in order.
+    ends: Vec<(ServerRun<'a>, &'a RequestId)>,
     requests: usize,
     /// Whether the part begins a prompt.
     is_first: bool,
@@ -76,26 +91,34 @@
     fn unexplained(&self, others: &[Self]) -> usize {
         let others: Vec<&Self> =
             others.iter().filter(|other| self.is_explained_by(other)).collect();
-        let is_explained =
-            |run: &ServerRun<'_>| others.iter().any(|other| other.runs.binary_search(run).is_ok());
-        self.runs.iter().filter(|run| !is_explained(run)).count()
+        let is_same_request = |run: &&ServerRun<'_>| {
+            let mut ends = self.ends.iter().filter(|end| end.0 == **run);
+            ends.any(|end| others.iter().any(|other| other.ends.binary_search(end).is_ok()))
+        };
+        let mut open: Vec<_> = self.runs.iter().filter(|run| !is_same_request(run)).collect();
+        if open.len() < MAX_COINCIDENCES {
+            let is_beside = |run| others.iter().any(|other| other.runs.binary_search(run).is_ok());
+            open.retain(|run| !is_beside(run));
+        }
+        open.len()
     }
 }
 
-/// Returns the parts that are to blame for the ends, in order of their ids.
-pub fn blame(ends: &[&End], record: impl Fn(PartId) -> Record) -> Vec<Blamed> {
+/// Returns the parts that are to blame for the ends.
+pub fn judge(ends: &[&End], record: impl Fn(PartId) -> Record) -> Verdict {
+    let mut acquitted = Vec::new();
     let mut candidates = candidates(ends, &record);
-    while let Some(at) = acquitted(&candidates) {
-        candidates.remove(at);
+    while let Some(at) = weakest(&candidates) {
+        acquitted.push(candidates.remove(at).part);
     }
     let blamed = |one: Candidate<'_>| Blamed { part: one.part, servers: one.runs.len() };
     let mut blamed: Vec<Blamed> = candidates.into_iter().map(blamed).collect();
     blamed.sort_unstable_by_key(|one| one.part);
-    blamed
+    Verdict { blamed, acquitted }
 }
 
 /// Returns the candidate against which the evidence is weakest, if others explain its ends.
-fn acquitted(candidates: &[Candidate<'_>]) -> Option<usize> {
+fn weakest(candidates: &[Candidate<'_>]) -> Option<usize> {
     let unexplained = |one: &Candidate<'_>| {
         let needed = if one.record.is_on_probation { 1 } else { MIN_UNEXPLAINED };
         Some(one.unexplained(candidates)).filter(|count| *count < needed)
@@ -149,12 +172,14 @@
     let candidate = |rows: &[(PartId, ServerRun<'a>, &'a RequestId, bool)]| {
         let mut runs: Vec<_> = rows.iter().map(|row| row.1).collect();
         runs.dedup();
+        let ends = rows.iter().map(|row| (row.1, row.2)).collect();
         let mut requests: Vec<_> = rows.iter().map(|row| row.2).collect();
         requests.sort_unstable();
         requests.dedup();
         Candidate {
             part: rows[0].0,
             runs,
+            ends,
             requests: requests.len(),
             is_first: rows.iter().any(|row| row.3),
             record: record(rows[0].0),
