--- a/crates/hawthornmount-gateway/tests/gateway/fence/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/mod.rs
@@ -130,10 +130,11 @@
     Setup {
         configurations: 1,
         restores: 1,
+        before: &[Wait, Configure, Restore],
         fault: Fault::LateRestatement(Duration::from_secs(5)),
         ..QUIET
     },
-    9,
+    6,
     MISSING
 )]
 #[case::store_hides_its_restore(
