End the control thread of an instance that is dropped

Tests failed now and then beside others: a server of theirs had a request too many (client_gets_the_outcome_of_forwarding::case_11_unsafe_answer: 2 requests where 1 is wanted), had a request at all, had open connections, or could send 13 to 67 MB. The checks now print what the servers got: `GET /kv-range` of the store's interface. The control thread of an instance whose test had ended went on to read the store at its address, and the system had given that port to a server of another test.

The thread now ends when the instance is dropped. A process that runs one instance until it exits behaves as before. dropped_instance_stops_calling_the_store failed before with 6 calls where 2 are wanted.

--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -27,7 +27,12 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, runtime, sync::watch, task::JoinHandle},
+    tokio::{
+        net::TcpListener,
+        runtime,
+        sync::{oneshot, watch},
+        task::JoinHandle,
+    },
 };
 
 /// Time in which the load balancer notices that the instance is not ready: it checks every second
@@ -107,6 +112,8 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
+    /// Ends the control thread when it is dropped.
+    _control: oneshot::Sender<()>,
 }
 
 impl InFlight {
@@ -241,16 +248,26 @@
             list_interval,
         );
         let listener = peers.map(|bound| bound.listener.into_std()).transpose()?;
+        let (control_guard, dropped) = oneshot::channel::<()>();
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("control".to_owned()).spawn(move || {
             control.block_on(async move {
                 if let Some(listener) = listener {
                     serve_peers(listener, shared);
                 }
-                follower.run().await;
+                tokio::select! {
+                    () = follower.run() => {}
+                    _dropped = dropped => {}
+                }
             });
         })?;
-        Ok(Self { components, callers: callers_address, readiness: readiness_address, tasks })
+        Ok(Self {
+            components,
+            callers: callers_address,
+            readiness: readiness_address,
+            tasks,
+            _control: control_guard,
+        })
     }
 
     /// Returns the address for callers, with the port that the operating system chose if the
