Bound the bytes of a caller's request

The digits of a chunk size without end, in the body of a request, were read until the timeout of the route: 13 to 25 MB in 2 s of a debug build, of which the limit on bodies counted none. A caller may now send twice the limits on heads and bodies and 64 KiB from the head of a request to the next one; the limits are those of the configuration at that request.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -6,7 +6,8 @@
         filter::{self, Exchange, Filter, Response},
         instance::Components,
     },
-    hawthornmount_core::{id, problem::Problem},
+    hawthornmount_core::{config, id, problem::Problem},
+    hawthornmount_http::connection::meter::{Allowance, Meter},
     http::header,
     http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -18,6 +19,9 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Bytes by which the framing of a small body may exceed it.
+const MIN_FRAMING_BYTES: usize = 64 << 10;
+
 /// HTTP service for callers.
 struct Frontend {
     components: Arc<Components>,
@@ -40,7 +44,12 @@
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let limits = self.components.cell.load().rules.limits.clone();
         let frontend = self.clone();
+        let allowance = Allowance::default();
+        allowance.set_whole(max_request_bytes(&limits));
+        let stream = Meter::new(stream, allowance.clone());
         let service = service_fn(move |request| {
+            let limits = &frontend.components.cell.load().rules.limits;
+            allowance.set_whole(max_request_bytes(limits));
             let frontend = frontend.clone();
             async move { Ok::<_, Infallible>(frontend.handle(request).await) }
         });
@@ -124,3 +133,10 @@
         Ok(exchange.response.take().unwrap_or_else(response::no_response))
     }
 }
+
+/// Returns the largest number of bytes that a caller may send from the head of a request to the
+/// head of the next one. The framing of a body may be as large as the body.
+fn max_request_bytes(limits: &config::Limits) -> usize {
+    let head = limits.head_bytes.max(MIN_BUFFER_BYTES);
+    2 * (head + limits.body_bytes) + MIN_FRAMING_BYTES
+}
--- a/crates/hawthornmount-http/src/connection/meter.rs
+++ b/crates/hawthornmount-http/src/connection/meter.rs
@@ -1,4 +1,4 @@
-//! Bounds the bytes that are read from a server.
+//! Bounds the bytes that are read from a connection.
 
 use {
     super::MAX_HEAD_BYTES,
@@ -22,7 +22,7 @@
 /// read takes at most as many bytes as a head may have.
 pub const MAX_PIECE_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
-/// Bytes that the server may still send.
+/// Bytes that the other end may still send.
 #[derive(Clone, Debug, Default)]
 pub struct Allowance(Arc<Counters>);
 
@@ -41,12 +41,18 @@
         self.set_piece();
     }
 
+    /// Allows `total` bytes, whatever the size of a piece.
+    pub fn set_whole(&self, total: usize) {
+        self.0.total.store(total, Ordering::Relaxed);
+        self.0.piece.store(usize::MAX, Ordering::Relaxed);
+    }
+
     /// Allows the bytes of another piece.
     pub fn set_piece(&self) {
         self.0.piece.store(MAX_PIECE_BYTES, Ordering::Relaxed);
     }
 
-    /// Returns whether the server has sent as much as it may.
+    /// Returns whether the other end has sent as much as it may.
     fn is_exhausted(&self) -> bool {
         [&self.0.total, &self.0.piece].iter().any(|left| left.load(Ordering::Relaxed) == 0)
     }
@@ -81,7 +87,7 @@
     ) -> Poll<io::Result<()>> {
         if self.allowance.is_exhausted() {
             let cause = format!(
-                "more bytes than allowed for this answer, or {MAX_PIECE_BYTES} without any of it"
+                "more bytes than allowed for one message, or {MAX_PIECE_BYTES} without any of it"
             );
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
