--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -7,6 +7,7 @@
         instance::Components,
     },
     hawthornmount_core::{config::Limits, id, problem::Problem},
+    hawthornmount_http::connection::meter::{Allowance, Meter},
     http::header,
     http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -23,6 +24,9 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Bytes by which the framing of a small body may exceed it.
+const MIN_FRAMING_BYTES: usize = 64 << 10;
+
 /// HTTP service for callers.
 struct Frontend {
     components: Arc<Components>,
@@ -43,12 +47,17 @@
     /// Serves one connection until it has been idle for the limit of the configuration in force. When
     /// the instance stops, requests in flight are completed before the connection is closed.
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
-        let head_bytes = self.limits().head_bytes;
+        let limits = self.limits();
+        let head_bytes = limits.head_bytes;
+        let allowance = Allowance::default();
+        allowance.set_whole(max_request_bytes(&limits));
+        let stream = Meter::new(stream, allowance.clone());
         let activity = Activity::new();
         // Counts the connection from its first request until it is closed.
         let serving = Arc::new(OnceLock::new());
         let (frontend, active, first) = (self.clone(), activity.clone(), serving.clone());
         let service = service_fn(move |request| {
+            allowance.set_whole(max_request_bytes(&frontend.limits()));
             first.get_or_init(|| frontend.components.serving.enter());
             let (frontend, guard) = (frontend.clone(), active.enter());
             async move {
@@ -157,3 +166,10 @@
         Ok(exchange.response.take().unwrap_or_else(response::no_response))
     }
 }
+
+/// Returns the largest number of bytes that a caller may send from the head of a request to the
+/// head of the next one. The framing of a body may be as large as the body.
+fn max_request_bytes(limits: &Limits) -> usize {
+    let head = limits.head_bytes.max(MIN_BUFFER_BYTES);
+    2 * (head + limits.body_bytes) + MIN_FRAMING_BYTES
+}
