Failing test: a poor answer that is ready arrives after the caller's time

Entry instances: the small model's answer is rated below the target, and the larger model hangs. The escalation may take all the time that is left, so the answer in hand is delivered after it.

--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -3,7 +3,7 @@
 use {
     hawthornmount_demo::deployment::Deployment,
     hawthornmount_http::{Body, Method, Request, client::Client},
-    hawthornmount_standin::service::Faults,
+    hawthornmount_standin::{engine::Behaviour, service::Faults},
     http_body_util::BodyExt,
     rstest::rstest,
     std::{
@@ -228,3 +228,41 @@
     let repeated = call(deployment.callers()[2], submission("k", "{}")).await;
     assert_eq!((repeated.status, deployment.service.runs().len()), (200, 1));
 }
+
+/// Guards against an answer that is ready and arrives too late: the larger model does not answer
+/// within the caller's time.
+#[tokio::test(flavor = "multi_thread")]
+async fn poor_answer_arrives_in_time_if_the_larger_model_hangs() {
+    let deployment = Deployment::start().await.expect("the demo starts");
+    let small = Behaviour {
+        quality: 0.0,
+        error_rate: 0.0,
+        first_token: Duration::ZERO,
+        per_token: Duration::ZERO,
+    };
+    let large = Behaviour { first_token: Duration::from_secs(30), ..small.clone() };
+    for named in &deployment.engines {
+        named.engine.set_behaviour("draft-small", "v1", small.clone());
+        named.engine.set_behaviour("draft-large", "v1", large.clone());
+    }
+    let body = r#"{"messages":[{"role":"user","content":"hello"}],"max_tokens":4}"#;
+    let request = http::Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header("authorization", "Bearer demo-municipal")
+        .header("x-request-timeout-ms", "1500")
+        .body(Body::from(body))
+        .expect("the request is valid");
+    let started = Instant::now();
+    let result = call(deployment.callers()[0], request).await;
+    let runs = |model: &str| {
+        let runs = deployment.engines.iter().flat_map(|named| named.engine.runs());
+        runs.filter(|run| &*run.loaded.model == model).count()
+    };
+    let waited = started.elapsed();
+    let ran = (runs("draft-small"), runs("draft-large"));
+    assert!(
+        result.status == 200 && waited < Duration::from_millis(1_500),
+        "{result:?} after {waited:?}, runs {ran:?}"
+    );
+}
