Deliver the events that arrive before a missing one

What callers saw: a stream that ended as complete and lacked events. A server sent events 1, 2 and 4 in one piece; 1 and 2 were counted as delivered, and dropped with the fault, and the stream was resumed after 2. They are returned now, and the fault with the next read. events_before_a_missing_one_reach_the_client failed before.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -397,6 +397,9 @@
         log::info!("stream broke; id={} server={server} cause={cause}", job.id);
         Step::Broken(Retry::CutAnswer)
     };
+    if let Some(fault) = splitter.fault() {
+        return broken(&upstream.server.id, &fault.to_string());
+    }
     match upstream.frame().await {
         None if splitter.has_partial_event() || upstream.is_without_events() => {
             Step::Broken(Retry::CutAnswer)
--- a/crates/hawthornmount-gateway/src/sse/mod.rs
+++ b/crates/hawthornmount-gateway/src/sse/mod.rs
@@ -39,6 +39,8 @@
     /// Number of bytes of the buffer in which no event ends.
     searched: usize,
     last: Option<EventId>,
+    /// Fault after the events that were returned last.
+    fault: Option<Fault>,
 }
 
 impl Splitter {
@@ -57,8 +59,14 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the fault after the events that were returned last, if there is one.
+    pub const fn fault(&self) -> Option<Fault> {
+        self.fault
+    }
+
     /// Discards the incomplete event that an interrupted stream left in the buffer.
     pub fn discard_partial_event(&mut self) {
+        self.fault = None;
         self.buffer.clear();
         (self.line_start, self.searched) = (0, 0);
     }
@@ -67,7 +75,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a fault if the stream can't be relayed; none of the events in `bytes` are returned.
+    /// Returns a fault if the stream can't be relayed. Events before the fault are returned first, and
+    /// the fault by [`Splitter::fault`].
     pub fn push(&mut self, bytes: &[u8]) -> Result<Events, Fault> {
         self.buffer.extend_from_slice(bytes);
         let mut events = BytesMut::new();
@@ -76,7 +85,13 @@
             let event = self.buffer.split_to(length);
             match (id(&event), self.last) {
                 (Some(id), Some(last)) if id <= last => continue,
-                (Some(id), Some(last)) if id > last + 1 => return Err(Fault::MissingEvents),
+                (Some(id), Some(last)) if id > last + 1 => {
+                    if count == 0 {
+                        return Err(Fault::MissingEvents);
+                    }
+                    self.fault = Some(Fault::MissingEvents);
+                    break;
+                }
                 (Some(id), _) => self.last = Some(id),
                 (None, _) => {}
             }
