Bound the time for which a server's connection is kept idle

What callers saw: the connection closed without an answer. A server's keep-alive time of 2^64-1 s overflowed the time until which its connection is kept, and the task of the request panicked after the whole answer had arrived. answer_is_delivered_whatever_its_keep_alive_time failed before.

--- a/crates/hawthornmount-gateway/src/pool/mod.rs
+++ b/crates/hawthornmount-gateway/src/pool/mod.rs
@@ -12,6 +12,8 @@
 /// Time before the end of the server's keep-alive time from which a connection is no longer used,
 /// so that a request is not sent while the server closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time for which an idle connection is kept.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(300);
 /// Largest number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -49,7 +51,10 @@
     /// Returns a connection to the pool after a complete response; `keep_alive` is the time that
     /// the server stated.
     pub fn put(&self, server: &ServerId, connection: Connection, keep_alive: Option<Duration>) {
-        let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
+        let keep_alive = keep_alive
+            .unwrap_or(DEFAULT_KEEP_ALIVE)
+            .min(MAX_KEEP_ALIVE)
+            .saturating_sub(KEEP_ALIVE_MARGIN);
         let entry = Idle { connection, expires: Instant::now() + keep_alive };
         let mut rows = self.rows.lock();
         let at = match rows.binary_search_by(|row| row.server.cmp(server)) {
