Handover: end double runs, count silence as evidence, look for a server again

Another server is looked for twice a second (request_kept_at_a_silent_server_moves_to_one_that_starts_meanwhile failed). They are one change, since each follows from what state a running attempt is in.

--- a/crates/hawthornmount-gateway/src/forward/handover.rs
+++ b/crates/hawthornmount-gateway/src/forward/handover.rs
@@ -21,6 +21,9 @@
 /// the request. A refusal arrives within a round trip.
 const HANDOVER_TIME: Duration = Duration::from_millis(300);
 
+/// Interval at which another server is looked for while only a silent one is left.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Returns the time at which a silent server is given up for the attempt that `marker` marks; `None`
 /// if that is now.
 pub fn end(marker: &Marker, now: Instant) -> Option<Instant> {
@@ -35,7 +38,22 @@
     began: Instant,
     /// Time until which the server has to answer, or until which a silent one is kept.
     until: Option<Instant>,
-    is_silent: bool,
+    state: State,
+    /// Whether the server was kept before because no other one was left.
+    was_kept: bool,
+}
+
+/// State of a running attempt.
+#[derive(Clone, Debug)]
+enum State {
+    /// The server has time left to answer.
+    Waiting,
+    /// The server is silent, and another one is to be tried.
+    Silent,
+    /// The server is silent, and another one was sent the request by the attempt that is marked.
+    Replaced(Marker),
+    /// The server is silent, and no other one is left.
+    Kept,
 }
 
 /// An answer that is kept until a better one begins.
@@ -66,6 +84,8 @@
     },
     /// Its server has not answered in time; another one is to be tried.
     Silent(Attempt),
+    /// Another server is looked for again, since its server is still silent.
+    Recheck,
     /// Another server has taken the request of a silent one.
     GivenUp(Attempt),
 }
@@ -78,7 +98,9 @@
 
     /// Returns whether the server of each running attempt is silent, so that another one is tried.
     pub fn needs_server(&self) -> bool {
-        self.running.iter().all(|running| running.is_silent)
+        self.running
+            .iter()
+            .all(|running| matches!(running.state, State::Silent | State::Replaced(_)))
     }
 
     /// Starts an attempt whose server has to answer within `timeout`.
@@ -91,7 +113,10 @@
     ) {
         let now = Instant::now();
         for silent in &mut self.running {
-            silent.until = end(&attempt.marker, now);
+            if matches!(silent.state, State::Silent) {
+                silent.state = State::Replaced(attempt.marker.clone());
+                silent.until = end(&attempt.marker, now);
+            }
         }
         if let Some(spare) = &mut self.spare {
             spare.until = end(&attempt.marker, now);
@@ -106,16 +131,25 @@
             future: future.boxed(),
             began: now,
             until: timeout.map(|timeout| now + timeout),
-            is_silent: false,
+            state: State::Waiting,
+            was_kept: false,
         });
     }
 
-    /// Keeps the silent servers, since no other one is left to try.
-    pub fn keep(&mut self) {
-        for silent in &mut self.running {
-            silent.until = None;
-            silent.is_silent = false;
-        }
+    /// Keeps the newest silent server, since no other one is left to try, and returns whether that is
+    /// new.
+    pub fn keep(&mut self) -> bool {
+        let Some(newest) = self.running.last_mut() else { return false };
+        newest.state = State::Kept;
+        newest.until = Some(Instant::now() + RECHECK_INTERVAL);
+        !std::mem::replace(&mut newest.was_kept, true)
+    }
+
+    /// Returns the attempts whose servers are silent, which end unanswered.
+    pub fn take_silent(&mut self) -> Vec<Attempt> {
+        let running = self.running.drain(..);
+        let silent = running.filter(|running| !matches!(running.state, State::Waiting));
+        silent.map(|running| running.attempt).collect()
     }
 
     /// Replaces the running attempts by an answer, which is kept until a better one begins.
@@ -146,6 +180,7 @@
             };
             if let Some(((attempt, outcome), at, _)) = ended {
                 let began = self.running.remove(at).began;
+                self.restore_replaced(&attempt.marker);
                 return Event::Ended { attempt, outcome, began };
             }
             if let Some(event) = self.expire(Instant::now()) {
@@ -165,16 +200,34 @@
         }
         let is_over = |running: &Running| running.until.is_some_and(|until| until <= now);
         let at = self.running.iter().position(is_over)?;
-        if !self.running[at].is_silent {
-            let running = &mut self.running[at];
-            running.is_silent = true;
-            running.until = None;
-            return Some(Event::Silent(running.attempt.clone()));
+        let running = &mut self.running[at];
+        match running.state.clone() {
+            State::Waiting => {
+                running.state = State::Silent;
+                running.until = None;
+                Some(Event::Silent(running.attempt.clone()))
+            }
+            State::Kept => {
+                running.state = State::Silent;
+                running.until = None;
+                Some(Event::Recheck)
+            }
+            State::Replaced(successor) => {
+                running.until = end(&successor, now);
+                let is_given_up = running.until.is_none();
+                is_given_up.then(|| Event::GivenUp(self.running.remove(at).attempt))
+            }
+            State::Silent => None,
         }
-        self.running[at].until = end(&newest, now);
-        if self.running[at].until.is_some() {
-            return None;
+    }
+
+    /// Keeps the silent server that was replaced by an attempt which has ended without an answer.
+    fn restore_replaced(&mut self, ended: &Marker) {
+        for running in &mut self.running {
+            if matches!(&running.state, State::Replaced(successor) if successor.is_same(ended)) {
+                running.state = State::Silent;
+                running.until = None;
+            }
         }
-        Some(Event::GivenUp(self.running.remove(at).attempt))
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -100,7 +100,7 @@
     }
 
     /// Returns whether both mark the same attempt.
-    fn is_same(&self, other: &Self) -> bool {
+    pub fn is_same(&self, other: &Self) -> bool {
         Arc::ptr_eq(&self.0, &other.0)
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -136,14 +136,10 @@
         let job = Arc::new(job);
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
-        let deadline = job.deadline().into();
-        let result = timeout_at(deadline, self.try_servers(&job, &mut progress)).await;
-        let (attempt, success) = match result {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(problem)) => return self.failure_response(progress, problem),
-            Err(_elapsed) => return self.failure_response(progress, deadline_exceeded()),
-        };
-        Ok(self.respond(job, progress, attempt, success))
+        match self.try_servers(&job, &mut progress).await {
+            Ok((attempt, success)) => Ok(self.respond(job, progress, attempt, success)),
+            Err(problem) => self.failure_response(progress, problem),
+        }
     }
 
     /// Returns the shared number of instances, which the follower of the store updates.
@@ -179,7 +175,10 @@
         progress: &mut Progress,
     ) -> Result<(Attempt, Success), Problem> {
         let mut handover = Handover::default();
-        let result = self.race_servers(job, progress, &mut handover).await;
+        let raced = self.race_servers(job, progress, &mut handover);
+        let result = timeout_at(job.deadline().into(), raced).await;
+        let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
+        self.give_up_silent(job, progress, &mut handover);
         result.or_else(|problem| handover.take_answer().ok_or(problem))
     }
 
@@ -200,8 +199,9 @@
                     }
                     Err(problem) if handover.is_empty() => return Err(problem),
                     Err(problem) => {
-                        log_kept_server(job, problem.reason);
-                        handover.keep();
+                        if handover.keep() {
+                            log_kept_server(job, problem.reason);
+                        }
                     }
                 }
             }
@@ -213,16 +213,18 @@
                     progress.record_silence(&attempt);
                     continue;
                 }
+                Event::Recheck => continue,
                 Event::GivenUp(attempt) => {
                     let outcome = Outcome::Unknown(Retry::ServerTimeout);
                     self.record_outcome(job, progress, &attempt, &outcome);
                     continue;
                 }
             };
+            self.record_outcome(job, progress, &attempt, &outcome);
             if matches!(outcome, Outcome::Success(_)) {
                 self.record_start(job, &attempt, began.elapsed());
+                self.give_up_silent(job, progress, handover);
             }
-            self.record_outcome(job, progress, &attempt, &outcome);
             match outcome {
                 Outcome::Success(success) => {
                     let Some(level) = self.escalate(job, progress, &success) else {
@@ -246,6 +248,14 @@
         }
     }
 
+    /// Gives up the attempts whose servers are silent.
+    fn give_up_silent(&self, job: &Job, progress: &mut Progress, handover: &mut Handover<'_>) {
+        for silent in handover.take_silent() {
+            let outcome = Outcome::Unknown(Retry::ServerTimeout);
+            self.record_outcome(job, progress, &silent, &outcome);
+        }
+    }
+
     /// Records the outcome of an attempt, also as evidence.
     fn record_outcome(
         &self,
