--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -137,7 +137,10 @@
                 Step::End => Resumption::Ended,
                 Step::Expired => {
                     self.log_expired();
-                    self.drop_upstream();
+                    if self.is_silent {
+                        self.give_up();
+                    }
+                    self.upstream = None;
                     return Some(Err(Truncated));
                 }
                 Step::Silent => {
@@ -296,7 +299,7 @@
             if cause == Retry::CutAnswer {
                 self.record_break();
             }
-            self.drop_upstream();
+            self.give_up();
         }
     }
 
@@ -310,12 +313,21 @@
     /// Records a failure of the current server, which is then not chosen for another attempt.
     fn record_failure(&mut self, cause: Retry) {
         let server = &self.attempt.server;
-        self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
         self.forwarder.record_failure(&self.job, server, cause.as_str());
         self.progress.tried.push(server.id.clone());
         self.progress.retry_reason = Some(cause);
     }
 
+    /// Closes the connection to the current server, whose answer counts as broken.
+    fn give_up(&mut self) {
+        if self.upstream.take().is_some() {
+            self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
+        }
+        self.is_silent = false;
+        self.gap_measurement = None;
+        self.splitter.discard_partial_event();
+    }
+
     /// Resumes the stream at another server after the last complete event.
     async fn resume(&mut self, cause: Retry) -> Resumption {
         if !self.job.route.config.resumable {
@@ -341,8 +353,10 @@
         let forwarder = self.forwarder.clone();
         let marker = attempt.marker.clone();
         let outcome = {
+            let timeout = forwarder.attempt_timeout(&job, &self.progress, &attempt);
+            let end = timeout.map_or(job.deadline(), |timeout| Instant::now() + timeout);
             let sent = forwarder.attempt(&job, &mut attempt, after);
-            let mut sent = pin!(timeout_at(job.deadline().into(), sent));
+            let mut sent = pin!(timeout_at(end.min(job.deadline()).into(), sent));
             let mut until = handover::end(&marker, Instant::now());
             loop {
                 let Some(upstream) = &mut self.upstream else { break sent.await };
@@ -353,23 +367,29 @@
                         Step::Incomplete => {}
                         Step::Events(bytes) => return Some(Resumption::Events(bytes)),
                         Step::End => return Some(Resumption::Ended),
-                        Step::Broken(_) | Step::Silent | Step::Expired => self.drop_upstream(),
+                        Step::Broken(_) | Step::Silent | Step::Expired => self.give_up(),
                     },
                     () = tokio::time::sleep_until(wait.into()) => {
                         until = handover::end(&marker, Instant::now());
                         if until.is_none() {
-                            self.drop_upstream();
+                            self.give_up();
                         }
                     }
                 }
             }
         };
-        let Ok(outcome) = outcome else { return Some(Resumption::Failed(Refusal::Deadline)) };
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(_elapsed) if Instant::now() >= job.deadline() => {
+                return Some(Resumption::Failed(Refusal::Deadline));
+            }
+            Err(_elapsed) => Outcome::Unknown(Retry::ServerTimeout),
+        };
         self.progress.record_outcome(&attempt, &outcome);
         match outcome {
             Outcome::Success(success) => match success.body {
                 Body::Streaming(upstream) => {
-                    self.drop_upstream();
+                    self.give_up();
                     self.attempt = attempt;
                     self.upstream = Some(upstream);
                     self.silent_since = Instant::now();
@@ -381,14 +401,6 @@
             Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => None,
         }
     }
-
-    /// Closes the connection to the current server, whose failure has been recorded.
-    fn drop_upstream(&mut self) {
-        self.upstream = None;
-        self.is_silent = false;
-        self.gap_measurement = None;
-        self.splitter.discard_partial_event();
-    }
 }
 
 /// Reads the next piece of a stream, and logs why it can't be relayed any further.
