Apply a lowered idle limit to open connections

A connection slept for the rest of the earlier limit. It is compared every 2 s now (idle_connection_is_closed_at_the_limit_in_force::case_4_lowered failed before).

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -16,7 +16,7 @@
         convert::Infallible,
         pin::pin,
         sync::{Arc, OnceLock},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::net::{TcpListener, TcpStream},
 };
@@ -27,6 +27,10 @@
 /// Bytes by which the framing of a small body may exceed it.
 const MIN_FRAMING_BYTES: usize = 64 << 10;
 
+/// Longest interval at which the idle time of a connection is compared with the limit, which a
+/// configuration can lower.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// HTTP service for callers.
 struct Frontend {
     components: Arc<Components>,
@@ -95,7 +99,7 @@
             if left.is_zero() {
                 return;
             }
-            tokio::time::sleep(left).await;
+            tokio::time::sleep(left.min(IDLE_CHECK_INTERVAL)).await;
         }
     }
 
