Name only the cause in the log of a body that breaks

A refusal whose body went over its limit was logged with "the connection broke: the request may have run", although the server had stated the opposite. The cause of the transport is logged alone, and for a refusal with what it was.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -379,7 +379,7 @@
     /// Reads a body of at most `limit` bytes to its end and returns its connection to the pool.
     async fn read_body(&self, mut upstream: Upstream, limit: usize) -> Result<Bytes, String> {
         let read = upstream.connection.read_body(&mut upstream.body, limit).await;
-        let bytes = read.map_err(|failure| failure.to_string())?;
+        let bytes = read.map_err(|failure| failure.cause().to_string())?;
         upstream.finish(self);
         Ok(bytes)
     }
@@ -390,7 +390,7 @@
         let read = self.read_body(upstream, MAX_REFUSAL_BYTES);
         let cause = match tokio::time::timeout(REFUSAL_TIMEOUT, read).await {
             Ok(Ok(_unused)) => return,
-            Ok(Err(cause)) => cause,
+            Ok(Err(cause)) => format!("refusal without its whole body: {cause}"),
             Err(_elapsed) => {
                 format!("the body of a refusal took over {} ms", REFUSAL_TIMEOUT.as_millis())
             }
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -161,6 +161,13 @@
         matches!(self, Self::Unsent { .. })
     }
 
+    /// Returns the error message of the transport.
+    pub const fn cause(&self) -> &Arc<str> {
+        match self {
+            Self::Unsent { cause } | Self::Broken { cause } => cause,
+        }
+    }
+
     fn broken(error: &dyn std::error::Error) -> Self {
         Self::Broken { cause: describe(error).into() }
     }
