Copies of usage records are kept in two data centres

Cause: an instance that can't reach the store asked its peers for copies in the order of their names, those of other data centres first. So both copies were in one data centre, and the copies of all instances of other data centres were at the same two instances. If these two were killed after the origin, or their data centre was lost, so were the records.

Change: the two copies go to two other data centres, if there are, and rendezvous hashing for the origin selects the instances.

The new test loses a data centre together with the origin; its first case failed before: none of one record was counted.

--- a/crates/hawthornmount-ledger/src/billing/copies.rs
+++ b/crates/hawthornmount-ledger/src/billing/copies.rs
@@ -8,10 +8,14 @@
     crate::log::record::{decode, encode},
     async_trait::async_trait,
     bytes::Bytes,
-    hawthornmount_fleet::{Message, Responder},
+    hawthornmount_core::{
+        id::InstanceId,
+        snapshot::{Liveness, Member},
+    },
+    hawthornmount_fleet::{Message, Responder, role},
     hawthornmount_store::Store,
     parking_lot::Mutex,
-    std::{sync::Arc, time::Duration},
+    std::{cmp::Reverse, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -94,6 +98,23 @@
     }
 }
 
+/// Returns the live peers of an instance in the order in which they are asked to keep copies: one of
+/// each other data centre, then the next of each, and at last those of its own. Rendezvous hashing
+/// spreads the copies of different instances.
+pub fn holders(members: &[Member], local: &InstanceId) -> Vec<InstanceId> {
+    let own = members.iter().find(|member| member.id == *local).map(|member| &member.data_centre);
+    let is_peer = |member: &&Member| member.id != *local && member.liveness == Liveness::Alive;
+    let mut peers: Vec<&Member> = members.iter().filter(is_peer).collect();
+    let weight = |member: &Member| Reverse(role::weight(&member.id, local));
+    peers.sort_by_cached_key(|member| (&member.data_centre, weight(member)));
+    let ranked = peers
+        .chunk_by(|one, other| one.data_centre == other.data_centre)
+        .flat_map(|data_centre| data_centre.iter().enumerate());
+    let mut ranked: Vec<(usize, &Member)> = ranked.map(|(rank, peer)| (rank, *peer)).collect();
+    ranked.sort_by_cached_key(|(rank, peer)| (Some(&peer.data_centre) == own, *rank, weight(peer)));
+    ranked.into_iter().map(|(_, peer)| peer.id.clone()).collect()
+}
+
 /// Writes overdue copies until no copy is left. A batch counts once, so the origin may still write
 /// it too.
 async fn write_overdue(store: Arc<dyn Store>, held: Arc<Mutex<Held>>) {
--- a/crates/hawthornmount-ledger/src/billing/mod.rs
+++ b/crates/hawthornmount-ledger/src/billing/mod.rs
@@ -23,7 +23,7 @@
     copies::Copies,
     hawthornmount_core::{
         id::{InstanceId, RequestId},
-        snapshot::{Liveness, Member},
+        snapshot::Liveness,
     },
     hawthornmount_fleet::{Fleet, Topic},
     hawthornmount_store::{Entry, Store},
@@ -360,16 +360,9 @@
         decode(&answer).ok()
     }
 
-    /// Returns the live peers, those in other data centres first.
+    /// Returns the live peers, those that should keep copies first.
     fn peers(&self) -> Vec<InstanceId> {
-        let members = self.fleet.members();
-        let local = self.fleet.local();
-        let local_data_centre = members.iter().find(|member| member.id == local);
-        let local_data_centre = local_data_centre.map(|member| member.data_centre.clone());
-        let is_peer = |member: &&Member| member.id != local && member.liveness == Liveness::Alive;
-        let mut peers: Vec<&Member> = members.iter().filter(is_peer).collect();
-        peers.sort_by_key(|member| Some(&member.data_centre) == local_data_centre.as_ref());
-        peers.into_iter().map(|member| member.id.clone()).collect()
+        copies::holders(&self.fleet.members(), &self.fleet.local())
     }
 
     /// Lists all entries whose keys start with `prefix`.
--- a/crates/hawthornmount-ledger/src/billing/tests.rs
+++ b/crates/hawthornmount-ledger/src/billing/tests.rs
@@ -17,22 +17,28 @@
 /// Time allowed for a flush.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Three instances, each in a data centre of its own, on one store.
+/// Instances on one store.
 struct Rig {
     mesh: Arc<Mesh>,
     stores: Vec<Arc<Flaky>>,
     billings: Vec<Arc<Billing>>,
 }
 
+/// Starts three instances, each in a data centre of its own.
 fn rig(max_waiting: usize) -> Rig {
+    rig_in(["attica-1", "crete-1", "macedonia-1"].map(|name| (name, name)), max_waiting)
+}
+
+/// Starts instances with these names in these data centres.
+fn rig_in<const N: usize>(instances: [(&str, &str); N], max_waiting: usize) -> Rig {
     let mesh = Arc::new(Mesh::default());
     let memory = Arc::new(Memory::new());
     let mut rig = Rig { mesh: mesh.clone(), stores: Vec::new(), billings: Vec::new() };
-    for name in ["attica-1", "crete-1", "macedonia-1"] {
+    for (name, data_centre) in instances {
         let flaky = Flaky::new(&memory, DELAY);
         let store: Arc<dyn Store> = flaky.clone();
         rig.stores.push(flaky);
-        rig.billings.push(Billing::new(store, mesh.join(name, name), max_waiting));
+        rig.billings.push(Billing::new(store, mesh.join(name, data_centre), max_waiting));
     }
     rig
 }
@@ -104,6 +110,39 @@
     assert_eq!(rig.requests().await, 1);
 }
 
+/// Guards against copies that are all in one data centre: the loss of that data centre and of the
+/// origin lost the bill.
+#[rstest]
+#[case::first_data_centre_is_lost("crete", "macedonia")]
+#[case::second_data_centre_is_lost("macedonia", "crete")]
+#[tokio::test(start_paused = true)]
+async fn copies_of_a_batch_survive_the_loss_of_a_data_centre(
+    #[case] lost: &str,
+    #[case] remaining: &str,
+) {
+    let instances = [
+        ("attica-1", "attica"),
+        ("crete-1", "crete"),
+        ("crete-2", "crete"),
+        ("macedonia-1", "macedonia"),
+        ("macedonia-2", "macedonia"),
+    ];
+    let rig = rig_in(instances, 100);
+    rig.set_down(true);
+    rig.billings[0].record(usage("a", "oikos")).await.expect("copied");
+    let mut remaining_billing = None;
+    for (at, (name, data_centre)) in instances.into_iter().enumerate() {
+        rig.mesh.cut(name, data_centre == "attica" || data_centre == lost);
+        if data_centre == remaining {
+            rig.stores[at].faults.down.store(false, Ordering::SeqCst);
+            remaining_billing = Some(&rig.billings[at]);
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let total = remaining_billing.expect("one remains").total("oikos").await.expect("a total");
+    assert_eq!(total.requests, 1);
+}
+
 /// Guards against a lost bill: peers dropped the copies of a batch that was still being copied when
 /// the batches before it became durable.
 #[tokio::test(start_paused = true)]
