Keep an answer of low confidence until the larger model's begins

What callers saw: 502 or 504 although an answer was ready. The small model's answer was given up 300 ms after the larger one was sent the request; if that refused later or hung, nothing was left. While an answer is ready, an attempt at the larger model is limited in time also if it is the last one.

--- a/crates/hawthornmount-gateway/src/forward/handover.rs
+++ b/crates/hawthornmount-gateway/src/forward/handover.rs
@@ -1,8 +1,8 @@
 //! Handover of a request from a server that is silent to another one.
 //!
 //! A silent server may go on, and another one may refuse, so the silent one is kept until the other
-//! has had time to refuse. An answer that is to be replaced by that of a larger model is kept in the
-//! same way.
+//! has had time to refuse. An answer that is to be replaced by that of a larger model is kept until
+//! that one begins.
 
 use {
     super::{
@@ -60,8 +60,6 @@
 struct Spare {
     attempt: Attempt,
     success: Box<Success>,
-    /// Time until which the answer is kept.
-    until: Option<Instant>,
 }
 
 /// Attempts of one request that run at the same time: the newest, and a silent one before it.
@@ -118,9 +116,6 @@
                 silent.until = end(&attempt.marker, now);
             }
         }
-        if let Some(spare) = &mut self.spare {
-            spare.until = end(&attempt.marker, now);
-        }
         let mut sent = attempt.clone();
         let future = async move {
             let outcome = forwarder.attempt(job, &mut sent, job.resume_after()).await;
@@ -155,10 +150,15 @@
     /// Replaces the running attempts by an answer, which is kept until a better one begins.
     pub fn keep_answer(&mut self, attempt: Attempt, success: Box<Success>) {
         self.running.clear();
-        self.spare = Some(Spare { attempt, success, until: None });
+        self.spare = Some(Spare { attempt, success });
+    }
+
+    /// Returns whether an answer is kept.
+    pub const fn has_answer(&self) -> bool {
+        self.spare.is_some()
     }
 
-    /// Returns the answer that was kept, if no better one has begun in time.
+    /// Returns the answer that was kept.
     pub fn take_answer(&mut self) -> Option<(Attempt, Success)> {
         self.spare.take().map(|spare| (spare.attempt, *spare.success))
     }
@@ -170,9 +170,7 @@
     /// Panics if no attempt is running.
     pub async fn next(&mut self) -> Event {
         loop {
-            let spare_until = self.spare.as_ref().and_then(|spare| spare.until);
-            let running_until = self.running.iter().filter_map(|running| running.until);
-            let until = running_until.chain(spare_until).min();
+            let until = self.running.iter().filter_map(|running| running.until).min();
             let ended = future::select_all(self.running.iter_mut().map(|one| &mut one.future));
             let ended = match until {
                 Some(until) => tokio::time::timeout_at(until.into(), ended).await.ok(),
@@ -191,13 +189,6 @@
 
     /// Returns what happens to an attempt whose time is over.
     fn expire(&mut self, now: Instant) -> Option<Event> {
-        let newest = self.running.last().map(|running| running.attempt.marker.clone())?;
-        if let Some(spare) = self.spare.as_mut().filter(|spare| spare.until.is_some()) {
-            spare.until = end(&newest, now);
-            if spare.until.is_none() {
-                self.spare = None;
-            }
-        }
         let is_over = |running: &Running| running.until.is_some_and(|until| until <= now);
         let at = self.running.iter().position(is_over)?;
         let running = &mut self.running[at];
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -194,10 +194,16 @@
             if handover.needs_server() {
                 match self.next_attempt(job, progress) {
                     Ok(attempt) => {
-                        let timeout = self.attempt_timeout(job, progress, &attempt);
+                        let timeout = if handover.has_answer() {
+                            job.attempt_timeout(attempt.expected_wait)
+                        } else {
+                            self.attempt_timeout(job, progress, &attempt)
+                        };
                         handover.start(self, job, attempt, timeout);
                     }
-                    Err(problem) if handover.is_empty() => return Err(problem),
+                    Err(problem) if handover.is_empty() || handover.has_answer() => {
+                        return Err(problem);
+                    }
                     Err(problem) => {
                         if handover.keep() {
                             log_kept_server(job, problem.reason);
