Resume a small model's stream with the model that began it

Found in the read-through: after the answer of the small model was taken instead of the larger one's, a stream that broke would have been resumed with the larger model.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -179,7 +179,12 @@
         let result = timeout_at(job.deadline().into(), raced).await;
         let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
         self.give_up_silent(job, progress, &mut handover);
-        result.or_else(|problem| handover.take_answer().ok_or(problem))
+        result.or_else(|problem| {
+            let (attempt, success) = handover.take_answer().ok_or(problem)?;
+            // A stream that breaks is resumed with the model that began it.
+            progress.level = attempt.level;
+            Ok((attempt, success))
+        })
     }
 
     /// Tries servers until one gives a response that can be returned to the caller. A server that
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -78,8 +78,8 @@
 
 /// Result of the attempt to move a stream to another server.
 enum Resumption {
-    /// Another server has taken the stream, or the silent one has gone on.
-    Resumed,
+    /// There is more to read, from the same server or from another one.
+    Continued,
     /// The silent server has gone on with these events.
     Events(Bytes),
     /// The silent server has ended the stream.
@@ -133,7 +133,7 @@
         loop {
             let resumption = match self.step().await {
                 Step::Events(bytes) => Resumption::Events(bytes),
-                Step::Incomplete => Resumption::Resumed,
+                Step::Incomplete => Resumption::Continued,
                 Step::End => Resumption::Ended,
                 Step::Expired => {
                     self.log_expired();
@@ -153,7 +153,7 @@
                 }
             };
             match resumption {
-                Resumption::Resumed => {}
+                Resumption::Continued => {}
                 Resumption::Events(bytes) => {
                     self.is_silent = false;
                     self.log_long_gap();
@@ -393,7 +393,7 @@
                     self.attempt = attempt;
                     self.upstream = Some(upstream);
                     self.silent_since = Instant::now();
-                    Some(Resumption::Resumed)
+                    Some(Resumption::Continued)
                 }
                 Body::Complete(_) => Some(Resumption::Failed(Refusal::Internal)),
             },
