Split the forwarder and the quarantine by what they do

Code moved only: the attempts of a request at several servers (forward/race.rs), the guards that count requests at a server (forward/guard.rs), the reports that instances exchange (quarantine/exchange.rs).

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -1,24 +1,27 @@
 //! A single attempt: forwards a request to one server and evaluates its response.
 
 use {
-    super::{Class, Forwarder, Job, Progress, classify, full_body, job::Marker},
+    super::{
+        Class, Forwarder, Job, Progress, classify, full_body,
+        guard::{InFlightGuard, PrefillGuard},
+        job::Marker,
+    },
     crate::{
         cascade::Level,
         filter::Response,
-        load::{Load, Tracker},
+        load::Load,
         message::{EventId, ForwardHead, ResponseHead},
         quarantine::start::Start,
         registry::Server,
         sse::MAX_EVENT_BYTES,
     },
     bytes::Bytes,
-    hawthornmount_core::{config::Kind, id::ServerId, reason::Retry},
+    hawthornmount_core::{config::Kind, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
     http::{HeaderMap, StatusCode, header},
     http_body::Frame,
     http_body_util::Full,
     hyper::body::Incoming,
-    parking_lot::Mutex,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -137,67 +140,6 @@
     _in_flight: InFlightGuard,
 }
 
-/// Counts a request as in flight at a server until it is dropped.
-struct InFlightGuard {
-    loads: Arc<Mutex<Tracker>>,
-    server: ServerId,
-    is_trial_sized: bool,
-}
-
-impl InFlightGuard {
-    fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, job: &Job) -> Self {
-        let is_trial_sized = job.is_trial_sized();
-        {
-            let mut loads = loads.lock();
-            let stats = loads.stats(server);
-            stats.in_flight += 1;
-            stats.trial_in_flight += u32::from(is_trial_sized);
-        }
-        Self { loads: loads.clone(), server: server.clone(), is_trial_sized }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let mut loads = self.loads.lock();
-        let stats = loads.stats(&self.server);
-        stats.in_flight = stats.in_flight.saturating_sub(1);
-        stats.trial_in_flight =
-            stats.trial_in_flight.saturating_sub(u32::from(self.is_trial_sized));
-    }
-}
-
-/// Counts the prefill of a prompt in the backlog of a server until it is dropped, which happens
-/// when the response starts.
-struct PrefillGuard {
-    loads: Arc<Mutex<Tracker>>,
-    server: ServerId,
-    prefill_ms: f64,
-}
-
-impl PrefillGuard {
-    fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, prefill_ms: f64) -> Self {
-        let has_prefill = prefill_ms > 0.0;
-        {
-            let mut loads = loads.lock();
-            let stats = loads.stats(server);
-            stats.prefill_backlog_ms += prefill_ms;
-            stats.pending_prompts += u32::from(has_prefill);
-        }
-        Self { loads: loads.clone(), server: server.clone(), prefill_ms }
-    }
-}
-
-impl Drop for PrefillGuard {
-    fn drop(&mut self) {
-        let mut loads = self.loads.lock();
-        let stats = loads.stats(&self.server);
-        stats.prefill_backlog_ms = (stats.prefill_backlog_ms - self.prefill_ms).max(0.0);
-        stats.pending_prompts =
-            stats.pending_prompts.saturating_sub(u32::from(self.prefill_ms > 0.0));
-    }
-}
-
 impl Upstream {
     /// Returns whether a stream that ends now broke off before its first event.
     pub const fn is_without_events(&self) -> bool {
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/guard.rs
@@ -0,0 +1,67 @@
+//! Guards that count a request in the load statistics of a server until they are dropped.
+
+use {
+    super::Job, crate::load::Tracker, hawthornmount_core::id::ServerId, parking_lot::Mutex,
+    std::sync::Arc,
+};
+
+/// Counts a request as in flight at a server until it is dropped.
+pub struct InFlightGuard {
+    loads: Arc<Mutex<Tracker>>,
+    server: ServerId,
+    is_trial_sized: bool,
+}
+
+impl InFlightGuard {
+    pub fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, job: &Job) -> Self {
+        let is_trial_sized = job.is_trial_sized();
+        {
+            let mut loads = loads.lock();
+            let stats = loads.stats(server);
+            stats.in_flight += 1;
+            stats.trial_in_flight += u32::from(is_trial_sized);
+        }
+        Self { loads: loads.clone(), server: server.clone(), is_trial_sized }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let mut loads = self.loads.lock();
+        let stats = loads.stats(&self.server);
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        stats.trial_in_flight =
+            stats.trial_in_flight.saturating_sub(u32::from(self.is_trial_sized));
+    }
+}
+
+/// Counts the prefill of a prompt in the backlog of a server until it is dropped, which happens
+/// when the response starts.
+pub struct PrefillGuard {
+    loads: Arc<Mutex<Tracker>>,
+    server: ServerId,
+    prefill_ms: f64,
+}
+
+impl PrefillGuard {
+    pub fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, prefill_ms: f64) -> Self {
+        let has_prefill = prefill_ms > 0.0;
+        {
+            let mut loads = loads.lock();
+            let stats = loads.stats(server);
+            stats.prefill_backlog_ms += prefill_ms;
+            stats.pending_prompts += u32::from(has_prefill);
+        }
+        Self { loads: loads.clone(), server: server.clone(), prefill_ms }
+    }
+}
+
+impl Drop for PrefillGuard {
+    fn drop(&mut self) {
+        let mut loads = self.loads.lock();
+        let stats = loads.stats(&self.server);
+        stats.prefill_backlog_ms = (stats.prefill_backlog_ms - self.prefill_ms).max(0.0);
+        stats.pending_prompts =
+            stats.pending_prompts.saturating_sub(u32::from(self.prefill_ms > 0.0));
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -3,9 +3,11 @@
 
 mod attempt;
 mod classify;
+mod guard;
 mod handover;
 mod job;
 mod quarantine;
+mod race;
 mod relay;
 mod select;
 
@@ -35,8 +37,7 @@
         settings::{Retries, Settings},
         view::Cell,
     },
-    attempt::{Attempt, Outcome, Success},
-    handover::{Event, Handover},
+    attempt::{Attempt, Success},
     hawthornmount_core::{
         id::{RegionId, ServiceId},
         metrics::Metrics,
@@ -52,7 +53,6 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout_at,
 };
 
 /// Delay after which a caller can retry a request that could not be forwarded.
@@ -167,129 +167,6 @@
         self.quarantine.expire();
     }
 
-    /// Returns the answer of the first server that gives one, or an answer of low confidence if the
-    /// larger model gives none.
-    async fn try_servers(
-        &self,
-        job: &Job,
-        progress: &mut Progress,
-    ) -> Result<(Attempt, Success), Problem> {
-        let mut handover = Handover::default();
-        let raced = self.race_servers(job, progress, &mut handover);
-        let result = timeout_at(job.deadline().into(), raced).await;
-        let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
-        self.give_up_silent(job, progress, &mut handover);
-        result.or_else(|problem| {
-            let (attempt, success) = handover.take_answer().ok_or(problem)?;
-            // A stream that breaks is resumed with the model that began it.
-            progress.level = attempt.level;
-            Ok((attempt, success))
-        })
-    }
-
-    /// Tries servers until one gives a response that can be returned to the caller. A server that
-    /// does not respond in time is kept until another one has taken the request.
-    async fn race_servers<'a>(
-        &'a self,
-        job: &'a Job,
-        progress: &mut Progress,
-        handover: &mut Handover<'a>,
-    ) -> Result<(Attempt, Success), Problem> {
-        loop {
-            if handover.needs_server() {
-                match self.next_attempt(job, progress) {
-                    Ok(attempt) => {
-                        let timeout = if handover.has_answer() {
-                            job.attempt_timeout(attempt.expected_wait)
-                        } else {
-                            self.attempt_timeout(job, progress, &attempt)
-                        };
-                        handover.start(self, job, attempt, timeout);
-                    }
-                    Err(problem) if handover.is_empty() || handover.has_answer() => {
-                        return Err(problem);
-                    }
-                    Err(problem) => {
-                        if handover.keep() {
-                            log_kept_server(job, problem.reason);
-                        }
-                    }
-                }
-            }
-            let (attempt, outcome, began) = match handover.next().await {
-                Event::Ended { attempt, outcome, began } => (attempt, outcome, began),
-                Event::Silent(attempt) => {
-                    let mut loads = self.loads.lock();
-                    loads.stats(&attempt.server.id).record_failure(Instant::now());
-                    progress.record_silence(&attempt);
-                    continue;
-                }
-                Event::Recheck => continue,
-                Event::GivenUp(attempt) => {
-                    let outcome = Outcome::Unknown(Retry::ServerTimeout);
-                    self.record_outcome(job, progress, &attempt, &outcome);
-                    continue;
-                }
-            };
-            self.record_outcome(job, progress, &attempt, &outcome);
-            if matches!(outcome, Outcome::Success(_)) {
-                self.record_start(job, &attempt, began.elapsed());
-                self.give_up_silent(job, progress, handover);
-            }
-            match outcome {
-                Outcome::Success(success) => {
-                    let Some(level) = self.escalate(job, progress, &success) else {
-                        return Ok((attempt, *success));
-                    };
-                    handover.keep_answer(attempt, success);
-                    progress.level = Some(level);
-                    progress.tried.clear();
-                    progress.retry_reason = Some(Retry::Escalation);
-                    continue;
-                }
-                Outcome::Failed(response) => progress.server_failure = Some(response),
-                Outcome::Unknown(_) => {}
-                Outcome::Refused | Outcome::Unsent => continue,
-                Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
-                Outcome::KeyUnconfirmed => continue,
-            }
-            if !job.route.config.is_idempotent() {
-                return Err(server_failed());
-            }
-        }
-    }
-
-    /// Gives up the attempts whose servers are silent.
-    fn give_up_silent(&self, job: &Job, progress: &mut Progress, handover: &mut Handover<'_>) {
-        for silent in handover.take_silent() {
-            let outcome = Outcome::Unknown(Retry::ServerTimeout);
-            self.record_outcome(job, progress, &silent, &outcome);
-        }
-    }
-
-    /// Records the outcome of an attempt, also as evidence.
-    fn record_outcome(
-        &self,
-        job: &Job,
-        progress: &mut Progress,
-        attempt: &Attempt,
-        outcome: &Outcome,
-    ) {
-        progress.record_outcome(attempt, outcome);
-        match outcome {
-            Outcome::Failed(_) => self.record_evidence(job, attempt, Signal::Failed),
-            Outcome::Unknown(_) => self.record_evidence(job, attempt, Signal::Broken),
-            Outcome::Success(_) | Outcome::Refused | Outcome::Unsent | Outcome::KeyUnconfirmed => {}
-        }
-    }
-
-    /// Records the time until a server began its response.
-    fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
-        let model = job.model(attempt.level);
-        self.prefill_times.lock().record(model, attempt.uncached_tokens, time);
-        self.record_evidence(job, attempt, Signal::Started(time));
-    }
-
     /// Returns the time in which the current attempt has to start its response; the last attempt is
     /// limited only by the deadline of the request.
     fn attempt_timeout(
@@ -443,16 +320,6 @@
     }
 }
 
-/// Logs that a silent server is kept, and why no other one takes the request.
-fn log_kept_server(job: &Job, reason: Refusal) {
-    log::info!(
-        "kept a silent server; id={} route={} waited_ms={} no_other={reason}",
-        job.id,
-        job.route.id,
-        job.arrived.elapsed().as_millis(),
-    );
-}
-
 /// Logs a response that starts after the target latency of the route.
 fn log_late_response(job: &Job, progress: &Progress, attempt: &Attempt, success: &Success) {
     let waited = job.arrived.elapsed();
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -5,7 +5,7 @@
     super::{
         Forwarder, Job, Progress,
         attempt::{Attempt, Body, Outcome, Upstream},
-        handover, log_kept_server,
+        handover, race,
     },
     crate::{
         filter::{self, Truncated},
@@ -172,7 +172,7 @@
                     return None;
                 }
                 Resumption::Failed(reason) if self.upstream.is_some() => {
-                    log_kept_server(&self.job, reason);
+                    race::log_kept_server(&self.job, reason);
                 }
                 Resumption::Failed(reason) => {
                     self.log_truncation(reason);
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -20,6 +20,7 @@
 //! [`monitor::Monitor`], which shares the decisions between threads and logs them.
 
 pub mod evidence;
+mod exchange;
 pub mod monitor;
 pub mod proof;
 pub mod start;
@@ -48,22 +49,8 @@
 const MAX_OWN_ENDS: usize = 64;
 /// Number of ends of all instances that are judged, the most recent ones.
 const MAX_JUDGED_ENDS: usize = 512;
-/// Number of reports of other instances that are remembered.
-const MAX_REPORTS: usize = 512;
 /// Number of parts of a prompt that are looked at.
 const MAX_PARTS: usize = 64;
-/// Number of parts in the ends of a report, which limits its size.
-const MAX_REPORTED_PARTS: usize = 512;
-/// Number of parts whose proofs a report states.
-const MAX_REPORTED_PROOFS: usize = 64;
-/// Minimum interval between the first two reports. It grows by as much with each further report, up to
-/// [`MAX_REPORT_INTERVAL`], until no report was written for [`GATHERING_TIME`].
-const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
-/// Interval after a report that the store did not confirm.
-const FAILED_REPORT_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after a report in which a list of the store may still show the one before.
-const LIST_DELAY: Duration = Duration::from_secs(3);
 /// Time after the last end during which more ends, and reports of other instances, are expected.
 const GATHERING_TIME: Duration = Duration::from_secs(5);
 /// Number of answers that have to go on, at any instances, before parts are blamed. Before that, no
@@ -153,7 +140,7 @@
             is_report_due: false,
             is_lost: false,
             next_report_at: None,
-            interval: REPORT_INTERVAL,
+            interval: exchange::REPORT_INTERVAL,
         }
     }
 
@@ -225,70 +212,6 @@
         self.judge(now)
     }
 
-    /// Takes the report that an instance wrote to the store, until [`Self::judge_reports`].
-    pub fn put(&mut self, instance: &InstanceId, report: Report, now: Instant) {
-        self.has_new_reports |= !report.ends.is_empty();
-        if *instance == self.own {
-            self.put_own(report, now);
-            return;
-        }
-        let at = self.reports.binary_search_by(|known| known.instance.cmp(instance));
-        let before = at.ok().map(|at| &self.reports[at]);
-        let known = |end: End| {
-            let known = before.and_then(|row| row.ends.iter().find(|known| known.end == end));
-            let at = known.map_or(now, |known| known.at);
-            Known { end, at }
-        };
-        let ends = report.ends.into_iter().take(MAX_OWN_ENDS).map(known).collect();
-        let mut proofs = report.proofs;
-        proofs.truncate(MAX_REPORTED_PROOFS);
-        proofs.sort_unstable();
-        let row = Reported { instance: instance.clone(), ends, proofs, received_at: now };
-        match at {
-            Ok(at) => self.reports[at] = row,
-            Err(at) if self.reports.len() < MAX_REPORTS => self.reports.insert(at, row),
-            Err(_) => {}
-        }
-    }
-
-    /// Decides on the reports that arrived since the last time.
-    pub fn judge_reports(&mut self, now: Instant) -> Vec<Change> {
-        let is_due = std::mem::take(&mut self.has_new_reports);
-        if is_due { self.judge(now) } else { Vec::new() }
-    }
-
-    /// Records that the own report is missing from the store, which was then restored from a copy.
-    pub fn record_missing(&mut self) {
-        self.is_lost = self.written.as_ref().is_some_and(|report| !report.ends.is_empty());
-    }
-
-    /// Returns the report on the own evidence, if one is due.
-    pub fn take_report(&mut self, now: Instant) -> Option<Report> {
-        let is_lost = self.is_lost && self.next_report_at.is_none_or(|at| now >= at + LIST_DELAY);
-        let is_due = self.is_report_due && self.next_report_at.is_none_or(|at| now >= at);
-        if !is_lost && !is_due {
-            return None;
-        }
-        self.is_lost = false;
-        let report = self.report(now);
-        self.is_report_due = false;
-        let is_first = self.next_report_at.is_none_or(|at| now >= at + GATHERING_TIME);
-        let interval = if is_first { REPORT_INTERVAL } else { self.interval + REPORT_INTERVAL };
-        self.interval = interval.min(MAX_REPORT_INTERVAL);
-        self.next_report_at = Some(now + self.interval);
-        if report.ends.is_empty() && self.written.as_ref().is_none_or(|last| last.ends.is_empty()) {
-            return None;
-        }
-        self.written = Some(report.clone());
-        Some(report)
-    }
-
-    /// Records that the store did not confirm the last report.
-    pub fn report_lost(&mut self, now: Instant) {
-        self.is_report_due = true;
-        self.next_report_at = Some(now + FAILED_REPORT_INTERVAL);
-    }
-
     /// Removes what is too old, and returns the parts whose quarantine has ended.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -315,41 +238,6 @@
         changes
     }
 
-    fn put_own(&mut self, report: Report, now: Instant) {
-        if self.written.is_none() {
-            // This instance wrote the report before it started again.
-            for end in report.ends.iter().take(MAX_OWN_ENDS.saturating_sub(self.ends.len())) {
-                if !self.ends.iter().any(|known| known.end == *end) {
-                    self.ends.insert(0, Known { end: end.clone(), at: now });
-                }
-            }
-            for (part, count) in &report.proofs {
-                self.proofs.add(*part, *count, now);
-            }
-            self.written = Some(report);
-        } else {
-            self.is_lost = self.written.as_ref().is_some_and(|last| last.ends != report.ends);
-        }
-    }
-
-    fn report(&self, now: Instant) -> Report {
-        let mut parts = 0;
-        let newest = self.ends.iter().rev().map(|known| &known.end).take_while(|end| {
-            parts += end.parts.len();
-            parts <= MAX_REPORTED_PARTS
-        });
-        let mut ends: Vec<End> = newest.cloned().collect();
-        ends.reverse();
-        // The most suspect parts first.
-        let mut counts = verdict::counts(&self.ends_in_force(now));
-        counts.sort_by_key(|(_, servers)| Reverse(*servers));
-        let proofs = counts.into_iter().map(|(part, _)| (part, self.proofs.count(part, now)));
-        let proofs = proofs.filter(|(_, count)| *count > 0).take(MAX_REPORTED_PROOFS);
-        let mut proofs: Vec<(PartId, u32)> = proofs.collect();
-        proofs.sort_unstable();
-        Report { ends, proofs }
-    }
-
     /// Puts parts into quarantine, or takes them out of it, according to the evidence.
     fn judge(&mut self, now: Instant) -> Vec<Change> {
         let ends = self.ends_in_force(now);
