Log a digest of the request with each failure of a server

The log could not tell a request that comes again from requests that only ran beside: the id is new each time. The digest covers method, path, account and body. Decisions are unchanged.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -405,11 +405,12 @@
     /// Logs a failure of a server and records it in the load statistics.
     pub(super) fn record_failure(&self, job: &Job, server: &Server, cause: &str) {
         log::info!(
-            "server failed; id={} route={} server={} version={} cause={cause}",
+            "server failed; id={} route={} server={} version={} digest={:016x} cause={cause}",
             job.id,
             job.route.id,
             server.id,
-            server.version
+            server.version,
+            job.digest
         );
         self.loads.lock().stats(&server.id).record_failure(Instant::now());
     }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -4,7 +4,7 @@
     crate::{
         cascade::{self, Level},
         filter::{Exchange, Response},
-        message::{EventId, RequestHead},
+        message::{Digest, EventId, RequestHead},
         rollout::plan,
         route::Entry,
         view::{Principal, View},
@@ -52,6 +52,8 @@
     pub service: ServiceId,
     /// Account of the caller.
     pub principal: Option<Principal>,
+    /// Digest of the request, which is the same whenever its caller sends it again.
+    pub digest: Digest,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time until which the caller waits; the timeout of the route if the caller states none.
@@ -138,6 +140,7 @@
             route,
             service,
             principal: exchange.principal.clone(),
+            digest: digest(exchange),
             arrived: exchange.arrived,
             caller_deadline: exchange.arrived + wait,
         }
@@ -206,3 +209,21 @@
         self.request.resume_after
     }
 }
+
+/// Returns the digest of a request over its method, path, account and body. Each part is preceded by
+/// its length, so that no two different requests are joined to the same bytes.
+fn digest(exchange: &Exchange) -> Digest {
+    let head = &exchange.head;
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let account = exchange.principal.as_ref().map_or("", |principal| &*principal.account);
+    let mut hasher = blake3::Hasher::new();
+    for part in
+        [head.method.as_str().as_bytes(), target.as_bytes(), account.as_bytes(), &exchange.body]
+    {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = [0; size_of::<Digest>()];
+    hasher.finalize_xof().fill(&mut digest);
+    Digest::from_le_bytes(digest)
+}
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -15,6 +15,9 @@
 /// Id of a prompt part; requests that share the part have the same id.
 pub type PartId = u64;
 
+/// Digest of what makes two requests the same, whatever their ids: method, path, account and body.
+pub type Digest = u64;
+
 /// A part of a prompt, which other requests can share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Part {
