Keep a request that ends servers from them, whatever its id

Callers saw 503 and 502 on whole routes for seconds: the same request (method, path, account, body) ended each server that ran it and came again with another id, and each instance sent it on. The quarantine knew parts of prompts only; a request without a prompt left no evidence, and sound requests with the same parts acquitted one with a prompt.

Ruled out: servers that end for a reason of their own (the digest would differ from end to end), and retries within one request alone (it goes on for 15 s).

Now an instance counts ends by digest, once the server refuses connections, reports them like ends under parts, and rejects a request under which three servers ended over the fleet. Requests that ran beside are acquitted; a part is blamed only for ends under different requests.

The model of fleets with bad parts passes as before; its requests have digests now.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -209,6 +209,7 @@
                 }
                 Err(failure) => {
                     self.record_failure(job, server, &failure.to_string());
+                    self.record_unanswered(job, server);
                     return Outcome::Unknown(Retry::CutAnswer);
                 }
             }
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -1,30 +1,44 @@
-//! Observations of answers that break off right after their start, and rejection of requests with
-//! parts that end servers.
+//! Observations of answers that break off because a server ends, and rejection of requests that end
+//! servers or have parts in their prompts that do.
 
 use {
     super::{Forwarder, Job, Progress},
     crate::{
         message::PartId,
-        quarantine::{MAX_ENDS_PER_REQUEST, evidence::End, start::Start},
+        quarantine::{
+            MAX_ENDS_PER_REQUEST,
+            evidence::{End, Suspect},
+            start::Start,
+        },
         registry::Server,
     },
-    hawthornmount_core::{problem::Problem, reason::Refusal},
+    hawthornmount_core::{config::Kind, problem::Problem, reason::Refusal},
+    hawthornmount_http::connection,
     std::time::{Duration, Instant},
 };
 
 /// Delay after which a caller can retry a request whose parts are suspect.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Time in which a server that has ended refuses a connection: a round trip between regions.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a server that ends may take to close its listener after its connections.
+const END_TIME: Duration = Duration::from_millis(50);
 
 impl Forwarder {
-    /// Checks that no part of a request is in quarantine, and that a request which has ended servers
-    /// is not sent to another one while its parts are suspect.
+    /// Checks that neither a request nor a part of it is in quarantine, and that a request which has
+    /// ended servers is not sent to another one while its parts are suspect.
     pub(super) fn check_quarantine(&self, job: &Job, progress: &Progress) -> Result<(), Problem> {
-        if let Some((part, time_left)) = self.quarantine.find(job.shared_parts()) {
-            let detail = format!("part {part:x} of the prompt ends servers: come back");
+        if let Some((suspect, time_left)) = self.quarantine.find(job.suspects()) {
+            let detail = match suspect {
+                Suspect::Part(part) => {
+                    format!("part {part:x} of the prompt ends servers: come back")
+                }
+                Suspect::Request(_) => "the request ends servers: come back".to_owned(),
+            };
             return Err(Problem::new(Refusal::Quarantined, detail).retry_after(time_left));
         }
         if progress.ended_servers >= MAX_ENDS_PER_REQUEST
-            && self.quarantine.is_suspect(&job.shared_parts().collect::<Vec<_>>())
+            && self.quarantine.is_suspect(&job.suspect_parts().collect::<Vec<_>>())
         {
             log::info!(
                 "not sent to another server, servers ended under it; id={} ended={}",
@@ -54,21 +68,49 @@
             start.age(now).as_millis(),
             format_parts(&parts)
         );
-        self.quarantine.record_end(End {
+        self.record_end(job, server, parts);
+        true
+    }
+
+    /// Records that a server gave no answer and closed the connection. Streams wait without an answer
+    /// until they run; other requests may be running.
+    pub(super) fn record_unanswered(&self, job: &Job, server: &Server) {
+        if job.route.config.kind != Kind::Stream {
+            self.record_end(job, server, Vec::new());
+        }
+    }
+
+    /// Records that a server ended under parts of a request, and under the request itself once the
+    /// server refuses connections: a sound server may close a connection too.
+    fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>) {
+        let mut end = End {
             server: server.id.clone(),
             start_ms: server.start_ms,
             request: job.id.clone(),
             parts,
+            digest: Some(job.digest),
+            is_confirmed: false,
+        };
+        self.quarantine.record_end(end.clone());
+        end.is_confirmed = true;
+        let (digest, address) = (job.digest, server.address);
+        let (quarantine, route) = (self.quarantine.clone(), job.route.id.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(END_TIME).await;
+            if connection::is_refused(address, REFUSAL_TIMEOUT).await {
+                log::info!(
+                    "server ended under a request; id={} route={route} server={} digest={digest:016x}",
+                    end.request,
+                    end.server
+                );
+                quarantine.record_end(end);
+            }
         });
-        true
     }
 
     /// Records that the answer to a request went on for a while or was complete.
     pub(super) fn record_proof(&self, job: &Job) {
-        let parts: Vec<PartId> = job.shared_parts().collect();
-        if !parts.is_empty() {
-            self.quarantine.record_proof(&parts);
-        }
+        self.quarantine.record_proof(&job.suspects().collect::<Vec<_>>());
     }
 }
 
@@ -79,6 +121,16 @@
         let shared = self.request.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
         shared.iter().map(|part| part.id)
     }
+
+    /// Returns the parts of the prompt that may be to blame for the end of a server.
+    fn suspect_parts(&self) -> impl Iterator<Item = Suspect> {
+        self.shared_parts().map(Suspect::Part)
+    }
+
+    /// Returns what may be to blame for the end of a server: the request, and parts of its prompt.
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        self.suspect_parts().chain([Suspect::Request(self.digest)])
+    }
 }
 
 /// Returns the ids of parts in the format of log lines.
--- a/crates/hawthornmount-gateway/src/quarantine/exchange.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/exchange.rs
@@ -3,10 +3,9 @@
 use {
     super::{
         Change, GATHERING_TIME, Known, MAX_OWN_ENDS, Quarantine, Reported,
-        evidence::{End, Report},
+        evidence::{End, Report, Suspect},
         verdict,
     },
-    crate::message::PartId,
     hawthornmount_core::id::InstanceId,
     std::{
         cmp::Reverse,
@@ -16,9 +15,9 @@
 
 /// Number of reports of other instances that are remembered.
 const MAX_REPORTS: usize = 512;
-/// Number of parts in the ends of a report, which limits its size.
-const MAX_REPORTED_PARTS: usize = 512;
-/// Number of parts whose proofs a report states.
+/// Number of suspects in the ends of a report, which limits its size.
+const MAX_REPORTED_SUSPECTS: usize = 512;
+/// Number of suspects whose proofs a report states.
 const MAX_REPORTED_PROOFS: usize = 64;
 /// Minimum interval between the first two reports. It grows by as much with each further report, up to
 /// [`MAX_REPORT_INTERVAL`], until no report was written for [`GATHERING_TIME`].
@@ -40,14 +39,15 @@
         let at = self.reports.binary_search_by(|known| known.instance.cmp(instance));
         let before = at.ok().map(|at| &self.reports[at]);
         let known = |end: End| {
-            let known = before.and_then(|row| row.ends.iter().find(|known| known.end == end));
+            let known =
+                before.and_then(|row| row.ends.iter().find(|known| known.end.is_same(&end)));
             let at = known.map_or(now, |known| known.at);
             Known { end, at }
         };
-        let ends = report.ends.into_iter().take(MAX_OWN_ENDS).map(known).collect();
-        let mut proofs = report.proofs;
-        proofs.truncate(MAX_REPORTED_PROOFS);
+        let mut proofs: Vec<(Suspect, u32)> =
+            report.suspect_proofs().take(MAX_REPORTED_PROOFS).collect();
         proofs.sort_unstable();
+        let ends = report.ends.into_iter().take(MAX_OWN_ENDS).map(known).collect();
         let row = Reported { instance: instance.clone(), ends, proofs, received_at: now };
         match at {
             Ok(at) => self.reports[at] = row,
@@ -98,12 +98,12 @@
         if self.written.is_none() {
             // This instance wrote the report before it started again.
             for end in report.ends.iter().take(MAX_OWN_ENDS.saturating_sub(self.ends.len())) {
-                if !self.ends.iter().any(|known| known.end == *end) {
+                if !self.ends.iter().any(|known| known.end.is_same(end)) {
                     self.ends.insert(0, Known { end: end.clone(), at: now });
                 }
             }
-            for (part, count) in &report.proofs {
-                self.proofs.add(*part, *count, now);
+            for (suspect, count) in report.suspect_proofs() {
+                self.proofs.add(suspect, count, now);
             }
             self.written = Some(report);
         } else {
@@ -112,20 +112,20 @@
     }
 
     fn report(&self, now: Instant) -> Report {
-        let mut parts = 0;
+        let mut suspects = 0;
         let newest = self.ends.iter().rev().map(|known| &known.end).take_while(|end| {
-            parts += end.parts.len();
-            parts <= MAX_REPORTED_PARTS
+            suspects += end.suspects().count();
+            suspects <= MAX_REPORTED_SUSPECTS
         });
         let mut ends: Vec<End> = newest.cloned().collect();
         ends.reverse();
-        // The most suspect parts first.
+        // The most suspect first.
         let mut counts = verdict::counts(&self.ends_in_force(now));
         counts.sort_by_key(|(_, servers)| Reverse(*servers));
-        let proofs = counts.into_iter().map(|(part, _)| (part, self.proofs.count(part, now)));
+        let proofs = counts.into_iter().map(|(one, _)| (one, self.proofs.count(one, now)));
         let proofs = proofs.filter(|(_, count)| *count > 0).take(MAX_REPORTED_PROOFS);
-        let mut proofs: Vec<(PartId, u32)> = proofs.collect();
+        let mut proofs: Vec<(Suspect, u32)> = proofs.collect();
         proofs.sort_unstable();
-        Report { ends, proofs }
+        Report::new(ends, &proofs)
     }
 }
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -1,20 +1,21 @@
-//! Quarantine of prompt parts that end servers.
+//! Quarantine of requests, and of parts of prompts, that end servers.
 //!
-//! Load: a part of a prompt ends every server that begins to write an answer on it, whatever else the
-//! request holds. Requests with the part arrive at all instances, no two alike, and share their other
-//! parts with sound requests. A server that ends also breaks the answers of all requests that run on
-//! it.
+//! Load: a request ends every server that runs it, and comes again at any instance with other ids. Or a
+//! part of a prompt ends every server that begins to write an answer on it, whatever else the request
+//! holds; requests with the part arrive at all instances, no two alike, and share their other parts
+//! with sound requests. A server that ends also breaks the answers of all requests that run on it.
 //!
-//! - A request is evidence against its parts if its answer broke off right after its head
-//!   ([`start::Start`]). Requests whose answer had not begun, or had been running, are not.
-//! - An answer that went on for a while, or was complete, is a proof in favour of its parts
-//!   ([`proof::Counter`]).
-//! - The parts to blame are found over the ends that all instances know ([`verdict`]). Each instance
+//! - A request is evidence against itself if it got no answer and its server refuses connections since.
+//!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]).
+//!   Streams whose answer had not begun, or had been running, are no evidence.
+//! - An answer that went on for a while, or was complete, is a proof in favour of its request and its
+//!   parts ([`proof::Counter`]).
+//! - What is to blame is found over the ends that all instances know ([`verdict`]). Each instance
 //!   writes the ends that it saw to a key of its own ([`evidence::Report`]), and decides by itself, so
 //!   that an instance that is cut off uses its own evidence.
-//! - A request with a part in quarantine is rejected before it is sent. A quarantine ends after a fixed
-//!   time, after which one more end renews it for twice the time, or when the proofs outweigh the
-//!   ends.
+//! - A request that is in quarantine, or has a part that is, is rejected before it is sent. A quarantine
+//!   ends after a fixed time, after which one more end renews it for twice the time, or when the proofs
+//!   outweigh the ends.
 //!
 //! The module decides on observations and the time that its callers pass, except for
 //! [`monitor::Monitor`], which shares the decisions between threads and logs them.
@@ -27,8 +28,7 @@
 pub mod verdict;
 
 use {
-    crate::message::PartId,
-    evidence::{End, Report},
+    evidence::{End, Report, Suspect},
     hawthornmount_core::id::InstanceId,
     proof::Counter,
     std::{
@@ -39,7 +39,7 @@
 
 /// Age up to which an end counts as evidence.
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(60);
-/// Time for which the first quarantine of a part lasts; each further one lasts twice as long.
+/// Time for which the first quarantine lasts; each further one lasts twice as long.
 const FIRST_TERM: Duration = Duration::from_secs(300);
 /// Longest time for which a quarantine lasts.
 const MAX_TERM: Duration = Duration::from_secs(3_600);
@@ -56,6 +56,8 @@
 /// Number of answers that have to go on, at any instances, before parts are blamed. Before that, no
 /// part has proofs, and those that most requests share seem the worst.
 const MIN_PROOFS: u32 = 20;
+/// Time after the last end under a request in which other instances may report what explains it.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 /// Number of servers that a request may end before it is held back while its parts are suspect.
 pub const MAX_ENDS_PER_REQUEST: u32 = 2;
 
@@ -71,36 +73,46 @@
 struct Reported {
     instance: InstanceId,
     ends: Vec<Known>,
-    proofs: Vec<(PartId, u32)>,
+    /// Numbers of answers in favour of suspects, in order of the suspects.
+    proofs: Vec<(Suspect, u32)>,
     received_at: Instant,
 }
 
-/// A part that is, or was, in quarantine.
+/// A suspect that is, or was, in quarantine.
 #[derive(Clone, Copy, Debug)]
 struct Row {
-    part: PartId,
+    suspect: Suspect,
     until: Instant,
     term: Duration,
     /// Whether the end of the quarantine was announced.
     is_announced: bool,
 }
 
-/// A part that enters or leaves quarantine.
+/// Numbers of suspects in quarantine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Parts of prompts.
+    pub parts: usize,
+    /// Requests.
+    pub requests: usize,
+}
+
+/// A suspect that enters or leaves quarantine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// The part enters quarantine.
+    /// The suspect enters quarantine.
     Entered {
-        /// The part.
-        part: PartId,
+        /// The suspect.
+        suspect: Suspect,
         /// Number of servers that ended under it.
         servers: usize,
         /// Time for which the quarantine lasts.
         term: Duration,
     },
     /// The time of the quarantine has passed.
-    Expired(PartId),
-    /// Answers with the part went on, or other parts explain the ends.
-    Cleared(PartId),
+    Expired(Suspect),
+    /// Answers with the suspect went on, or others explain the ends.
+    Cleared(Suspect),
 }
 
 /// Observations and decisions of an instance.
@@ -112,7 +124,7 @@
     proofs: Counter,
     /// Reports of the other instances, in order of their names.
     reports: Vec<Reported>,
-    /// Parts that are or were in quarantine, in order of their ids.
+    /// Suspects that are or were in quarantine, in their order.
     rows: Vec<Row>,
     /// Whether reports arrived on which nothing was decided yet.
     has_new_reports: bool,
@@ -144,39 +156,41 @@
         }
     }
 
-    /// Returns a part that is in quarantine, and the time until its quarantine ends.
+    /// Returns a suspect that is in quarantine, and the time until its quarantine ends.
     pub fn find(
         &self,
-        parts: impl IntoIterator<Item = PartId>,
+        suspects: impl IntoIterator<Item = Suspect>,
         now: Instant,
-    ) -> Option<(PartId, Duration)> {
-        let active = |part| {
-            let row = self.row(part).filter(|row| now < row.until)?;
-            Some((part, row.until - now))
+    ) -> Option<(Suspect, Duration)> {
+        let active = |suspect| {
+            let row = self.row(suspect).filter(|row| now < row.until)?;
+            Some((suspect, row.until - now))
         };
-        parts.into_iter().find_map(active)
+        suspects.into_iter().find_map(active)
     }
 
-    /// Returns whether servers ended under one of the parts, and no answer with it went on.
-    pub fn is_suspect(&self, parts: &[PartId], now: Instant) -> bool {
+    /// Returns whether servers ended under one of the suspects, and no answer with it went on.
+    pub fn is_suspect(&self, suspects: &[Suspect], now: Instant) -> bool {
         let ends = self.ends_in_force(now);
-        let active = self.active_parts(now);
-        let is_suspect = |part: &PartId| {
-            verdict::servers(&ends, *part) >= verdict::SUSPECT_SERVERS
-                && !verdict::is_explained(&ends, *part, &active)
-                && self.proof_count(*part, now) == 0
+        let active = self.active(now);
+        let is_suspect = |suspect: &Suspect| {
+            verdict::servers(&ends, *suspect) >= verdict::SUSPECT_SERVERS
+                && !verdict::is_explained(&ends, *suspect, &active)
+                && self.proof_count(*suspect, now) == 0
         };
-        parts.iter().any(is_suspect)
-    }
-
-    /// Returns the number of parts in quarantine.
-    pub fn len(&self, now: Instant) -> usize {
-        self.rows.iter().filter(|row| now < row.until).count()
+        suspects.iter().any(is_suspect)
     }
 
-    /// Returns whether no part is in quarantine.
-    pub fn is_empty(&self, now: Instant) -> bool {
-        self.len(now) == 0
+    /// Returns the numbers of suspects in quarantine.
+    pub fn counts(&self, now: Instant) -> Counts {
+        let mut counts = Counts::default();
+        for suspect in self.active(now) {
+            match suspect {
+                Suspect::Part(_) => counts.parts += 1,
+                Suspect::Request(_) => counts.requests += 1,
+            }
+        }
+        counts
     }
 
     /// Returns whether servers ended recently, so that reports of other instances are expected.
@@ -185,45 +199,55 @@
         self.all_ends().any(is_recent)
     }
 
-    /// Records a request whose answer broke off right after its head.
+    /// Records a request that got no whole answer because its server ended, or what is now known of
+    /// such an end in addition.
     pub fn record_end(&mut self, mut end: End, now: Instant) -> Vec<Change> {
         end.parts.truncate(MAX_PARTS);
-        if end.parts.is_empty() || self.ends.iter().any(|known| known.end == end) {
-            return Vec::new();
-        }
-        self.is_report_due |= self.find(end.parts.iter().copied(), now).is_none();
-        if self.ends.len() == MAX_OWN_ENDS {
-            self.ends.remove(0);
+        match self.ends.iter_mut().find(|known| known.end.is_same(&end)) {
+            Some(known) if end.is_confirmed && !known.end.is_confirmed => {
+                known.end.is_confirmed = true;
+            }
+            Some(_) => return Vec::new(),
+            None if end.suspects().next().is_none() => return Vec::new(),
+            None => {
+                if self.ends.len() == MAX_OWN_ENDS {
+                    self.ends.remove(0);
+                }
+                self.ends.push(Known { end: end.clone(), at: now });
+            }
         }
-        self.ends.push(Known { end, at: now });
+        self.is_report_due |= self.find(end.suspects(), now).is_none();
         self.judge(now)
     }
 
     /// Records an answer that went on for a while or was complete.
-    pub fn record_proof(&mut self, parts: &[PartId], now: Instant) -> Vec<Change> {
-        for part in parts {
-            self.proofs.add(*part, 1, now);
+    pub fn record_proof(&mut self, suspects: &[Suspect], now: Instant) -> Vec<Change> {
+        for suspect in suspects {
+            // Requests are too many to count, and most come once only.
+            if matches!(suspect, Suspect::Part(_)) || self.has_ended_servers(*suspect) {
+                self.proofs.add(*suspect, 1, now);
+            }
         }
-        if self.find(parts.iter().copied(), now).is_none() {
+        if self.find(suspects.iter().copied(), now).is_none() {
             return Vec::new();
         }
-        // Other instances have the part in quarantine too.
+        // Other instances have the suspect in quarantine too.
         self.is_report_due = true;
         self.judge(now)
     }
 
-    /// Removes what is too old, and returns the parts whose quarantine has ended.
+    /// Removes what is too old, and returns what enters or leaves quarantine because of the time.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
         for row in self.rows.iter_mut().filter(|row| row.until <= now && !row.is_announced) {
             row.is_announced = true;
-            changes.push(Change::Expired(row.part));
+            changes.push(Change::Expired(row.suspect));
         }
         self.rows.retain(|row| now < row.until + PROBATION);
-        let active: Vec<PartId> = self.active_parts(now);
+        let active = self.active(now);
         let is_kept = |known: &Known| {
             now < known.at + EVIDENCE_LIFETIME
-                || known.end.parts.iter().any(|part| active.binary_search(part).is_ok())
+                || known.end.suspects().any(|one| active.binary_search(&one).is_ok())
         };
         let before = self.ends.len();
         self.ends.retain(is_kept);
@@ -235,53 +259,60 @@
         // Answers that went on since the last ends may clear a part.
         let is_contested = self.is_contested(&self.ends_in_force(now), now);
         self.is_report_due |= is_contested;
+        if self.is_gathering(now) {
+            changes.extend(self.judge(now));
+        }
         changes
     }
 
-    /// Puts parts into quarantine, or takes them out of it, according to the evidence.
+    /// Puts suspects into quarantine, or takes them out of it, according to the evidence.
     fn judge(&mut self, now: Instant) -> Vec<Change> {
         let ends = self.ends_in_force(now);
-        let record = |part| verdict::Record {
-            proofs: self.proof_count(part, now),
-            is_on_probation: self.row(part).is_some_and(|row| row.until <= now),
+        let record = |suspect| verdict::Record {
+            proofs: self.proof_count(suspect, now),
+            is_settled: self.is_settled(suspect, now),
         };
-        let verdict::Verdict { blamed, acquitted } = verdict::judge(&ends, record);
-        let is_cleared = |part: &PartId| {
-            let (servers, proofs) = (verdict::servers(&ends, *part), self.proof_count(*part, now));
-            acquitted.contains(part) || verdict::is_cleared(servers, proofs)
+        let probation = self.rows.iter().filter(|row| row.until <= now).map(|row| row.suspect);
+        let probation: Vec<Suspect> = probation.collect();
+        let verdict::Verdict { blamed, acquitted } = verdict::judge(&ends, &probation, record);
+        let is_cleared = |one: &Suspect| {
+            let (servers, proofs) = (verdict::servers(&ends, *one), self.proof_count(*one, now));
+            acquitted.contains(one) || verdict::is_cleared(*one, servers, proofs)
         };
-        let cleared: Vec<PartId> = self.active_parts(now).into_iter().filter(is_cleared).collect();
+        let cleared: Vec<Suspect> = self.active(now).into_iter().filter(is_cleared).collect();
         let has_proofs = self.total_proofs(now) >= MIN_PROOFS;
         let is_contested = self.is_contested(&ends, now);
-        let is_new = |blamed: &&verdict::Blamed| match self.row(blamed.part) {
+        let is_new = |blamed: &&verdict::Blamed| match self.row(blamed.suspect) {
             Some(row) => row.until <= now,
-            None => has_proofs,
+            None => has_proofs || matches!(blamed.suspect, Suspect::Request(_)),
         };
         let entered: Vec<verdict::Blamed> = blamed.iter().filter(is_new).copied().collect();
-        self.rows.retain(|row| !cleared.contains(&row.part));
+        self.rows.retain(|row| !cleared.contains(&row.suspect));
         self.is_report_due |= is_contested;
         let mut changes: Vec<Change> = cleared.into_iter().map(Change::Cleared).collect();
-        for verdict::Blamed { part, servers } in entered {
-            let term = self.row(part).map_or(FIRST_TERM, |row| (row.term * 2).min(MAX_TERM));
-            let row = Row { part, until: now + term, term, is_announced: false };
-            match self.rows.binary_search_by_key(&part, |row| row.part) {
+        for verdict::Blamed { suspect, servers } in entered {
+            let term = self.row(suspect).map_or(FIRST_TERM, |row| (row.term * 2).min(MAX_TERM));
+            let row = Row { suspect, until: now + term, term, is_announced: false };
+            match self.rows.binary_search_by_key(&suspect, |row| row.suspect) {
                 Ok(at) => self.rows[at] = row,
                 Err(at) => self.rows.insert(at, row),
             }
-            changes.push(Change::Entered { part, servers, term });
+            changes.push(Change::Entered { suspect, servers, term });
         }
         changes
     }
 
-    /// Returns whether others would blame a part that the answers at this instance clear, and that
+    /// Returns whether others would blame a suspect that the answers at this instance clear, and that
     /// this instance has not reported.
     fn is_contested(&self, ends: &[&End], now: Instant) -> bool {
-        let is_contested = |(part, servers): &(PartId, usize)| {
-            let own = self.proofs.count(*part, now);
-            let written = self.written.as_ref().map_or(0, |report| count_of(&report.proofs, *part));
-            let others = self.reported_proofs(*part, now);
-            verdict::is_cleared(*servers, others.saturating_add(own))
-                && !verdict::is_cleared(*servers, others.saturating_add(written))
+        let is_contested = |(suspect, servers): &(Suspect, usize)| {
+            let own = self.proofs.count(*suspect, now);
+            let mut written = self.written.iter().flat_map(Report::suspect_proofs);
+            let written = written.find(|row| row.0 == *suspect).map_or(0, |row| row.1);
+            let others = self.reported_proofs(*suspect, now);
+            let is_cleared =
+                |own| verdict::is_cleared(*suspect, *servers, others.saturating_add(own));
+            is_cleared(own) && !is_cleared(written)
         };
         let counts = verdict::counts(ends);
         counts.iter().filter(|(_, servers)| *servers > verdict::SUSPECT_SERVERS).any(is_contested)
@@ -292,11 +323,11 @@
     fn ends_in_force(&self, now: Instant) -> Vec<&End> {
         let is_over = |known: &&Known| {
             let is_before = |row: &Row| row.until <= now && known.at < row.until;
-            known.end.parts.iter().any(|part| self.row(*part).is_some_and(is_before))
+            known.end.suspects().any(|one| self.row(one).is_some_and(is_before))
         };
-        let is_active = |part: &PartId| self.row(*part).is_some_and(|row| now < row.until);
+        let is_active = |one: Suspect| self.row(one).is_some_and(|row| now < row.until);
         let is_in_force = |known: &&Known| {
-            now < known.at + EVIDENCE_LIFETIME || known.end.parts.iter().any(is_active)
+            now < known.at + EVIDENCE_LIFETIME || known.end.suspects().any(is_active)
         };
         let mut over: Vec<_> =
             self.all_ends().filter(is_over).map(|known| known.end.server_run()).collect();
@@ -323,28 +354,42 @@
         self.ends.iter().chain(self.reports.iter().flat_map(|report| &report.ends))
     }
 
-    /// Returns the number of answers with a part that went on, at all instances.
-    fn proof_count(&self, part: PartId, now: Instant) -> u32 {
-        self.reported_proofs(part, now).saturating_add(self.proofs.count(part, now))
+    /// Returns whether servers ended under a suspect.
+    fn has_ended_servers(&self, suspect: Suspect) -> bool {
+        self.all_ends().any(|known| known.end.suspects().any(|one| one == suspect))
+    }
+
+    /// Returns whether the other instances have had time to report on the ends under a suspect.
+    fn is_settled(&self, suspect: Suspect, now: Instant) -> bool {
+        let is_recent = |known: &Known| now < known.at + SETTLING_TIME;
+        let mut ends =
+            self.all_ends().filter(|known| known.end.suspects().any(|one| one == suspect));
+        !ends.any(is_recent)
+    }
+
+    /// Returns the number of answers with a suspect that went on, at all instances.
+    fn proof_count(&self, suspect: Suspect, now: Instant) -> u32 {
+        self.reported_proofs(suspect, now).saturating_add(self.proofs.count(suspect, now))
     }
 
-    /// Returns the number of answers with a part that went on, at the other instances.
-    fn reported_proofs(&self, part: PartId, now: Instant) -> u32 {
+    /// Returns the number of answers with a suspect that went on, at the other instances.
+    fn reported_proofs(&self, suspect: Suspect, now: Instant) -> u32 {
         let recent = self.reports.iter().filter(|row| now < row.received_at + EVIDENCE_LIFETIME);
-        recent.map(|row| count_of(&row.proofs, part)).fold(0, u32::saturating_add)
+        recent.map(|row| count_of(&row.proofs, suspect)).fold(0, u32::saturating_add)
     }
 
-    fn active_parts(&self, now: Instant) -> Vec<PartId> {
-        self.rows.iter().filter(|row| now < row.until).map(|row| row.part).collect()
+    /// Returns the suspects in quarantine, in their order.
+    fn active(&self, now: Instant) -> Vec<Suspect> {
+        self.rows.iter().filter(|row| now < row.until).map(|row| row.suspect).collect()
     }
 
-    fn row(&self, part: PartId) -> Option<&Row> {
-        let at = self.rows.binary_search_by_key(&part, |row| row.part).ok()?;
+    fn row(&self, suspect: Suspect) -> Option<&Row> {
+        let at = self.rows.binary_search_by_key(&suspect, |row| row.suspect).ok()?;
         Some(&self.rows[at])
     }
 }
 
-/// Returns the number of answers with a part, of counts in order of the parts.
-fn count_of(proofs: &[(PartId, u32)], part: PartId) -> u32 {
-    proofs.binary_search_by_key(&part, |(part, _)| *part).map_or(0, |at| proofs[at].1)
+/// Returns the number of answers with a suspect, of counts in order of the suspects.
+fn count_of(proofs: &[(Suspect, u32)], suspect: Suspect) -> u32 {
+    proofs.binary_search_by_key(&suspect, |row| row.0).map_or(0, |at| proofs[at].1)
 }
--- a/crates/hawthornmount-gateway/src/quarantine/monitor.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/monitor.rs
@@ -3,19 +3,20 @@
 use {
     super::{
         Change, Quarantine,
-        evidence::{End, REPORT_PREFIX, Report},
+        evidence::{End, REPORT_PREFIX, Report, Suspect},
     },
-    crate::{message::PartId, time},
+    crate::time,
     hawthornmount_core::{id::InstanceId, metrics::Metrics},
     hawthornmount_store::{Entry, Txn},
     parking_lot::Mutex,
     std::time::Duration,
 };
 
-/// Name of the gauge of the parts in quarantine.
-const GAUGE: &str = "quarantined_parts";
+/// Names of the gauges of the parts and requests in quarantine.
+const PARTS_GAUGE: &str = "quarantined_parts";
+const REQUESTS_GAUGE: &str = "quarantined_requests";
 
-/// Shares the quarantine, and logs the parts that enter and leave it.
+/// Shares the quarantine, and logs what enters and leaves it.
 pub struct Monitor {
     instance: InstanceId,
     metrics: Metrics,
@@ -26,18 +27,20 @@
     /// Creates the quarantine of an instance.
     pub fn new(instance: InstanceId, metrics: Metrics) -> Self {
         let quarantine = Mutex::new(Quarantine::new(instance.clone(), time::now()));
-        metrics.gauges.with_label_values(&[GAUGE]).set(0);
+        for gauge in [PARTS_GAUGE, REQUESTS_GAUGE] {
+            metrics.gauges.with_label_values(&[gauge]).set(0);
+        }
         Self { instance, metrics, quarantine }
     }
 
-    /// Returns a part that is in quarantine, and the time until its quarantine ends.
-    pub fn find(&self, parts: impl IntoIterator<Item = PartId>) -> Option<(PartId, Duration)> {
-        self.quarantine.lock().find(parts, time::now())
+    /// Returns a suspect that is in quarantine, and the time until its quarantine ends.
+    pub fn find(&self, suspects: impl IntoIterator<Item = Suspect>) -> Option<(Suspect, Duration)> {
+        self.quarantine.lock().find(suspects, time::now())
     }
 
-    /// Returns whether servers ended under one of the parts, and no answer with it went on.
-    pub fn is_suspect(&self, parts: &[PartId]) -> bool {
-        self.quarantine.lock().is_suspect(parts, time::now())
+    /// Returns whether servers ended under one of the suspects, and no answer with it went on.
+    pub fn is_suspect(&self, suspects: &[Suspect]) -> bool {
+        self.quarantine.lock().is_suspect(suspects, time::now())
     }
 
     /// Returns whether servers ended recently, so that reports of other instances are expected.
@@ -45,14 +48,14 @@
         self.quarantine.lock().is_gathering(time::now())
     }
 
-    /// Records a request whose answer broke off right after its head.
+    /// Records a request that got no whole answer because its server ended.
     pub fn record_end(&self, end: End) {
         self.update(|quarantine| quarantine.record_end(end, time::now()));
     }
 
     /// Records an answer that went on for a while or was complete.
-    pub fn record_proof(&self, parts: &[PartId]) {
-        self.update(|quarantine| quarantine.record_proof(parts, time::now()));
+    pub fn record_proof(&self, suspects: &[Suspect]) {
+        self.update(|quarantine| quarantine.record_proof(suspects, time::now()));
     }
 
     /// Removes what is too old.
@@ -108,29 +111,32 @@
     }
 
     fn update(&self, apply: impl FnOnce(&mut Quarantine) -> Vec<Change>) {
-        let (changes, count) = {
+        let (changes, counts) = {
             let mut quarantine = self.quarantine.lock();
             let changes = apply(&mut quarantine);
-            (changes, quarantine.len(time::now()))
+            (changes, quarantine.counts(time::now()))
         };
         if changes.is_empty() {
             return;
         }
         for change in changes {
             match change {
-                Change::Entered { part, servers, term } => log::warn!(
-                    "part of prompts enters quarantine; part={part:x} servers={servers} for_s={}",
+                Change::Entered { suspect, servers, term } => log::warn!(
+                    "{} enters quarantine; {suspect} servers={servers} for_s={}",
+                    suspect.kind(),
                     term.as_secs()
                 ),
-                Change::Expired(part) => {
-                    log::info!("part of prompts leaves quarantine; part={part:x} cause=time");
+                Change::Expired(suspect) => {
+                    log::info!("{} leaves quarantine; {suspect} cause=time", suspect.kind());
                 }
-                Change::Cleared(part) => {
-                    log::info!("part of prompts leaves quarantine; part={part:x} cause=evidence");
+                Change::Cleared(suspect) => {
+                    log::info!("{} leaves quarantine; {suspect} cause=evidence", suspect.kind());
                 }
             }
         }
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.gauges.with_label_values(&[GAUGE]).set(count);
+        for (gauge, count) in [(PARTS_GAUGE, counts.parts), (REQUESTS_GAUGE, counts.requests)] {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.gauges.with_label_values(&[gauge]).set(count);
+        }
     }
 }
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/mod.rs
@@ -0,0 +1,83 @@
+//! Which requests and parts of prompts are to blame for ends of servers.
+//!
+//! A server ends once, under one request, but the answers of other requests break off in the same
+//! moment, and a request has several parts. Everything against which there is enough evidence is a
+//! candidate; candidates whose ends others explain are acquitted. Requests are judged first
+//! ([`request`]): the same request seldom breaks at several servers by coincidence. A part is to blame
+//! if servers ended under different requests with it ([`part`]).
+
+mod candidate;
+mod part;
+mod request;
+
+pub use candidate::{Record, counts};
+
+use {
+    super::evidence::{End, ServerRun, Suspect},
+    candidate::{Candidate, MIN_PART_SERVERS, MIN_REQUEST_SERVERS, SERVERS_PER_PROOF, candidates},
+};
+
+/// Number of servers from which a suspect without proofs is taken seriously.
+pub const SUSPECT_SERVERS: usize = 2;
+
+/// A suspect that is to blame.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Blamed {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// Number of servers that ended under it.
+    pub servers: usize,
+}
+
+/// The suspects that are to blame, and those that are not although there is enough evidence.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Verdict {
+    /// Suspects to blame, in their order.
+    pub blamed: Vec<Blamed>,
+    /// Suspects whose ends others explain.
+    pub acquitted: Vec<Suspect>,
+}
+
+/// Returns what is to blame for the ends. The suspects in `probation`, in order, were in quarantine
+/// before.
+pub fn judge(ends: &[&End], probation: &[Suspect], record: impl Fn(Suspect) -> Record) -> Verdict {
+    let (parts, requests): (Vec<_>, Vec<_>) = candidates(ends, probation, record)
+        .partition(|one| matches!(one.suspect, Suspect::Part(_)));
+    let mut acquitted = Vec::new();
+    let requests = request::judge(requests, &parts, &mut acquitted);
+    let parts = part::judge(parts, &requests, &mut acquitted);
+    let blamed = |one: Candidate<'_>| Blamed { suspect: one.suspect, servers: one.runs.len() };
+    let mut blamed: Vec<Blamed> = requests.into_iter().chain(parts).map(blamed).collect();
+    blamed.sort_unstable_by_key(|one| one.suspect);
+    Verdict { blamed, acquitted }
+}
+
+/// Returns whether servers ended under a suspect, and all of them under one of the `others` too.
+pub fn is_explained(ends: &[&End], suspect: Suspect, others: &[Suspect]) -> bool {
+    let own = runs(ends, |one| one == suspect);
+    let explained = runs(ends, |one| one != suspect && others.contains(&one));
+    !own.is_empty() && own.iter().all(|run| explained.binary_search(run).is_ok())
+}
+
+/// Returns the number of servers that ended under a suspect.
+pub fn servers(ends: &[&End], suspect: Suspect) -> usize {
+    runs(ends, |one| one == suspect).len()
+}
+
+/// Returns whether the answers with a suspect that went on outweigh the servers that ended under it.
+pub const fn is_cleared(suspect: Suspect, servers: usize, proofs: u32) -> bool {
+    let needed = match suspect {
+        Suspect::Part(_) => MIN_PART_SERVERS,
+        Suspect::Request(_) => MIN_REQUEST_SERVERS,
+    };
+    proofs > 0 && servers < needed + SERVERS_PER_PROOF * proofs as usize
+}
+
+/// Returns the runs of servers that ended under a suspect for which `is_so` holds, in order.
+fn runs<'a>(ends: &[&'a End], is_so: impl Fn(Suspect) -> bool) -> Vec<ServerRun<'a>> {
+    let ended = ends.iter().filter(|end| end.suspects().any(&is_so));
+    let mut runs: Vec<_> = ended.map(|end| end.server_run()).collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs
+}
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/fleet.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/fleet.rs
@@ -5,7 +5,7 @@
         message::PartId,
         quarantine::{
             MAX_ENDS_PER_REQUEST, Quarantine,
-            evidence::{End, Report},
+            evidence::{End, Report, Suspect},
             start::Start,
         },
     },
@@ -75,6 +75,12 @@
     has_begun_first: bool,
 }
 
+impl Request {
+    fn suspect_parts(&self) -> Vec<Suspect> {
+        self.shared.iter().copied().map(Suspect::Part).collect()
+    }
+}
+
 struct Run {
     request: usize,
     head_at: Millis,
@@ -118,8 +124,8 @@
     /// Times at which servers ended, and arrivals at servers from instances in touch, by bad part.
     ends: Vec<Vec<Millis>>,
     arrivals: Vec<Vec<Millis>>,
-    /// Sound parts that an instance in touch had in quarantine, and when.
-    wronged: Vec<(PartId, Millis)>,
+    /// For what sound requests were rejected by an instance in touch, and when.
+    wronged: Vec<(Suspect, Millis)>,
 }
 
 impl Instance {
@@ -219,14 +225,16 @@
         let now = self.at(self.now);
         let request = &mut self.requests[number];
         let instance = &self.instances[request.instance];
-        if let Some((part, _)) = instance.quarantine.find(request.shared.iter().copied(), now) {
-            if part < BAD && !instance.is_cut {
-                self.wronged.push((part, self.now));
+        let parts = request.suspect_parts();
+        let suspects = parts.iter().copied().chain([Suspect::Request(number as u64)]);
+        if let Some((suspect, _)) = instance.quarantine.find(suspects, now) {
+            if request.bad.is_none() && !instance.is_cut {
+                self.wronged.push((suspect, self.now));
             }
             return;
         }
         let is_held = request.ended_servers >= MAX_ENDS_PER_REQUEST
-            && instance.quarantine.is_suspect(&request.shared, now);
+            && instance.quarantine.is_suspect(&parts, now);
         if is_held || request.attempts == ATTEMPTS {
             return;
         }
@@ -276,8 +284,9 @@
                 let has_piece = (self.now - run.head_at) % PIECE_INTERVAL < STEP;
                 let is_proof = has_piece && run.start.record_piece(now) || run.until <= self.now;
                 if is_proof && request.bad.is_none() {
-                    let shared = request.shared.clone();
-                    self.instances[request.instance].quarantine.record_proof(&shared, now);
+                    let mut suspects = request.suspect_parts();
+                    suspects.push(Suspect::Request(run.request as u64));
+                    self.instances[request.instance].quarantine.record_proof(&suspects, now);
                 }
             }
             runs.retain(|run| run.until > self.now);
@@ -294,6 +303,8 @@
             start_ms: lives,
             request: format!("request-{number}").into(),
             parts: request.shared.clone(),
+            digest: Some(number as u64),
+            is_confirmed: true,
         };
         for run in std::mem::take(&mut server.runs) {
             let request = &mut self.requests[run.request];
@@ -437,7 +448,7 @@
     }
     let since = last_fifth + 2 * STABILITY_WINDOW;
     world.wronged.retain(|(_, at)| *at >= since);
-    assert!(world.wronged.is_empty(), "sound parts were in quarantine: {:?}", world.wronged);
+    assert!(world.wronged.is_empty(), "sound requests were rejected for {:?}", world.wronged);
     for first in 0..FIRST_PARTS {
         let is_so = |request: &Request| request.shared[0] == 1 + first;
         let before = world.begun(0, SOUND_TIME, is_so);
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -1,13 +1,17 @@
 //! Tests of the quarantine of prompt parts that end servers, on simulated time.
 
 mod fleet;
+mod request;
 
 use {
     hawthornmount_gateway::{
         message::PartId,
         quarantine::{
             Change, Quarantine,
-            evidence::{End, Report},
+            evidence::{
+                End, Report,
+                Suspect::{self, Part},
+            },
             proof::Counter,
             start::Start,
             verdict::{self, Blamed, Record},
@@ -24,7 +28,8 @@
 const FIRST: PartId = 1;
 
 fn end(server: &str, request: &str, parts: &[PartId]) -> End {
-    End { server: server.into(), start_ms: 1, request: request.into(), parts: parts.to_vec() }
+    let (server, request) = (server.into(), request.into());
+    End { server, start_ms: 1, request, parts: parts.to_vec(), digest: None, is_confirmed: false }
 }
 
 /// Ends, each as its server, request and parts.
@@ -115,12 +120,14 @@
 fn part_is_blamed_for_the_servers_that_ended_under_it(#[case] case: Blame) {
     let ends: Vec<End> =
         case.ends.iter().map(|(server, request, parts)| end(server, request, parts)).collect();
-    let proofs = |part| case.proofs.iter().find(|(known, _)| *known == part).map_or(0, |row| row.1);
-    let record = |part| Record { proofs: proofs(part), is_on_probation: false };
-    let blamed = verdict::judge(&ends.iter().collect::<Vec<_>>(), record).blamed;
-    let mut parts: Vec<PartId> = blamed.iter().map(|blamed: &Blamed| blamed.part).collect();
-    parts.sort_unstable();
-    assert_eq!(parts, case.blamed);
+    let proofs =
+        |one| case.proofs.iter().find(|(part, _)| Part(*part) == one).map_or(0, |row| row.1);
+    let record = |suspect| Record { proofs: proofs(suspect), ..Record::default() };
+    let blamed = verdict::judge(&ends.iter().collect::<Vec<_>>(), &[], record).blamed;
+    let suspects: Vec<Suspect> = blamed.iter().map(|blamed: &Blamed| blamed.suspect).collect();
+    let mut expected: Vec<Suspect> = case.blamed.iter().copied().map(Part).collect();
+    expected.sort_unstable();
+    assert_eq!(suspects, expected);
 }
 
 /// Pieces of an answer at these times after its head, in milliseconds, and when it broke off.
@@ -151,24 +158,27 @@
     let now = Instant::now();
     let mut counter = Counter::new(now);
     let at = |seconds| now + Duration::from_secs(seconds);
-    counter.add(7, 1, at(1));
-    counter.add(7, 1, at(59));
-    let counts = [59, 61, 119, 121].map(|seconds| counter.count(7, at(seconds)));
+    counter.add(Part(7), 1, at(1));
+    counter.add(Part(7), 1, at(59));
+    let counts = [59, 61, 119, 121].map(|seconds| counter.count(Part(7), at(seconds)));
     assert_eq!(counts, [2, 2, 2, 0]);
-    counter.add(7, 1, at(70));
-    assert_eq!([70, 119, 125, 200].map(|seconds| counter.count(7, at(seconds))), [3, 3, 3, 0]);
+    counter.add(Part(7), 1, at(70));
+    assert_eq!(
+        [70, 119, 125, 200].map(|seconds| counter.count(Part(7), at(seconds))),
+        [3, 3, 3, 0]
+    );
 }
 
 /// Ends enough servers under a part for a quarantine.
 fn quarantined(now: Instant) -> Quarantine {
     let mut quarantine = Quarantine::new("one".into(), now);
     for _ in 0..20 {
-        quarantine.record_proof(&[FIRST], now);
+        quarantine.record_proof(&[Part(FIRST)], now);
     }
     for (server, request) in [("a", "r"), ("b", "s"), ("c", "t"), ("e", "v")] {
         quarantine.record_end(end(server, request, &[FIRST, BAD]), now);
     }
-    assert!(quarantine.find([BAD], now).is_some());
+    assert!(quarantine.find([Part(BAD)], now).is_some());
     quarantine
 }
 
@@ -176,22 +186,25 @@
 fn quarantine_ends_and_one_more_end_renews_it_for_longer() {
     let now = Instant::now();
     let mut quarantine = quarantined(now);
-    let (_, term) = quarantine.find([BAD], now).expect("the part is in quarantine");
+    let (_, term) = quarantine.find([Part(BAD)], now).expect("the part is in quarantine");
     assert!(quarantine.expire(now + term / 2).is_empty());
     let over = now + term;
-    assert_eq!(quarantine.expire(over), [Change::Expired(BAD)]);
-    assert_eq!(quarantine.find([BAD], over), None);
+    assert_eq!(quarantine.expire(over), [Change::Expired(Part(BAD))]);
+    assert_eq!(quarantine.find([Part(BAD)], over), None);
     assert!(quarantine.expire(over).is_empty(), "announced twice");
     let changes = quarantine.record_end(end("d", "u", &[FIRST, BAD]), over);
-    assert_eq!(changes, [Change::Entered { part: BAD, servers: 1, term: term * 2 }]);
+    assert_eq!(changes, [Change::Entered { suspect: Part(BAD), servers: 1, term: term * 2 }]);
 }
 
 #[test]
 fn answers_that_go_on_end_a_quarantine() {
     let now = Instant::now();
     let mut quarantine = quarantined(now);
-    assert_eq!(quarantine.record_proof(&[FIRST, BAD], now), [Change::Cleared(BAD)]);
-    assert_eq!(quarantine.find([BAD], now), None);
+    assert_eq!(
+        quarantine.record_proof(&[Part(FIRST), Part(BAD)], now),
+        [Change::Cleared(Part(BAD))]
+    );
+    assert_eq!(quarantine.find([Part(BAD)], now), None);
 }
 
 /// The instance keeps no evidence of its own, so it has to get it from the report.
@@ -207,7 +220,7 @@
     let mut second = Quarantine::new(name.into(), later);
     second.put(&"one".into(), report, later);
     second.judge_reports(later);
-    assert!(second.find([BAD], later).is_some());
+    assert!(second.find([Part(BAD)], later).is_some());
 }
 
 #[test]
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -13,7 +13,7 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     meter::{Allowance, MAX_PIECE_BYTES, Meter},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
@@ -177,6 +177,13 @@
     }
 }
 
+/// Returns whether an address refuses connections, which means that no process listens there any
+/// more. An address that does not answer within `timeout` may only be out of reach.
+pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
+    let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns the messages of an error and of its sources.
 pub fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
