Report ends under what is in quarantine: they acquit requests that ran beside

An instance did not report such an end, since the others had the request in quarantine already, so they lacked what explains the end under the sound request.

Test: sound_request_is_acquitted_by_ends_under_a_request_in_quarantine; it failed before (no report).

--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -216,7 +216,8 @@
                 self.ends.push(Known { end: end.clone(), at: now });
             }
         }
-        self.is_report_due |= self.find(end.suspects(), now).is_none();
+        // An end under what is in quarantine may explain those under others.
+        self.is_report_due = true;
         self.judge(now)
     }
 
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
@@ -141,6 +141,30 @@
     );
 }
 
+/// Load: a request that waits at a server when it enters quarantine ends that server afterwards, and
+/// a sound one at another instance runs beside it for the third time.
+#[test]
+fn sound_request_is_acquitted_by_ends_under_a_request_in_quarantine() {
+    let now = Instant::now();
+    let mut first = Quarantine::new("first".into(), now);
+    let mut second = Quarantine::new("second".into(), now);
+    for (server, request) in [("a", "r"), ("b", "s"), ("c", "t")] {
+        first.record_end(end(server, request, DEADLY, &[]), now);
+    }
+    assert!(first.take_report(now).is_some());
+    let later = now + Duration::from_secs(2);
+    first.record_end(end("d", "u", DEADLY, &[]), later);
+    for server in ["b", "c", "d"] {
+        second.record_end(end(server, "v", SOUND, &[]), later);
+    }
+    second.put(&"first".into(), first.take_report(later).expect("a report is due"), later);
+    second.judge_reports(later);
+    let settled = later + Duration::from_secs(2);
+    second.expire(settled);
+    assert!(second.find([Request(DEADLY)], settled).is_some());
+    assert_eq!(second.find([Request(SOUND)], settled), None);
+}
+
 /// Load: very many requests, each of which breaks at a server that ends.
 #[test]
 fn evidence_against_requests_is_bounded() {
