--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -54,8 +54,6 @@
     pub prefill_ms: f64,
     /// Wait that was expected when the server was chosen.
     pub expected_wait: Duration,
-    /// Whether the server ended right after it began to answer.
-    pub has_ended_server: bool,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
     /// Marks when the request may have reached the server.
@@ -88,7 +86,6 @@
     /// Records the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
-        self.ended_servers += u32::from(attempt.has_ended_server);
         self.tried.push(attempt.server.id.clone());
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
@@ -309,7 +306,7 @@
                         }
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
-                            attempt.has_ended_server = self.record_break(job, server, &start);
+                            self.record_break(job, server, &start);
                             return Outcome::Unknown(Retry::CutAnswer);
                         }
                     }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -69,8 +69,6 @@
     pub tried: Vec<ServerId>,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
-    /// Number of servers that ended right after they began to answer.
-    pub ended_servers: u32,
     /// Attempts that are still running.
     pub pending: Vec<Marker>,
     /// Level of the cascade whose model is requested, if the router chooses the model.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -182,7 +182,7 @@
     /// Chooses the server for the next attempt, and counts it against the attempts of the route and
     /// the retry budget.
     fn next_attempt(&self, job: &Job, progress: &mut Progress) -> Result<Attempt, Problem> {
-        self.check_quarantine(job, progress)?;
+        self.check_quarantine(job)?;
         if progress.attempts >= job.route.config.attempts {
             return Err(overloaded());
         }
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -2,11 +2,10 @@
 //! servers or have parts in their prompts that do.
 
 use {
-    super::{Forwarder, Job, Progress},
+    super::{Forwarder, Job},
     crate::{
         message::PartId,
         quarantine::{
-            MAX_ENDS_PER_REQUEST,
             evidence::{End, Suspect},
             start::Start,
         },
@@ -17,17 +16,14 @@
     std::time::{Duration, Instant},
 };
 
-/// Delay after which a caller can retry a request whose parts are suspect.
-const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Time in which a server that has ended refuses a connection: a round trip between regions.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a server that ends may take to close its listener after its connections.
 const END_TIME: Duration = Duration::from_millis(50);
 
 impl Forwarder {
-    /// Checks that neither a request nor a part of it is in quarantine, and that a request which has
-    /// ended servers is not sent to another one while its parts are suspect.
-    pub(super) fn check_quarantine(&self, job: &Job, progress: &Progress) -> Result<(), Problem> {
+    /// Checks that neither a request nor a part of it is in quarantine.
+    pub(super) fn check_quarantine(&self, job: &Job) -> Result<(), Problem> {
         if let Some((suspect, time_left)) = self.quarantine.find(job.suspects()) {
             let detail = match suspect {
                 Suspect::Part(part) => {
@@ -37,27 +33,14 @@
             };
             return Err(Problem::new(Refusal::Quarantined, detail).retry_after(time_left));
         }
-        if progress.ended_servers >= MAX_ENDS_PER_REQUEST
-            && self.quarantine.is_suspect(&job.suspect_parts().collect::<Vec<_>>())
-        {
-            log::info!(
-                "not sent to another server, servers ended under it; id={} ended={}",
-                job.id,
-                progress.ended_servers
-            );
-            let detail = "servers ended under the request: come back";
-            let problem = Problem::new(Refusal::Quarantined, detail);
-            return Err(problem.retry_after(SUSPECT_RETRY_AFTER));
-        }
         Ok(())
     }
 
-    /// Records that the connection of an answer broke, and returns whether that was right after its
-    /// start.
-    pub(super) fn record_break(&self, job: &Job, server: &Server, start: &Start) -> bool {
+    /// Records that the connection of an answer broke, if that was right after its start.
+    pub(super) fn record_break(&self, job: &Job, server: &Server, start: &Start) {
         let now = Instant::now();
         if !start.is_early(now) {
-            return false;
+            return;
         }
         let parts: Vec<PartId> = job.shared_parts().collect();
         log::info!(
@@ -69,7 +52,6 @@
             format_parts(&parts)
         );
         self.record_end(job, server, parts);
-        true
     }
 
     /// Records that a server gave no answer and closed the connection. Streams wait without an answer
@@ -122,14 +104,9 @@
         shared.iter().map(|part| part.id)
     }
 
-    /// Returns the parts of the prompt that may be to blame for the end of a server.
-    fn suspect_parts(&self) -> impl Iterator<Item = Suspect> {
-        self.shared_parts().map(Suspect::Part)
-    }
-
     /// Returns what may be to blame for the end of a server: the request, and parts of its prompt.
     fn suspects(&self) -> impl Iterator<Item = Suspect> {
-        self.suspect_parts().chain([Suspect::Request(self.digest)])
+        self.shared_parts().map(Suspect::Part).chain([Suspect::Request(self.digest)])
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -304,10 +304,10 @@
     }
 
     /// Records that the connection of the current server broke.
-    fn record_break(&mut self) {
-        let Some(upstream) = &self.upstream else { return };
-        let is_end = self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
-        self.progress.ended_servers += u32::from(is_end);
+    fn record_break(&self) {
+        if let Some(upstream) = &self.upstream {
+            self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
+        }
     }
 
     /// Records a failure of the current server, which is then not chosen for another attempt.
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -39,7 +39,6 @@
             uncached_tokens: candidate.uncached_tokens,
             prefill_ms: f64::from(candidate.uncached_tokens) * candidate.token_prefill_ms,
             expected_wait: Duration::from_secs_f64(candidate.wait() / 1_000.0),
-            has_ended_server: false,
             reported_load: None,
             marker: Marker::default(),
         })
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -58,8 +58,6 @@
 const MIN_PROOFS: u32 = 20;
 /// Time after the last end under a request in which other instances may report what explains it.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
-/// Number of servers that a request may end before it is held back while its parts are suspect.
-pub const MAX_ENDS_PER_REQUEST: u32 = 2;
 
 /// An end of a server and when this instance learned of it.
 #[derive(Clone, Debug)]
@@ -169,18 +167,6 @@
         suspects.into_iter().find_map(active)
     }
 
-    /// Returns whether servers ended under one of the suspects, and no answer with it went on.
-    pub fn is_suspect(&self, suspects: &[Suspect], now: Instant) -> bool {
-        let ends = self.ends_in_force(now);
-        let active = self.active(now);
-        let is_suspect = |suspect: &Suspect| {
-            verdict::servers(&ends, *suspect) >= verdict::SUSPECT_SERVERS
-                && !verdict::is_explained(&ends, *suspect, &active)
-                && self.proof_count(*suspect, now) == 0
-        };
-        suspects.iter().any(is_suspect)
-    }
-
     /// Returns the numbers of suspects in quarantine.
     pub fn counts(&self, now: Instant) -> Counts {
         let mut counts = Counts::default();
@@ -316,7 +302,7 @@
             is_cleared(own) && !is_cleared(written)
         };
         let counts = verdict::counts(ends);
-        counts.iter().filter(|(_, servers)| *servers > verdict::SUSPECT_SERVERS).any(is_contested)
+        counts.iter().filter(|(_, servers)| *servers >= verdict::MIN_SERVERS).any(is_contested)
     }
 
     /// Returns the ends that count: recent ones, and those that led to a quarantine which lasts. Ends
--- a/crates/hawthornmount-gateway/src/quarantine/monitor.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/monitor.rs
@@ -38,11 +38,6 @@
         self.quarantine.lock().find(suspects, time::now())
     }
 
-    /// Returns whether servers ended under one of the suspects, and no answer with it went on.
-    pub fn is_suspect(&self, suspects: &[Suspect]) -> bool {
-        self.quarantine.lock().is_suspect(suspects, time::now())
-    }
-
     /// Returns whether servers ended recently, so that reports of other instances are expected.
     pub fn is_gathering(&self) -> bool {
         self.quarantine.lock().is_gathering(time::now())
--- a/crates/hawthornmount-gateway/src/quarantine/verdict/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/mod.rs
@@ -13,12 +13,12 @@
 pub use candidate::{Record, counts};
 
 use {
-    super::evidence::{End, ServerRun, Suspect},
+    super::evidence::{End, Suspect},
     candidate::{Candidate, MIN_PART_SERVERS, MIN_REQUEST_SERVERS, SERVERS_PER_PROOF, candidates},
 };
 
-/// Number of servers from which a suspect without proofs is taken seriously.
-pub const SUSPECT_SERVERS: usize = 2;
+/// Number of servers that have to end under any suspect before it is blamed.
+pub const MIN_SERVERS: usize = MIN_REQUEST_SERVERS;
 
 /// A suspect that is to blame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,16 +52,13 @@
     Verdict { blamed, acquitted }
 }
 
-/// Returns whether servers ended under a suspect, and all of them under one of the `others` too.
-pub fn is_explained(ends: &[&End], suspect: Suspect, others: &[Suspect]) -> bool {
-    let own = runs(ends, |one| one == suspect);
-    let explained = runs(ends, |one| one != suspect && others.contains(&one));
-    !own.is_empty() && own.iter().all(|run| explained.binary_search(run).is_ok())
-}
-
 /// Returns the number of servers that ended under a suspect.
 pub fn servers(ends: &[&End], suspect: Suspect) -> usize {
-    runs(ends, |one| one == suspect).len()
+    let is_under = |end: &&&End| end.suspects().any(|one| one == suspect);
+    let mut runs: Vec<_> = ends.iter().filter(is_under).map(|end| end.server_run()).collect();
+    runs.sort_unstable();
+    runs.dedup();
+    runs.len()
 }
 
 /// Returns whether the answers with a suspect that went on outweigh the servers that ended under it.
@@ -72,12 +69,3 @@
     };
     proofs > 0 && servers < needed + SERVERS_PER_PROOF * proofs as usize
 }
-
-/// Returns the runs of servers that ended under a suspect for which `is_so` holds, in order.
-fn runs<'a>(ends: &[&'a End], is_so: impl Fn(Suspect) -> bool) -> Vec<ServerRun<'a>> {
-    let ended = ends.iter().filter(|end| end.suspects().any(&is_so));
-    let mut runs: Vec<_> = ended.map(|end| end.server_run()).collect();
-    runs.sort_unstable();
-    runs.dedup();
-    runs
-}
--- a/crates/hawthornmount-gateway/src/quarantine/verdict/part.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/part.rs
@@ -8,9 +8,10 @@
 
 use {
     super::{
-        ServerRun, Suspect,
+        Suspect,
         candidate::{Candidate, MAX_COINCIDENCES},
     },
+    crate::quarantine::evidence::ServerRun,
     std::cmp::Reverse,
 };
 
