Log why no other server took over from one that was given up

`stream truncated` and `kept a silent server` named the reason with which a further attempt was refused (`overloaded` in most cases), not how the attempt before it had ended: a replacement that refused late, one that broke off, a used-up retry budget and a fleet without a server left could not be told apart. A request that failed before its answer began had no such line at all.

Both lines now carry `replacement`, how the last attempt at another server ended, and `obstacle`, why there was no further one; `no server answered` says the same of a request that may have run. No decision is changed.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -83,6 +83,7 @@
     pub(super) fn record_silence(&mut self, attempt: &Attempt) {
         self.tried.push(attempt.server.id.clone());
         self.retry_reason = Some(Retry::ServerTimeout);
+        self.replacement = Some(Retry::ServerTimeout);
     }
 
     /// Records the outcome of an attempt.
@@ -92,7 +93,7 @@
         self.tried.push(attempt.server.id.clone());
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
-        self.retry_reason = match outcome {
+        let reason = match outcome {
             Outcome::Success(_) | Outcome::KeyUnconfirmed => return,
             Outcome::Failed(_) => Some(Retry::ServerError),
             Outcome::Unknown(cause) => Some(*cause),
@@ -103,6 +104,8 @@
                 Some(Retry::Connect)
             }
         };
+        self.retry_reason = reason;
+        self.replacement = reason;
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -1,6 +1,7 @@
 //! A request that is forwarded to servers, and the progress of its attempts.
 
 use {
+    super::obstacle::Obstacle,
     crate::{
         cascade::{self, Level},
         filter::{Exchange, Response},
@@ -77,6 +78,10 @@
     pub server_failure: Option<Response>,
     /// Reason for the next attempt, if the request is retried.
     pub retry_reason: Option<Retry>,
+    /// How the last attempt ended that was to replace a server, if it has ended.
+    pub replacement: Option<Retry>,
+    /// Why the request was not sent to another server, if that was tried last.
+    pub obstacle: Option<Obstacle>,
 }
 
 /// Marks when the request of an attempt may have reached its server.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod guard;
 mod handover;
 mod job;
+mod obstacle;
 mod quarantine;
 mod race;
 mod relay;
@@ -47,6 +48,7 @@
     },
     hawthornmount_http::StatusCode,
     http_body_util::BodyExt,
+    obstacle::Obstacle,
     parking_lot::Mutex,
     relay::Relay,
     std::{
@@ -182,12 +184,17 @@
     /// Chooses the server for the next attempt, and counts it against the attempts of the route and
     /// the retry budget.
     fn next_attempt(&self, job: &Job, progress: &mut Progress) -> Result<Attempt, Problem> {
-        self.check_quarantine(job, progress)?;
+        self.check_quarantine(job, progress)
+            .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
         if progress.attempts >= job.route.config.attempts {
+            progress.obstacle = Some(Obstacle::Attempts);
             return Err(overloaded());
         }
         let Some(attempt) = self.choose(job, progress) else {
-            return Err(if let Some(time) = self.closed_for(job) {
+            let closed_for = self.closed_for(job);
+            progress.obstacle =
+                Some(closed_for.map_or(Obstacle::NoServer, |_| Obstacle::ServersClosed));
+            return Err(if let Some(time) = closed_for {
                 overloaded().retry_after(time)
             } else if progress.retry_reason.is_some() {
                 overloaded()
@@ -204,11 +211,13 @@
                 _ => true,
             };
             if is_retry && !self.take_retry(job, Cause::Failure) {
+                progress.obstacle = Some(Obstacle::Budget);
                 return Err(overloaded());
             }
             self.metrics.count_retry(cause);
         }
         progress.attempts += 1;
+        progress.obstacle = None;
         progress.begin(&attempt.marker);
         Ok(attempt)
     }
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/obstacle.rs
@@ -0,0 +1,44 @@
+//! Why a request is not sent to another server.
+
+use {
+    super::Progress,
+    derive_more::Display,
+    hawthornmount_core::reason::Retry,
+    std::fmt::{self, Formatter},
+};
+
+/// Why a request is not sent to another server.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Obstacle {
+    /// It was sent as often as its route allows.
+    #[display("attempts")]
+    Attempts,
+    /// The retry budget of the service is used up.
+    #[display("retry_budget")]
+    Budget,
+    /// No server of the service is left to try.
+    #[display("no_server")]
+    NoServer,
+    /// All servers have turned requests away for a time that still lasts.
+    #[display("servers_closed")]
+    ServersClosed,
+    /// Servers ended under parts of the request.
+    #[display("quarantine")]
+    Quarantine,
+}
+
+/// Fields of a log line about a request that no other server has taken: how the last attempt to
+/// replace a server ended, and why there was no further one.
+pub struct Fields<'a>(pub &'a Progress);
+
+impl fmt::Display for Fields<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let Self(progress) = self;
+        let replacement = progress.replacement.map_or("none", Retry::as_str);
+        write!(formatter, "attempts={} replacement={replacement} obstacle=", progress.attempts)?;
+        match progress.obstacle {
+            Some(obstacle) => obstacle.fmt(formatter),
+            None => formatter.write_str("none"),
+        }
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -6,7 +6,7 @@
         attempt::{Attempt, Outcome, Success},
         deadline_exceeded,
         handover::{Event, Handover},
-        key_unconfirmed, server_failed,
+        key_unconfirmed, obstacle, server_failed,
     },
     crate::rollout::evidence::Signal,
     hawthornmount_core::{
@@ -31,7 +31,10 @@
         let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
         self.give_up_silent(job, progress, &mut handover);
         result.or_else(|problem| {
-            let (attempt, success) = handover.take_answer().ok_or(problem)?;
+            let Some((attempt, success)) = handover.take_answer() else {
+                log_unanswered(job, progress);
+                return Err(problem);
+            };
             // A stream that breaks is resumed with the model that began it.
             progress.level = attempt.level;
             Ok((attempt, success))
@@ -62,7 +65,7 @@
                     }
                     Err(problem) => {
                         if handover.keep() {
-                            log_kept_server(job, problem.reason);
+                            log_kept_server(job, progress, problem.reason);
                         }
                     }
                 }
@@ -143,11 +146,25 @@
 }
 
 /// Logs that a silent server is kept, and why no other one takes the request.
-pub fn log_kept_server(job: &Job, reason: Refusal) {
+pub fn log_kept_server(job: &Job, progress: &Progress, reason: Refusal) {
     log::info!(
-        "kept a silent server; id={} route={} waited_ms={} no_other={reason}",
+        "kept a silent server; id={} route={} waited_ms={} no_other={reason} {}",
         job.id,
         job.route.id,
         job.arrived.elapsed().as_millis(),
+        obstacle::Fields(progress),
     );
 }
+
+/// Logs how the attempts ended of a request that may have run and gets no answer.
+fn log_unanswered(job: &Job, progress: &Progress) {
+    if progress.may_run() {
+        log::info!(
+            "no server answered; id={} route={} waited_ms={} {}",
+            job.id,
+            job.route.id,
+            job.arrived.elapsed().as_millis(),
+            obstacle::Fields(progress),
+        );
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -5,7 +5,7 @@
     super::{
         Forwarder, Job, Progress,
         attempt::{Attempt, Body, Outcome, Upstream},
-        handover, race,
+        handover, obstacle, race,
     },
     crate::{
         filter::{self, Truncated},
@@ -172,7 +172,7 @@
                     return None;
                 }
                 Resumption::Failed(reason) if self.upstream.is_some() => {
-                    race::log_kept_server(&self.job, reason);
+                    race::log_kept_server(&self.job, &self.progress, reason);
                 }
                 Resumption::Failed(reason) => {
                     self.log_truncation(reason);
@@ -240,13 +240,13 @@
         let cause = self.progress.retry_reason.unwrap_or(Retry::CutAnswer);
         self.forwarder.metrics.dropped.with_label_values(&["stream", cause.as_str()]).inc();
         log::info!(
-            "stream truncated; id={} route={} cause={cause} silent_ms={} events={} attempts={} \
-             not_resumed={reason}",
+            "stream truncated; id={} route={} cause={cause} silent_ms={} events={} \
+             not_resumed={reason} {}",
             self.job.id,
             self.job.route.id,
             self.last_event.elapsed().as_millis(),
             self.relayed,
-            self.progress.attempts,
+            obstacle::Fields(&self.progress),
         );
     }
 
@@ -333,6 +333,7 @@
         if !self.job.route.config.resumable {
             return Resumption::Failed(Refusal::ServerFailed);
         }
+        self.progress.replacement = None;
         loop {
             self.progress.retry_reason = Some(cause);
             let attempt = match self.forwarder.next_attempt(&self.job, &mut self.progress) {
