Go back to a silent server if its replacement fails

Callers got a truncated stream, or 502, although sound servers were there: a silent server is given up 300 ms after another one was sent the request, and was then excluded for good. If the replacement refused later, broke off, or was silent itself, nothing was left to answer with. The replacement of a stream was also given up at its own time-out before another server had been found.

- Servers that failed or refused are told apart from those that were only silent.
The latter are tried again if no other server is left and none works on the request.
- A refusal takes no attempt from a request that may have run; it takes a retry from the budget, and as many servers as the route allows attempts may refuse it.
- A stream is resumed by the same code as a request is retried, so a silent replacement is kept like any other silent server.
Failures of replacements now count as evidence on their version.
- A stream that the instance gave up waits for a silent server until the deadline if the retry budget or the servers leave no room.
A request whose answer has not begun fails at once as before.
- Attempts that end because another one answered no longer count as running.

A stream still is not worked on at two servers for longer than 300 ms: the alternative, to keep the first server until the second begins its answer, breaks that for as long as a prefill takes.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -91,13 +91,19 @@
         self.end(&attempt.marker);
         self.ended_servers += u32::from(attempt.has_ended_server);
         self.tried.push(attempt.server.id.clone());
+        if !matches!(outcome, Outcome::Success(_) | Outcome::Unknown(Retry::ServerTimeout)) {
+            self.failed.push(attempt.server.id.clone());
+        }
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
         let reason = match outcome {
             Outcome::Success(_) | Outcome::KeyUnconfirmed => return,
             Outcome::Failed(_) => Some(Retry::ServerError),
             Outcome::Unknown(cause) => Some(*cause),
-            Outcome::Refused => Some(Retry::ServerRefused),
+            Outcome::Refused => {
+                self.record_refusal();
+                Some(Retry::ServerRefused)
+            }
             Outcome::Unsent => {
                 // A server to which nothing was sent doesn't count as an attempt.
                 self.attempts -= 1;
--- a/crates/hawthornmount-gateway/src/forward/handover.rs
+++ b/crates/hawthornmount-gateway/src/forward/handover.rs
@@ -10,6 +10,7 @@
         attempt::{Attempt, Outcome, Success},
         job::Marker,
     },
+    crate::message::EventId,
     futures::{
         FutureExt,
         future::{self, BoxFuture},
@@ -22,12 +23,18 @@
 const HANDOVER_TIME: Duration = Duration::from_millis(300);
 
 /// Interval at which another server is looked for while only a silent one is left.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+pub const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Returns the time at which a silent server is given up for the attempt that `marker` marks; `None`
 /// if that is now.
-pub fn end(marker: &Marker, now: Instant) -> Option<Instant> {
-    let end = marker.sent_at().unwrap_or(now) + HANDOVER_TIME;
+fn end(marker: &Marker, now: Instant) -> Option<Instant> {
+    end_after(marker.sent_at(), now)
+}
+
+/// Returns the time at which a silent server is given up if another one was sent the request at
+/// `sent_at`; `None` if that is now.
+fn end_after(sent_at: Option<Instant>, now: Instant) -> Option<Instant> {
+    let end = sent_at.unwrap_or(now) + HANDOVER_TIME;
     (end > now).then_some(end)
 }
 
@@ -101,13 +108,22 @@
             .all(|running| matches!(running.state, State::Silent | State::Replaced(_)))
     }
 
-    /// Starts an attempt whose server has to answer within `timeout`.
+    /// Returns the time at which a silent server that is read elsewhere is given up for the running
+    /// attempts; `None` if that is now.
+    pub fn end(&self, now: Instant) -> Option<Instant> {
+        let sent = self.running.iter().filter_map(|running| running.attempt.marker.sent_at());
+        end_after(sent.min(), now)
+    }
+
+    /// Starts an attempt whose server has to answer within `timeout`. A stream begins after the event
+    /// `after`.
     pub fn start(
         &mut self,
         forwarder: &'a Forwarder,
         job: &'a Job,
         attempt: Attempt,
         timeout: Option<Duration>,
+        after: Option<EventId>,
     ) {
         let now = Instant::now();
         for silent in &mut self.running {
@@ -118,7 +134,7 @@
         }
         let mut sent = attempt.clone();
         let future = async move {
-            let outcome = forwarder.attempt(job, &mut sent, job.resume_after()).await;
+            let outcome = forwarder.attempt(job, &mut sent, after).await;
             (sent, outcome)
         };
         self.running.push(Running {
@@ -140,16 +156,14 @@
         !std::mem::replace(&mut newest.was_kept, true)
     }
 
-    /// Returns the attempts whose servers are silent, which end unanswered.
-    pub fn take_silent(&mut self) -> Vec<Attempt> {
+    /// Ends the running attempts, and returns each with whether its server is silent.
+    pub fn take_running(&mut self) -> Vec<(Attempt, bool)> {
         let running = self.running.drain(..);
-        let silent = running.filter(|running| !matches!(running.state, State::Waiting));
-        silent.map(|running| running.attempt).collect()
+        running.map(|running| (running.attempt, !matches!(running.state, State::Waiting))).collect()
     }
 
-    /// Replaces the running attempts by an answer, which is kept until a better one begins.
+    /// Keeps an answer until a better one begins.
     pub fn keep_answer(&mut self, attempt: Attempt, success: Box<Success>) {
-        self.running.clear();
         self.spare = Some(Spare { attempt, success });
     }
 
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     hawthornmount_core::{
-        config::Rank,
+        config::{Rank, Route},
         id::{ModelId, RequestId, ServerId, ServiceId},
         reason::Retry,
     },
@@ -64,8 +64,12 @@
 pub struct Progress {
     /// Number of attempts in which the request was, or may have been, sent to a server.
     pub attempts: u32,
-    /// Servers that are excluded from further attempts.
+    /// Servers that were tried; they are not tried again while another one is left.
     pub tried: Vec<ServerId>,
+    /// Servers among them that failed on the request or refused it; they are not tried again.
+    pub failed: Vec<ServerId>,
+    /// Number of refusals by servers since the request may have run.
+    pub refusals: u32,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
     /// Number of servers that ended right after they began to answer.
@@ -121,6 +125,38 @@
         self.pending.retain(|pending| !pending.is_same(marker));
     }
 
+    /// Removes an attempt that is given up before it has ended.
+    pub fn abandon(&mut self, marker: &Marker) {
+        self.may_have_run |= marker.sent_at().is_some();
+        self.end(marker);
+    }
+
+    /// Records that a server refused the request. A refusal counts as an attempt as long as the
+    /// request itself can be refused; after that, refusals are counted on their own.
+    pub fn record_refusal(&mut self) {
+        if self.may_run() {
+            self.attempts -= 1;
+            self.refusals += 1;
+        }
+    }
+
+    /// Returns whether the request may be sent to servers that were not tried, of which too many may
+    /// have refused it.
+    pub const fn may_ask_others(&self, route: &Route) -> bool {
+        self.refusals < route.attempts
+    }
+
+    /// Returns whether servers that were only silent can be tried again: none of the servers works
+    /// on the request.
+    pub fn can_go_back(&self) -> bool {
+        self.pending.is_empty() && self.tried.iter().any(|server| !self.failed.contains(server))
+    }
+
+    /// Returns whether a server that was only silent may take the request later.
+    pub fn can_wait(&self) -> bool {
+        self.can_go_back() && self.obstacle.is_some_and(Obstacle::is_temporary)
+    }
+
     /// Returns whether a server may have run the request, or may do so now.
     pub fn may_run(&self) -> bool {
         self.may_have_run || self.pending.iter().any(|marker| marker.sent_at().is_some())
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -6,10 +6,12 @@
 mod guard;
 mod handover;
 mod job;
+mod next;
 mod obstacle;
 mod quarantine;
 mod race;
 mod relay;
+mod resume;
 mod select;
 
 pub use {
@@ -48,7 +50,6 @@
     },
     hawthornmount_http::StatusCode,
     http_body_util::BodyExt,
-    obstacle::Obstacle,
     parking_lot::Mutex,
     relay::Relay,
     std::{
@@ -169,59 +170,6 @@
         self.quarantine.expire();
     }
 
-    /// Returns the time in which the current attempt has to start its response; the last attempt is
-    /// limited only by the deadline of the request.
-    fn attempt_timeout(
-        &self,
-        job: &Job,
-        progress: &Progress,
-        attempt: &Attempt,
-    ) -> Option<Duration> {
-        let is_last = progress.attempts >= job.route.config.attempts;
-        if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
-    }
-
-    /// Chooses the server for the next attempt, and counts it against the attempts of the route and
-    /// the retry budget.
-    fn next_attempt(&self, job: &Job, progress: &mut Progress) -> Result<Attempt, Problem> {
-        self.check_quarantine(job, progress)
-            .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
-        if progress.attempts >= job.route.config.attempts {
-            progress.obstacle = Some(Obstacle::Attempts);
-            return Err(overloaded());
-        }
-        let Some(attempt) = self.choose(job, progress) else {
-            let closed_for = self.closed_for(job);
-            progress.obstacle =
-                Some(closed_for.map_or(Obstacle::NoServer, |_| Obstacle::ServersClosed));
-            return Err(if let Some(time) = closed_for {
-                overloaded().retry_after(time)
-            } else if progress.retry_reason.is_some() {
-                overloaded()
-            } else {
-                no_server(&job.service)
-            });
-        };
-        if let Some(cause) = progress.retry_reason {
-            // A request that no server received is not a retry.
-            let is_retry = match cause {
-                Retry::Connect => progress.attempts > 0,
-                // The retry was taken from the budget when the response was dropped.
-                Retry::Escalation => false,
-                _ => true,
-            };
-            if is_retry && !self.take_retry(job, Cause::Failure) {
-                progress.obstacle = Some(Obstacle::Budget);
-                return Err(overloaded());
-            }
-            self.metrics.count_retry(cause);
-        }
-        progress.attempts += 1;
-        progress.obstacle = None;
-        progress.begin(&attempt.marker);
-        Ok(attempt)
-    }
-
     /// Records the result of an attempt as evidence for the evaluation of the server's version.
     fn record_evidence(&self, job: &Job, attempt: &Attempt, signal: Signal) {
         let server = &attempt.server;
@@ -356,20 +304,6 @@
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Returns the problem of a request that can't be retried, because the attempts, the servers or the
-/// retry budget are exhausted.
-fn overloaded() -> Problem {
-    let mut problem = Problem::new(Refusal::Overloaded, "the servers have no room: come back")
-        .retry_after(RETRY_AFTER);
-    problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
-    problem
-}
-
-fn no_server(service: &str) -> Problem {
-    let detail = format!("no server of {service} takes requests: come back");
-    Problem::new(Refusal::NoServer, detail).retry_after(RETRY_AFTER)
-}
-
 fn server_failed() -> Problem {
     Problem::new(Refusal::ServerFailed, "the server failed")
 }
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -0,0 +1,90 @@
+//! Decision whether a request is sent to another server.
+
+use {
+    super::{Forwarder, Job, Progress, RETRY_AFTER, attempt::Attempt, obstacle::Obstacle},
+    crate::budget::Cause,
+    hawthornmount_core::{
+        problem::Problem,
+        reason::{Refusal, Retry},
+    },
+    hawthornmount_http::StatusCode,
+    std::time::Duration,
+};
+
+impl Forwarder {
+    /// Returns the time in which the current attempt has to start its response; the last attempt is
+    /// limited only by the deadline of the request.
+    pub(super) fn attempt_timeout(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        attempt: &Attempt,
+    ) -> Option<Duration> {
+        let is_last = progress.attempts >= job.route.config.attempts;
+        if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
+    }
+
+    /// Chooses the server for the next attempt, and counts it against the attempts of the route and
+    /// the retry budget.
+    pub(super) fn next_attempt(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+    ) -> Result<Attempt, Problem> {
+        self.check_quarantine(job, progress)
+            .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
+        if progress.attempts >= job.route.config.attempts {
+            progress.obstacle = Some(Obstacle::Attempts);
+            return Err(overloaded());
+        }
+        let Some(attempt) = self.choose(job, progress) else {
+            let closed_for = self.closed_for(job);
+            progress.obstacle = Some(if closed_for.is_some() {
+                Obstacle::ServersClosed
+            } else if progress.may_ask_others(&job.route.config) {
+                Obstacle::NoServer
+            } else {
+                Obstacle::Refusals
+            });
+            return Err(if let Some(time) = closed_for {
+                overloaded().retry_after(time)
+            } else if progress.retry_reason.is_some() {
+                overloaded()
+            } else {
+                no_server(&job.service)
+            });
+        };
+        if let Some(cause) = progress.retry_reason {
+            // A request that no server received is not a retry.
+            let is_retry = match cause {
+                Retry::Connect => progress.attempts > 0,
+                // The retry was taken from the budget when the response was dropped.
+                Retry::Escalation => false,
+                _ => true,
+            };
+            if is_retry && !self.take_retry(job, Cause::Failure) {
+                progress.obstacle = Some(Obstacle::Budget);
+                return Err(overloaded());
+            }
+            self.metrics.count_retry(cause);
+        }
+        progress.attempts += 1;
+        progress.obstacle = None;
+        progress.begin(&attempt.marker);
+        Ok(attempt)
+    }
+}
+
+/// Returns the problem of a request that can't be retried, because the attempts, the servers or the
+/// retry budget are exhausted.
+fn overloaded() -> Problem {
+    let mut problem = Problem::new(Refusal::Overloaded, "the servers have no room: come back")
+        .retry_after(RETRY_AFTER);
+    problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    problem
+}
+
+fn no_server(service: &str) -> Problem {
+    let detail = format!("no server of {service} takes requests: come back");
+    Problem::new(Refusal::NoServer, detail).retry_after(RETRY_AFTER)
+}
--- a/crates/hawthornmount-gateway/src/forward/obstacle.rs
+++ b/crates/hawthornmount-gateway/src/forward/obstacle.rs
@@ -13,6 +13,9 @@
     /// It was sent as often as its route allows.
     #[display("attempts")]
     Attempts,
+    /// As many servers refused it as its route allows attempts.
+    #[display("refusals")]
+    Refusals,
     /// The retry budget of the service is used up.
     #[display("retry_budget")]
     Budget,
@@ -27,6 +30,16 @@
     Quarantine,
 }
 
+impl Obstacle {
+    /// Returns whether the request may be sent later.
+    pub const fn is_temporary(self) -> bool {
+        match self {
+            Self::Refusals | Self::Budget | Self::NoServer | Self::ServersClosed => true,
+            Self::Attempts | Self::Quarantine => false,
+        }
+    }
+}
+
 /// Fields of a log line about a request that no other server has taken: how the last attempt to
 /// replace a server ended, and why there was no further one.
 pub struct Fields<'a>(pub &'a Progress);
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -8,7 +8,7 @@
         handover::{Event, Handover},
         key_unconfirmed, obstacle, server_failed,
     },
-    crate::rollout::evidence::Signal,
+    crate::{message::EventId, rollout::evidence::Signal},
     hawthornmount_core::{
         problem::Problem,
         reason::{Refusal, Retry},
@@ -17,6 +17,16 @@
     tokio::time::timeout_at,
 };
 
+/// An answer that has begun.
+pub struct Begun {
+    /// Attempt at the server that answers.
+    pub attempt: Attempt,
+    /// The answer.
+    pub success: Box<Success>,
+    /// Time until the answer began.
+    pub time: Duration,
+}
+
 impl Forwarder {
     /// Returns the answer of the first server that gives one, or an answer of low confidence if the
     /// larger model gives none.
@@ -29,7 +39,7 @@
         let raced = self.race_servers(job, progress, &mut handover);
         let result = timeout_at(job.deadline().into(), raced).await;
         let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
-        self.give_up_silent(job, progress, &mut handover);
+        self.end_attempts(job, progress, &mut handover);
         result.or_else(|problem| {
             let Some((attempt, success)) = handover.take_answer() else {
                 log_unanswered(job, progress);
@@ -50,74 +60,116 @@
         handover: &mut Handover<'a>,
     ) -> Result<(Attempt, Success), Problem> {
         loop {
-            if handover.needs_server() {
-                match self.next_attempt(job, progress) {
-                    Ok(attempt) => {
-                        let timeout = if handover.has_answer() {
-                            job.attempt_timeout(attempt.expected_wait)
-                        } else {
-                            self.attempt_timeout(job, progress, &attempt)
-                        };
-                        handover.start(self, job, attempt, timeout);
-                    }
-                    Err(problem) if handover.is_empty() || handover.has_answer() => {
-                        return Err(problem);
-                    }
-                    Err(problem) => {
-                        if handover.keep() {
-                            log_kept_server(job, progress, problem.reason);
-                        }
-                    }
-                }
-            }
-            let (attempt, outcome, began) = match handover.next().await {
-                Event::Ended { attempt, outcome, began } => (attempt, outcome, began),
-                Event::Silent(attempt) => {
-                    let mut loads = self.loads.lock();
-                    loads.stats(&attempt.server.id).record_failure(Instant::now());
-                    progress.record_silence(&attempt);
-                    continue;
-                }
-                Event::Recheck => continue,
-                Event::GivenUp(attempt) => {
-                    let outcome = Outcome::Unknown(Retry::ServerTimeout);
-                    self.record_outcome(job, progress, &attempt, &outcome);
-                    continue;
-                }
+            self.start_attempt(job, progress, handover, job.resume_after())?;
+            let event = handover.next().await;
+            let Some(Begun { attempt, success, time }) =
+                self.settle(job, progress, handover, event)?
+            else {
+                continue;
             };
-            self.record_outcome(job, progress, &attempt, &outcome);
-            if matches!(outcome, Outcome::Success(_)) {
-                self.record_start(job, &attempt, began.elapsed());
-                self.give_up_silent(job, progress, handover);
+            self.record_start(job, &attempt, time);
+            let Some(level) = self.escalate(job, progress, &success) else {
+                return Ok((attempt, *success));
+            };
+            handover.keep_answer(attempt, success);
+            progress.level = Some(level);
+            progress.tried.clear();
+            progress.failed.clear();
+            progress.retry_reason = Some(Retry::Escalation);
+        }
+    }
+
+    /// Starts an attempt at another server if the servers of all running attempts are silent. A
+    /// stream begins after the event `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem if there is no other server, and no attempt is running whose answer can be
+    /// waited for.
+    pub(super) fn start_attempt<'a>(
+        &'a self,
+        job: &'a Job,
+        progress: &mut Progress,
+        handover: &mut Handover<'a>,
+        after: Option<EventId>,
+    ) -> Result<(), Problem> {
+        if !handover.needs_server() {
+            return Ok(());
+        }
+        match self.next_attempt(job, progress) {
+            Ok(attempt) => {
+                let timeout = if handover.has_answer() {
+                    job.attempt_timeout(attempt.expected_wait)
+                } else {
+                    self.attempt_timeout(job, progress, &attempt)
+                };
+                handover.start(self, job, attempt, timeout, after);
             }
-            match outcome {
-                Outcome::Success(success) => {
-                    let Some(level) = self.escalate(job, progress, &success) else {
-                        return Ok((attempt, *success));
-                    };
-                    handover.keep_answer(attempt, success);
-                    progress.level = Some(level);
-                    progress.tried.clear();
-                    progress.retry_reason = Some(Retry::Escalation);
-                    continue;
+            Err(problem) if handover.is_empty() || handover.has_answer() => return Err(problem),
+            Err(problem) => {
+                if handover.keep() {
+                    log_kept_server(job, progress, problem.reason);
                 }
-                Outcome::Failed(response) => progress.server_failure = Some(response),
-                Outcome::Unknown(_) => {}
-                Outcome::Refused | Outcome::Unsent => continue,
-                Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
-                Outcome::KeyUnconfirmed => continue,
             }
-            if !job.route.config.is_idempotent() {
-                return Err(server_failed());
+        }
+        Ok(())
+    }
+
+    /// Records what happened to an attempt, and returns the answer if one has begun.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem if the request can't be sent to another server.
+    pub(super) fn settle(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+        handover: &mut Handover<'_>,
+        event: Event,
+    ) -> Result<Option<Begun>, Problem> {
+        let (attempt, outcome, began) = match event {
+            Event::Ended { attempt, outcome, began } => (attempt, outcome, began),
+            Event::Silent(attempt) => {
+                self.loads.lock().stats(&attempt.server.id).record_failure(Instant::now());
+                progress.record_silence(&attempt);
+                return Ok(None);
+            }
+            Event::Recheck => return Ok(None),
+            Event::GivenUp(attempt) => {
+                let outcome = Outcome::Unknown(Retry::ServerTimeout);
+                self.record_outcome(job, progress, &attempt, &outcome);
+                return Ok(None);
             }
+        };
+        self.record_outcome(job, progress, &attempt, &outcome);
+        match outcome {
+            Outcome::Success(success) => {
+                self.end_attempts(job, progress, handover);
+                return Ok(Some(Begun { attempt, success, time: began.elapsed() }));
+            }
+            Outcome::Failed(response) => progress.server_failure = Some(response),
+            Outcome::Unknown(_) => {}
+            Outcome::Refused | Outcome::Unsent => return Ok(None),
+            Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
+            Outcome::KeyUnconfirmed => return Ok(None),
         }
+        if job.route.config.is_idempotent() { Ok(None) } else { Err(server_failed()) }
     }
 
-    /// Gives up the attempts whose servers are silent.
-    fn give_up_silent(&self, job: &Job, progress: &mut Progress, handover: &mut Handover<'_>) {
-        for silent in handover.take_silent() {
-            let outcome = Outcome::Unknown(Retry::ServerTimeout);
-            self.record_outcome(job, progress, &silent, &outcome);
+    /// Ends the attempts that are still running. Those of silent servers end unanswered.
+    pub(super) fn end_attempts(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+        handover: &mut Handover<'_>,
+    ) {
+        for (attempt, is_silent) in handover.take_running() {
+            if is_silent {
+                let outcome = Outcome::Unknown(Retry::ServerTimeout);
+                self.record_outcome(job, progress, &attempt, &outcome);
+            } else {
+                progress.abandon(&attempt.marker);
+            }
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -4,8 +4,9 @@
 use {
     super::{
         Forwarder, Job, Progress,
-        attempt::{Attempt, Body, Outcome, Upstream},
-        handover, obstacle, race,
+        attempt::{Attempt, Upstream},
+        obstacle, race,
+        resume::Resumption,
     },
     crate::{
         filter::{self, Truncated},
@@ -19,7 +20,6 @@
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
-        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -40,15 +40,17 @@
 
 /// A stream that is relayed to the caller.
 pub struct Relay {
-    forwarder: Arc<Forwarder>,
-    job: Arc<Job>,
-    progress: Progress,
+    pub(super) forwarder: Arc<Forwarder>,
+    pub(super) job: Arc<Job>,
+    pub(super) progress: Progress,
+    /// Why the last server that sent events was given up.
+    pub(super) cause: Retry,
     /// Attempt at the current server.
-    attempt: Attempt,
-    upstream: Option<Upstream>,
+    pub(super) attempt: Attempt,
+    pub(super) upstream: Option<Upstream>,
     /// Whether the current server has been silent for too long since its last event.
     is_silent: bool,
-    splitter: Splitter,
+    pub(super) splitter: Splitter,
     /// Number of chunks of complete events that were sent to the caller.
     relayed: usize,
     /// Measurement of the event gap of the current server: the time of its first chunk of events,
@@ -57,11 +59,11 @@
     /// Time at which events last arrived, from any server.
     last_event: Instant,
     /// Time since which the relay waits for a complete event of the current server.
-    silent_since: Instant,
+    pub(super) silent_since: Instant,
 }
 
 /// Result of reading from the current server.
-enum Step {
+pub(super) enum Step {
     /// Complete events for the caller.
     Events(Bytes),
     /// No complete event yet.
@@ -76,32 +78,22 @@
     Expired,
 }
 
-/// Result of the attempt to move a stream to another server.
-enum Resumption {
-    /// There is more to read, from the same server or from another one.
-    Continued,
-    /// The silent server has gone on with these events.
-    Events(Bytes),
-    /// The silent server has ended the stream.
-    Ended,
-    /// No other server takes the stream.
-    Failed(Refusal),
-}
-
 impl Relay {
     /// Creates a relay of a stream whose head has arrived.
     pub fn new(
         forwarder: Arc<Forwarder>,
         job: Arc<Job>,
-        progress: Progress,
+        mut progress: Progress,
         attempt: Attempt,
         upstream: Upstream,
     ) -> Self {
         let splitter = Splitter::new(job.resume_after());
+        progress.begin(&attempt.marker);
         Self {
             forwarder,
             job,
             progress,
+            cause: Retry::CutAnswer,
             attempt,
             upstream: Some(upstream),
             is_silent: false,
@@ -237,7 +229,7 @@
     /// Logs and counts a stream that ends before its last event: why its server was given up, and why
     /// no other server took over.
     fn log_truncation(&self, reason: Refusal) {
-        let cause = self.progress.retry_reason.unwrap_or(Retry::CutAnswer);
+        let cause = self.cause;
         self.forwarder.metrics.dropped.with_label_values(&["stream", cause.as_str()]).inc();
         log::info!(
             "stream truncated; id={} route={} cause={cause} silent_ms={} events={} \
@@ -296,6 +288,7 @@
     fn abandon_server(&mut self, cause: Retry) {
         if self.upstream.is_some() {
             self.record_failure(cause);
+            self.exclude_server();
             if cause == Retry::CutAnswer {
                 self.record_break();
             }
@@ -316,96 +309,28 @@
         self.forwarder.record_failure(&self.job, server, cause.as_str());
         self.progress.tried.push(server.id.clone());
         self.progress.retry_reason = Some(cause);
+        self.cause = cause;
+    }
+
+    /// Excludes the current server, which has failed, from further attempts.
+    pub(super) fn exclude_server(&mut self) {
+        self.progress.failed.push(self.attempt.server.id.clone());
     }
 
     /// Closes the connection to the current server, whose answer counts as broken.
-    fn give_up(&mut self) {
+    pub(super) fn give_up(&mut self) {
         if self.upstream.take().is_some() {
+            self.progress.end(&self.attempt.marker);
             self.forwarder.record_evidence(&self.job, &self.attempt, Signal::Broken);
         }
         self.is_silent = false;
         self.gap_measurement = None;
         self.splitter.discard_partial_event();
     }
-
-    /// Resumes the stream at another server after the last complete event.
-    async fn resume(&mut self, cause: Retry) -> Resumption {
-        if !self.job.route.config.resumable {
-            return Resumption::Failed(Refusal::ServerFailed);
-        }
-        self.progress.replacement = None;
-        loop {
-            self.progress.retry_reason = Some(cause);
-            let attempt = match self.forwarder.next_attempt(&self.job, &mut self.progress) {
-                Ok(attempt) => attempt,
-                Err(problem) => return Resumption::Failed(problem.reason),
-            };
-            if let Some(resumption) = self.resume_at(attempt).await {
-                return resumption;
-            }
-        }
-    }
-
-    /// Resumes the stream at the server of an attempt, and returns `None` if that server does not
-    /// take it. A silent server is read meanwhile, and given up once the other has had time to
-    /// refuse.
-    async fn resume_at(&mut self, mut attempt: Attempt) -> Option<Resumption> {
-        let (job, after) = (self.job.clone(), self.splitter.last_id());
-        let forwarder = self.forwarder.clone();
-        let marker = attempt.marker.clone();
-        let outcome = {
-            let timeout = forwarder.attempt_timeout(&job, &self.progress, &attempt);
-            let end = timeout.map_or(job.deadline(), |timeout| Instant::now() + timeout);
-            let sent = forwarder.attempt(&job, &mut attempt, after);
-            let mut sent = pin!(timeout_at(end.min(job.deadline()).into(), sent));
-            let mut until = handover::end(&marker, Instant::now());
-            loop {
-                let Some(upstream) = &mut self.upstream else { break sent.await };
-                let wait = until.unwrap_or_else(Instant::now);
-                tokio::select! {
-                    outcome = &mut sent => break outcome,
-                    step = read(&self.job, upstream, &mut self.splitter) => match step {
-                        Step::Incomplete => {}
-                        Step::Events(bytes) => return Some(Resumption::Events(bytes)),
-                        Step::End => return Some(Resumption::Ended),
-                        Step::Broken(_) | Step::Silent | Step::Expired => self.give_up(),
-                    },
-                    () = tokio::time::sleep_until(wait.into()) => {
-                        until = handover::end(&marker, Instant::now());
-                        if until.is_none() {
-                            self.give_up();
-                        }
-                    }
-                }
-            }
-        };
-        let outcome = match outcome {
-            Ok(outcome) => outcome,
-            Err(_elapsed) if Instant::now() >= job.deadline() => {
-                return Some(Resumption::Failed(Refusal::Deadline));
-            }
-            Err(_elapsed) => Outcome::Unknown(Retry::ServerTimeout),
-        };
-        self.progress.record_outcome(&attempt, &outcome);
-        match outcome {
-            Outcome::Success(success) => match success.body {
-                Body::Streaming(upstream) => {
-                    self.give_up();
-                    self.attempt = attempt;
-                    self.upstream = Some(upstream);
-                    self.silent_since = Instant::now();
-                    Some(Resumption::Continued)
-                }
-                Body::Complete(_) => Some(Resumption::Failed(Refusal::Internal)),
-            },
-            Outcome::KeyUnconfirmed => Some(Resumption::Failed(Refusal::StoreUnavailable)),
-            Outcome::Refused | Outcome::Unsent | Outcome::Failed(_) | Outcome::Unknown(_) => None,
-        }
-    }
 }
 
 /// Reads the next piece of a stream, and logs why it can't be relayed any further.
-async fn read(job: &Job, upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
+pub(super) async fn read(job: &Job, upstream: &mut Upstream, splitter: &mut Splitter) -> Step {
     let broken = |server: &str, cause: &str| {
         log::info!("stream broke; id={} server={server} cause={cause}", job.id);
         Step::Broken(Retry::CutAnswer)
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -10,6 +10,7 @@
         rollout::{Phase, sessions::Side},
         view::View,
     },
+    hawthornmount_core::id::ServerId,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -17,13 +18,32 @@
 };
 
 impl Forwarder {
-    /// Chooses the server for the next attempt; returns `None` if there is no server left to try.
+    /// Chooses the server for the next attempt; returns `None` if there is no server left to try. A
+    /// server that was silent is tried again if no other one is left.
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+        let other = if progress.may_ask_others(&job.route.config) {
+            self.choose_except(&progress.tried, job, progress)
+        } else {
+            None
+        };
+        if other.is_none() && progress.can_go_back() {
+            return self.choose_except(&progress.failed, job, progress);
+        }
+        other
+    }
+
+    /// Chooses one of the servers that are not `excluded`.
+    fn choose_except(
+        &self,
+        excluded: &[ServerId],
+        job: &Job,
+        progress: &Progress,
+    ) -> Option<Attempt> {
         let view = self.cell.load();
         let servers: Vec<&Arc<Server>> = view
             .servers(&job.service)
             .iter()
-            .filter(|server| !progress.tried.contains(&server.id))
+            .filter(|server| !excluded.contains(&server.id))
             .collect();
         let now = Instant::now();
         let servers = self.open_servers(servers, now);
