Hold back the head of a stream until its first event

A stream whose server broke off or stayed silent before the first event reached the caller as 200 with an empty, truncated body: the head was passed on as soon as the server sent it, so that the failure could no longer be told.

The head now follows with the first event, or with the end of a stream without one. A failure before it gives 502, or 504 at the deadline, and the line `no server answered` in place of `stream truncated`. Callers count the time to the first event, which does not change.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -140,7 +140,7 @@
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         match self.try_servers(&job, &mut progress).await {
-            Ok((attempt, success)) => Ok(self.respond(job, progress, attempt, success)),
+            Ok((attempt, success)) => self.respond(job, progress, attempt, success).await,
             Err(problem) => self.failure_response(progress, problem),
         }
     }
@@ -210,14 +210,16 @@
         self.take_retry(job, Cause::LowConfidence).then_some(next)
     }
 
-    /// Returns the response to the caller, with the complete body or a stream that is relayed.
-    fn respond(
+    /// Returns the response to the caller, with the complete body or a stream that is relayed. The
+    /// head of a stream is held back until its first event, so that a failure before it can be
+    /// reported.
+    async fn respond(
         self: &Arc<Self>,
         job: Arc<Job>,
         progress: Progress,
         attempt: Attempt,
         success: Success,
-    ) -> Response {
+    ) -> Result<Response, Problem> {
         log_late_response(&job, &progress, &attempt, &success);
         let mut response = http::Response::new(());
         *response.status_mut() = success.status;
@@ -225,10 +227,14 @@
         let body = match success.body {
             attempt::Body::Complete(bytes) => full_body(bytes),
             attempt::Body::Streaming(upstream) => {
-                Relay::new(self.clone(), job, progress, attempt, upstream).into_body()
+                let relay = Relay::new(self.clone(), job, progress, attempt, upstream);
+                match relay.start().await {
+                    Ok(body) => body,
+                    Err((progress, problem)) => return self.failure_response(progress, problem),
+                }
             }
         };
-        response.map(|()| body)
+        Ok(response.map(|()| body))
     }
 
     /// Returns the response to a request without a successful attempt: the last failure response of
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -209,7 +209,7 @@
 }
 
 /// Logs how the attempts ended of a request that may have run and gets no answer.
-fn log_unanswered(job: &Job, progress: &Progress) {
+pub fn log_unanswered(job: &Job, progress: &Progress) {
     if progress.may_run() {
         log::info!(
             "no server answered; id={} route={} waited_ms={} {}",
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -5,8 +5,9 @@
     super::{
         Forwarder, Job, Progress,
         attempt::{Attempt, Upstream},
-        obstacle, race,
+        deadline_exceeded, obstacle, race,
         resume::Resumption,
+        server_failed,
     },
     crate::{
         filter::{self, Truncated},
@@ -14,8 +15,11 @@
         sse::Splitter,
     },
     bytes::Bytes,
-    futures::stream,
-    hawthornmount_core::reason::{Refusal, Retry},
+    futures::{StreamExt, stream},
+    hawthornmount_core::{
+        problem::Problem,
+        reason::{Refusal, Retry},
+    },
     hawthornmount_http::connection,
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
@@ -105,9 +109,22 @@
         }
     }
 
-    /// Returns the body of the response to the caller.
-    pub fn into_body(self) -> filter::Body {
-        let frames = stream::unfold(Some(self), |relay| async move {
+    /// Returns the body of the response to the caller, once its first event or its end has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the progress and a problem if the stream fails before.
+    pub async fn start(mut self) -> Result<filter::Body, (Progress, Problem)> {
+        let first = match self.next().await {
+            Some(Ok(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Err(Truncated)) if Instant::now() >= self.job.deadline() => {
+                return Err((self.progress, deadline_exceeded()));
+            }
+            Some(Err(Truncated)) => return Err((self.progress, server_failed())),
+            None => None,
+        };
+        let relay = first.is_some().then_some(self);
+        let rest = stream::unfold(relay, |relay| async move {
             let mut relay = relay?;
             match relay.next().await {
                 Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
@@ -115,7 +132,7 @@
                 None => None,
             }
         });
-        StreamBody::new(frames).boxed_unsync()
+        Ok(StreamBody::new(stream::iter(first).chain(rest)).boxed_unsync())
     }
 
     /// Returns the next events for the caller, or `None` at the end of the stream.
@@ -167,7 +184,11 @@
                     race::log_kept_server(&self.job, &self.progress, reason);
                 }
                 Resumption::Failed(reason) => {
-                    self.log_truncation(reason);
+                    if self.relayed > 0 {
+                        self.log_truncation(reason);
+                    } else {
+                        race::log_unanswered(&self.job, &self.progress);
+                    }
                     return Some(Err(Truncated));
                 }
             }
