Tell a lost connection of a caller apart from an idle one

A connection that fails before its response is written leaves a debug line without an id.

Connections now record what they read and what they could not write. The end of one that was not idle is logged at the level info with its phase, the bytes, the age and the last id, and counted in hawthornmount_dropped_total{part="caller"}.

--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -1,6 +1,9 @@
-//! Activity of a connection from a caller: the requests in flight, and when it became idle.
+//! Activity of a connection from a caller: whether a request arrives, is in flight or is answered,
+//! and since when the connection has been idle.
 
 use {
+    derive_more::Display,
+    hawthornmount_core::id::RequestId,
     parking_lot::Mutex,
     std::{
         sync::Arc,
@@ -11,7 +14,12 @@
 #[derive(Debug)]
 struct State {
     in_flight: usize,
+    /// Bytes that arrived while no request was in flight: a part of the next head.
+    received_bytes: usize,
+    /// Bytes that the connection did not take at the last attempt to write.
+    unwritten_bytes: usize,
     changed: Instant,
+    last_request: Option<RequestId>,
 }
 
 /// Activity of a connection.
@@ -22,18 +30,74 @@
 #[derive(Debug)]
 pub struct Guard(Activity);
 
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Phase {
+    /// No request has arrived since the last response was written.
+    #[display("idle")]
+    Idle,
+    /// A part of the head of a request has arrived.
+    #[display("receiving")]
+    Receiving,
+    /// A request is in flight.
+    #[display("answering")]
+    Answering,
+    /// A response is complete, and the caller has not taken all of it.
+    #[display("writing")]
+    Writing,
+}
+
+/// Activity at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// What the connection is doing.
+    pub phase: Phase,
+    /// Bytes of a head that have arrived, or bytes that were not written.
+    pub bytes: usize,
+    /// Time since the phase changed.
+    pub age: Duration,
+    /// Id of the last request whose head was complete.
+    pub last_request: Option<RequestId>,
+}
+
 impl Activity {
     /// Creates the activity of a connection that has just been accepted.
     pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(State { in_flight: 0, changed: Instant::now() })))
+        Self(Arc::new(Mutex::new(State {
+            in_flight: 0,
+            received_bytes: 0,
+            unwritten_bytes: 0,
+            changed: Instant::now(),
+            last_request: None,
+        })))
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
-        self.0.lock().in_flight += 1;
+        let mut state = self.0.lock();
+        state.in_flight += 1;
+        state.received_bytes = 0;
         Guard(self.clone())
     }
 
+    /// Records the id of the request in flight.
+    pub fn set_request(&self, id: &RequestId) {
+        self.0.lock().last_request = Some(id.clone());
+    }
+
+    /// Records bytes that were read.
+    pub fn record_read(&self, bytes: usize) {
+        let mut state = self.0.lock();
+        if state.in_flight == 0 {
+            state.received_bytes += bytes;
+        }
+    }
+
+    /// Records the bytes that the connection did not take at an attempt to write.
+    pub fn record_unwritten(&self, bytes: usize) {
+        self.0.lock().unwritten_bytes = bytes;
+    }
+
     /// Returns the time for which the connection has been idle at `now`; zero while a request is in
     /// flight.
     pub fn idle_time(&self, now: Instant) -> Duration {
@@ -44,6 +108,33 @@
             now.saturating_duration_since(state.changed)
         }
     }
+
+    /// Returns the activity at `now`.
+    pub fn snapshot(&self, now: Instant) -> Snapshot {
+        let state = self.0.lock();
+        let (phase, bytes) = state.phase();
+        Snapshot {
+            phase,
+            bytes,
+            age: now.saturating_duration_since(state.changed),
+            last_request: state.last_request.clone(),
+        }
+    }
+}
+
+impl State {
+    /// Returns the phase, and the bytes that belong to it.
+    const fn phase(&self) -> (Phase, usize) {
+        if self.in_flight > 0 {
+            (Phase::Answering, self.unwritten_bytes)
+        } else if self.unwritten_bytes > 0 {
+            (Phase::Writing, self.unwritten_bytes)
+        } else if self.received_bytes > 0 {
+            (Phase::Receiving, self.received_bytes)
+        } else {
+            (Phase::Idle, 0)
+        }
+    }
 }
 
 impl Drop for Guard {
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -1,13 +1,21 @@
 //! Connections from callers.
 
 use {
-    super::{accept, activity::Activity, response},
+    super::{
+        accept,
+        activity::{Activity, Phase},
+        response,
+        transport::Transport,
+    },
     crate::{
         filter::{self, Exchange, Filter, Response},
         instance::Components,
     },
     hawthornmount_core::{config::Limits, id, problem::Problem},
-    hawthornmount_http::connection::meter::{Allowance, Meter},
+    hawthornmount_http::connection::{
+        describe,
+        meter::{Allowance, Meter},
+    },
     http::header,
     http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -31,6 +39,9 @@
 /// configuration can lower.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Name of the connections from callers among the parts that drop something.
+const PART: &str = "caller";
+
 /// HTTP service for callers.
 struct Frontend {
     components: Arc<Components>,
@@ -55,17 +66,17 @@
         let head_bytes = limits.head_bytes;
         let allowance = Allowance::default();
         allowance.set_whole(max_request_bytes(&limits));
-        let stream = Meter::new(stream, allowance.clone());
         let activity = Activity::new();
+        let stream = Transport::new(Meter::new(stream, allowance.clone()), activity.clone());
         // Counts the connection from its first request until it is closed.
         let serving = Arc::new(OnceLock::new());
         let (frontend, active, first) = (self.clone(), activity.clone(), serving.clone());
         let service = service_fn(move |request| {
             allowance.set_whole(max_request_bytes(&frontend.limits()));
             first.get_or_init(|| frontend.components.serving.enter());
-            let (frontend, guard) = (frontend.clone(), active.enter());
+            let (frontend, active, guard) = (frontend.clone(), active.clone(), active.enter());
             async move {
-                let response = frontend.handle(request).await;
+                let response = frontend.handle(request, &active).await;
                 Ok::<_, Infallible>(response::with_guard(response, guard))
             }
         });
@@ -82,13 +93,31 @@
                 connection.await
             }
             () = self.wait_for_idle_limit(&activity) => {
-                log::debug!("closed an idle connection of a caller");
+                self.report_end(&activity, "idle_timeout");
                 return;
             }
         };
         if let Err(error) = result {
-            log::debug!("connection from a caller failed; cause={error}");
+            self.report_end(&activity, &describe(&error));
+        }
+    }
+
+    /// Logs the end of a connection on which the last response was not followed by the caller's close.
+    /// Only a connection that was not idle can have lost a request or a response.
+    fn report_end(&self, activity: &Activity, cause: &str) {
+        let end = activity.snapshot(Instant::now());
+        if end.phase == Phase::Idle {
+            log::debug!("closed an idle connection of a caller; cause={cause}");
+            return;
         }
+        self.components.metrics.count_drop(PART, &end.phase.to_string());
+        log::info!(
+            "lost a connection of a caller; phase={} bytes={} phase_ms={} last_id={} cause={cause}",
+            end.phase,
+            end.bytes,
+            end.age.as_millis(),
+            end.last_request.as_deref().unwrap_or("none")
+        );
     }
 
     /// Waits until a connection has been idle for the limit of the configuration in force.
@@ -116,12 +145,13 @@
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response {
+    async fn handle(&self, request: Request<Incoming>, activity: &Activity) -> Response {
         let arrived = Instant::now();
         let in_flight = self.components.in_flight.enter();
         let (head, incoming) = request.into_parts();
         let request = self.components.dialect.parse_request(&head);
         let id = request.id.clone().unwrap_or_else(|| id::generate("r"));
+        activity.set_request(&id);
         let mut exchange = Exchange {
             id,
             arrived,
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -5,6 +5,7 @@
 mod activity;
 mod caller;
 mod response;
+mod transport;
 
 pub use caller::serve as serve_callers;
 
