Limit the head of a request by its own time limit

Callers saw a connection end without an answer while they were sending a request. The only time limit of a connection was that on idle time, counted from the end of the last response, and a connection counted as idle until a head was complete. The limit struck between two pieces of a head, sooner still if a configuration had lowered it; and a caller that sends its head byte by byte kept its connection for idle_timeout_ms (15 s) instead of header_timeout_ms (3 s).

A head now has header_timeout_ms of the configuration in force from its first byte, and idle time counts while nothing of a request has arrived.

--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -3,7 +3,7 @@
 
 use {
     derive_more::Display,
-    hawthornmount_core::id::RequestId,
+    hawthornmount_core::{config::Limits, id::RequestId},
     parking_lot::Mutex,
     std::{
         sync::Arc,
@@ -88,9 +88,13 @@
     /// Records bytes that were read.
     pub fn record_read(&self, bytes: usize) {
         let mut state = self.0.lock();
-        if state.in_flight == 0 {
-            state.received_bytes += bytes;
+        if state.in_flight > 0 {
+            return;
+        }
+        if state.received_bytes == 0 {
+            state.changed = Instant::now();
         }
+        state.received_bytes += bytes;
     }
 
     /// Records the bytes that the connection did not take at an attempt to write.
@@ -98,15 +102,17 @@
         self.0.lock().unwritten_bytes = bytes;
     }
 
-    /// Returns the time for which the connection has been idle at `now`; zero while a request is in
-    /// flight.
-    pub fn idle_time(&self, now: Instant) -> Duration {
-        let state = self.0.lock();
-        if state.in_flight > 0 {
-            Duration::ZERO
-        } else {
-            now.saturating_duration_since(state.changed)
-        }
+    /// Returns the time that is left at `now` until a limit closes the connection; `None` while a
+    /// request is in flight. The head of a request has to arrive within its own limit: the limit on
+    /// idle time may be shorter than a pause between two pieces of it.
+    pub fn time_left(&self, limits: &Limits, now: Instant) -> Option<Duration> {
+        let activity = self.snapshot(now);
+        let limit = match activity.phase {
+            Phase::Answering => return None,
+            Phase::Receiving => limits.head_timeout,
+            Phase::Idle | Phase::Writing => limits.idle_timeout,
+        };
+        Some(limit.saturating_sub(activity.age))
     }
 
     /// Returns the activity at `now`.
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -35,9 +35,9 @@
 /// Bytes by which the framing of a small body may exceed it.
 const MIN_FRAMING_BYTES: usize = 64 << 10;
 
-/// Longest interval at which the idle time of a connection is compared with the limit, which a
-/// configuration can lower.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest interval at which a connection is compared with its time limits, which a configuration can
+/// lower.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Name of the connections from callers among the parts that drop something.
 const PART: &str = "caller";
@@ -59,8 +59,8 @@
 }
 
 impl Frontend {
-    /// Serves one connection until it has been idle for the limit of the configuration in force. When
-    /// the instance stops, requests in flight are completed before the connection is closed.
+    /// Serves one connection until it reaches a time limit of the configuration in force. When the
+    /// instance stops, requests in flight are completed before the connection is closed.
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let limits = self.limits();
         let head_bytes = limits.head_bytes;
@@ -92,8 +92,8 @@
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
-            () = self.wait_for_idle_limit(&activity) => {
-                self.report_end(&activity, "idle_timeout");
+            () = self.wait_for_limit(&activity) => {
+                self.report_end(&activity, "time_limit");
                 return;
             }
         };
@@ -102,8 +102,8 @@
         }
     }
 
-    /// Logs the end of a connection on which the last response was not followed by the caller's close.
-    /// Only a connection that was not idle can have lost a request or a response.
+    /// Logs the end of a connection by a limit or an error. Only a connection that was not idle can have
+    /// lost a request or a response.
     fn report_end(&self, activity: &Activity, cause: &str) {
         let end = activity.snapshot(Instant::now());
         if end.phase == Phase::Idle {
@@ -120,15 +120,15 @@
         );
     }
 
-    /// Waits until a connection has been idle for the limit of the configuration in force.
-    async fn wait_for_idle_limit(&self, activity: &Activity) {
+    /// Waits until a connection has reached a time limit of the configuration in force.
+    async fn wait_for_limit(&self, activity: &Activity) {
         loop {
-            let left =
-                self.limits().idle_timeout.saturating_sub(activity.idle_time(Instant::now()));
-            if left.is_zero() {
+            let left = activity.time_left(&self.limits(), Instant::now());
+            if left.is_some_and(|left| left.is_zero()) {
                 return;
             }
-            tokio::time::sleep(left.min(IDLE_CHECK_INTERVAL)).await;
+            let pause = left.unwrap_or(LIMIT_CHECK_INTERVAL).min(LIMIT_CHECK_INTERVAL);
+            tokio::time::sleep(pause).await;
         }
     }
 
