Wait for the rest of a head when an instance stops

A stop also waited only for connections that had carried a whole request, so a head whose rest came after the last request ended was lost with the process.

A connection on which a head is arriving is no longer shut down: it ends with the response to that request, which has `Connection: close`, or at the limit on heads. Connections are counted from the first byte of their first request, so the stop waits for them. Both are bounded by header_timeout_ms and by the grace period.

--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -2,6 +2,7 @@
 //! and since when the connection has been idle.
 
 use {
+    crate::instance::{InFlight, InFlightGuard},
     derive_more::Display,
     hawthornmount_core::{config::Limits, id::RequestId},
     parking_lot::Mutex,
@@ -20,11 +21,16 @@
     unwritten_bytes: usize,
     changed: Instant,
     last_request: Option<RequestId>,
+    /// Counts the connection, from the first byte of its first request until it is closed.
+    serving: Option<InFlightGuard>,
 }
 
 /// Activity of a connection.
 #[derive(Clone, Debug)]
-pub struct Activity(Arc<Mutex<State>>);
+pub struct Activity {
+    state: Arc<Mutex<State>>,
+    serving: InFlight,
+}
 
 /// Counts a request as in flight until it is dropped.
 #[derive(Debug)]
@@ -61,20 +67,23 @@
 }
 
 impl Activity {
-    /// Creates the activity of a connection that has just been accepted.
-    pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(State {
+    /// Creates the activity of a connection that has just been accepted. `serving` counts it once a
+    /// part of a request has arrived.
+    pub fn new(serving: InFlight) -> Self {
+        let state = State {
             in_flight: 0,
             received_bytes: 0,
             unwritten_bytes: 0,
             changed: Instant::now(),
             last_request: None,
-        })))
+            serving: None,
+        };
+        Self { state: Arc::new(Mutex::new(state)), serving }
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.in_flight += 1;
         state.received_bytes = 0;
         Guard(self.clone())
@@ -82,15 +91,16 @@
 
     /// Records the id of the request in flight.
     pub fn set_request(&self, id: &RequestId) {
-        self.0.lock().last_request = Some(id.clone());
+        self.state.lock().last_request = Some(id.clone());
     }
 
     /// Records bytes that were read.
     pub fn record_read(&self, bytes: usize) {
-        let mut state = self.0.lock();
-        if state.in_flight > 0 {
+        let mut state = self.state.lock();
+        if state.in_flight > 0 || bytes == 0 {
             return;
         }
+        state.serving.get_or_insert_with(|| self.serving.enter());
         if state.received_bytes == 0 {
             state.changed = Instant::now();
         }
@@ -99,7 +109,7 @@
 
     /// Records the bytes that the connection did not take at an attempt to write.
     pub fn record_unwritten(&self, bytes: usize) {
-        self.0.lock().unwritten_bytes = bytes;
+        self.state.lock().unwritten_bytes = bytes;
     }
 
     /// Returns the time that is left at `now` until a limit closes the connection; `None` while a
@@ -117,7 +127,7 @@
 
     /// Returns the activity at `now`.
     pub fn snapshot(&self, now: Instant) -> Snapshot {
-        let state = self.0.lock();
+        let state = self.state.lock();
         let (phase, bytes) = state.phase();
         Snapshot {
             phase,
@@ -145,7 +155,7 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let mut state = self.0.0.lock();
+        let mut state = self.0.state.lock();
         state.in_flight -= 1;
         state.changed = Instant::now();
     }
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -23,7 +23,7 @@
     std::{
         convert::Infallible,
         pin::pin,
-        sync::{Arc, OnceLock},
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::net::{TcpListener, TcpStream},
@@ -60,20 +60,17 @@
 
 impl Frontend {
     /// Serves one connection until it reaches a time limit of the configuration in force. When the
-    /// instance stops, requests in flight are completed before the connection is closed.
+    /// instance stops, requests that arrive or are in flight are completed before the connection is
+    /// closed.
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let limits = self.limits();
-        let head_bytes = limits.head_bytes;
         let allowance = Allowance::default();
         allowance.set_whole(max_request_bytes(&limits));
-        let activity = Activity::new();
+        let activity = Activity::new(self.components.serving.clone());
         let stream = Transport::new(Meter::new(stream, allowance.clone()), activity.clone());
-        // Counts the connection from its first request until it is closed.
-        let serving = Arc::new(OnceLock::new());
-        let (frontend, active, first) = (self.clone(), activity.clone(), serving.clone());
+        let (frontend, active) = (self.clone(), activity.clone());
         let service = service_fn(move |request| {
             allowance.set_whole(max_request_bytes(&frontend.limits()));
-            first.get_or_init(|| frontend.components.serving.enter());
             let (frontend, active, guard) = (frontend.clone(), active.clone(), active.enter());
             async move {
                 let response = frontend.handle(request, &active).await;
@@ -81,20 +78,26 @@
             }
         });
         let connection = http1::Builder::new()
-            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        let result = tokio::select! {
-            // A request that has arrived is read before the connection counts as idle.
-            biased;
-            result = connection.as_mut() => result,
-            () = self.wait_for_closing() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-            () = self.wait_for_limit(&activity) => {
-                self.report_end(&activity, "time_limit");
-                return;
+        let mut is_closing = false;
+        let result = loop {
+            tokio::select! {
+                // A request that has arrived is read before the connection counts as idle.
+                biased;
+                result = connection.as_mut() => break result,
+                () = self.wait_for_closing(), if !is_closing => {
+                    is_closing = true;
+                    // The response to a request that is arriving closes the connection.
+                    if activity.snapshot(Instant::now()).phase != Phase::Receiving {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
+                () = self.wait_for_limit(&activity) => {
+                    self.report_end(&activity, "time_limit");
+                    return;
+                }
             }
         };
         if let Err(error) = result {
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -74,7 +74,7 @@
     pub dialect: Arc<dyn Dialect>,
     /// Requests in flight.
     pub in_flight: InFlight,
-    /// Connections of callers that have carried a request.
+    /// Connections of callers on which a request, or a part of one, has arrived.
     pub serving: InFlight,
     /// Whether the connections of callers are to be closed.
     pub closing: watch::Sender<bool>,
@@ -304,7 +304,7 @@
         )
         .await;
         // A connection is closed once its last answer is written, which may be after its request
-        // has ended.
+        // has ended, or once the head of a request that is arriving is complete or late.
         let (in_flight, serving) = (&self.components.in_flight, &self.components.serving);
         while in_flight.count() + serving.count() > 0 && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
