Count idle time from the last byte of a response that was written

Callers that read a response slowly saw it end early. A request ends for the connection when its response is handed over, which may be seconds before its last byte is written, and the idle time counted from there: the connection was closed with the rest of the response in its buffer.

While a response is written, the connection is now closed only if its caller takes nothing of it for idle_timeout_ms, 10 s at least, and idle time counts from the last byte written.

Evidence: response_is_not_cut_while_its_caller_reads_slowly failed in both cases in two of two runs on the code before, and passes now; connection_is_closed_when_its_caller_reads_nothing and stop:: pass. Tests of hawthornmount-gateway: 217 passed.

--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// Shortest time for which a caller may take nothing of a response before its connection is closed.
+const MIN_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 #[derive(Debug)]
 struct State {
     in_flight: usize,
@@ -19,6 +22,7 @@
     received_bytes: usize,
     /// Bytes that the connection did not take at the last attempt to write.
     unwritten_bytes: usize,
+    /// When the phase changed, or when bytes of a complete response were last written.
     changed: Instant,
     last_request: Option<RequestId>,
     /// Counts the connection, from the first byte of its first request until it is closed.
@@ -60,7 +64,7 @@
     pub phase: Phase,
     /// Bytes of a head that have arrived, or bytes that were not written.
     pub bytes: usize,
-    /// Time since the phase changed.
+    /// Time since the phase changed or, while a response is written, since the caller took a part of it.
     pub age: Duration,
     /// Id of the last request whose head was complete.
     pub last_request: Option<RequestId>,
@@ -107,6 +111,15 @@
         state.received_bytes += bytes;
     }
 
+    /// Records that bytes were written.
+    pub fn record_written(&self) {
+        let mut state = self.state.lock();
+        state.unwritten_bytes = 0;
+        if state.in_flight == 0 {
+            state.changed = Instant::now();
+        }
+    }
+
     /// Records the bytes that the connection did not take at an attempt to write.
     pub fn record_unwritten(&self, bytes: usize) {
         self.state.lock().unwritten_bytes = bytes;
@@ -120,7 +133,8 @@
         let limit = match activity.phase {
             Phase::Answering => return None,
             Phase::Receiving => limits.head_timeout,
-            Phase::Idle | Phase::Writing => limits.idle_timeout,
+            Phase::Writing => limits.idle_timeout.max(MIN_WRITE_TIMEOUT),
+            Phase::Idle => limits.idle_timeout,
         };
         Some(limit.saturating_sub(activity.age))
     }
--- a/crates/hawthornmount-gateway/src/frontend/transport.rs
+++ b/crates/hawthornmount-gateway/src/frontend/transport.rs
@@ -29,8 +29,11 @@
         length: usize,
         result: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        let written = matches!(result, Poll::Ready(Ok(_)));
-        self.activity.record_unwritten(if written { 0 } else { length });
+        if matches!(result, Poll::Ready(Ok(_))) {
+            self.activity.record_written();
+        } else {
+            self.activity.record_unwritten(length);
+        }
         result
     }
 }
