Close connections with an unread body without a reset

Callers lost refusals. A request that is refused before its body is read (no route, no key, the instance stops; a change of the configuration makes these likely), or whose body or head is over a limit, got its response and an immediate close. Bytes that were unread or arrived later reset the connection, and a reset discards the response that its caller has not read yet. A 413 and the 408 for a body that does not arrive also lacked `Connection: close`, though the connection was closed.

A response to a request whose body was given up has `Connection: close`. The response itself is sent as early as before.

--- a/crates/hawthornmount-gateway/src/filter/buffering.rs
+++ b/crates/hawthornmount-gateway/src/filter/buffering.rs
@@ -17,9 +17,11 @@
         let limit = exchange.view.rules.limits.body_bytes;
         let wait = exchange.route()?.config.timeout;
         let collected = Limited::new(incoming, limit).collect();
+        exchange.is_body_abandoned = true;
         match tokio::time::timeout(wait, collected).await {
             Ok(Ok(collected)) => {
                 exchange.body = collected.to_bytes();
+                exchange.is_body_abandoned = false;
                 Ok(())
             }
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -17,6 +17,7 @@
     bytes::Bytes,
     hawthornmount_core::{id::RequestId, problem::Problem, reason::Refusal},
     http::request,
+    http_body::Body as _,
     http_body_util::combinators::UnsyncBoxBody,
     hyper::body::Incoming,
     std::{sync::Arc, time::Instant},
@@ -45,6 +46,8 @@
     pub incoming: Option<Incoming>,
     /// Complete body of the request.
     pub body: Bytes,
+    /// Whether reading the body was given up before its end.
+    pub is_body_abandoned: bool,
     /// Parsed head of the request.
     pub request: RequestHead,
     /// Configuration and servers at the arrival of the request.
@@ -81,6 +84,12 @@
 }
 
 impl Exchange {
+    /// Returns whether bytes of the body may still arrive.
+    pub fn has_unread_body(&self) -> bool {
+        let is_unread = |body: &Incoming| !body.is_end_stream();
+        self.is_body_abandoned || self.incoming.as_ref().is_some_and(is_unread)
+    }
+
     /// Returns the route of the request.
     ///
     /// # Errors
--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -25,6 +25,7 @@
     /// When the phase changed, or when bytes of a complete response were last written.
     changed: Instant,
     last_request: Option<RequestId>,
+    has_unread_body: bool,
     /// Counts the connection, from the first byte of its first request until it is closed.
     serving: Option<InFlightGuard>,
 }
@@ -80,6 +81,7 @@
             unwritten_bytes: 0,
             changed: Instant::now(),
             last_request: None,
+            has_unread_body: false,
             serving: None,
         };
         Self { state: Arc::new(Mutex::new(state)), serving }
@@ -98,6 +100,16 @@
         self.state.lock().last_request = Some(id.clone());
     }
 
+    /// Records that a request was answered before its body was read, so that it is the last one.
+    pub fn set_unread_body(&self) {
+        self.state.lock().has_unread_body = true;
+    }
+
+    /// Returns whether the last request was answered before its body was read.
+    pub fn has_unread_body(&self) -> bool {
+        self.state.lock().has_unread_body
+    }
+
     /// Records bytes that were read.
     pub fn record_read(&self, bytes: usize) {
         let mut state = self.state.lock();
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -4,7 +4,7 @@
     super::{
         accept,
         activity::{Activity, Phase},
-        response,
+        linger, response,
         transport::Transport,
     },
     crate::{
@@ -17,12 +17,11 @@
         meter::{Allowance, Meter},
     },
     http::header,
-    http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
         convert::Infallible,
-        pin::pin,
+        pin::Pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -68,40 +67,58 @@
         allowance.set_whole(max_request_bytes(&limits));
         let activity = Activity::new(self.components.serving.clone());
         let stream = Transport::new(Meter::new(stream, allowance.clone()), activity.clone());
-        let (frontend, active) = (self.clone(), activity.clone());
+        let (frontend, active, allowed) = (self.clone(), activity.clone(), allowance.clone());
         let service = service_fn(move |request| {
-            allowance.set_whole(max_request_bytes(&frontend.limits()));
+            allowed.set_whole(max_request_bytes(&frontend.limits()));
             let (frontend, active, guard) = (frontend.clone(), active.clone(), active.enter());
             async move {
                 let response = frontend.handle(request, &active).await;
                 Ok::<_, Infallible>(response::with_guard(response, guard))
             }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
+        let close = http1::Connection::graceful_shutdown;
+        let Some(result) = self.drive(&mut connection, close, &activity).await else {
+            self.report_end(&activity, "time_limit");
+            return;
+        };
+        let is_parse_error = result.as_ref().is_err_and(hyper::Error::is_parse);
+        if let Err(error) = result {
+            self.report_end(&activity, &describe(&error));
+        }
+        if is_parse_error || activity.has_unread_body() {
+            linger::discard(connection.into_parts().io.into_inner(), &allowance).await;
+        }
+    }
+
+    /// Runs a connection to its end, and returns `None` if it reached a time limit. `close` shuts it
+    /// down gracefully.
+    async fn drive<C>(
+        &self,
+        connection: &mut C,
+        close: fn(Pin<&mut C>),
+        activity: &Activity,
+    ) -> Option<hyper::Result<()>>
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
         let mut is_closing = false;
-        let result = loop {
+        loop {
             tokio::select! {
                 // A request that has arrived is read before the connection counts as idle.
                 biased;
-                result = connection.as_mut() => break result,
+                result = &mut *connection => return Some(result),
                 () = self.wait_for_closing(), if !is_closing => {
                     is_closing = true;
                     // The response to a request that is arriving closes the connection.
                     if activity.snapshot(Instant::now()).phase != Phase::Receiving {
-                        connection.as_mut().graceful_shutdown();
+                        close(Pin::new(connection));
                     }
                 }
-                () = self.wait_for_limit(&activity) => {
-                    self.report_end(&activity, "time_limit");
-                    return;
-                }
+                () = self.wait_for_limit(activity) => return None,
             }
-        };
-        if let Err(error) = result {
-            self.report_end(&activity, &describe(&error));
         }
     }
 
@@ -161,6 +178,7 @@
             head,
             incoming: Some(incoming),
             body: bytes::Bytes::new(),
+            is_body_abandoned: false,
             request,
             view: self.components.cell.load(),
             route: None,
@@ -168,7 +186,10 @@
             response: None,
         };
         let outcome = self.run(&mut exchange).await;
-        let has_unread_body = exchange.incoming.as_ref().is_some_and(|body| !body.is_end_stream());
+        let has_unread_body = exchange.has_unread_body();
+        if has_unread_body {
+            activity.set_unread_body();
+        }
         let mut response = match outcome {
             Ok(response) => response,
             Err(problem) => {
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 
 mod activity;
 mod caller;
+mod linger;
 mod response;
 mod transport;
 
