Apply the limit on heads that is in force to open connections

After a configuration had raised header_bytes, callers got 431 for requests that it allows on connections that were accepted before; after it had lowered the limit, larger heads were still accepted on them. The limit was given to hyper as the size of the read buffer, once per connection.

The stream of a connection now bounds the bytes of a head by the configuration in force, exactly instead of to the next size of hyper's buffer, and refuses a larger head with 431 in the same way as before. hyper's buffers may grow to 256 KiB, or to the limit at the accept if that is larger: a limit raised above both applies to new connections only.

--- a/crates/hawthornmount-gateway/src/frontend/activity.rs
+++ b/crates/hawthornmount-gateway/src/frontend/activity.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 struct State {
     in_flight: usize,
-    /// Bytes that arrived while no request was in flight: a part of the next head.
+    /// Bytes of the next head that have arrived.
     received_bytes: usize,
     /// Bytes that the connection did not take at the last attempt to write.
     unwritten_bytes: usize,
@@ -110,10 +110,19 @@
         self.state.lock().has_unread_body
     }
 
-    /// Records bytes that were read.
+    /// Returns the bytes of the next head that have arrived; `None` while a request is in flight or a
+    /// response is written.
+    pub fn head_bytes(&self) -> Option<usize> {
+        match self.state.lock().phase() {
+            (Phase::Idle | Phase::Receiving, bytes) => Some(bytes),
+            (Phase::Answering | Phase::Writing, _) => None,
+        }
+    }
+
+    /// Records bytes of a head that were read.
     pub fn record_read(&self, bytes: usize) {
         let mut state = self.state.lock();
-        if state.in_flight > 0 || bytes == 0 {
+        if bytes == 0 {
             return;
         }
         state.serving.get_or_insert_with(|| self.serving.enter());
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -5,7 +5,7 @@
         accept,
         activity::{Activity, Phase},
         linger, response,
-        transport::Transport,
+        transport::{HeadTooLarge, Transport},
     },
     crate::{
         filter::{self, Exchange, Filter, Response},
@@ -28,8 +28,9 @@
     tokio::net::{TcpListener, TcpStream},
 };
 
-/// Smallest read buffer that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// Size to which the buffers of a connection may grow, in bytes: the largest head that a later
+/// configuration can allow on it.
+const MAX_BUFFER_BYTES: usize = 256 << 10;
 
 /// Bytes by which the framing of a small body may exceed it.
 const MIN_FRAMING_BYTES: usize = 64 << 10;
@@ -66,7 +67,8 @@
         let allowance = Allowance::default();
         allowance.set_whole(max_request_bytes(&limits));
         let activity = Activity::new(self.components.serving.clone());
-        let stream = Transport::new(Meter::new(stream, allowance.clone()), activity.clone());
+        let meter = Meter::new(stream, allowance.clone());
+        let stream = Transport::new(meter, activity.clone(), self.components.cell.clone());
         let (frontend, active, allowed) = (self.clone(), activity.clone(), allowance.clone());
         let service = service_fn(move |request| {
             allowed.set_whole(max_request_bytes(&frontend.limits()));
@@ -77,19 +79,22 @@
             }
         });
         let mut connection = http1::Builder::new()
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(limits.head_bytes.max(MAX_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let close = http1::Connection::graceful_shutdown;
         let Some(result) = self.drive(&mut connection, close, &activity).await else {
             self.report_end(&activity, "time_limit");
             return;
         };
-        let is_parse_error = result.as_ref().is_err_and(hyper::Error::is_parse);
-        if let Err(error) = result {
-            self.report_end(&activity, &describe(&error));
+        let error = result.err();
+        if let Some(error) = &error {
+            self.report_end(&activity, &describe(error));
         }
-        if is_parse_error || activity.has_unread_body() {
-            linger::discard(connection.into_parts().io.into_inner(), &allowance).await;
+        let into_stream = || connection.into_parts().io.into_inner().into_inner();
+        if error.as_ref().is_some_and(|error| HeadTooLarge::is_cause_of(error)) {
+            linger::refuse_head(into_stream(), &allowance).await;
+        } else if activity.has_unread_body() || error.is_some_and(|error| error.is_parse()) {
+            linger::discard(into_stream(), &allowance).await;
         }
     }
 
@@ -228,6 +233,5 @@
 /// Returns the largest number of bytes that a caller may send from the head of a request to the
 /// head of the next one. The framing of a body may be as large as the body.
 fn max_request_bytes(limits: &Limits) -> usize {
-    let head = limits.head_bytes.max(MIN_BUFFER_BYTES);
-    2 * (head + limits.body_bytes) + MIN_FRAMING_BYTES
+    2 * (limits.head_bytes + limits.body_bytes) + MIN_FRAMING_BYTES
 }
--- a/crates/hawthornmount-gateway/src/frontend/linger.rs
+++ b/crates/hawthornmount-gateway/src/frontend/linger.rs
@@ -6,7 +6,7 @@
 use {
     hawthornmount_http::connection::meter::Allowance,
     std::time::Duration,
-    tokio::io::{self, AsyncRead},
+    tokio::io::{self, AsyncRead, AsyncWrite, AsyncWriteExt},
 };
 
 /// Largest number of bytes that are discarded before the connection is closed.
@@ -14,6 +14,23 @@
 /// Longest time for which the caller may keep the connection open.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Response to a request whose head is larger than the configuration in force allows.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Refuses a request whose head is too large, and discards the rest of it.
+pub async fn refuse_head<S: AsyncRead + AsyncWrite + Unpin>(mut stream: S, allowance: &Allowance) {
+    let write = async {
+        stream.write_all(HEAD_TOO_LARGE).await?;
+        stream.shutdown().await
+    };
+    match tokio::time::timeout(TIMEOUT, write).await {
+        Ok(Ok(())) => discard(stream, allowance).await,
+        Ok(Err(error)) => log::debug!("can't refuse a large head; cause={error}"),
+        Err(elapsed) => log::debug!("can't refuse a large head; cause={elapsed}"),
+    }
+}
+
 /// Reads and discards what arrives on a stream whose write side is shut down, until the caller closes
 /// it or has sent too much. `allowance` bounds the reads of the stream.
 pub async fn discard<S: AsyncRead + Unpin>(mut stream: S, allowance: &Allowance) {
--- a/crates/hawthornmount-gateway/src/frontend/transport.rs
+++ b/crates/hawthornmount-gateway/src/frontend/transport.rs
@@ -1,26 +1,50 @@
-//! Stream of a connection from a caller that records its activity.
+//! Stream of a connection from a caller that records its activity and bounds the heads of requests.
 
 use {
     super::activity::Activity,
+    crate::view::Cell,
+    derive_more::{Display, Error},
     std::{
         io::{self, IoSlice},
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll, ready},
     },
     tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
-/// Stream that records what is read, and what can't be written yet.
+/// Error when the head of a request is larger than the configuration in force allows.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the head of the request is too large")]
+pub struct HeadTooLarge;
+
+/// Stream that records what is read, and what can't be written yet. Reads fail once the head of a
+/// request exceeds the limit of the configuration in force, which can change on an open connection.
 #[derive(Debug)]
 pub struct Transport<S> {
     stream: S,
     activity: Activity,
+    cell: Arc<Cell>,
+}
+
+impl HeadTooLarge {
+    /// Returns whether this is the cause of an error.
+    pub fn is_cause_of(error: &dyn std::error::Error) -> bool {
+        let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        source.and_then(io::Error::get_ref).is_some_and(|cause| cause.is::<Self>())
+    }
 }
 
 impl<S> Transport<S> {
-    /// Creates a stream that records the activity of `stream`.
-    pub const fn new(stream: S, activity: Activity) -> Self {
-        Self { stream, activity }
+    /// Creates a stream that records the activity of `stream`. `cell` contains the configuration in
+    /// force.
+    pub const fn new(stream: S, activity: Activity, cell: Arc<Cell>) -> Self {
+        Self { stream, activity, cell }
+    }
+
+    /// Returns the underlying stream.
+    pub fn into_inner(self) -> S {
+        self.stream
     }
 
     /// Records the result of an attempt to write `length` bytes.
@@ -44,9 +68,19 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.activity.record_read(buffer.filled().len() - before);
+        let Some(received) = self.activity.head_bytes() else {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        };
+        let limit = self.cell.load().rules.limits.head_bytes;
+        if received >= limit {
+            return Poll::Ready(Err(io::Error::other(HeadTooLarge)));
+        }
+        let wanted = (limit - received).min(buffer.remaining());
+        let mut piece = ReadBuf::new(buffer.initialize_unfilled_to(wanted));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut piece))?;
+        let length = piece.filled().len();
+        buffer.advance(length);
+        self.activity.record_read(length);
         Poll::Ready(Ok(()))
     }
 }
