--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -4,7 +4,9 @@
 
 mod activity;
 mod caller;
+mod linger;
 mod response;
+mod transport;
 
 pub use caller::serve as serve_callers;
 
