--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -81,25 +81,34 @@
     pub(super) fn record_silence(&mut self, attempt: &Attempt) {
         self.tried.push(attempt.server.id.clone());
         self.retry_reason = Some(Retry::ServerTimeout);
+        self.replacement = Some(Retry::ServerTimeout);
     }
 
     /// Records the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
         self.tried.push(attempt.server.id.clone());
+        if !matches!(outcome, Outcome::Success(_) | Outcome::Unknown(Retry::ServerTimeout)) {
+            self.failed.push(attempt.server.id.clone());
+        }
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
-        self.retry_reason = match outcome {
+        let reason = match outcome {
             Outcome::Success(_) | Outcome::KeyUnconfirmed => return,
             Outcome::Failed(_) => Some(Retry::ServerError),
             Outcome::Unknown(cause) => Some(*cause),
-            Outcome::Refused => Some(Retry::ServerRefused),
+            Outcome::Refused => {
+                self.record_refusal();
+                Some(Retry::ServerRefused)
+            }
             Outcome::Unsent => {
                 // A server to which nothing was sent doesn't count as an attempt.
                 self.attempts -= 1;
                 Some(Retry::Connect)
             }
         };
+        self.retry_reason = reason;
+        self.replacement = reason;
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -6,9 +6,12 @@
 mod guard;
 mod handover;
 mod job;
+mod next;
+mod obstacle;
 mod quarantine;
 mod race;
 mod relay;
+mod resume;
 mod select;
 
 pub use {
@@ -137,7 +140,7 @@
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         match self.try_servers(&job, &mut progress).await {
-            Ok((attempt, success)) => Ok(self.respond(job, progress, attempt, success)),
+            Ok((attempt, success)) => self.respond(job, progress, attempt, success).await,
             Err(problem) => self.failure_response(progress, problem),
         }
     }
@@ -167,52 +170,6 @@
         self.quarantine.expire();
     }
 
-    /// Returns the time in which the current attempt has to start its response; the last attempt is
-    /// limited only by the deadline of the request.
-    fn attempt_timeout(
-        &self,
-        job: &Job,
-        progress: &Progress,
-        attempt: &Attempt,
-    ) -> Option<Duration> {
-        let is_last = progress.attempts >= job.route.config.attempts;
-        if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
-    }
-
-    /// Chooses the server for the next attempt, and counts it against the attempts of the route and
-    /// the retry budget.
-    fn next_attempt(&self, job: &Job, progress: &mut Progress) -> Result<Attempt, Problem> {
-        self.check_quarantine(job)?;
-        if progress.attempts >= job.route.config.attempts {
-            return Err(overloaded());
-        }
-        let Some(attempt) = self.choose(job, progress) else {
-            return Err(if let Some(time) = self.closed_for(job) {
-                overloaded().retry_after(time)
-            } else if progress.retry_reason.is_some() {
-                overloaded()
-            } else {
-                no_server(&job.service)
-            });
-        };
-        if let Some(cause) = progress.retry_reason {
-            // A request that no server received is not a retry.
-            let is_retry = match cause {
-                Retry::Connect => progress.attempts > 0,
-                // The retry was taken from the budget when the response was dropped.
-                Retry::Escalation => false,
-                _ => true,
-            };
-            if is_retry && !self.take_retry(job, Cause::Failure) {
-                return Err(overloaded());
-            }
-            self.metrics.count_retry(cause);
-        }
-        progress.attempts += 1;
-        progress.begin(&attempt.marker);
-        Ok(attempt)
-    }
-
     /// Records the result of an attempt as evidence for the evaluation of the server's version.
     fn record_evidence(&self, job: &Job, attempt: &Attempt, signal: Signal) {
         let server = &attempt.server;
@@ -253,14 +210,16 @@
         self.take_retry(job, Cause::LowConfidence).then_some(next)
     }
 
-    /// Returns the response to the caller, with the complete body or a stream that is relayed.
-    fn respond(
+    /// Returns the response to the caller, with the complete body or a stream that is relayed. The
+    /// head of a stream is held back until its first event, so that a failure before it can be
+    /// reported.
+    async fn respond(
         self: &Arc<Self>,
         job: Arc<Job>,
         progress: Progress,
         attempt: Attempt,
         success: Success,
-    ) -> Response {
+    ) -> Result<Response, Problem> {
         log_late_response(&job, &progress, &attempt, &success);
         let mut response = http::Response::new(());
         *response.status_mut() = success.status;
@@ -268,10 +227,14 @@
         let body = match success.body {
             attempt::Body::Complete(bytes) => full_body(bytes),
             attempt::Body::Streaming(upstream) => {
-                Relay::new(self.clone(), job, progress, attempt, upstream).into_body()
+                let relay = Relay::new(self.clone(), job, progress, attempt, upstream);
+                match relay.start().await {
+                    Ok(body) => body,
+                    Err((progress, problem)) => return self.failure_response(progress, problem),
+                }
             }
         };
-        response.map(|()| body)
+        Ok(response.map(|()| body))
     }
 
     /// Returns the response to a request without a successful attempt: the last failure response of
@@ -347,20 +310,6 @@
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Returns the problem of a request that can't be retried, because the attempts, the servers or the
-/// retry budget are exhausted.
-fn overloaded() -> Problem {
-    let mut problem = Problem::new(Refusal::Overloaded, "the servers have no room: come back")
-        .retry_after(RETRY_AFTER);
-    problem.status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
-    problem
-}
-
-fn no_server(service: &str) -> Problem {
-    let detail = format!("no server of {service} takes requests: come back");
-    Problem::new(Refusal::NoServer, detail).retry_after(RETRY_AFTER)
-}
-
 fn server_failed() -> Problem {
     Problem::new(Refusal::ServerFailed, "the server failed")
 }
