--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -31,7 +31,7 @@
         job: &Job,
         progress: &mut Progress,
     ) -> Result<Attempt, Problem> {
-        self.check_quarantine(job, progress)
+        self.check_quarantine(job)
             .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
         if progress.attempts >= job.route.config.attempts {
             progress.obstacle = Some(Obstacle::Attempts);
