Answer a request whose forwarding panics

A panic while a request was forwarded ended the task of its connection, so that the caller got not a byte: neither an answer nor a refusal. No panic that a request can trigger in a released build is known; an earlier one, on a server's keep-alive time, lost whole answers in this way.

The panic is now caught at the border of the forwarder, logged with the id of the request, and answered with 500 and `ran: "unknown"`. A panic in the middle of a stream still truncates it.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -41,6 +41,7 @@
         view::Cell,
     },
     attempt::{Attempt, Success},
+    futures::FutureExt,
     hawthornmount_core::{
         id::{RegionId, ServiceId},
         metrics::Metrics,
@@ -53,6 +54,7 @@
     parking_lot::Mutex,
     relay::Relay,
     std::{
+        panic::AssertUnwindSafe,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -134,9 +136,23 @@
     /// # Errors
     ///
     /// Returns a problem if no server responded in time; it states whether the request may have
-    /// run.
+    /// run. A panic is reported as a problem, too.
     pub async fn run(self: &Arc<Self>, job: Job) -> Result<Response, Problem> {
         let job = Arc::new(job);
+        // What outlives the request is consistent after unwinding: it is changed under locks that are
+        // held for single operations, and counted by guards.
+        let caught = AssertUnwindSafe(self.run_job(job.clone())).catch_unwind().await;
+        caught.unwrap_or_else(|_panic| {
+            log::error!(
+                "internal error while a request was forwarded, report it; id={} route={}",
+                job.id,
+                job.route.id
+            );
+            Err(internal_error())
+        })
+    }
+
+    async fn run_job(self: &Arc<Self>, job: Arc<Job>) -> Result<Response, Problem> {
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         match self.try_servers(&job, &mut progress).await {
@@ -314,6 +330,11 @@
     Problem::new(Refusal::ServerFailed, "the server failed")
 }
 
+/// Returns the problem of a request that was not forwarded to its end because of a bug.
+fn internal_error() -> Problem {
+    Problem::new(Refusal::Internal, "the instance failed: report it").execution_unknown()
+}
+
 /// Returns the problem of a request whose key can't be confirmed because the configuration is too
 /// old.
 pub fn key_unconfirmed() -> Problem {
