Answer a request whose handler panics

The entry instances, and every other server of the product's own interface, had the same fault as the forwarder of the gateway: a panic of the handler ended the connection without a byte. Only service calls of the entry instances were safe, since they run in a task of their own.

The panic is caught where the handler is called, logged with the path and answered with 500.

--- a/crates/hawthornmount-http/src/server/mod.rs
+++ b/crates/hawthornmount-http/src/server/mod.rs
@@ -6,11 +6,15 @@
 pub use response::{json, text};
 
 use {
-    crate::{Request, Response},
+    crate::{Request, Response, StatusCode},
     acceptor::Acceptor,
     async_trait::async_trait,
     derive_more::{Display, Error},
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    futures::FutureExt,
+    std::{
+        convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
+        time::Duration,
+    },
     tokio::{net::TcpListener, task::JoinHandle},
     volo::net::incoming::MakeIncoming,
     volo_http::{context::ServerContext, server::Server as VoloServer},
@@ -19,7 +23,7 @@
 /// Handles the requests of a server.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
-    /// Handles one request and returns its response.
+    /// Handles one request and returns its response. A panic is answered with status 500.
     async fn handle(&self, request: Request) -> Response;
 
     /// Called for a connection that is closed before its request was read, for logs and metrics.
@@ -161,6 +165,12 @@
         _context: &mut ServerContext,
         request: Request,
     ) -> Result<Response, Infallible> {
-        Ok(self.0.handle(request).await)
+        let target = request.uri().path().to_owned();
+        // The handler is shared with other requests, which a panic of one leaves consistent.
+        let handled = AssertUnwindSafe(self.0.handle(request)).catch_unwind().await;
+        Ok(handled.unwrap_or_else(|_panic| {
+            log::error!("internal error while a request was handled, report it; path={target}");
+            text(StatusCode::INTERNAL_SERVER_ERROR, "the instance failed: report it\n".to_owned())
+        }))
     }
 }
