Keep connections until their answers are written when an instance stops

Callers of the product's own interface that read slowly got a truncated answer if its instance stopped. A request counted as in flight until its answer was handed to the connection, and the stop then ended the connections with the process. It is the cause that the gateway's connections had; the server of volo-http can't mend it, since it shuts connections down gracefully on a signal only and does not tell whether an answer is written.

The server now drives its connections with hyper, as the gateway does. They are counted from the head of their first request until they are closed; a stop closes idle ones, lets the others end with their answer, and waits for them within the drain time. Requests, responses, bodies and the client are still volo-http's; docs/design/style.md gives the reason.

--- a/crates/hawthornmount-entry/src/instance/mod.rs
+++ b/crates/hawthornmount-entry/src/instance/mod.rs
@@ -40,7 +40,8 @@
 /// Result of a graceful shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Stopped {
-    /// Requests that were still in flight when the drain time ran out.
+    /// Requests that were still in flight, or whose answers were not written, when the drain time ran
+    /// out.
     pub interrupted: usize,
 }
 
@@ -100,20 +101,22 @@
         &self.components
     }
 
-    /// Stops gracefully: reports the instance as not ready at once, waits for the requests in
-    /// flight at most as long as the settings allow, and writes the waiting records to the store.
+    /// Stops gracefully: reports the instance as not ready at once, waits until the requests in flight
+    /// are answered and their answers are written, at most as long as the settings allow, and writes
+    /// the waiting records to the store.
     pub async fn stop(mut self) -> Stopped {
         self.components.stopping.store(true, Ordering::SeqCst);
         self.components.mesh.leave();
         let deadline = Instant::now() + self.components.settings.drain;
         tokio::time::sleep(BALANCER_DETECTION_TIME).await;
-        while self.in_flight() > 0 && Instant::now() < deadline {
+        self.callers.close_connections();
+        while self.unfinished() > 0 && Instant::now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         if let Err(error) = self.components.ledger.flush().await {
             log::error!("cannot write the waiting records, check the store; cause={error}");
         }
-        let stopped = Stopped { interrupted: self.in_flight() };
+        let stopped = Stopped { interrupted: self.unfinished() };
         self.terminate();
         stopped
     }
@@ -123,8 +126,11 @@
         self.terminate();
     }
 
-    fn in_flight(&self) -> usize {
-        self.components.in_flight.load(Ordering::SeqCst)
+    /// Returns the number of requests in flight or, if it is larger, of connections whose answers may
+    /// not be written yet.
+    fn unfinished(&self) -> usize {
+        let in_flight = self.components.in_flight.load(Ordering::SeqCst);
+        in_flight.max(self.callers.connections())
     }
 
     fn terminate(&mut self) {
--- a/crates/hawthornmount-http/src/server/acceptor.rs
+++ b/crates/hawthornmount-http/src/server/acceptor.rs
@@ -1,19 +1,17 @@
-//! Accepts connections and passes them to the server once the head of their first request has
-//! arrived, so that slow callers take no capacity of the server.
+//! Accepts connections and serves them once the head of their first request has arrived, so that slow
+//! callers take no capacity of the server.
 
 use {
-    super::{Handler, Limits, Rejection},
+    super::{Handler, Limits, Rejection, connection::Connections},
     std::{
-        io,
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+        sync::{OwnedSemaphorePermit, Semaphore},
     },
-    volo::net::{conn::Conn, incoming::Incoming},
 };
 
 /// Initial size of the buffer in which the head is peeked.
@@ -24,50 +22,25 @@
 const MAX_PENDING: usize = 4_096;
 /// Delay before accepting again after `accept` failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum number of connections that are ready and wait for the server.
-const MAX_READY: usize = 1_024;
 
-/// Source of connections on which the head of the first request has arrived.
-#[derive(Debug)]
-pub struct Acceptor {
-    ready: mpsc::Receiver<TcpStream>,
-}
-
-impl Acceptor {
-    /// Starts a task that accepts the connections of `listener`.
-    pub fn new(listener: TcpListener, handler: Arc<dyn Handler>, limits: Limits) -> Self {
-        let (sender, ready) = mpsc::channel(MAX_READY);
-        tokio::spawn(accept(listener, handler, limits, sender));
-        Self { ready }
-    }
-}
-
-impl Incoming for Acceptor {
-    async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        Ok(self.ready.recv().await.map(Conn::from))
-    }
-}
-
-async fn accept(
+/// Accepts the connections of `listener`; never returns.
+pub async fn accept(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
     limits: Limits,
-    sender: mpsc::Sender<TcpStream>,
+    connections: Arc<Connections>,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_PENDING));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = sender.closed() => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(forward_when_ready(
+                let connections = connections.clone();
+                tokio::spawn(serve_when_ready(
                     stream,
                     handler.clone(),
                     limits,
-                    sender.clone(),
+                    connections,
                     permit,
                 ));
             }
@@ -81,18 +54,19 @@
     }
 }
 
-/// Passes the connection to the server once a complete head has arrived, else rejects it.
-async fn forward_when_ready(
+/// Serves the connection once a complete head has arrived, else rejects it.
+async fn serve_when_ready(
     mut stream: TcpStream,
     handler: Arc<dyn Handler>,
     limits: Limits,
-    sender: mpsc::Sender<TcpStream>,
-    _permit: OwnedSemaphorePermit,
+    connections: Arc<Connections>,
+    permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
     match wait_for_head(&stream, limits).await {
         Ok(()) => {
-            let _ = sender.send(stream).await;
+            drop(permit);
+            connections.serve(stream, handler).await;
         }
         Err(Some(rejection)) => {
             handler.rejected(rejection);
--- /dev/null
+++ b/crates/hawthornmount-http/src/server/connection.rs
@@ -0,0 +1,89 @@
+//! Open connections of a server.
+//!
+//! They are driven over hyper's connection interface: volo's server can shut connections down
+//! gracefully on a signal only, and does not tell whether a response has been written.
+
+use {
+    super::Handler,
+    crate::Body,
+    http::Request,
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{
+        convert::Infallible,
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::{net::TcpStream, sync::watch},
+};
+
+/// Open connections on which a request has arrived.
+#[derive(Debug)]
+pub struct Connections {
+    count: AtomicUsize,
+    closing: watch::Sender<bool>,
+}
+
+/// Counts a connection until it is dropped.
+struct Guard(Arc<Connections>);
+
+impl Connections {
+    /// Creates a count without connections.
+    pub fn new() -> Self {
+        Self { count: AtomicUsize::new(0), closing: watch::Sender::new(false) }
+    }
+
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Closes idle connections, and the others once their response is written.
+    pub fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Counts a connection until the returned guard is dropped.
+    fn enter(self: &Arc<Self>) -> Guard {
+        self.count.fetch_add(1, Ordering::SeqCst);
+        Guard(self.clone())
+    }
+
+    /// Serves a connection on which the head of a request has arrived, until it is closed.
+    pub async fn serve(self: Arc<Self>, stream: TcpStream, handler: Arc<dyn Handler>) {
+        let _guard = self.enter();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(handler.handle(request.map(Body::from_incoming)).await) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let result = tokio::select! {
+            // A request that has arrived is read before the connection counts as idle.
+            biased;
+            result = connection.as_mut() => result,
+            () = self.wait_for_closing() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = result {
+            log::debug!("connection of a caller failed; cause={error}");
+        }
+    }
+
+    async fn wait_for_closing(&self) {
+        if self.closing.subscribe().wait_for(|closing| *closing).await.is_err() {
+            log::debug!("server was dropped while a connection was open");
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.count.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/hawthornmount-http/src/server/mod.rs
+++ b/crates/hawthornmount-http/src/server/mod.rs
@@ -1,19 +1,18 @@
 //! HTTP/1.1 server that passes every request to one handler.
 
 mod acceptor;
+mod connection;
 mod response;
 
 pub use response::{json, text};
 
 use {
     crate::{Request, Response},
-    acceptor::Acceptor,
     async_trait::async_trait,
+    connection::Connections,
     derive_more::{Display, Error},
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinHandle},
-    volo::net::incoming::MakeIncoming,
-    volo_http::{context::ServerContext, server::Server as VoloServer},
 };
 
 /// Handles the requests of a server.
@@ -81,6 +80,7 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    connections: Arc<Connections>,
     task: JoinHandle<()>,
 }
 
@@ -110,57 +110,31 @@
         let listener =
             TcpListener::bind(address).await.map_err(|source| ListenError { address, source })?;
         let address = listener.local_addr().map_err(|source| ListenError { address, source })?;
-        let task = tokio::spawn(run(listener, handler, limits));
-        Ok(Self { address, task })
+        let connections = Arc::new(Connections::new());
+        let task = tokio::spawn(acceptor::accept(listener, handler, limits, connections.clone()));
+        Ok(Self { address, connections, task })
     }
 
     /// Returns the address that the server listens on, with the port that was selected for port 0.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
-}
 
-impl Drop for Server {
-    fn drop(&mut self) {
-        self.task.abort();
+    /// Returns the number of open connections on which a request has arrived. A connection is open
+    /// until its last response is written.
+    pub fn connections(&self) -> usize {
+        self.connections.count()
     }
-}
 
-async fn run(listener: TcpListener, handler: Arc<dyn Handler>, limits: Limits) {
-    let acceptor = Acceptor::new(listener, handler.clone(), limits);
-    let server = VoloServer::new(Adapter(handler))
-        .http1_only()
-        // A hook that never completes keeps volo from stopping the server on a signal.
-        .register_shutdown_hook(|| Box::pin(std::future::pending()));
-    if let Err(error) = server.run(Source(acceptor)).await {
-        log::error!("HTTP server stopped, restart the instance; cause={error}");
+    /// Closes idle connections, and the others once their response is written. New connections are
+    /// still accepted, for one request each.
+    pub fn close_connections(&self) {
+        self.connections.close();
     }
 }
 
-/// Passes a started acceptor to volo, which asks for it once.
-struct Source(Acceptor);
-
-impl MakeIncoming for Source {
-    type Incoming = Acceptor;
-
-    async fn make_incoming(self) -> io::Result<Acceptor> {
-        Ok(self.0)
-    }
-}
-
-/// Adapts a [`Handler`] to volo's service trait.
-#[derive(Clone)]
-struct Adapter(Arc<dyn Handler>);
-
-impl volo::Service<ServerContext, Request> for Adapter {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(
-        &self,
-        _context: &mut ServerContext,
-        request: Request,
-    ) -> Result<Response, Infallible> {
-        Ok(self.0.handle(request).await)
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
--- a/crates/hawthornmount-http/tests/acceptor.rs
+++ b/crates/hawthornmount-http/tests/acceptor.rs
@@ -105,3 +105,26 @@
     let rejected = handler.rejected.lock().expect("no test panics with the lock").clone();
     assert_eq!(rejected, Vec::from_iter(case.rejected));
 }
+
+#[tokio::test]
+async fn closing_connections_ends_idle_ones_only() {
+    let handler = Arc::new(CountingHandler::default());
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let server = Server::start_with(any_port, handler, LIMITS).await.expect("it listens");
+    let mut stream = TcpStream::connect(server.address()).await.expect("it accepts");
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.expect("the server reads");
+    let mut response = Vec::new();
+    while !response.ends_with(b"ok") {
+        stream.read_buf(&mut response).await.expect("a response arrives");
+    }
+    assert_eq!(server.connections(), 1);
+    server.close_connections();
+    let end = tokio::time::timeout(Duration::from_secs(1), stream.read_to_end(&mut response)).await;
+    assert!(matches!(end, Ok(Ok(0))), "{end:?}");
+    let mut late = TcpStream::connect(server.address()).await.expect("it accepts");
+    late.write_all(request).await.expect("the server reads");
+    let mut response = Vec::new();
+    late.read_to_end(&mut response).await.expect("the connection ends after its response");
+    assert!(response.ends_with(b"ok"), "{}", String::from_utf8_lossy(&response));
+}
