Close connections of the product's own interface without a reset

Callers that were still sending when they were refused lost the refusal: connections were closed at once although a part of the request was unread, which resets them. A head that is too large is only peeked, so its 431 was always sent on a connection with unread bytes.

The lingering close of the gateway moves to hawthornmount_http::connection::linger, and the server uses it after each connection that it ends and after the 408 and 431 of the acceptor, with the same bounds of 2 s and 4 MiB. A stop doesn't wait for it.

Evidence: caller_that_is_still_sending_is_not_reset failed on the code before: with a body, writing got a reset; with a head, reading the 431 did too.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -4,7 +4,7 @@
     super::{
         accept,
         activity::{Activity, Phase},
-        linger, response,
+        response,
         transport::{HeadTooLarge, Transport},
     },
     crate::{
@@ -13,7 +13,7 @@
     },
     hawthornmount_core::{config::Limits, id, problem::Problem},
     hawthornmount_http::connection::{
-        describe,
+        describe, linger,
         meter::{Allowance, Meter},
     },
     http::header,
@@ -39,6 +39,10 @@
 /// lower.
 const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Response to a request whose head is larger than the configuration in force allows.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Name of the connections from callers among the parts that drop something.
 const PART: &str = "caller";
 
@@ -92,9 +96,9 @@
         }
         let into_stream = || connection.into_parts().io.into_inner().into_inner();
         if error.as_ref().is_some_and(|error| HeadTooLarge::is_cause_of(error)) {
-            linger::refuse_head(into_stream(), &allowance).await;
+            linger::send(into_stream(), HEAD_TOO_LARGE).await;
         } else if activity.has_unread_body() || error.is_some_and(|error| error.is_parse()) {
-            linger::discard(into_stream(), &allowance).await;
+            linger::discard(into_stream()).await;
         }
     }
 
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -4,7 +4,6 @@
 
 mod activity;
 mod caller;
-mod linger;
 mod response;
 mod transport;
 
--- a/crates/hawthornmount-http/src/connection/meter.rs
+++ b/crates/hawthornmount-http/src/connection/meter.rs
@@ -77,6 +77,11 @@
     pub const fn new(stream: TcpStream, allowance: Allowance) -> Self {
         Self { stream, allowance }
     }
+
+    /// Returns the allowance that bounds the reads.
+    pub const fn allowance(&self) -> &Allowance {
+        &self.allowance
+    }
 }
 
 impl AsyncRead for Meter {
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -3,6 +3,7 @@
 //! The owner of a connection decides whether to reuse it. Dropping it closes it at once, which also
 //! makes the server abandon the request in progress.
 
+pub mod linger;
 pub mod meter;
 
 use {
--- a/crates/hawthornmount-http/src/server/acceptor.rs
+++ b/crates/hawthornmount-http/src/server/acceptor.rs
@@ -3,12 +3,15 @@
 
 use {
     super::{Handler, Limits, Rejection, connection::Connections},
+    crate::connection::{
+        linger,
+        meter::{Allowance, Meter},
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
-        io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
     },
@@ -56,7 +59,7 @@
 
 /// Serves the connection once a complete head has arrived, else rejects it.
 async fn serve_when_ready(
-    mut stream: TcpStream,
+    stream: TcpStream,
     handler: Arc<dyn Handler>,
     limits: Limits,
     connections: Arc<Connections>,
@@ -70,7 +73,8 @@
         }
         Err(Some(rejection)) => {
             handler.rejected(rejection);
-            let _ = stream.write_all(rejection.response().as_bytes()).await;
+            let meter = Meter::new(stream, Allowance::default());
+            linger::send(meter, rejection.response().as_bytes()).await;
         }
         Err(None) => {}
     }
--- a/crates/hawthornmount-http/src/server/connection.rs
+++ b/crates/hawthornmount-http/src/server/connection.rs
@@ -5,13 +5,18 @@
 
 use {
     super::Handler,
-    crate::Body,
+    crate::{
+        Body,
+        connection::{
+            linger,
+            meter::{Allowance, Meter},
+        },
+    },
     http::Request,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
         convert::Infallible,
-        pin::pin,
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -54,25 +59,33 @@
 
     /// Serves a connection on which the head of a request has arrived, until it is closed.
     pub async fn serve(self: Arc<Self>, stream: TcpStream, handler: Arc<dyn Handler>) {
-        let _guard = self.enter();
+        let guard = self.enter();
         let service = service_fn(move |request: Request<Incoming>| {
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(handler.handle(request.map(Body::from_incoming)).await) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
+        let allowance = Allowance::default();
+        allowance.set_whole(usize::MAX);
+        let io = TokioIo::new(Meter::new(stream, allowance));
+        let mut connection = http1::Builder::new().serve_connection(io, service);
         let result = tokio::select! {
             // A request that has arrived is read before the connection counts as idle.
             biased;
-            result = connection.as_mut() => result,
+            result = &mut connection => result,
             () = self.wait_for_closing() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
         };
         if let Err(error) = result {
             log::debug!("connection of a caller failed; cause={error}");
+            if !error.is_parse() {
+                return;
+            }
         }
+        // A stop need not wait for callers that keep the connection open after the response.
+        drop(guard);
+        linger::discard(connection.into_parts().io.into_inner()).await;
     }
 
     async fn wait_for_closing(&self) {
--- a/crates/hawthornmount-http/tests/acceptor.rs
+++ b/crates/hawthornmount-http/tests/acceptor.rs
@@ -128,3 +128,29 @@
     late.read_to_end(&mut response).await.expect("the connection ends after its response");
     assert!(response.ends_with(b"ok"), "{}", String::from_utf8_lossy(&response));
 }
+
+/// Sends a request of 1 MB in pieces while it is refused, and reads the refusal to its end.
+#[rstest]
+#[case::body("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n", "HTTP/1.1 200")]
+#[case::head("GET / HTTP/1.1\r\nlarge: ", "HTTP/1.1 431")]
+#[tokio::test]
+async fn caller_that_is_still_sending_is_not_reset(#[case] start: &str, #[case] response: &str) {
+    let handler = Arc::new(CountingHandler::default());
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let server = Server::start_with(any_port, handler, LIMITS).await.expect("it listens");
+    let stream = TcpStream::connect(server.address()).await.expect("it accepts");
+    let (mut reader, mut writer) = stream.into_split();
+    let write = async {
+        writer.write_all(start.as_bytes()).await?;
+        for _ in 0..20 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            writer.write_all(&[b'x'; 50_000]).await?;
+        }
+        Ok::<_, std::io::Error>(())
+    };
+    let mut bytes = Vec::new();
+    let (written, read) = tokio::join!(write, reader.read_to_end(&mut bytes));
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.starts_with(response), "{text} {read:?}");
+    assert!(read.is_ok() && written.is_ok(), "{read:?} {written:?}");
+}
