Count rejected frames of other instances, and fuzz their decoder

A frame that an instance rejects was only logged, and a response that is no valid frame only as the reason why the followed instance gave no answer. Both are now counted by cause in dropped_total, part relay.

Seeded property tests decode arbitrary, truncated, flipped, spliced and extended frames, frames of all other versions, and authentic frames with any such body. None panics, all damaged ones are rejected, and every encoded frame decodes to itself. Claimed lengths are not allocated.

--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -137,6 +137,9 @@
 
     fn peer_failed(&mut self, peer: &Peer, failed: &Failed) {
         log::info!("the followed instance gave no answer; peer={} cause={failed}", peer.id);
+        if let Failed::Frame(reject) = failed {
+            self.relay.count_rejected(*reject);
+        }
         self.selector.peer_failed(&peer.id, time::now());
         self.followed = None;
     }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -239,10 +239,10 @@
         );
         let state = State::new(adapters.schema.clone(), driver, membership)
             .with_quarantine(components.forwarder.quarantine());
-        let shared = Arc::new(relay::Shared::new(
-            components.settings.instance.clone(),
-            components.freshness.clone(),
-        ));
+        let name = components.settings.instance.clone();
+        let shared = relay::Shared::new(name, components.freshness.clone())
+            .with_metrics(components.metrics.clone());
+        let shared = Arc::new(shared);
         let follower = Follower::new(
             adapters.store,
             adapters.schema,
--- a/crates/hawthornmount-gateway/src/relay/mod.rs
+++ b/crates/hawthornmount-gateway/src/relay/mod.rs
@@ -26,13 +26,20 @@
     },
     async_trait::async_trait,
     client::Failed,
-    hawthornmount_core::id::{InstanceId, ServiceId},
+    hawthornmount_core::{
+        id::{InstanceId, ServiceId},
+        metrics::Metrics,
+    },
+    hawthornmount_fleet::wire::Reject,
     message::{Follow, InFlight, Update},
     parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
     tokio::sync::watch,
 };
 
+/// Name of this part in the metrics.
+const PART: &str = "relay";
+
 /// Report of another instance on a roll-out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerReport {
@@ -86,6 +93,7 @@
     in_flight: Mutex<Vec<FollowerLoad>>,
     /// Counts the changes of the replica and the confirmations.
     progress: watch::Sender<u64>,
+    metrics: Metrics,
 }
 
 impl Shared {
@@ -99,9 +107,22 @@
             reports: Mutex::default(),
             in_flight: Mutex::default(),
             progress: watch::Sender::new(0),
+            metrics: Metrics::new(),
         }
     }
 
+    /// Counts rejected frames in `metrics`.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Metrics) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
+    /// Counts a frame that this instance rejected, or that no other instance would accept.
+    pub fn count_rejected(&self, reject: Reject) {
+        self.metrics.count_drop(PART, &reject.to_string());
+    }
+
     /// Wakes the requests of followers after a change or a confirmation.
     pub fn notify(&self) {
         self.progress.send_modify(|count| *count += 1);
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -86,9 +86,10 @@
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not registered yet".into()));
     };
     let keyring = Keyring::new(&secret);
-    let request: Request = keyring
-        .open(frame, MAX_FRAME_BYTES)
-        .map_err(|reject| (StatusCode::FORBIDDEN, reject.to_string().into()))?;
+    let request: Request = keyring.open(frame, MAX_FRAME_BYTES).map_err(|reject| {
+        shared.count_rejected(reject);
+        (StatusCode::FORBIDDEN, reject.to_string().into())
+    })?;
     if request.to != shared.instance {
         return Err((StatusCode::FORBIDDEN, "addressed to another instance".into()));
     }
--- /dev/null
+++ b/crates/hawthornmount-gateway/tests/gateway/frames.rs
@@ -0,0 +1,399 @@
+//! Decoding of the frames between instances: damaged frames, and authentic frames whose body is not
+//! what an instance encodes.
+
+use {
+    hawthornmount_core::{clock::Manual, metrics::Metrics},
+    hawthornmount_fleet::wire::{Keyring, Reject, VERSION},
+    hawthornmount_gateway::{
+        follow::replica::{Change, Cursor, Delta},
+        freshness::Freshness,
+        relay::{
+            Shared,
+            message::{
+                Follow, InFlight, MAX_FRAME_BYTES, Outcome, PATH, Query, Request, Response, Update,
+            },
+            server,
+        },
+    },
+    hawthornmount_store::{Entry, Stamp},
+    log::{LevelFilter, Log, Metadata, Record},
+    parking_lot::Mutex,
+    proptest::{collection::vec, option, prelude::*, test_runner::RngSeed},
+    rstest::rstest,
+    serde::{Serialize, Serializer, de::DeserializeOwned, ser::SerializeTuple},
+    std::{
+        mem::size_of,
+        net::SocketAddr,
+        sync::{Arc, Once},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+const SECRET: &str = "secret of the tests' fleet";
+/// Bytes that a decoded frame may occupy: a fifth of the memory of the smallest machine.
+const MAX_DECODED_BYTES: usize = 32 << 20;
+const HEADER_BYTES: usize = 17;
+
+fn keyring() -> Keyring {
+    Keyring::new(SECRET)
+}
+
+/// Body whose bytes are encoded as they are, without a length.
+struct Raw<'a>(&'a [u8]);
+
+impl Serialize for Raw<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        self.0.iter().try_for_each(|byte| tuple.serialize_element(byte))?;
+        tuple.end()
+    }
+}
+
+/// Returns the bytes that the parts of a decoded frame occupy.
+trait Occupied {
+    fn occupied(&self) -> usize;
+}
+
+impl Occupied for Request {
+    fn occupied(&self) -> usize {
+        self.from.len()
+            + self.to.len()
+            + match &self.query {
+                Query::Follow(follow) => {
+                    let names = follow.in_flight.iter().map(|one| one.service.len());
+                    follow.in_flight.capacity() * size_of::<InFlight>() + names.sum::<usize>()
+                }
+                Query::Report { service, reporter, report } => {
+                    service.len() + reporter.len() + report.capacity()
+                }
+            }
+    }
+}
+
+impl Occupied for Response {
+    fn occupied(&self) -> usize {
+        let Outcome::Update(update) = &self.outcome else { return 0 };
+        let Delta { changes, existing, .. } = &update.delta;
+        let value =
+            |change: &Change| change.value.as_ref().map_or(0, |(value, _)| value.capacity());
+        changes.capacity() * size_of::<Change>()
+            + changes.iter().map(|change| change.key.len() + value(change)).sum::<usize>()
+            + existing.as_ref().map_or(0, |hashes| hashes.capacity() * size_of::<u64>())
+    }
+}
+
+fn open<T: DeserializeOwned>(frame: &[u8]) -> Result<T, Reject> {
+    keyring().open(frame, MAX_FRAME_BYTES)
+}
+
+/// Opens an authentic frame with any body, and checks what it occupies.
+fn open_body<T: DeserializeOwned + Occupied>(body: &[u8]) -> Result<(), TestCaseError> {
+    match open::<T>(&keyring().seal(&Raw(body))) {
+        Ok(value) => prop_assert!(value.occupied() <= MAX_DECODED_BYTES),
+        Err(reject) => prop_assert_eq!(reject, Reject::Malformed),
+    }
+    Ok(())
+}
+
+fn name() -> impl Strategy<Value = Arc<str>> {
+    "[a-z0-9/-]{0,24}".prop_map(Arc::from)
+}
+
+fn cursor() -> impl Strategy<Value = Cursor> {
+    any::<(u64, u64, u64, u64)>().prop_map(|(origin, sequence, era, revision)| Cursor {
+        origin,
+        sequence,
+        stamp: Stamp { era, revision },
+    })
+}
+
+fn follow() -> impl Strategy<Value = Query> {
+    let load = (name(), any::<u32>());
+    let load = load.prop_map(|(name, requests)| InFlight { service: name, requests });
+    (option::of(cursor()), option::of(any::<u64>()), any::<u32>(), vec(load, 0..4)).prop_map(
+        |(cursor, confirmation, wait, in_flight)| {
+            let wait = Duration::from_micros(wait.into());
+            Query::Follow(Follow { cursor, confirmation, wait, in_flight })
+        },
+    )
+}
+
+fn request() -> impl Strategy<Value = Request> {
+    let report = (name(), name(), vec(any::<u8>(), 0..64))
+        .prop_map(|(service, reporter, report)| Query::Report { service, reporter, report });
+    (any::<u64>(), name(), name(), prop_oneof![follow(), report])
+        .prop_map(|(nonce, from, to, query)| Request { nonce, from, to, query })
+}
+
+fn delta() -> impl Strategy<Value = Delta> {
+    let value = option::of((vec(any::<u8>(), 0..64), any::<u64>()));
+    let change = (name(), any::<u64>(), value);
+    let change = change.prop_map(|(key, revision, value)| Change { key, revision, value });
+    (any::<bool>(), vec(change, 0..8), option::of(vec(any::<u64>(), 0..8)))
+        .prop_map(|(is_complete, changes, existing)| Delta { is_complete, changes, existing })
+}
+
+fn response() -> impl Strategy<Value = Response> {
+    let update = (cursor(), delta(), option::of(any::<u64>()), any::<i64>()).prop_map(
+        |(cursor, delta, confirmation, confirmed_after_arrival_us)| {
+            Outcome::Update(Update { cursor, delta, confirmation, confirmed_after_arrival_us })
+        },
+    );
+    (any::<u64>(), prop_oneof![4 => update, 1 => Just(Outcome::Received)])
+        .prop_map(|(nonce, outcome)| Response { nonce, outcome })
+}
+
+/// Damage to a frame or a body.
+#[derive(Clone, Debug)]
+enum Damage {
+    Truncated(usize),
+    Flipped(Vec<(usize, u8)>),
+    /// The first bytes, followed by the last bytes of another frame.
+    Spliced(usize, usize),
+    Extended(Vec<u8>),
+}
+
+fn damage() -> impl Strategy<Value = Damage> {
+    prop_oneof![
+        any::<usize>().prop_map(Damage::Truncated),
+        vec((any::<usize>(), 0_u8..8), 1..4).prop_map(Damage::Flipped),
+        any::<(usize, usize)>().prop_map(|(end, start)| Damage::Spliced(end, start)),
+        vec(any::<u8>(), 1..16).prop_map(Damage::Extended),
+    ]
+}
+
+fn damaged(bytes: &[u8], other: &[u8], damage: &Damage) -> Vec<u8> {
+    let mut result = bytes.to_vec();
+    match damage {
+        Damage::Truncated(length) => result.truncate(length % bytes.len().max(1)),
+        Damage::Flipped(flips) => {
+            for (at, bit) in flips {
+                let at = at % bytes.len().max(1);
+                if let Some(byte) = result.get_mut(at) {
+                    *byte ^= 1 << bit;
+                }
+            }
+        }
+        Damage::Spliced(end, start) => {
+            result.truncate(end % (bytes.len() + 1));
+            result.extend_from_slice(&other[start % (other.len() + 1)..]);
+        }
+        Damage::Extended(more) => result.extend_from_slice(more),
+    }
+    result
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(24),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn frame_decodes_to_what_was_encoded(request in request(), response in response()) {
+        prop_assert_eq!(open(&keyring().seal(&request)), Ok(request));
+        prop_assert_eq!(open(&keyring().seal(&response)), Ok(response));
+    }
+
+    #[test]
+    fn damaged_frame_is_rejected(
+        request in request(),
+        response in response(),
+        damage in damage(),
+    ) {
+        let (request, response) = (keyring().seal(&request), keyring().seal(&response));
+        for (frame, other) in [(&request, &response), (&response, &request)] {
+            let damaged = damaged(frame, other, &damage);
+            let is_intact = damaged == *frame || damaged == *other;
+            prop_assert!(is_intact || open::<Request>(&damaged).is_err());
+            prop_assert!(is_intact || open::<Response>(&damaged).is_err());
+        }
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_rejected(bytes in vec(any::<u8>(), 0..600)) {
+        prop_assert!(open::<Request>(&bytes).is_err());
+        prop_assert!(open::<Response>(&bytes).is_err());
+    }
+
+    #[test]
+    fn arbitrary_authentic_body_is_decoded_or_rejected(body in vec(any::<u8>(), 0..300)) {
+        open_body::<Request>(&body)?;
+        open_body::<Response>(&body)?;
+    }
+
+    /// A body that another build encodes differently looks like a damaged one.
+    #[test]
+    fn damaged_authentic_body_is_decoded_or_rejected(
+        request in request(),
+        response in response(),
+        damage in damage(),
+    ) {
+        let (request, response) = (keyring().seal(&request), keyring().seal(&response));
+        let (request, response) = (&request[HEADER_BYTES..], &response[HEADER_BYTES..]);
+        open_body::<Request>(&damaged(request, response, &damage))?;
+        open_body::<Response>(&damaged(response, request, &damage))?;
+    }
+
+    #[test]
+    fn frame_of_another_version_is_rejected(request in request(), version in any::<u8>()) {
+        let mut frame = keyring().seal(&request);
+        prop_assert_eq!(frame[0], VERSION);
+        frame[0] = version;
+        let expected = if version == VERSION { Ok(request) } else { Err(Reject::Version) };
+        prop_assert_eq!(open(&frame), expected);
+    }
+}
+
+/// Encoded update up to the number of its changes.
+const UPDATE_HEAD: [u8; 7] = [1, 0, 1, 1, 1, 1, 0];
+
+/// Body that claims or contains many small items.
+struct Many {
+    head: &'static [u8],
+    item: &'static [u8],
+    /// Items that the body claims, and that it contains.
+    claimed: u64,
+    contained: usize,
+    tail: &'static [u8],
+}
+
+fn varint(mut number: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    while number >= 0x80 {
+        bytes.push(number as u8 | 0x80);
+        number >>= 7;
+    }
+    bytes.push(number as u8);
+    bytes
+}
+
+impl Many {
+    fn body(&self) -> Vec<u8> {
+        let items = self.item.repeat(self.contained);
+        [self.head, &varint(self.claimed), &items, self.tail].concat()
+    }
+}
+
+const CHANGES: Many =
+    Many { head: &UPDATE_HEAD, item: &[0, 0, 0], claimed: 0, contained: 0, tail: &[0, 0, 0] };
+const HASHES: Many = Many {
+    head: &[1, 0, 1, 1, 1, 1, 0, 0, 1],
+    item: &[0],
+    claimed: 0,
+    contained: 0,
+    tail: &[0, 0],
+};
+/// Number of hashes that fill a frame.
+const FRAME_HASHES: usize = MAX_FRAME_BYTES - 64;
+
+#[rstest]
+#[case::claimed_changes(Many { claimed: u64::MAX, contained: 1, ..CHANGES })]
+#[case::claimed_hashes(Many { claimed: u64::MAX, contained: 1, ..HASHES })]
+#[case::hashes(Many { claimed: FRAME_HASHES as u64, contained: FRAME_HASHES, ..HASHES })]
+fn frame_of_many_small_items_occupies_little(#[case] many: Many) {
+    let one = Many { claimed: 1, contained: 1, ..many };
+    assert!(open::<Response>(&keyring().seal(&Raw(&one.body()))).is_ok(), "the items are valid");
+    let frame = keyring().seal(&Raw(&many.body()));
+    assert!(frame.len() <= MAX_FRAME_BYTES, "{}", frame.len());
+    match open::<Response>(&frame) {
+        Ok(response) => {
+            let occupied = response.occupied();
+            assert!(occupied <= MAX_DECODED_BYTES, "{occupied} bytes");
+        }
+        Err(reject) => assert_eq!(reject, Reject::Malformed),
+    }
+}
+
+/// Logger that keeps the lines.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl Log for Lines {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.0.lock().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+impl Lines {
+    fn start() {
+        static ONCE: Once = Once::new();
+        ONCE.call_once(|| {
+            log::set_logger(&LINES).expect("no other logger");
+            log::set_max_level(LevelFilter::Info);
+        });
+    }
+
+    fn has(text: &str) -> bool {
+        LINES.0.lock().iter().any(|line| line.contains(text))
+    }
+}
+
+/// Starts an instance that answers frames.
+async fn serve(entries: &[Entry]) -> (SocketAddr, Metrics) {
+    Lines::start();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let bound = Duration::from_secs(5);
+    let freshness = Arc::new(Freshness::new(Arc::new(Manual::new()), bound, bound));
+    let metrics = Metrics::new();
+    let shared = Shared::new("one".into(), freshness).with_metrics(metrics.clone());
+    shared.set_secret(Some(SECRET.into()));
+    shared.replica.lock().replace(entries, Stamp { era: 1, revision: 9 });
+    tokio::spawn(server::serve(listener, Arc::new(shared)));
+    (address, metrics)
+}
+
+async fn post(address: SocketAddr, frame: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the instance listens");
+    let length = frame.len();
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(&[head.as_bytes(), frame].concat()).await.expect("the frame is sent");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("an answer");
+    String::from_utf8_lossy(&answer).lines().next().expect("a status").to_owned()
+}
+
+fn simple_request() -> Request {
+    let wait = Duration::from_secs(5);
+    let follow = Follow { cursor: None, confirmation: None, wait, in_flight: Vec::new() };
+    Request { nonce: 7, from: "two".into(), to: "one".into(), query: Query::Follow(follow) }
+}
+
+struct Bad {
+    change: fn(&mut Vec<u8>),
+    cause: &'static str,
+}
+
+#[rstest]
+#[case::other_version(Bad { change: |frame| frame[0] += 1, cause: "version" })]
+#[case::flipped(Bad { change: |frame| frame[20] ^= 1, cause: "hash" })]
+#[case::empty(Bad { change: Vec::clear, cause: "too_short" })]
+#[case::malformed(Bad { change: |frame| *frame = keyring().seal(&Raw(&[7])), cause: "form" })]
+#[tokio::test]
+async fn bad_frame_is_counted_and_logged(#[case] bad: Bad) {
+    let (address, metrics) = serve(&[]).await;
+    let mut frame = keyring().seal(&simple_request());
+    assert_eq!(post(address, &frame).await, "HTTP/1.1 200 OK");
+    (bad.change)(&mut frame);
+    assert_eq!(post(address, &frame).await, "HTTP/1.1 403 Forbidden");
+    assert_eq!(metrics.dropped.with_label_values(&["relay", bad.cause]).get(), 1);
+    let cause = bad.cause;
+    let line = format!("rejected a frame of another instance; status=403 Forbidden cause={cause}");
+    assert!(Lines::has(&line), "not logged");
+}
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod cascade;
 mod classify;
 mod fence;
+mod frames;
 mod freshness;
 mod load;
 mod quarantine;
