Bound the number of items in a frame of another instance

A frame of 4 MB with as many changes as it can hold, three bytes each, decoded to 134 MB, of the 160 MB that the smallest machine has. Frames are authenticated, so only an instance with a fault could send one.

--- a/crates/hawthornmount-gateway/src/follow/replica.rs
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -2,6 +2,7 @@
 //! continue from any point that this copy has passed.
 
 use {
+    crate::relay::bound,
     hawthornmount_core::id::Revision,
     hawthornmount_fleet::role,
     hawthornmount_store::{Entry, Stamp},
@@ -47,9 +48,11 @@
     /// Whether the changes are the complete content; keys that are missing don't exist.
     pub is_complete: bool,
     /// The changes, in order of their keys.
+    #[serde(deserialize_with = "bound::sequence")]
     pub changes: Vec<Change>,
     /// Hashes of all keys that exist, in ascending order, if the replica does not know all deletions
     /// since the cursor. Keys that are not among them were deleted.
+    #[serde(deserialize_with = "bound::optional_sequence")]
     pub existing: Option<Vec<KeyHash>>,
 }
 
--- a/crates/hawthornmount-gateway/src/relay/message.rs
+++ b/crates/hawthornmount-gateway/src/relay/message.rs
@@ -3,6 +3,7 @@
 //! rejects it, and its sender reads the store instead.
 
 use {
+    super::bound,
     crate::follow::replica::{Cursor, Delta},
     hawthornmount_core::id::{InstanceId, ServiceId},
     hawthornmount_store::Stamp,
@@ -56,6 +57,7 @@
     #[serde(rename = "wait_us")]
     pub wait: Duration,
     /// Requests of the sender in flight, for each service under a roll-out.
+    #[serde(deserialize_with = "bound::sequence")]
     pub in_flight: Vec<InFlight>,
 }
 
--- a/crates/hawthornmount-gateway/src/relay/mod.rs
+++ b/crates/hawthornmount-gateway/src/relay/mod.rs
@@ -15,6 +15,7 @@
 //! at which it sent the request. Frames are authenticated with a secret of the instance that
 //! answers, which is stored with its address.
 
+pub mod bound;
 pub mod client;
 pub mod message;
 pub mod server;
--- a/crates/hawthornmount-gateway/tests/gateway/frames.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/frames.rs
@@ -290,12 +290,14 @@
     contained: 0,
     tail: &[0, 0],
 };
-/// Number of hashes that fill a frame.
+/// Number of changes and of hashes that fill a frame.
+const FRAME_CHANGES: usize = (MAX_FRAME_BYTES - 64) / 3;
 const FRAME_HASHES: usize = MAX_FRAME_BYTES - 64;
 
 #[rstest]
 #[case::claimed_changes(Many { claimed: u64::MAX, contained: 1, ..CHANGES })]
 #[case::claimed_hashes(Many { claimed: u64::MAX, contained: 1, ..HASHES })]
+#[case::changes(Many { claimed: FRAME_CHANGES as u64, contained: FRAME_CHANGES, ..CHANGES })]
 #[case::hashes(Many { claimed: FRAME_HASHES as u64, contained: FRAME_HASHES, ..HASHES })]
 fn frame_of_many_small_items_occupies_little(#[case] many: Many) {
     let one = Many { claimed: 1, contained: 1, ..many };
