Don't send content that no frame can hold

A response of more than 4 MB was sent to each follower, which read 4 MB of it, gave up, and read the store. It is now refused with status 507, logged with its size and counted. The followers read the store as before.

--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -10,7 +10,7 @@
     crate::{follow::replica::Cursor, frontend, rollout::driver, time},
     bytes::Bytes,
     hawthornmount_core::id::InstanceId,
-    hawthornmount_fleet::wire::Keyring,
+    hawthornmount_fleet::wire::{Keyring, Reject},
     http::StatusCode,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -104,7 +104,13 @@
             Outcome::Received
         }
     };
-    Ok(keyring.seal(&Response { nonce: request.nonce, outcome }))
+    let response = keyring.seal(&Response { nonce: request.nonce, outcome });
+    if response.len() > MAX_FRAME_BYTES {
+        shared.count_rejected(Reject::TooLarge);
+        let cause = format!("the response would have {} bytes", response.len());
+        return Err((StatusCode::INSUFFICIENT_STORAGE, cause.into()));
+    }
+    Ok(response)
 }
 
 /// Returns what is newer than the content that a follower knows, which asked at `arrived`.
