Readers get the changes of a long list instead of listing it again

Cause: with 3,000 servers a list of all keys takes several calls and more than a second on a slow link, and the reader listed everything whenever the store's revision had moved. A configuration waited for the rest of the list, and as followers give a reader up when its confirmation is 2 s old, they read the store themselves, each with lists of its own.

A reader whose list takes more than one call now asks for the revision, which is the proof, and then for the changes since its content with one poll. The changes count only if they have every revision up to that of the proof; otherwise, after a restore, when the history was dropped and after an outage all keys are listed as before. An instance that becomes a reader continues from what it followed and lists only the reports on roll-outs, which are not relayed. Stores with shorter lists are read as before. Confirmations, eras, and the frames between instances stay as they are.

Ruled out: confirming by the operator's keys alone. It would leave out servers that drain and the phases of roll-outs, which the model check promises and the choice of versions relies on.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -10,6 +10,7 @@
 //! other data centres.
 
 mod peer;
+mod read;
 pub mod replica;
 mod state;
 mod tick;
@@ -24,7 +25,7 @@
             source::{Selector, Source},
         },
         rollout::driver::{self, Part},
-        schema::{Codec, Key},
+        schema::Codec,
         time,
         view::{Cell, View},
     },
@@ -79,6 +80,8 @@
     listed: Option<(Stamp, bool)>,
     /// Watch of the phases of roll-outs, while one is under way.
     watch: Option<Watch>,
+    /// Whether a list of all keys takes several calls.
+    has_long_list: bool,
     /// Whether the store did not respond to the last call.
     is_store_unreachable: bool,
 }
@@ -111,6 +114,7 @@
             list_interval,
             listed: None,
             watch: None,
+            has_long_list: false,
             is_store_unreachable: false,
         }
     }
@@ -126,134 +130,6 @@
         }
     }
 
-    /// Reads the store, and waits until the next read is due.
-    async fn read_store(&mut self) {
-        self.followed = None;
-        if !self.reads_store {
-            log::info!("reads the store; confirmed_ms={}", self.freshness.age().as_millis());
-            self.reads_store = true;
-        }
-        let skipped = self.selector.store_delay(time::now());
-        if !skipped.is_zero() {
-            self.wait_for_list(time::now() + skipped).await;
-        }
-        let delay = match self.read().await {
-            Ok(()) => {
-                self.selector.store_succeeded();
-                let is_gathering = || self.state.quarantine().is_some_and(|one| one.is_gathering());
-                if self.state.driver().is_widely_exposed() || is_gathering() {
-                    self.list_interval.mul_f64(EXPOSED_FRACTION)
-                } else {
-                    self.list_interval
-                }
-            }
-            Err(error) => {
-                self.store_failed(&error);
-                self.selector.store_failed(time::now());
-                // Evidence against a version applies to this instance even while the store is
-                // unreachable.
-                self.step_rollouts();
-                Duration::ZERO
-            }
-        };
-        self.wait_for_list(time::now() + delay).await;
-    }
-
-    /// Confirms that nothing has changed, or lists all keys. The revision is read first only if it had
-    /// not changed the last time, so that a store with frequent changes is not called twice.
-    async fn read(&mut self) -> store::Result<()> {
-        if let Some((listed, true)) = self.listed.filter(|_| !self.is_store_unreachable) {
-            let asked_at = self.freshness.now();
-            let stamp = self.store.list(NO_KEY_PREFIX, None, 1).await?.stamp;
-            if stamp == listed {
-                self.is_reader = true;
-                self.confirm(asked_at);
-                return Ok(());
-            }
-        }
-        let before = self.listed.map(|(stamp, _)| stamp);
-        self.list().await?;
-        let stamp = self.relay.replica.lock().cursor().stamp;
-        self.listed = Some((stamp, before == Some(stamp)));
-        Ok(())
-    }
-
-    /// Records that the store, asked at `asked_at`, has no newer content than the known one.
-    fn confirm(&self, asked_at: Duration) {
-        if self.is_settled(asked_at) {
-            self.freshness.confirm(asked_at);
-        }
-        self.relay.notify();
-    }
-
-    /// Returns whether an answer to a question of `asked_at` is proof even if the store was restored.
-    fn is_settled(&self, asked_at: Duration) -> bool {
-        let age = self.freshness.now().saturating_sub(asked_at);
-        self.state.is_settled(time::now(), age)
-    }
-
-    /// Lists all keys and publishes the resulting view.
-    async fn list(&mut self) -> store::Result<()> {
-        let asked_at = self.freshness.now();
-        let (mut entries, stamp) = self.list_pages().await?;
-        self.keep_equal_servers(&mut entries, stamp);
-        self.relay.replica.lock().replace(&entries, stamp);
-        self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
-        self.is_reader = true;
-        self.store_responded();
-        self.publish();
-        self.confirm(asked_at);
-        self.register();
-        for txn in self.state.driver().leftover_deletions(self.state.membership().data_centres()) {
-            self.commit(txn);
-        }
-        Ok(())
-    }
-
-    /// Replaces the entries of servers that differ from the known ones only in what no instance uses,
-    /// such as the number of their heartbeat, by the known ones. They are then not relayed to every
-    /// follower again.
-    fn keep_equal_servers(&self, entries: &mut [store::Entry], stamp: Stamp) {
-        let replica = self.relay.replica.lock();
-        if replica.cursor().stamp.era != stamp.era {
-            return;
-        }
-        for entry in entries {
-            let Key::Server(id) = self.schema.parse_key(&entry.key) else { continue };
-            let Some(known) = replica.get(&entry.key) else { continue };
-            let is_equal = || {
-                let decode = |value: &[u8]| self.schema.decode_server(&id, value).ok();
-                let server = decode(&entry.value);
-                server.is_some() && server == decode(&known.value)
-            };
-            if known.value == entry.value || is_equal() {
-                *entry = known.clone();
-            }
-        }
-    }
-
-    /// Lists the pages of all keys. They are not a snapshot, so the stamp is that of the first
-    /// page.
-    async fn list_pages(&self) -> store::Result<(Vec<store::Entry>, Stamp)> {
-        let prefix = self.schema.followed_prefix();
-        let mut stamp: Option<Stamp> = None;
-        let mut entries = Vec::new();
-        let mut after: Option<Arc<str>> = None;
-        loop {
-            let page = self.store.list(prefix, after.as_deref(), PAGE_ENTRIES).await?;
-            let first = *stamp.get_or_insert(page.stamp);
-            if page.stamp.era != first.era {
-                let cause = "the store was restored between two pages of a list".into();
-                return Err(store::Error::Unreachable { cause });
-            }
-            after = page.entries.last().map(|entry| entry.key.clone());
-            entries.extend(page.entries);
-            if !page.more || after.is_none() {
-                return Ok((entries, first));
-            }
-        }
-    }
-
     /// Registers this instance if it is not registered with its current contact, and shares its
     /// registered secret with the relay.
     fn register(&mut self) {
--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -131,7 +131,7 @@
     }
 
     /// Returns the age of the last confirmation from which the store counts as having been away.
-    fn outage(&self) -> Duration {
+    pub(super) fn outage(&self) -> Duration {
         self.list_interval.mul_f64(STALE_INTERVALS) * 2
     }
 
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/follow/read.rs
@@ -0,0 +1,283 @@
+//! Reading of the store: its changes, or lists of all keys.
+
+use {
+    super::{EXPOSED_FRACTION, Follower, NO_KEY_PREFIX, PAGE_ENTRIES},
+    crate::{rollout::driver, schema::Key, time},
+    hawthornmount_core::id::Revision,
+    hawthornmount_store::{self as store, Changes, Event, Stamp},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Prefix of the keys that instances write.
+const INSTANCE_PREFIX: &str = "hawthornmount/";
+
+/// Pages of a list.
+struct List {
+    entries: Vec<store::Entry>,
+    stamp: Stamp,
+    /// Number of calls.
+    pages: usize,
+}
+
+impl Follower {
+    /// Reads the store, and waits until the next read is due.
+    pub(super) async fn read_store(&mut self) {
+        self.followed = None;
+        if !self.reads_store {
+            log::info!("reads the store; confirmed_ms={}", self.freshness.age().as_millis());
+            self.reads_store = true;
+        }
+        let skipped = self.selector.store_delay(time::now());
+        if !skipped.is_zero() {
+            self.wait_for_list(time::now() + skipped).await;
+        }
+        let asked_at = time::now();
+        let delay = match self.read().await {
+            Ok(()) => {
+                self.selector.store_succeeded();
+                let is_gathering = || self.state.quarantine().is_some_and(|one| one.is_gathering());
+                let interval = if self.state.driver().is_widely_exposed() || is_gathering() {
+                    self.list_interval.mul_f64(EXPOSED_FRACTION)
+                } else {
+                    self.list_interval
+                };
+                // A long list must not make the next confirmation later.
+                let elapsed = if self.has_long_list {
+                    time::now().saturating_duration_since(asked_at)
+                } else {
+                    Duration::ZERO
+                };
+                interval.saturating_sub(elapsed)
+            }
+            Err(error) => {
+                self.store_failed(&error);
+                self.selector.store_failed(time::now());
+                // Evidence against a version applies to this instance even while the store is
+                // unreachable.
+                self.step_rollouts();
+                Duration::ZERO
+            }
+        };
+        self.wait_for_list(time::now() + delay).await;
+    }
+
+    /// Confirms that nothing has changed, or lists all keys. The revision is read first only if it had
+    /// not changed the last time, so that a store with frequent changes is not called twice.
+    ///
+    /// If a list takes several calls, only the changes are read.
+    async fn read(&mut self) -> store::Result<()> {
+        let was_recent = self.freshness.age() <= self.outage() && !self.is_store_unreachable;
+        if self.has_long_list && was_recent {
+            if self.read_changes().await? {
+                if !self.is_reader {
+                    self.read_reports().await?;
+                    self.is_reader = true;
+                }
+                return Ok(());
+            }
+        } else if let Some((listed, true)) = self.listed.filter(|_| !self.is_store_unreachable) {
+            let asked_at = self.freshness.now();
+            let stamp = self.store.list(NO_KEY_PREFIX, None, 1).await?.stamp;
+            if stamp == listed {
+                self.is_reader = true;
+                self.confirm(asked_at);
+                return Ok(());
+            }
+        }
+        let before = self.listed.map(|(stamp, _)| stamp);
+        self.list().await?;
+        let stamp = self.relay.replica.lock().cursor().stamp;
+        self.listed = Some((stamp, before == Some(stamp)));
+        Ok(())
+    }
+
+    /// Records that the store, asked at `asked_at`, has no newer content than the known one.
+    fn confirm(&self, asked_at: Duration) {
+        if self.is_settled(asked_at) {
+            self.freshness.confirm(asked_at);
+        }
+        self.relay.notify();
+    }
+
+    /// Returns whether an answer to a question of `asked_at` is proof even if the store was restored.
+    pub(super) fn is_settled(&self, asked_at: Duration) -> bool {
+        let age = self.freshness.now().saturating_sub(asked_at);
+        self.state.is_settled(time::now(), age)
+    }
+
+    /// Lists all keys and publishes the resulting view.
+    async fn list(&mut self) -> store::Result<()> {
+        let asked_at = self.freshness.now();
+        let List { mut entries, stamp, pages } =
+            self.list_pages(self.schema.followed_prefix()).await?;
+        self.has_long_list = pages > 1;
+        self.keep_equal_servers(&mut entries, stamp);
+        self.relay.replica.lock().replace(&entries, stamp);
+        self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
+        self.is_reader = true;
+        self.store_responded();
+        self.publish();
+        self.confirm(asked_at);
+        self.write_missing();
+        Ok(())
+    }
+
+    /// Writes the key of this instance if it is missing, and deletes the keys of roll-outs that have
+    /// ended.
+    fn write_missing(&mut self) {
+        self.register();
+        for txn in self.state.driver().leftover_deletions(self.state.membership().data_centres()) {
+            self.commit(txn);
+        }
+    }
+
+    /// Reads and applies the changes since the known content, and returns whether they are complete.
+    async fn read_changes(&mut self) -> store::Result<bool> {
+        let known = self.relay.replica.lock().cursor().stamp;
+        let asked_at = self.freshness.now();
+        // The revision proves up to which point the changes have to reach.
+        let stamp = self.store.list(NO_KEY_PREFIX, None, 1).await?.stamp;
+        if stamp.era != known.era || stamp < known {
+            return Ok(false);
+        }
+        if stamp > known {
+            let changes = match self.store.changes(self.schema.followed_prefix(), known).await {
+                Ok(changes) => changes,
+                Err(error @ store::Error::Compacted { .. }) => {
+                    log::info!("the store does not keep the changes; cause={error}");
+                    return Ok(false);
+                }
+                Err(error) => return Err(error),
+            };
+            let reached = complete_until(&changes.events, known);
+            if changes.stamp.era != known.era || reached < stamp {
+                log::info!("the changes are not complete; reached={reached:?} expected={stamp:?}");
+                return Ok(false);
+            }
+            let changes = Changes { stamp: reached, ..changes };
+            self.apply_changes(changes);
+        }
+        self.confirm(asked_at);
+        self.write_missing();
+        Ok(true)
+    }
+
+    /// Applies changes that continue the known content.
+    fn apply_changes(&mut self, changes: Changes) {
+        let mut is_view_changed = false;
+        for event in changes.events {
+            is_view_changed |= match event {
+                Event::Put(mut entry) => {
+                    self.keep_equal_servers(std::slice::from_mut(&mut entry), changes.stamp);
+                    self.relay.replica.lock().put(&entry);
+                    self.state.put(&entry)
+                }
+                Event::Delete { key, revision } => {
+                    self.relay.replica.lock().delete(&key, revision);
+                    self.state.delete(&key, revision)
+                }
+                Event::Progress(_) => false,
+            };
+        }
+        self.relay.replica.lock().reach(changes.stamp);
+        self.state.reach(changes.stamp);
+        if is_view_changed {
+            self.publish();
+        }
+    }
+
+    /// Replaces the entries of servers that differ from the known ones only in what no instance uses,
+    /// such as the number of their heartbeat, by the known ones. They are then not relayed to every
+    /// follower again.
+    fn keep_equal_servers(&self, entries: &mut [store::Entry], stamp: Stamp) {
+        let replica = self.relay.replica.lock();
+        if replica.cursor().stamp.era != stamp.era {
+            return;
+        }
+        for entry in entries {
+            let Key::Server(id) = self.schema.parse_key(&entry.key) else { continue };
+            let Some(known) = replica.get(&entry.key) else { continue };
+            let is_equal = || {
+                let decode = |value: &[u8]| self.schema.decode_server(&id, value).ok();
+                let server = decode(&entry.value);
+                server.is_some() && server == decode(&known.value)
+            };
+            if known.value == entry.value || is_equal() {
+                *entry = known.clone();
+            }
+        }
+    }
+
+    /// Lists the reports on roll-outs, which are not relayed, after this instance followed another.
+    async fn read_reports(&mut self) -> store::Result<()> {
+        if !self.state.driver().is_active() {
+            return Ok(());
+        }
+        let List { entries, stamp, .. } = self.list_pages(INSTANCE_PREFIX).await?;
+        let (known, reached) = {
+            let replica = self.relay.replica.lock();
+            (replica.entries(), replica.cursor().stamp)
+        };
+        if stamp.era != reached.era {
+            return Err(restored());
+        }
+        let is_listed = |key: &str| entries.binary_search_by(|one| (*one.key).cmp(key)).is_ok();
+        let is_gone = |one: &store::Entry| driver::is_report(&one.key) && !is_listed(&one.key);
+        let gone = known.into_iter().filter(is_gone).map(|one| one.key);
+        let gone = gone.map(|key| Event::Delete { key, revision: stamp.revision });
+        let events = gone.collect::<Vec<Event>>();
+        let events = events.into_iter().chain(entries.into_iter().map(Event::Put)).collect();
+        self.apply_changes(Changes { events, stamp: reached });
+        Ok(())
+    }
+
+    /// Lists the pages of the keys that start with a prefix. They are not a snapshot, so the stamp is
+    /// that of the first page.
+    async fn list_pages(&self, prefix: &str) -> store::Result<List> {
+        let mut stamp: Option<Stamp> = None;
+        let mut entries = Vec::new();
+        let mut after: Option<Arc<str>> = None;
+        let mut pages = 0;
+        loop {
+            let page = self.store.list(prefix, after.as_deref(), PAGE_ENTRIES).await?;
+            let first = *stamp.get_or_insert(page.stamp);
+            if page.stamp.era != first.era {
+                return Err(restored());
+            }
+            after = page.entries.last().map(|entry| entry.key.clone());
+            entries.extend(page.entries);
+            pages += 1;
+            if !page.more || after.is_none() {
+                return Ok(List { entries, stamp: first, pages });
+            }
+        }
+    }
+}
+
+/// Returns the point up to which changes after `known` are complete. Each change of the store has the
+/// next revision, so a revision without a change shows that one is missing.
+fn complete_until(events: &[Event], known: Stamp) -> Stamp {
+    let mut revisions: Vec<Revision> = events.iter().filter_map(revision).collect();
+    revisions.sort_unstable();
+    let mut reached = known.revision;
+    for revision in revisions {
+        if revision > reached + 1 {
+            break;
+        }
+        reached = reached.max(revision);
+    }
+    Stamp { revision: reached, ..known }
+}
+
+fn revision(event: &Event) -> Option<Revision> {
+    match event {
+        Event::Put(entry) => Some(entry.revision),
+        Event::Delete { revision, .. } => Some(*revision),
+        Event::Progress(_) => None,
+    }
+}
+
+fn restored() -> store::Error {
+    let cause = "the store was restored between two pages of a list".into();
+    store::Error::Unreachable { cause }
+}
--- a/crates/hawthornmount-gateway/src/follow/replica.rs
+++ b/crates/hawthornmount-gateway/src/follow/replica.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Records that all changes up to `stamp`, of the same era, were applied.
+    pub fn reach(&mut self, stamp: Stamp) {
+        self.cursor.stamp = self.cursor.stamp.max(stamp);
+        self.forget_deleted();
+    }
+
     /// Applies the changes that another replica sent, which has reached `stamp`, and returns
     /// whether anything changed. The changes of a replica that is behind are skipped.
     pub fn apply(&mut self, delta: Delta, stamp: Stamp) -> bool {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -235,6 +235,11 @@
             Key::Order(service) => return self.driver.set_order(&service, revision, None),
             Key::Other => {
                 self.driver.delete(key);
+                let is_listed = |other: &str| other != key;
+                self.membership.retain_listed(is_listed);
+                if let Some(quarantine) = &self.quarantine {
+                    quarantine.retain_listed(is_listed);
+                }
                 return false;
             }
             Key::Config => return false,
@@ -242,6 +247,14 @@
         true
     }
 
+    /// Records that all changes up to `stamp`, of the same era, were applied.
+    pub fn reach(&mut self, stamp: Stamp) {
+        self.stamp = self.stamp.max(stamp);
+        if let Some(quarantine) = &self.quarantine {
+            quarantine.retain_listed(|_| true);
+        }
+    }
+
     /// Returns whether an entry is newer than the one that was applied last.
     fn is_newer(&self, entry: &Entry) -> bool {
         position(&self.applied, &entry.key).map_or(true, |at| self.applied[at].1 < entry.revision)
--- a/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
@@ -3,7 +3,7 @@
 use {
     super::codec::{CONFIG, ORDER, READY, SERVER},
     hawthornmount_gateway::{membership::Contact, rollout::driver::RECORD_PREFIX},
-    hawthornmount_store::{Entry, Page, Stamp},
+    hawthornmount_store::{Entry, Event, Page, Stamp},
     std::sync::Arc,
 };
 
@@ -115,6 +115,16 @@
         Page { entries, more: listed.next().is_some(), stamp: content.stamp }
     }
 
+    /// Returns the changes after a point in the history up to another one of the same era.
+    pub fn events(&self, after: Stamp, until: Stamp) -> Vec<Event> {
+        let is_meant = |one: &&Content| one.stamp > after && one.stamp <= until;
+        let written = |one: &Content| {
+            let is_new = |entry: &&Entry| entry.revision == one.stamp.revision;
+            one.entries.iter().find(is_new).cloned().map(Event::Put)
+        };
+        self.contents.iter().filter(is_meant).filter_map(written).collect()
+    }
+
     fn content(&self) -> &Content {
         &self.contents[self.contents.len() - 1]
     }
--- a/crates/hawthornmount-gateway/tests/gateway/fence/network.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/network.rs
@@ -16,7 +16,9 @@
             message::{Follow, Update},
         },
     },
-    hawthornmount_store::{Commit, Entry, Error, Event, LeaseId, Page, Result, Store, Txn, Watch},
+    hawthornmount_store::{
+        Changes, Commit, Entry, Error, Event, LeaseId, Page, Result, Stamp, Store, Txn, Watch,
+    },
     parking_lot::Mutex,
     std::{
         hash::{DefaultHasher, Hash, Hasher},
@@ -102,6 +104,22 @@
     pub number: usize,
 }
 
+impl Access {
+    /// Waits until the model answers a question to the store.
+    async fn call(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page> {
+        let (reply, answer) = oneshot::channel();
+        {
+            let mut network = self.network.lock();
+            network.record_activity();
+            let question = Question { prefix: prefix.into(), after: after.map(Into::into), limit };
+            let (asked, changes) = (network.now(), network.history.changes());
+            let call = Call { question, asked, changes, reply };
+            network.ports[self.number].call = Some(call);
+        }
+        answer.await.unwrap_or(Err(lost()))
+    }
+}
+
 fn lost() -> Error {
     Error::ResponseLost { cause: "no answer".into() }
 }
@@ -113,17 +131,17 @@
     }
 
     async fn list(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page> {
-        let (reply, answer) = oneshot::channel();
-        {
-            let mut network = self.network.lock();
-            network.record_activity();
-            let limit = limit.min(network.page_entries);
-            let question = Question { prefix: prefix.into(), after: after.map(Into::into), limit };
-            let (asked, changes) = (network.now(), network.history.changes());
-            let call = Call { question, asked, changes, reply };
-            network.ports[self.number].call = Some(call);
+        let limit = limit.min(self.network.lock().page_entries);
+        self.call(prefix, after, limit).await
+    }
+
+    async fn changes(&self, prefix: &str, after: Stamp) -> Result<Changes> {
+        let stamp = self.call(prefix, None, usize::MAX).await?.stamp;
+        if stamp.era != after.era {
+            return Err(Error::Compacted { oldest: 0 });
         }
-        answer.await.unwrap_or(Err(lost()))
+        let events = self.network.lock().history.events(after, stamp);
+        Ok(Changes { events, stamp })
     }
 
     async fn commit(&self, _txn: Txn) -> Result<Commit> {
--- a/crates/hawthornmount-store/src/lib.rs
+++ b/crates/hawthornmount-store/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use {
     error::{Error, Result},
-    txn::{Commit, Compare, Entry, Era, Event, Guard, Page, Put, Stamp, Txn, Write},
+    txn::{Changes, Commit, Compare, Entry, Era, Event, Guard, Page, Put, Stamp, Txn, Write},
 };
 
 use {
@@ -83,4 +83,14 @@
     /// Returns an error if the store sends no valid response, or [`Error::Compacted`] if changes
     /// since `from` are no longer kept.
     async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch>;
+
+    /// Reads all changes after `after` of the keys that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Compacted`] if the changes are not kept, or if the store was restored from a
+    /// copy since `after`, and another error if the store sends no valid response.
+    async fn changes(&self, _prefix: &str, after: Stamp) -> Result<Changes> {
+        Err(Error::Compacted { oldest: after.revision + 1 })
+    }
 }
--- a/crates/hawthornmount-store/src/txn/mod.rs
+++ b/crates/hawthornmount-store/src/txn/mod.rs
@@ -107,6 +107,15 @@
     pub current: Vec<Entry>,
 }
 
+/// Changes of the store's content.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes {
+    /// The changes, in order of their revisions.
+    pub events: Vec<Event>,
+    /// Point in the history of the store up to which the changes are complete.
+    pub stamp: Stamp,
+}
+
 /// Event that a watch reports.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
