--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -131,12 +131,15 @@
     }
 
     /// Returns the age of the last confirmation from which the store counts as having been away.
-    fn outage(&self) -> Duration {
+    pub(super) fn outage(&self) -> Duration {
         self.list_interval.mul_f64(STALE_INTERVALS) * 2
     }
 
     fn peer_failed(&mut self, peer: &Peer, failed: &Failed) {
         log::info!("the followed instance gave no answer; peer={} cause={failed}", peer.id);
+        if let Failed::Frame(reject) = failed {
+            self.relay.count_rejected(*reject);
+        }
         self.selector.peer_failed(&peer.id, time::now());
         self.followed = None;
     }
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -10,7 +10,7 @@
     crate::{follow::replica::Cursor, frontend, rollout::driver, time},
     bytes::Bytes,
     hawthornmount_core::id::InstanceId,
-    hawthornmount_fleet::wire::Keyring,
+    hawthornmount_fleet::wire::{Keyring, Reject},
     http::StatusCode,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -86,9 +86,10 @@
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not registered yet".into()));
     };
     let keyring = Keyring::new(&secret);
-    let request: Request = keyring
-        .open(frame, MAX_FRAME_BYTES)
-        .map_err(|reject| (StatusCode::FORBIDDEN, reject.to_string().into()))?;
+    let request: Request = keyring.open(frame, MAX_FRAME_BYTES).map_err(|reject| {
+        shared.count_rejected(reject);
+        (StatusCode::FORBIDDEN, reject.to_string().into())
+    })?;
     if request.to != shared.instance {
         return Err((StatusCode::FORBIDDEN, "addressed to another instance".into()));
     }
@@ -103,7 +104,13 @@
             Outcome::Received
         }
     };
-    Ok(keyring.seal(&Response { nonce: request.nonce, outcome }))
+    let response = keyring.seal(&Response { nonce: request.nonce, outcome });
+    if response.len() > MAX_FRAME_BYTES {
+        shared.count_rejected(Reject::TooLarge);
+        let cause = format!("the response would have {} bytes", response.len());
+        return Err((StatusCode::INSUFFICIENT_STORAGE, cause.into()));
+    }
+    Ok(response)
 }
 
 /// Returns what is newer than the content that a follower knows, which asked at `arrived`.
