Requests that wait too long count against a new version at once

On the route with most answers the factor was 1.09 to 1.83 in eight of twelve groups, though half of the answers are eight times slower: latencies are known only once an answer has begun, so the fast ones are known first.

A request that has waited four times as long as expected now counts as late while it waits, and once only. Late requests are compared as failures are, with a baseline of at least 0.2, since delays come in bursts. Reports have a new field, `late`, which earlier builds ignore.

A new test plays the fleet on simulated time: 75 instances that follow six readers, 90 servers a version, 13.2 s and 24 s.

The counts of failures move to a module of their own; the test of relays imports them from there.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -196,8 +196,12 @@
             );
             attempt.marker.set_sent();
             attempt.reported_load = None;
+            let wait = self.begin_wait(job, attempt);
             match connection.send(request).await {
                 Ok(response) => {
+                    if let Some(wait) = wait {
+                        wait.end(response.status().is_success());
+                    }
                     let received = Received { connection, response, in_flight, is_reused };
                     return self.handle_response(job, received, attempt).await;
                 }
--- a/crates/hawthornmount-gateway/src/forward/guard.rs
+++ b/crates/hawthornmount-gateway/src/forward/guard.rs
@@ -1,7 +1,17 @@
 //! Guards that count a request in the load statistics of a server until they are dropped.
 
 use {
-    super::Job, crate::load::Tracker, hawthornmount_core::id::ServerId, parking_lot::Mutex,
+    super::Job,
+    crate::{
+        load::Tracker,
+        rollout::{
+            evidence::Collector,
+            waits::{Wait, WaitId},
+        },
+        time,
+    },
+    hawthornmount_core::id::ServerId,
+    parking_lot::Mutex,
     std::sync::Arc,
 };
 
@@ -65,3 +75,28 @@
             stats.pending_prompts.saturating_sub(u32::from(self.prefill_ms > 0.0));
     }
 }
+
+/// Counts a request as waiting for the start of its response until it is dropped.
+pub struct WaitGuard {
+    evidence: Arc<Mutex<Collector>>,
+    id: WaitId,
+    is_answered: bool,
+}
+
+impl WaitGuard {
+    pub fn new(evidence: &Arc<Mutex<Collector>>, wait: Wait) -> Self {
+        let id = evidence.lock().waits.begin(wait);
+        Self { evidence: evidence.clone(), id, is_answered: false }
+    }
+
+    /// Ends the wait; `is_answered` is whether a response has started that is no failure.
+    pub fn end(mut self, is_answered: bool) {
+        self.is_answered = is_answered;
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.evidence.lock().waits.end(self.id, self.is_answered, time::now());
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -5,10 +5,14 @@
         Forwarder, Job, Progress,
         attempt::{Attempt, Outcome, Success},
         deadline_exceeded,
+        guard::WaitGuard,
         handover::{Event, Handover},
         key_unconfirmed, server_failed,
     },
-    crate::rollout::evidence::Signal,
+    crate::{
+        rollout::{Phase, evidence::Signal, waits::Wait},
+        time,
+    },
     hawthornmount_core::{
         problem::Problem,
         reason::{Refusal, Retry},
@@ -134,6 +138,22 @@
         }
     }
 
+    /// Counts a request as waiting, while a roll-out compares the versions. As for latencies, the
+    /// requests of a trial are not compared.
+    pub(super) fn begin_wait(&self, job: &Job, attempt: &Attempt) -> Option<WaitGuard> {
+        let view = self.cell.load();
+        let split = view.split(&job.service)?;
+        let is_compared = split.phase < Phase::Full && !attempt.is_trial;
+        let wait = || Wait {
+            service: job.service.clone(),
+            version: attempt.server.version.clone(),
+            route: job.route.id.clone(),
+            uncached_tokens: attempt.uncached_tokens,
+            sent_at: time::now(),
+        };
+        is_compared.then(|| WaitGuard::new(&self.evidence, wait()))
+    }
+
     /// Records the time until a server began its response.
     fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
         let model = job.model(attempt.level);
--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -8,6 +8,7 @@
         Phase, Record, Split,
         evidence::{self, Collector, Report},
         plan::{self, Conditions},
+        waits,
     },
     crate::{
         load::Tracker,
@@ -308,7 +309,7 @@
         // If the store does not respond, the same write becomes due again. It is made only if the
         // record has not changed, so it is never applied twice.
         row.due = None;
-        self.transition(at, next)
+        self.transition(at, next, now)
     }
 
     /// Updates the mean number of requests in flight that a trial could use, before most sessions move to
@@ -357,7 +358,7 @@
         let in_flight_is_steady = row
             .in_flight_since
             .is_some_and(|since| now.saturating_duration_since(since) >= IN_FLIGHT_MEAN_TIME);
-        let own = self.own_report(&row.service, version);
+        let own = self.own_report(&row.service, version, now);
         let own_key = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own_key);
         let is_recent = |at: Instant| now < at + RUNS_OLD_REPORT_LIFETIME;
@@ -374,13 +375,15 @@
         let reports = evidence::disjoint_reports(single, merged);
         let all_failures = reports.iter().flat_map(|report| &report.failures);
         let all_latencies = reports.iter().flat_map(|report| &report.latencies);
+        let all_late = reports.iter().flat_map(|report| &report.late);
         let mut is_bad = row.is_bad;
         if !is_bad
             && let Some(regression) =
                 evidence::detect_regression(all_failures.clone(), all_latencies.clone())
+                    .or_else(|| waits::late_regression(all_late.clone()))
         {
             is_bad = true;
-            let evidence = describe_evidence(all_failures, all_latencies);
+            let evidence = describe_evidence(all_failures, all_latencies, all_late);
             let service = &row.service;
             log::warn!(
                 "version is bad; service={service} version={version} {regression} {evidence}"
@@ -449,7 +452,7 @@
     }
 
     /// Returns the write that moves the roll-out to a phase.
-    fn transition(&self, at: usize, phase: Phase) -> Option<Txn> {
+    fn transition(&self, at: usize, phase: Phase, now: Instant) -> Option<Txn> {
         let row = &self.rows[at];
         let ordered = row.ordered.as_ref()?;
         let version = ordered.order.version.clone();
@@ -476,8 +479,9 @@
                 txn = txn.delete(&reported.key);
             }
         }
-        let report = self.merged_report(row, &ordered.order.version);
-        let evidence = describe_evidence(report.failures.iter(), report.latencies.iter());
+        let report = self.merged_report(row, &ordered.order.version, now);
+        let evidence =
+            describe_evidence(report.failures.iter(), report.latencies.iter(), report.late.iter());
         log::info!("roll-out goes on; service={} phase={phase:?} {evidence}", row.service);
         if !phase.is_over() {
             // Instances that start later compare the new version with these earlier observations.
--- a/crates/hawthornmount-gateway/src/rollout/driver/report.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/report.rs
@@ -14,6 +14,7 @@
             evidence::{FailureComparison, Report},
             latency::{self, LatencyComparison},
             plan,
+            waits::LateComparison,
         },
         time,
     },
@@ -84,22 +85,28 @@
     }
 
     /// Returns the report on the evidence that this instance has collected.
-    pub(super) fn own_report(&self, service: &ServiceId, version: &VersionId) -> Report {
-        let collector = self.sources.collector.lock();
+    pub(super) fn own_report(
+        &self,
+        service: &ServiceId,
+        version: &VersionId,
+        now: Instant,
+    ) -> Report {
+        let mut collector = self.sources.collector.lock();
         Report {
             version: Some(version.clone()),
             failures: collector.failures(service, version),
             latencies: collector.latencies(service, version),
+            late: collector.waits.compare(service, version, now),
             runs_old: false,
             reporters: vec![self.reporter.clone()],
         }
     }
 
     /// Returns the report on the evidence of this instance and of those that follow it.
-    pub(super) fn merged_report(&self, row: &Row, version: &VersionId) -> Report {
+    pub(super) fn merged_report(&self, row: &Row, version: &VersionId, now: Instant) -> Report {
         let is_same_version = |report: &&Report| report.version.as_ref() == Some(version);
         let delivered = row.delivered.iter().map(|delivered| &delivered.report.report);
-        let own = self.own_report(&row.service, version);
+        let own = self.own_report(&row.service, version, now);
         delivered.filter(is_same_version).fold(own, Report::merge)
     }
 
@@ -126,11 +133,11 @@
             && self.is_old_version_running(&row.service, &version, servers);
         let (mut report, runs_old, reporters) = match part {
             Part::Reader { readers } => (
-                self.merged_report(row, &version),
+                self.merged_report(row, &version, now),
                 own_runs_old || row.followers_run_old(is_recent),
                 readers,
             ),
-            Part::Follower => (self.own_report(&row.service, &version), own_runs_old, 1),
+            Part::Follower => (self.own_report(&row.service, &version, now), own_runs_old, 1),
         };
         report.runs_old = runs_old;
         let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
@@ -194,11 +201,13 @@
 pub(super) fn describe_evidence<'a>(
     failures: impl Iterator<Item = &'a FailureComparison>,
     latencies: impl Iterator<Item = &'a LatencyComparison>,
+    late: impl Iterator<Item = &'a LateComparison>,
 ) -> String {
     let compared = latencies.filter(|latency| latency.new.count > 0 && latency.old.count > 0);
     let parts: Vec<String> = failures
         .map(FailureComparison::to_string)
         .chain(compared.map(LatencyComparison::to_string))
+        .chain(late.map(LateComparison::to_string))
         .collect();
     parts.join(" ")
 }
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -8,8 +8,10 @@
 use {
     super::{
         comparison::{self, Aggregate, Comparison, Table},
+        counts::{Counts, MIN_REGRESSION_WEIGHT},
         latency::{self, LatencyComparison, Moments, Shift, Span, Stratum},
         plan,
+        waits::{LateComparison, Waits},
     },
     crate::{load::Load, route::RouteId},
     hawthornmount_core::id::{ModelId, ServiceId, VersionId},
@@ -35,29 +37,6 @@
 /// Lower limit of the baseline rate of interrupted responses. Connections also break when the
 /// network fails or servers die. A new version has few servers, so a fifth of them may be affected.
 const MIN_BASELINE_BROKEN_RATE: f64 = 0.2;
-/// Factor by which the other versions' failure rate is raised to get the baseline, to allow for
-/// chance and for differences between servers.
-const BASELINE_FACTOR: f64 = 1.5;
-/// Upper limit of the baseline failure rate.
-const MAX_BASELINE_RATE: f64 = 0.9;
-/// Responses that are added to those of the other versions, so that a few responses have little
-/// effect on the baseline.
-const PRIOR_RESPONSES: f64 = 10.0;
-/// Failures among [`PRIOR_RESPONSES`].
-const PRIOR_FAILURES: f64 = 0.3;
-/// Weight of evidence, in nats, from which a version counts as bad. A good version reaches 7 nats
-/// by chance in about one of a thousand evaluations.
-const MIN_REGRESSION_WEIGHT: f64 = 7.0;
-
-/// Number of responses of one version.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Counts {
-    /// All responses.
-    pub all: u32,
-    /// Failed responses.
-    pub bad: u32,
-}
-
 /// Group of responses that are counted together.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -84,6 +63,9 @@
     /// Latencies by stratum.
     #[serde(rename = "paces")]
     pub latencies: Vec<LatencyComparison>,
+    /// Counts of late requests by route.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub late: Vec<LateComparison>,
     /// Whether requests run on the old version at one of the instances.
     pub runs_old: bool,
     /// Names under which the instances report whose evidence the report contains.
@@ -92,11 +74,12 @@
 }
 
 impl Report {
-    /// Returns how many responses of the new version failed or were interrupted.
+    /// Returns how many responses of the new version failed, were interrupted or are late.
     pub fn failure_count(&self) -> u32 {
         // Responses of loaded servers are also counted on their routes.
         let is_counted_once = |failures: &&FailureComparison| failures.scope != Scope::Loaded;
-        self.failures.iter().filter(is_counted_once).map(|failures| failures.new.bad).sum()
+        let failed = self.failures.iter().filter(is_counted_once).map(|failures| failures.new.bad);
+        failed.chain(self.late.iter().map(|late| late.new.bad)).sum()
     }
 
     /// Returns the number of responses of all versions.
@@ -126,6 +109,7 @@
             latencies: comparison::merge(
                 self.latencies.into_iter().chain(other.latencies.iter().cloned()),
             ),
+            late: comparison::merge(self.late.into_iter().chain(other.late.iter().cloned())),
             runs_old: self.runs_old || other.runs_old,
             reporters,
         }
@@ -149,6 +133,15 @@
     },
     /// Its responses in one scope fail more often.
     FailuresInScope(FailureComparison),
+    /// Its responses start late more often.
+    Late {
+        /// Requests to the version.
+        new: Counts,
+        /// Requests to the other versions.
+        old: Counts,
+        /// Route on which they are late, or `None` for all routes.
+        route: Option<RouteId>,
+    },
     /// Its responses are slower.
     Slow {
         /// Kind of latency that is longer.
@@ -202,6 +195,8 @@
 pub struct Collector {
     failures: Table<Scope, Counts>,
     latencies: Table<Stratum, Moments>,
+    /// Requests that wait for the start of their responses.
+    pub waits: Waits,
 }
 
 impl Collector {
@@ -233,6 +228,7 @@
     pub fn forget(&mut self, service: &ServiceId) {
         self.failures.forget(service);
         self.latencies.forget(service);
+        self.waits.forget(service);
     }
 
     /// Returns the response counts of `version` and of the other versions of its service, by scope.
@@ -254,6 +250,15 @@
                 "cause=failures new={}/{} old={}/{}",
                 new.bad, new.all, old.bad, old.all
             ),
+            Self::Late { new, old, route } => write!(
+                formatter,
+                "cause=late route={} new={}/{} old={}/{}",
+                route.as_deref().unwrap_or("all"),
+                new.bad,
+                new.all,
+                old.bad,
+                old.all
+            ),
             Self::FailuresInScope(failures) => write!(formatter, "cause=failures of {failures}"),
             Self::Slow { span, route, shift } => {
                 let route = route.as_deref().unwrap_or("all");
@@ -275,19 +280,6 @@
     }
 }
 
-impl Aggregate for Counts {
-    fn add(&mut self, other: Self) {
-        self.all += other.all;
-        self.bad += other.bad;
-    }
-}
-
-impl Counts {
-    fn rate(self) -> f64 {
-        if self.all == 0 { 0.0 } else { f64::from(self.bad) / f64::from(self.all) }
-    }
-}
-
 /// Returns the regression of the new version that the evidence of all reports shows, if any.
 /// Failures take precedence over latencies.
 pub fn detect_regression<'a>(
@@ -312,22 +304,19 @@
         new.add(failures.new);
         old.add(failures.old);
     }
-    if is_failing_more(new, old, MIN_FAILURES, MIN_BASELINE_RATE) {
+    if new.is_failing_more(old, MIN_FAILURES, MIN_BASELINE_RATE) {
         return Some(Regression::Failures { new, old });
     }
     let is_failing = |failures: &FailureComparison| match failures.scope {
-        Scope::Broken => is_failing_more(
-            failures.new,
-            failures.old,
-            MIN_SCOPE_FAILURES,
-            MIN_BASELINE_BROKEN_RATE,
-        ),
+        Scope::Broken => {
+            failures.new.is_failing_more(failures.old, MIN_SCOPE_FAILURES, MIN_BASELINE_BROKEN_RATE)
+        }
         Scope::Route(_) => {
-            is_failing_more(failures.new, failures.old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE)
+            failures.new.is_failing_more(failures.old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE)
         }
         // Servers of the other versions are seldom loaded, and hardly fail more often when they
         // are. They are therefore compared by their responses on all routes.
-        Scope::Loaded => is_failing_more(failures.new, old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE),
+        Scope::Loaded => failures.new.is_failing_more(old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE),
     };
     scopes.into_iter().find(is_failing).map(Regression::FailuresInScope)
 }
@@ -358,26 +347,6 @@
     chosen
 }
 
-/// Returns whether the failures are too unlikely at the baseline rate, which is at least
-/// `min_baseline`, by the Chernoff bound.
-fn is_failing_more(new: Counts, old: Counts, min_failures: u32, min_baseline: f64) -> bool {
-    let baseline = (f64::from(old.bad) + PRIOR_FAILURES) / (f64::from(old.all) + PRIOR_RESPONSES)
-        * BASELINE_FACTOR;
-    let baseline = baseline.clamp(min_baseline, MAX_BASELINE_RATE);
-    let rate = new.rate();
-    if new.bad < min_failures || rate <= baseline {
-        return false;
-    }
-    let success_rate = 1.0 - rate;
-    let success_divergence = if success_rate > 0.0 {
-        success_rate * (success_rate / (1.0 - baseline)).ln()
-    } else {
-        0.0
-    };
-    let divergence = rate * (rate / baseline).ln() + success_divergence;
-    f64::from(new.all) * divergence >= MIN_REGRESSION_WEIGHT
-}
-
 /// Returns whether a server with `slots` would certainly count as loaded with the share of `in_flight`
 /// requests that a version gets in the widening phase.
 pub fn could_load(in_flight: f64, slots: u32) -> bool {
--- a/crates/hawthornmount-gateway/src/rollout/latency.rs
+++ b/crates/hawthornmount-gateway/src/rollout/latency.rs
@@ -143,6 +143,12 @@
     }
 }
 
+/// Returns the expected time until the response to a request starts.
+pub fn expected_start(uncached_tokens: u32) -> Duration {
+    let prefill = f64::from(uncached_tokens) * PREFILL_SECONDS_PER_TOKEN;
+    EMPTY_PROMPT_LATENCY + Duration::from_secs_f64(prefill)
+}
+
 /// Returns the stratum of an observation and the logarithm of its latency, or `None` if it can't be
 /// compared. The time until a response starts is divided by the expected time. It can't be compared
 /// during a trial, which fills one server after the other, or once one version gets all requests:
@@ -157,10 +163,7 @@
         Signal::Failed | Signal::Broken => return None,
     };
     let expected_seconds = match span {
-        Span::Start => {
-            EMPTY_PROMPT_LATENCY.as_secs_f64()
-                + f64::from(observation.uncached_tokens) * PREFILL_SECONDS_PER_TOKEN
-        }
+        Span::Start => expected_start(observation.uncached_tokens).as_secs_f64(),
         Span::Gap => 1.0,
     };
     let offset = if span == Span::Start { LATENCY_OFFSET } else { Duration::ZERO };
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -7,11 +7,13 @@
 //! requests still run on the old version.
 
 pub mod comparison;
+pub mod counts;
 pub mod driver;
 pub mod evidence;
 pub mod latency;
 pub mod plan;
 pub mod sessions;
+pub mod waits;
 
 pub use driver::Driver;
 
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod rollout;
 mod route;
 mod settings;
+mod waits;
--- a/crates/hawthornmount-gateway/tests/gateway/relay.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/relay.rs
@@ -15,7 +15,8 @@
         },
         rollout::{
             comparison::Comparison,
-            evidence::{Counts, Report, Scope, disjoint_reports},
+            counts::Counts,
+            evidence::{Report, Scope, disjoint_reports},
         },
     },
     hawthornmount_store::{Entry, Stamp},
