Evidence of a roll-out reaches the readers without waiting for a list

What an instance observed of a new version took up to 0.6 s to its reader, and up to 1.6 s more to the readers of other data centres, which saw the reports of others only when they listed the store. Each of 75 instances sees few answers of the version, and reported only with the second or third one.

While a version gets a share of the sessions, instances that follow another report each further answer, at most every 0.2 s; these reports don't go to the store. Readers watch the reports along with the phases.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -77,7 +77,7 @@
     list_interval: Duration,
     /// Stamp of the last list, and whether nothing has changed since the one before.
     listed: Option<(Stamp, bool)>,
-    /// Watch of the phases of roll-outs, while one is under way.
+    /// Watch of the phases of roll-outs and of the reports on them, while one is under way.
     watch: Option<Watch>,
     /// Whether the store did not respond to the last call.
     is_store_unreachable: bool,
@@ -293,9 +293,9 @@
         }
     }
 
-    /// Opens the watch of the phases of roll-outs.
+    /// Opens the watch of the phases of roll-outs and of the reports on them.
     async fn open_watch(&self) -> Option<Watch> {
-        match self.store.watch(driver::RECORD_PREFIX, self.state.revision() + 1).await {
+        match self.store.watch(driver::WATCH_PREFIX, self.state.revision() + 1).await {
             Ok(watch) => Some(watch),
             Err(error) => {
                 log::info!("the watch of roll-outs can't be opened; cause={error}");
--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -35,6 +35,9 @@
 /// Key prefix of the reports on roll-outs, which are stored by service and instance.
 const REPORT_PREFIX: &str = "hawthornmount/report/";
 
+/// Prefix of both, which instances that read the store watch during a roll-out.
+pub const WATCH_PREFIX: &str = "hawthornmount/r";
+
 /// Returns whether a key holds a report on a roll-out. Only the instances that read the store use
 /// the reports.
 pub fn is_report(key: &str) -> bool {
--- a/crates/hawthornmount-gateway/src/rollout/driver/report.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/report.rs
@@ -38,6 +38,10 @@
 const MIN_REPORTED_SHIFT: f64 = 0.3;
 /// Minimum interval between two reports of an instance.
 const REPORT_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum interval between two reports of an instance to the one that it follows, while the version
+/// gets a share of the sessions. In a large fleet each instance sees few responses of the version,
+/// which count only together.
+const FOLLOWER_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which an instance repeats its report that requests still run on the old version.
 const RUNS_OLD_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time in the full phase after which an instance reports that requests still run on the old
@@ -141,7 +145,15 @@
         };
         report.runs_old = runs_old;
         let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
+        let is_followed = part == Part::Follower && matches!(phase, Phase::Probe | Phase::Widening);
         let is_due = match last {
+            last if is_followed => {
+                let count = last.map_or(0, |last| last.report.comparison_count());
+                let has_more = report.comparison_count() > count;
+                let is_urgent = has_more
+                    || report.failure_count() > last.map_or(0, |last| last.report.failure_count());
+                is_urgent && last.is_none_or(|last| now >= last.at + FOLLOWER_REPORT_INTERVAL)
+            }
             None => {
                 is_report_urgent(&report, &Report::default())
                     || runs_old
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Returns the number of responses of the new version that were compared by the time until they
+    /// started, late ones included.
+    pub fn comparison_count(&self) -> u32 {
+        self.latency_count() + self.late.iter().map(|late| late.new.all).sum::<u32>()
+    }
+
     /// Returns the number of latency measurements of the new version.
     pub fn latency_count(&self) -> u32 {
         self.latencies.iter().map(|latency| latency.new.count).sum()
