Widening leaves time for its evidence within the allowed exposure

Roll-outs of less than 16 s had no probe, and 0.9 of the sessions moved at once. Until the evidence has stopped a version, up to 2.1 s may pass: waiting until a request is late, reports, roll-back.

The share that moves in the widening phase now follows from the order: what canary and probe leave of 0.85 of the allowed exposure, divided by the 2.1 s, at most 0.9. It is 0.55 for 13.2 s and 0.9 from some 22 s on. Every instance derives the same share, so sessions don't move back. Builds before this one use 0.9 whatever the order, so sessions can move back in orders below that time while builds are mixed. Roll-outs are probed from 12.5 s on, and a probed version is widened for at least 2.1 s.

The test of the load test passes the share, which was fixed before, and that of the exposure uses the share of its order; their bounds are the same.

--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -220,8 +220,13 @@
     /// Returns the traffic splits of the roll-outs that have started.
     pub fn splits(&self) -> Vec<Split> {
         let split = |row: &Row| {
-            let version = row.ordered.as_ref()?.order.version.clone();
-            Some(Split { service: row.service.clone(), version, phase: row.effective_phase()? })
+            let order = &row.ordered.as_ref()?.order;
+            Some(Split {
+                service: row.service.clone(),
+                version: order.version.clone(),
+                phase: row.effective_phase()?,
+                widening_share: self.widening_share(order),
+            })
         };
         self.rows.iter().filter_map(split).collect()
     }
@@ -343,6 +348,10 @@
         row.mean_in_flight += (in_flight - row.mean_in_flight) * weight;
     }
 
+    fn widening_share(&self, order: &Order) -> f64 {
+        plan::widening_share(order.duration, self.limits.allowed_exposure)
+    }
+
     /// Returns the conditions for the next phase, or `None` if no roll-out of the service is under
     /// way.
     fn conditions(&self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Conditions> {
@@ -361,6 +370,7 @@
         let in_flight_is_steady = row
             .in_flight_since
             .is_some_and(|since| now.saturating_duration_since(since) >= IN_FLIGHT_MEAN_TIME);
+        let widening_share = self.widening_share(&ordered.order);
         let own = self.own_report(&row.service, version, now);
         let own_key = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own_key);
@@ -402,7 +412,8 @@
             is_bad,
             is_load_tested: reports.iter().any(|report| report.is_load_tested()),
             is_load_testable: slots.is_some_and(|slots| {
-                in_flight_is_steady && evidence::could_load(row.mean_in_flight, slots)
+                in_flight_is_steady
+                    && evidence::could_load(row.mean_in_flight, slots, widening_share)
             }),
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_old_version_idle: !runs_old,
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -10,7 +10,6 @@
         comparison::{self, Aggregate, Comparison, Table},
         counts::{Counts, MIN_REGRESSION_WEIGHT},
         latency::{self, LatencyComparison, Moments, Shift, Span, Stratum},
-        plan,
         waits::{LateComparison, Waits},
     },
     crate::{load::Load, route::RouteId},
@@ -355,8 +354,8 @@
 
 /// Returns whether a server with `slots` would certainly count as loaded with the share of `in_flight`
 /// requests that a version gets in the widening phase.
-pub fn could_load(in_flight: f64, slots: u32) -> bool {
-    in_flight * plan::WIDENING_SHARE >= f64::from(slots) * LOADED_FRACTION * LOAD_ESTIMATE_MARGIN
+pub fn could_load(in_flight: f64, slots: u32, widening_share: f64) -> bool {
+    in_flight * widening_share >= f64::from(slots) * LOADED_FRACTION * LOAD_ESTIMATE_MARGIN
 }
 
 /// Returns whether a server counts as loaded.
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -65,6 +65,9 @@
     pub version: VersionId,
     /// Phase of the roll-out.
     pub phase: Phase,
+    /// Share of the sessions that go to the new version in [`Phase::Widening`]. Every instance
+    /// derives the same share from the order.
+    pub widening_share: f64,
 }
 
 impl Split {
@@ -74,7 +77,7 @@
         match self.phase {
             Phase::Canary => plan::CANARY_SHARE,
             Phase::Probe => plan::PROBE_SHARE,
-            Phase::Widening => plan::WIDENING_SHARE,
+            Phase::Widening => self.widening_share,
             Phase::Full | Phase::Completed => 1.0,
             Phase::RolledBack => 0.0,
         }
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -27,11 +27,11 @@
 const ROUTINE_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Longest routine report interval; the users' roll-outs take about 24 s.
 const MAX_ROUTINE_REPORT_INTERVAL: Duration = Duration::from_secs(20);
-/// Share of the sessions that go to the new version in the widening phase. It is close to 1 because
-/// the phase is short, and fewer requests would not put a server under load. It is the same for
-/// every request of a session: sessions continue at other instances and must not move back to the
-/// old version.
-pub const WIDENING_SHARE: f64 = 0.9;
+/// Largest share of the sessions that go to the new version in the widening phase. It is close to 1
+/// because the phase is short, and fewer requests would not put a server under load. It is the same
+/// for every request of a session: sessions continue at other instances and must not move back to
+/// the old version.
+pub const MAX_WIDENING_SHARE: f64 = 0.9;
 /// Longest prompt, in tokens, of the requests of a trial, which fills one server of the new version
 /// after the other to test it under load. They occupy its slots; longer prompts would only keep it
 /// busy with their prefill. The prefill of a prompt of this length takes about 25 ms.
@@ -50,9 +50,17 @@
 /// Longest probe phase.
 const MAX_PROBE_DURATION: Duration = Duration::from_millis(2_000);
 /// Shortest roll-out with a probe phase; the other phases need the time of a shorter one.
-const MIN_PROBED_DURATION: Duration = Duration::from_secs(16);
-/// Fraction of the allowed exposure that the plan for a version without a load test uses. The rest
-/// allows for traffic that grows towards the deadline.
+const MIN_PROBED_DURATION: Duration = Duration::from_millis(12_500);
+/// Shortest roll-out in which a version without a load test gets all sessions late. What is left of
+/// a shorter one would not suffice to complete it.
+const MIN_LATE_DURATION: Duration = Duration::from_secs(16);
+/// Time from the start of a phase until its evidence against a version has stopped the roll-out
+/// everywhere: a request is late after some 0.5 s; the instance, the one that it follows and that
+/// of another data centre look every 0.2 s, and the second reports every 0.6 s; the roll-back takes
+/// 0.4 s until it is written and known.
+const EVIDENCE_DELAY: Duration = Duration::from_millis(2_100);
+/// Fraction of the allowed exposure that the plan uses. The rest allows for traffic that grows
+/// towards the deadline.
 const PLANNED_EXPOSURE: f64 = 0.85;
 /// Latest start of the full phase, as a fraction of the roll-out's time.
 const LATEST_FULL_FRACTION: f64 = 0.93;
@@ -60,8 +68,8 @@
 const MIN_LATE_FULL_DURATION: Duration = Duration::from_millis(600);
 /// Fraction of the roll-out's time that the widening phase takes, limited by
 /// [`MIN_WIDENING_DURATION`] and [`MAX_WIDENING_DURATION`]. Its requests fill a server within two
-/// seconds, and evidence takes up to one second to reach the other instances.
-const WIDENING_FRACTION: f64 = 0.12;
+/// seconds, and a probed version is widened for at least [`EVIDENCE_DELAY`].
+const WIDENING_FRACTION: f64 = 0.17;
 /// Shortest widening phase.
 const MIN_WIDENING_DURATION: Duration = Duration::from_millis(1_900);
 /// Longest widening phase, before [`UNTESTED_WIDENING_FACTOR`] is applied.
@@ -138,8 +146,10 @@
             is_due.then_some(if is_probed { Phase::Probe } else { Phase::Widening })
         }
         Phase::Probe => {
-            let duration = conditions.duration.mul_f64(PROBE_FRACTION).min(MAX_PROBE_DURATION);
-            let is_early = conditions.is_load_tested || conditions.is_load_testable;
+            let duration = probe_duration(conditions.duration);
+            let is_early = conditions.is_load_tested
+                || conditions.is_load_testable
+                || conditions.duration < MIN_LATE_DURATION;
             if is_early && conditions.since_phase >= duration {
                 return Some(Phase::Widening);
             }
@@ -177,6 +187,22 @@
     }
 }
 
+/// Returns the share of the sessions that go to the new version in the widening phase: a version
+/// that shows only then to be bad gets no more than the canary and probe phases leave of the allowed
+/// exposure until the evidence has stopped the roll-out.
+pub fn widening_share(duration: Duration, allowed_exposure: f64) -> f64 {
+    let canary = duration.mul_f64(CANARY_FRACTION * CANARY_SHARE);
+    let probe = probe_duration(duration).mul_f64(PROBE_SHARE);
+    let exposure = duration.mul_f64(allowed_exposure * PLANNED_EXPOSURE);
+    let rest = exposure.saturating_sub(canary + probe);
+    let share = rest.as_secs_f64() / EVIDENCE_DELAY.as_secs_f64();
+    share.clamp(PROBE_SHARE, MAX_WIDENING_SHARE)
+}
+
+fn probe_duration(duration: Duration) -> Duration {
+    duration.mul_f64(PROBE_FRACTION).min(MAX_PROBE_DURATION)
+}
+
 /// Returns the time after the order at which a version without a load test gets all sessions: from
 /// then to the deadline it gets what the probe phase leaves of the allowed exposure.
 fn untested_full_start(conditions: &Conditions) -> Duration {
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -88,7 +88,9 @@
             phase = Some(next);
             since_phase = Duration::ZERO;
         }
-        let got = PER_SECOND * STEP.as_secs_f64() * phase.map_or(0.0, |phase| split(phase).share());
+        let widening_share = plan::widening_share(duration, CONDITIONS.allowed_exposure);
+        let share = phase.map_or(0.0, |phase| Split { widening_share, ..split(phase) }.share());
+        let got = PER_SECOND * STEP.as_secs_f64() * share;
         new += got;
         if now >= bad_from {
             bad.push((now, got * bad_share));
@@ -111,7 +113,7 @@
     #[case] slots: u32,
     #[case] expected: bool,
 ) {
-    assert_eq!(could_load(in_flight, slots), expected);
+    assert_eq!(could_load(in_flight, slots, plan::MAX_WIDENING_SHARE), expected);
 }
 
 /// Load: so few requests that no server of the new version is ever loaded. A version that is bad
@@ -166,8 +168,56 @@
     }
 }
 
+/// Load: a version that shows only in the widening phase to be bad, at the end of the time that the
+/// evidence takes: 2 s until it is known, and 0.2 s until the roll-back is written.
+#[rstest]
+fn evidence_of_the_widening_comes_within_the_allowed_exposure(
+    #[values(0.12, 0.15)] allowed_exposure: f64,
+    #[values(false, true)] is_load_tested: bool,
+) {
+    const STEP: Duration = Duration::from_millis(10);
+    const WRITE_DELAY: Duration = Duration::from_millis(200);
+    const EVIDENCE_AGE: Duration = Duration::from_millis(2_000);
+    for duration in [8.0, 10.0, 12.0, 12.5, 13.2, 15.0, 16.0, 24.0, 40.0] {
+        let duration = Duration::from_secs_f64(duration);
+        let widening_share = plan::widening_share(duration, allowed_exposure);
+        let (mut now, mut since_phase, mut due) = (Duration::ZERO, Duration::ZERO, None);
+        let (mut phase, mut new, mut widened) = (None, 0.0, None);
+        while now < duration {
+            let is_known = widened.is_some_and(|at| now >= at + EVIDENCE_AGE);
+            let conditions = Conditions {
+                since_order: now,
+                since_phase,
+                duration,
+                is_bad: is_known,
+                is_load_tested,
+                is_load_testable: true,
+                allowed_exposure,
+                ..CONDITIONS
+            };
+            if let Some(next) = next_phase(phase, &conditions) {
+                let at = *due.get_or_insert(now + WRITE_DELAY);
+                if now >= at {
+                    (phase, since_phase, due) = (Some(next), Duration::ZERO, None);
+                    if next == Phase::Widening {
+                        widened = Some(now);
+                    }
+                }
+            }
+            let share = phase.map_or(0.0, |phase| Split { widening_share, ..split(phase) }.share());
+            new += STEP.as_secs_f64() * share;
+            now += STEP;
+            since_phase += STEP;
+        }
+        assert_eq!(phase, Some(Phase::RolledBack), "not rolled back in {duration:?}");
+        let share = new / duration.as_secs_f64();
+        assert!(share <= allowed_exposure, "{share} of the requests of {duration:?}");
+    }
+}
+
 fn split(phase: Phase) -> Split {
-    Split { service: "s".into(), version: "v2".into(), phase }
+    let widening_share = plan::MAX_WIDENING_SHARE;
+    Split { service: "s".into(), version: "v2".into(), phase, widening_share }
 }
 
 fn ids() -> impl Iterator<Item = std::sync::Arc<str>> {
