--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -8,6 +8,7 @@
         Phase, Record, Split,
         evidence::{self, Collector, Report},
         plan::{self, Conditions},
+        waits,
     },
     crate::{
         load::Tracker,
@@ -34,6 +35,9 @@
 /// Key prefix of the reports on roll-outs, which are stored by service and instance.
 const REPORT_PREFIX: &str = "hawthornmount/report/";
 
+/// Prefix of both, which instances that read the store watch during a roll-out.
+pub const WATCH_PREFIX: &str = "hawthornmount/r";
+
 /// Returns whether a key holds a report on a roll-out. Only the instances that read the store use
 /// the reports.
 pub fn is_report(key: &str) -> bool {
@@ -216,8 +220,13 @@
     /// Returns the traffic splits of the roll-outs that have started.
     pub fn splits(&self) -> Vec<Split> {
         let split = |row: &Row| {
-            let version = row.ordered.as_ref()?.order.version.clone();
-            Some(Split { service: row.service.clone(), version, phase: row.effective_phase()? })
+            let order = &row.ordered.as_ref()?.order;
+            Some(Split {
+                service: row.service.clone(),
+                version: order.version.clone(),
+                phase: row.effective_phase()?,
+                widening_share: self.widening_share(order),
+            })
         };
         self.rows.iter().filter_map(split).collect()
     }
@@ -308,7 +317,7 @@
         // If the store does not respond, the same write becomes due again. It is made only if the
         // record has not changed, so it is never applied twice.
         row.due = None;
-        self.transition(at, next)
+        self.transition(at, next, now)
     }
 
     /// Updates the mean number of requests in flight that a trial could use, before most sessions move to
@@ -339,6 +348,10 @@
         row.mean_in_flight += (in_flight - row.mean_in_flight) * weight;
     }
 
+    fn widening_share(&self, order: &Order) -> f64 {
+        plan::widening_share(order.duration, self.limits.allowed_exposure)
+    }
+
     /// Returns the conditions for the next phase, or `None` if no roll-out of the service is under
     /// way.
     fn conditions(&self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Conditions> {
@@ -357,7 +370,8 @@
         let in_flight_is_steady = row
             .in_flight_since
             .is_some_and(|since| now.saturating_duration_since(since) >= IN_FLIGHT_MEAN_TIME);
-        let own = self.own_report(&row.service, version);
+        let widening_share = self.widening_share(&ordered.order);
+        let own = self.own_report(&row.service, version, now);
         let own_key = self.report_key(&row.service);
         let others = row.reports.iter().filter(|reported| *reported.key != *own_key);
         let is_recent = |at: Instant| now < at + RUNS_OLD_REPORT_LIFETIME;
@@ -374,13 +388,15 @@
         let reports = evidence::disjoint_reports(single, merged);
         let all_failures = reports.iter().flat_map(|report| &report.failures);
         let all_latencies = reports.iter().flat_map(|report| &report.latencies);
+        let all_late = reports.iter().flat_map(|report| &report.late);
         let mut is_bad = row.is_bad;
         if !is_bad
             && let Some(regression) =
                 evidence::detect_regression(all_failures.clone(), all_latencies.clone())
+                    .or_else(|| waits::late_regression(all_late.clone()))
         {
             is_bad = true;
-            let evidence = describe_evidence(all_failures, all_latencies);
+            let evidence = describe_evidence(all_failures, all_latencies, all_late);
             let service = &row.service;
             log::warn!(
                 "version is bad; service={service} version={version} {regression} {evidence}"
@@ -396,7 +412,8 @@
             is_bad,
             is_load_tested: reports.iter().any(|report| report.is_load_tested()),
             is_load_testable: slots.is_some_and(|slots| {
-                in_flight_is_steady && evidence::could_load(row.mean_in_flight, slots)
+                in_flight_is_steady
+                    && evidence::could_load(row.mean_in_flight, slots, widening_share)
             }),
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_old_version_idle: !runs_old,
@@ -449,7 +466,7 @@
     }
 
     /// Returns the write that moves the roll-out to a phase.
-    fn transition(&self, at: usize, phase: Phase) -> Option<Txn> {
+    fn transition(&self, at: usize, phase: Phase, now: Instant) -> Option<Txn> {
         let row = &self.rows[at];
         let ordered = row.ordered.as_ref()?;
         let version = ordered.order.version.clone();
@@ -476,8 +493,9 @@
                 txn = txn.delete(&reported.key);
             }
         }
-        let report = self.merged_report(row, &ordered.order.version);
-        let evidence = describe_evidence(report.failures.iter(), report.latencies.iter());
+        let report = self.merged_report(row, &ordered.order.version, now);
+        let evidence =
+            describe_evidence(report.failures.iter(), report.latencies.iter(), report.late.iter());
         log::info!("roll-out goes on; service={} phase={phase:?} {evidence}", row.service);
         if !phase.is_over() {
             // Instances that start later compare the new version with these earlier observations.
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -15,3 +15,4 @@
 mod rollout;
 mod route;
 mod settings;
+mod waits;
