Answer the first request of a new connection while an instance stops

Callers that connected later than 2.3 s after the stop signal found their connection closed before their request was read: neither an answer nor a refusal. A connection without a request counted as idle and was closed like one that had been answered. It is now kept for one request, which is refused with 503 and closes it; a stop does not wait for connections without a request.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -121,8 +121,10 @@
                 result = &mut *connection => return Some(result),
                 () = self.wait_for_closing(), if !is_closing => {
                     is_closing = true;
-                    // The response to a request that is arriving closes the connection.
-                    if activity.snapshot(Instant::now()).phase != Phase::Receiving {
+                    // The response to a request that is arriving, or to the first one of a new
+                    // connection, closes the connection.
+                    let now = activity.snapshot(Instant::now());
+                    if now.phase != Phase::Receiving && now.last_request.is_some() {
                         close(Pin::new(connection));
                     }
                 }
