Keep an answer of low confidence until the larger model's first event

Callers got 502 after 4 ms, or 504 at the deadline, while the whole answer of the small model was in hand: it was dropped at the head of the larger model's answer, which then broke off or stayed silent. The head is held back until the first event since, so the kept answer can still be delivered; it is, once the larger one has failed or has sent no event within the time of an attempt.

--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -243,6 +243,13 @@
         Some(timeout.min(route.target_latency * MAX_TIMEOUT_TARGETS).min(left / 2))
     }
 
+    /// Returns the time in which the first event of a stream has to arrive while another answer is
+    /// kept for it: long enough for an attempt, and at most half of the time until the deadline.
+    pub fn first_event_timeout(&self, expected_wait: Duration) -> Duration {
+        let left = self.deadline().saturating_duration_since(Instant::now());
+        self.attempt_timeout(expected_wait).unwrap_or(left / 2)
+    }
+
     /// Returns the id of the event after which the caller asked to resume the stream.
     pub const fn resume_after(&self) -> Option<EventId> {
         self.request.resume_after
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -52,6 +52,7 @@
     hawthornmount_http::StatusCode,
     http_body_util::BodyExt,
     parking_lot::Mutex,
+    race::Answer,
     relay::Relay,
     std::{
         panic::AssertUnwindSafe,
@@ -156,11 +157,43 @@
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         match self.try_servers(&job, &mut progress).await {
-            Ok((attempt, success)) => self.respond(job, progress, attempt, success).await,
+            Ok(answer) => self.respond_with(job, progress, answer).await,
             Err(problem) => self.failure_response(progress, problem),
         }
     }
 
+    /// Returns the response to the caller: the answer, or the one that was kept for it if the answer
+    /// fails before its first event.
+    async fn respond_with(
+        self: &Arc<Self>,
+        job: Arc<Job>,
+        progress: Progress,
+        answer: Answer,
+    ) -> Result<Response, Problem> {
+        let Answer { attempt, success, spare } = answer;
+        let Some((spare, spare_success)) = spare else {
+            return self.respond(job, progress, attempt, success).await;
+        };
+        let kept = Progress {
+            attempts: progress.attempts,
+            may_have_run: true,
+            level: spare.level,
+            ..Progress::default()
+        };
+        let wait = job.first_event_timeout(attempt.expected_wait);
+        let better = self.respond(job.clone(), progress, attempt, success);
+        match tokio::time::timeout(wait, better).await {
+            Ok(Ok(response)) if response.status().is_success() => Ok(response),
+            _ => {
+                log::info!(
+                    "delivers an answer of low confidence, the better one failed; id={}",
+                    job.id
+                );
+                self.respond(job, kept, spare, spare_success).await
+            }
+        }
+    }
+
     /// Returns the shared number of instances, which the follower of the store updates.
     pub fn fleet_size(&self) -> Size {
         self.fleet_size.clone()
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -22,6 +22,16 @@
     tokio::time::timeout_at,
 };
 
+/// The answer to a request.
+pub struct Answer {
+    /// Attempt at the server that answers.
+    pub attempt: Attempt,
+    /// The answer.
+    pub success: Success,
+    /// An answer of low confidence, which is kept until the other one's first event.
+    pub spare: Option<(Attempt, Success)>,
+}
+
 /// An answer that has begun.
 pub struct Begun {
     /// Attempt at the server that answers.
@@ -39,21 +49,25 @@
         &self,
         job: &Job,
         progress: &mut Progress,
-    ) -> Result<(Attempt, Success), Problem> {
+    ) -> Result<Answer, Problem> {
         let mut handover = Handover::default();
         let raced = self.race_servers(job, progress, &mut handover);
         let result = timeout_at(job.deadline().into(), raced).await;
         let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
         self.end_attempts(job, progress, &mut handover);
-        result.or_else(|problem| {
-            let Some((attempt, success)) = handover.take_answer() else {
+        let spare = handover.take_answer();
+        match (result, spare) {
+            (Ok((attempt, success)), spare) => Ok(Answer { attempt, success, spare }),
+            (Err(_), Some((attempt, success))) => {
+                // A stream that breaks is resumed with the model that began it.
+                progress.level = attempt.level;
+                Ok(Answer { attempt, success, spare: None })
+            }
+            (Err(problem), None) => {
                 log_unanswered(job, progress);
-                return Err(problem);
-            };
-            // A stream that breaks is resumed with the model that began it.
-            progress.level = attempt.level;
-            Ok((attempt, success))
-        })
+                Err(problem)
+            }
+        }
     }
 
     /// Tries servers until one gives a response that can be returned to the caller. A server that
