Blame a request at once only if it came more often than a caller's own retry

A request that came twice is now judged 1.5 s after its last end, like one that came once; one that came three times is still blamed at once.

Tests: came_twice_and_others_may_explain_it failed before; the case that a request in two calls is blamed at once becomes came_twice (blamed once settled) and comes_again_and_again (three calls, at once).

--- a/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
@@ -13,8 +13,9 @@
 const MIN_PART_REQUESTS: usize = 2;
 /// Number of servers that have to end under a request before it is blamed.
 pub const MIN_REQUEST_SERVERS: usize = 3;
-/// Number of times that it has to come for that, as long as others may still explain its ends.
-const MIN_REPEATS: usize = 2;
+/// Number of times that it has to come for that, as long as others may still explain its ends. Callers
+/// send a sound request again once.
+const MIN_REPEATS: usize = 3;
 /// Number of servers that one answer which went on outweighs.
 pub const SERVERS_PER_PROOF: usize = 4;
 /// Number of servers from which it is no coincidence that requests ran beside others.
