--- a/crates/hawthornmount-gateway/src/quarantine/verdict/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/mod.rs
@@ -3,8 +3,8 @@
 //! A server ends once, under one request, but the answers of other requests break off in the same
 //! moment, and a request has several parts. Everything against which there is enough evidence is a
 //! candidate; candidates whose ends others explain are acquitted. Requests are judged first
-//! ([`request`]): the same request seldom breaks at several servers by coincidence. A part is to blame
-//! if servers ended under different requests with it ([`part`]).
+//! (`request`): the same request seldom breaks at several servers by coincidence. A part is to blame
+//! if servers ended under different requests with it (`part`).
 
 mod candidate;
 mod part;
