--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -41,6 +41,7 @@
         view::Cell,
     },
     attempt::{Attempt, Success},
+    futures::FutureExt,
     hawthornmount_core::{
         id::{RegionId, ServiceId},
         metrics::Metrics,
@@ -51,8 +52,10 @@
     hawthornmount_http::StatusCode,
     http_body_util::BodyExt,
     parking_lot::Mutex,
+    race::Answer,
     relay::Relay,
     std::{
+        panic::AssertUnwindSafe,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -134,17 +137,63 @@
     /// # Errors
     ///
     /// Returns a problem if no server responded in time; it states whether the request may have
-    /// run.
+    /// run. A panic is reported as a problem, too.
     pub async fn run(self: &Arc<Self>, job: Job) -> Result<Response, Problem> {
         let job = Arc::new(job);
+        // What outlives the request is consistent after unwinding: it is changed under locks that are
+        // held for single operations, and counted by guards.
+        let caught = AssertUnwindSafe(self.run_job(job.clone())).catch_unwind().await;
+        caught.unwrap_or_else(|_panic| {
+            log::error!(
+                "internal error while a request was forwarded, report it; id={} route={}",
+                job.id,
+                job.route.id
+            );
+            Err(internal_error())
+        })
+    }
+
+    async fn run_job(self: &Arc<Self>, job: Arc<Job>) -> Result<Response, Problem> {
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
         self.with_budget(&job.service, |budget, now| budget.record_request(now));
         match self.try_servers(&job, &mut progress).await {
-            Ok((attempt, success)) => self.respond(job, progress, attempt, success).await,
+            Ok(answer) => self.respond_with(job, progress, answer).await,
             Err(problem) => self.failure_response(progress, problem),
         }
     }
 
+    /// Returns the response to the caller: the answer, or the one that was kept for it if the answer
+    /// fails before its first event.
+    async fn respond_with(
+        self: &Arc<Self>,
+        job: Arc<Job>,
+        progress: Progress,
+        answer: Answer,
+    ) -> Result<Response, Problem> {
+        let Answer { attempt, success, spare } = answer;
+        let Some((spare, spare_success)) = spare else {
+            return self.respond(job, progress, attempt, success).await;
+        };
+        let kept = Progress {
+            attempts: progress.attempts,
+            may_have_run: true,
+            level: spare.level,
+            ..Progress::default()
+        };
+        let wait = job.first_event_timeout(attempt.expected_wait);
+        let better = self.respond(job.clone(), progress, attempt, success);
+        match tokio::time::timeout(wait, better).await {
+            Ok(Ok(response)) if response.status().is_success() => Ok(response),
+            _ => {
+                log::info!(
+                    "delivers an answer of low confidence, the better one failed; id={}",
+                    job.id
+                );
+                self.respond(job, kept, spare, spare_success).await
+            }
+        }
+    }
+
     /// Returns the shared number of instances, which the follower of the store updates.
     pub fn fleet_size(&self) -> Size {
         self.fleet_size.clone()
@@ -314,6 +363,11 @@
     Problem::new(Refusal::ServerFailed, "the server failed")
 }
 
+/// Returns the problem of a request that was not forwarded to its end because of a bug.
+fn internal_error() -> Problem {
+    Problem::new(Refusal::Internal, "the instance failed: report it").execution_unknown()
+}
+
 /// Returns the problem of a request whose key can't be confirmed because the configuration is too
 /// old.
 pub fn key_unconfirmed() -> Problem {
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -5,10 +5,15 @@
         Forwarder, Job, Progress,
         attempt::{Attempt, Outcome, Success},
         deadline_exceeded,
+        guard::WaitGuard,
         handover::{Event, Handover},
         key_unconfirmed, obstacle, server_failed,
     },
-    crate::{message::EventId, rollout::evidence::Signal},
+    crate::{
+        message::EventId,
+        rollout::{Phase, evidence::Signal, waits::Wait},
+        time,
+    },
     hawthornmount_core::{
         problem::Problem,
         reason::{Refusal, Retry},
@@ -17,6 +22,16 @@
     tokio::time::timeout_at,
 };
 
+/// The answer to a request.
+pub struct Answer {
+    /// Attempt at the server that answers.
+    pub attempt: Attempt,
+    /// The answer.
+    pub success: Success,
+    /// An answer of low confidence, which is kept until the other one's first event.
+    pub spare: Option<(Attempt, Success)>,
+}
+
 /// An answer that has begun.
 pub struct Begun {
     /// Attempt at the server that answers.
@@ -34,21 +49,25 @@
         &self,
         job: &Job,
         progress: &mut Progress,
-    ) -> Result<(Attempt, Success), Problem> {
+    ) -> Result<Answer, Problem> {
         let mut handover = Handover::default();
         let raced = self.race_servers(job, progress, &mut handover);
         let result = timeout_at(job.deadline().into(), raced).await;
         let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
         self.end_attempts(job, progress, &mut handover);
-        result.or_else(|problem| {
-            let Some((attempt, success)) = handover.take_answer() else {
+        let spare = handover.take_answer();
+        match (result, spare) {
+            (Ok((attempt, success)), spare) => Ok(Answer { attempt, success, spare }),
+            (Err(_), Some((attempt, success))) => {
+                // A stream that breaks is resumed with the model that began it.
+                progress.level = attempt.level;
+                Ok(Answer { attempt, success, spare: None })
+            }
+            (Err(problem), None) => {
                 log_unanswered(job, progress);
-                return Err(problem);
-            };
-            // A stream that breaks is resumed with the model that began it.
-            progress.level = attempt.level;
-            Ok((attempt, success))
-        })
+                Err(problem)
+            }
+        }
     }
 
     /// Tries servers until one gives a response that can be returned to the caller. A server that
@@ -189,6 +208,22 @@
         }
     }
 
+    /// Counts a request as waiting, while a roll-out compares the versions. As for latencies, the
+    /// requests of a trial are not compared.
+    pub(super) fn begin_wait(&self, job: &Job, attempt: &Attempt) -> Option<WaitGuard> {
+        let view = self.cell.load();
+        let split = view.split(&job.service)?;
+        let is_compared = split.phase < Phase::Full && !attempt.is_trial;
+        let wait = || Wait {
+            service: job.service.clone(),
+            version: attempt.server.version.clone(),
+            route: job.route.id.clone(),
+            uncached_tokens: attempt.uncached_tokens,
+            sent_at: time::now(),
+        };
+        is_compared.then(|| WaitGuard::new(&self.evidence, wait()))
+    }
+
     /// Records the time until a server began its response.
     fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
         let model = job.model(attempt.level);
--- a/crates/hawthornmount-gateway/src/rollout/driver/report.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/report.rs
@@ -14,6 +14,7 @@
             evidence::{FailureComparison, Report},
             latency::{self, LatencyComparison},
             plan,
+            waits::LateComparison,
         },
         time,
     },
@@ -37,6 +38,10 @@
 const MIN_REPORTED_SHIFT: f64 = 0.3;
 /// Minimum interval between two reports of an instance.
 const REPORT_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum interval between two reports of an instance to the one that it follows, while the version
+/// gets a share of the sessions. In a large fleet each instance sees few responses of the version,
+/// which count only together.
+const FOLLOWER_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which an instance repeats its report that requests still run on the old version.
 const RUNS_OLD_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time in the full phase after which an instance reports that requests still run on the old
@@ -84,22 +89,28 @@
     }
 
     /// Returns the report on the evidence that this instance has collected.
-    pub(super) fn own_report(&self, service: &ServiceId, version: &VersionId) -> Report {
-        let collector = self.sources.collector.lock();
+    pub(super) fn own_report(
+        &self,
+        service: &ServiceId,
+        version: &VersionId,
+        now: Instant,
+    ) -> Report {
+        let mut collector = self.sources.collector.lock();
         Report {
             version: Some(version.clone()),
             failures: collector.failures(service, version),
             latencies: collector.latencies(service, version),
+            late: collector.waits.compare(service, version, now),
             runs_old: false,
             reporters: vec![self.reporter.clone()],
         }
     }
 
     /// Returns the report on the evidence of this instance and of those that follow it.
-    pub(super) fn merged_report(&self, row: &Row, version: &VersionId) -> Report {
+    pub(super) fn merged_report(&self, row: &Row, version: &VersionId, now: Instant) -> Report {
         let is_same_version = |report: &&Report| report.version.as_ref() == Some(version);
         let delivered = row.delivered.iter().map(|delivered| &delivered.report.report);
-        let own = self.own_report(&row.service, version);
+        let own = self.own_report(&row.service, version, now);
         delivered.filter(is_same_version).fold(own, Report::merge)
     }
 
@@ -126,15 +137,23 @@
             && self.is_old_version_running(&row.service, &version, servers);
         let (mut report, runs_old, reporters) = match part {
             Part::Reader { readers } => (
-                self.merged_report(row, &version),
+                self.merged_report(row, &version, now),
                 own_runs_old || row.followers_run_old(is_recent),
                 readers,
             ),
-            Part::Follower => (self.own_report(&row.service, &version), own_runs_old, 1),
+            Part::Follower => (self.own_report(&row.service, &version, now), own_runs_old, 1),
         };
         report.runs_old = runs_old;
         let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
+        let is_followed = part == Part::Follower && matches!(phase, Phase::Probe | Phase::Widening);
         let is_due = match last {
+            last if is_followed => {
+                let count = last.map_or(0, |last| last.report.comparison_count());
+                let has_more = report.comparison_count() > count;
+                let is_urgent = has_more
+                    || report.failure_count() > last.map_or(0, |last| last.report.failure_count());
+                is_urgent && last.is_none_or(|last| now >= last.at + FOLLOWER_REPORT_INTERVAL)
+            }
             None => {
                 is_report_urgent(&report, &Report::default())
                     || runs_old
@@ -194,11 +213,13 @@
 pub(super) fn describe_evidence<'a>(
     failures: impl Iterator<Item = &'a FailureComparison>,
     latencies: impl Iterator<Item = &'a LatencyComparison>,
+    late: impl Iterator<Item = &'a LateComparison>,
 ) -> String {
     let compared = latencies.filter(|latency| latency.new.count > 0 && latency.old.count > 0);
     let parts: Vec<String> = failures
         .map(FailureComparison::to_string)
         .chain(compared.map(LatencyComparison::to_string))
+        .chain(late.map(LateComparison::to_string))
         .collect();
     parts.join(" ")
 }
