--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -54,8 +54,6 @@
     pub prefill_ms: f64,
     /// Wait that was expected when the server was chosen.
     pub expected_wait: Duration,
-    /// Whether the server ended right after it began to answer.
-    pub has_ended_server: bool,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
     /// Marks when the request may have reached the server.
@@ -83,26 +81,34 @@
     pub(super) fn record_silence(&mut self, attempt: &Attempt) {
         self.tried.push(attempt.server.id.clone());
         self.retry_reason = Some(Retry::ServerTimeout);
+        self.replacement = Some(Retry::ServerTimeout);
     }
 
     /// Records the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
-        self.ended_servers += u32::from(attempt.has_ended_server);
         self.tried.push(attempt.server.id.clone());
+        if !matches!(outcome, Outcome::Success(_) | Outcome::Unknown(Retry::ServerTimeout)) {
+            self.failed.push(attempt.server.id.clone());
+        }
         self.may_have_run |=
             matches!(outcome, Outcome::Success(_) | Outcome::Failed(_) | Outcome::Unknown(_));
-        self.retry_reason = match outcome {
+        let reason = match outcome {
             Outcome::Success(_) | Outcome::KeyUnconfirmed => return,
             Outcome::Failed(_) => Some(Retry::ServerError),
             Outcome::Unknown(cause) => Some(*cause),
-            Outcome::Refused => Some(Retry::ServerRefused),
+            Outcome::Refused => {
+                self.record_refusal();
+                Some(Retry::ServerRefused)
+            }
             Outcome::Unsent => {
                 // A server to which nothing was sent doesn't count as an attempt.
                 self.attempts -= 1;
                 Some(Retry::Connect)
             }
         };
+        self.retry_reason = reason;
+        self.replacement = reason;
     }
 }
 
@@ -209,6 +215,7 @@
                 }
                 Err(failure) => {
                     self.record_failure(job, server, &failure.to_string());
+                    self.record_unanswered(job, server);
                     return Outcome::Unknown(Retry::CutAnswer);
                 }
             }
@@ -308,7 +315,7 @@
                         }
                         Err(cause) => {
                             self.record_failure(job, server, &cause);
-                            attempt.has_ended_server = self.record_break(job, server, &start);
+                            self.record_break(job, server, &start);
                             return Outcome::Unknown(Retry::CutAnswer);
                         }
                     }
@@ -405,11 +412,12 @@
     /// Logs a failure of a server and records it in the load statistics.
     pub(super) fn record_failure(&self, job: &Job, server: &Server, cause: &str) {
         log::info!(
-            "server failed; id={} route={} server={} version={} cause={cause}",
+            "server failed; id={} route={} server={} version={} digest={:016x} cause={cause}",
             job.id,
             job.route.id,
             server.id,
-            server.version
+            server.version,
+            job.digest
         );
         self.loads.lock().stats(&server.id).record_failure(Instant::now());
     }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -1,17 +1,18 @@
 //! A request that is forwarded to servers, and the progress of its attempts.
 
 use {
+    super::obstacle::Obstacle,
     crate::{
         cascade::{self, Level},
         filter::{Exchange, Response},
-        message::{EventId, RequestHead},
+        message::{Digest, EventId, RequestHead},
         rollout::plan,
         route::Entry,
         view::{Principal, View},
     },
     bytes::Bytes,
     hawthornmount_core::{
-        config::Rank,
+        config::{Rank, Route},
         id::{ModelId, RequestId, ServerId, ServiceId},
         reason::Retry,
     },
@@ -52,6 +53,8 @@
     pub service: ServiceId,
     /// Account of the caller.
     pub principal: Option<Principal>,
+    /// Digest of the request, which is the same whenever its caller sends it again.
+    pub digest: Digest,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time until which the caller waits; the timeout of the route if the caller states none.
@@ -63,12 +66,14 @@
 pub struct Progress {
     /// Number of attempts in which the request was, or may have been, sent to a server.
     pub attempts: u32,
-    /// Servers that are excluded from further attempts.
+    /// Servers that were tried; they are not tried again while another one is left.
     pub tried: Vec<ServerId>,
+    /// Servers among them that failed on the request or refused it; they are not tried again.
+    pub failed: Vec<ServerId>,
+    /// Number of refusals by servers since the request may have run.
+    pub refusals: u32,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
-    /// Number of servers that ended right after they began to answer.
-    pub ended_servers: u32,
     /// Attempts that are still running.
     pub pending: Vec<Marker>,
     /// Level of the cascade whose model is requested, if the router chooses the model.
@@ -77,6 +82,10 @@
     pub server_failure: Option<Response>,
     /// Reason for the next attempt, if the request is retried.
     pub retry_reason: Option<Retry>,
+    /// How the last attempt ended that was to replace a server, if it has ended.
+    pub replacement: Option<Retry>,
+    /// Why the request was not sent to another server, if that was tried last.
+    pub obstacle: Option<Obstacle>,
 }
 
 /// Marks when the request of an attempt may have reached its server.
@@ -116,6 +125,38 @@
         self.pending.retain(|pending| !pending.is_same(marker));
     }
 
+    /// Removes an attempt that is given up before it has ended.
+    pub fn abandon(&mut self, marker: &Marker) {
+        self.may_have_run |= marker.sent_at().is_some();
+        self.end(marker);
+    }
+
+    /// Records that a server refused the request. A refusal counts as an attempt as long as the
+    /// request itself can be refused; after that, refusals are counted on their own.
+    pub fn record_refusal(&mut self) {
+        if self.may_run() {
+            self.attempts -= 1;
+            self.refusals += 1;
+        }
+    }
+
+    /// Returns whether the request may be sent to servers that were not tried, of which too many may
+    /// have refused it.
+    pub const fn may_ask_others(&self, route: &Route) -> bool {
+        self.refusals < route.attempts
+    }
+
+    /// Returns whether servers that were only silent can be tried again: none of the servers works
+    /// on the request.
+    pub fn can_go_back(&self) -> bool {
+        self.pending.is_empty() && self.tried.iter().any(|server| !self.failed.contains(server))
+    }
+
+    /// Returns whether a server that was only silent may take the request later.
+    pub fn can_wait(&self) -> bool {
+        self.can_go_back() && self.obstacle.is_some_and(Obstacle::is_temporary)
+    }
+
     /// Returns whether a server may have run the request, or may do so now.
     pub fn may_run(&self) -> bool {
         self.may_have_run || self.pending.iter().any(|marker| marker.sent_at().is_some())
@@ -138,6 +179,7 @@
             route,
             service,
             principal: exchange.principal.clone(),
+            digest: digest(exchange),
             arrived: exchange.arrived,
             caller_deadline: exchange.arrived + wait,
         }
@@ -206,3 +248,21 @@
         self.request.resume_after
     }
 }
+
+/// Returns the digest of a request over its method, path, account and body. Each part is preceded by
+/// its length, so that no two different requests are joined to the same bytes.
+fn digest(exchange: &Exchange) -> Digest {
+    let head = &exchange.head;
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let account = exchange.principal.as_ref().map_or("", |principal| &*principal.account);
+    let mut hasher = blake3::Hasher::new();
+    for part in
+        [head.method.as_str().as_bytes(), target.as_bytes(), account.as_bytes(), &exchange.body]
+    {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = [0; size_of::<Digest>()];
+    hasher.finalize_xof().fill(&mut digest);
+    Digest::from_le_bytes(digest)
+}
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -1,35 +1,46 @@
 //! Connections from callers.
 
 use {
-    super::{accept, activity::Activity, response},
+    super::{
+        accept,
+        activity::{Activity, Phase},
+        linger, response,
+        transport::{HeadTooLarge, Transport},
+    },
     crate::{
         filter::{self, Exchange, Filter, Response},
         instance::Components,
     },
     hawthornmount_core::{config::Limits, id, problem::Problem},
-    hawthornmount_http::connection::meter::{Allowance, Meter},
+    hawthornmount_http::connection::{
+        describe,
+        meter::{Allowance, Meter},
+    },
     http::header,
-    http_body::Body,
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
         convert::Infallible,
-        pin::pin,
-        sync::{Arc, OnceLock},
+        pin::Pin,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::net::{TcpListener, TcpStream},
 };
 
-/// Smallest read buffer that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// Size to which the buffers of a connection may grow, in bytes: the largest head that a later
+/// configuration can allow on it.
+const MAX_BUFFER_BYTES: usize = 256 << 10;
 
 /// Bytes by which the framing of a small body may exceed it.
 const MIN_FRAMING_BYTES: usize = 64 << 10;
 
-/// Longest interval at which the idle time of a connection is compared with the limit, which a
-/// configuration can lower.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest interval at which a connection is compared with its time limits, which a configuration can
+/// lower.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Name of the connections from callers among the parts that drop something.
+const PART: &str = "caller";
 
 /// HTTP service for callers.
 struct Frontend {
@@ -48,58 +59,101 @@
 }
 
 impl Frontend {
-    /// Serves one connection until it has been idle for the limit of the configuration in force. When
-    /// the instance stops, requests in flight are completed before the connection is closed.
+    /// Serves one connection until it reaches a time limit of the configuration in force. When the
+    /// instance stops, requests that arrive or are in flight are completed before the connection is
+    /// closed.
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         let limits = self.limits();
-        let head_bytes = limits.head_bytes;
         let allowance = Allowance::default();
         allowance.set_whole(max_request_bytes(&limits));
-        let stream = Meter::new(stream, allowance.clone());
-        let activity = Activity::new();
-        // Counts the connection from its first request until it is closed.
-        let serving = Arc::new(OnceLock::new());
-        let (frontend, active, first) = (self.clone(), activity.clone(), serving.clone());
+        let activity = Activity::new(self.components.serving.clone());
+        let meter = Meter::new(stream, allowance.clone());
+        let stream = Transport::new(meter, activity.clone(), self.components.cell.clone());
+        let (frontend, active, allowed) = (self.clone(), activity.clone(), allowance.clone());
         let service = service_fn(move |request| {
-            allowance.set_whole(max_request_bytes(&frontend.limits()));
-            first.get_or_init(|| frontend.components.serving.enter());
-            let (frontend, guard) = (frontend.clone(), active.enter());
+            allowed.set_whole(max_request_bytes(&frontend.limits()));
+            let (frontend, active, guard) = (frontend.clone(), active.clone(), active.enter());
             async move {
-                let response = frontend.handle(request).await;
+                let response = frontend.handle(request, &active).await;
                 Ok::<_, Infallible>(response::with_guard(response, guard))
             }
         });
-        let connection = http1::Builder::new()
-            .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        let mut connection = http1::Builder::new()
+            .max_buf_size(limits.head_bytes.max(MAX_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
-        let result = tokio::select! {
-            // A request that has arrived is read before the connection counts as idle.
-            biased;
-            result = connection.as_mut() => result,
-            () = self.wait_for_closing() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-            () = self.wait_for_idle_limit(&activity) => {
-                log::debug!("closed an idle connection of a caller");
-                return;
-            }
+        let close = http1::Connection::graceful_shutdown;
+        let Some(result) = self.drive(&mut connection, close, &activity).await else {
+            self.report_end(&activity, "time_limit");
+            return;
         };
-        if let Err(error) = result {
-            log::debug!("connection from a caller failed; cause={error}");
+        let error = result.err();
+        if let Some(error) = &error {
+            self.report_end(&activity, &describe(error));
+        }
+        let into_stream = || connection.into_parts().io.into_inner().into_inner();
+        if error.as_ref().is_some_and(|error| HeadTooLarge::is_cause_of(error)) {
+            linger::refuse_head(into_stream(), &allowance).await;
+        } else if activity.has_unread_body() || error.is_some_and(|error| error.is_parse()) {
+            linger::discard(into_stream(), &allowance).await;
+        }
+    }
+
+    /// Runs a connection to its end, and returns `None` if it reached a time limit. `close` shuts it
+    /// down gracefully.
+    async fn drive<C>(
+        &self,
+        connection: &mut C,
+        close: fn(Pin<&mut C>),
+        activity: &Activity,
+    ) -> Option<hyper::Result<()>>
+    where
+        C: Future<Output = hyper::Result<()>> + Unpin,
+    {
+        let mut is_closing = false;
+        loop {
+            tokio::select! {
+                // A request that has arrived is read before the connection counts as idle.
+                biased;
+                result = &mut *connection => return Some(result),
+                () = self.wait_for_closing(), if !is_closing => {
+                    is_closing = true;
+                    // The response to a request that is arriving closes the connection.
+                    if activity.snapshot(Instant::now()).phase != Phase::Receiving {
+                        close(Pin::new(connection));
+                    }
+                }
+                () = self.wait_for_limit(activity) => return None,
+            }
         }
     }
 
-    /// Waits until a connection has been idle for the limit of the configuration in force.
-    async fn wait_for_idle_limit(&self, activity: &Activity) {
+    /// Logs the end of a connection by a limit or an error. Only a connection that was not idle can have
+    /// lost a request or a response.
+    fn report_end(&self, activity: &Activity, cause: &str) {
+        let end = activity.snapshot(Instant::now());
+        if end.phase == Phase::Idle {
+            log::debug!("closed an idle connection of a caller; cause={cause}");
+            return;
+        }
+        self.components.metrics.count_drop(PART, &end.phase.to_string());
+        log::info!(
+            "lost a connection of a caller; phase={} bytes={} phase_ms={} last_id={} cause={cause}",
+            end.phase,
+            end.bytes,
+            end.age.as_millis(),
+            end.last_request.as_deref().unwrap_or("none")
+        );
+    }
+
+    /// Waits until a connection has reached a time limit of the configuration in force.
+    async fn wait_for_limit(&self, activity: &Activity) {
         loop {
-            let left =
-                self.limits().idle_timeout.saturating_sub(activity.idle_time(Instant::now()));
-            if left.is_zero() {
+            let left = activity.time_left(&self.limits(), Instant::now());
+            if left.is_some_and(|left| left.is_zero()) {
                 return;
             }
-            tokio::time::sleep(left.min(IDLE_CHECK_INTERVAL)).await;
+            let pause = left.unwrap_or(LIMIT_CHECK_INTERVAL).min(LIMIT_CHECK_INTERVAL);
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -116,18 +170,20 @@
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response {
+    async fn handle(&self, request: Request<Incoming>, activity: &Activity) -> Response {
         let arrived = Instant::now();
         let in_flight = self.components.in_flight.enter();
         let (head, incoming) = request.into_parts();
         let request = self.components.dialect.parse_request(&head);
         let id = request.id.clone().unwrap_or_else(|| id::generate("r"));
+        activity.set_request(&id);
         let mut exchange = Exchange {
             id,
             arrived,
             head,
             incoming: Some(incoming),
             body: bytes::Bytes::new(),
+            is_body_abandoned: false,
             request,
             view: self.components.cell.load(),
             route: None,
@@ -135,7 +191,10 @@
             response: None,
         };
         let outcome = self.run(&mut exchange).await;
-        let has_unread_body = exchange.incoming.as_ref().is_some_and(|body| !body.is_end_stream());
+        let has_unread_body = exchange.has_unread_body();
+        if has_unread_body {
+            activity.set_unread_body();
+        }
         let mut response = match outcome {
             Ok(response) => response,
             Err(problem) => {
@@ -174,6 +233,5 @@
 /// Returns the largest number of bytes that a caller may send from the head of a request to the
 /// head of the next one. The framing of a body may be as large as the body.
 fn max_request_bytes(limits: &Limits) -> usize {
-    let head = limits.head_bytes.max(MIN_BUFFER_BYTES);
-    2 * (head + limits.body_bytes) + MIN_FRAMING_BYTES
+    2 * (limits.head_bytes + limits.body_bytes) + MIN_FRAMING_BYTES
 }
