Log the rate limits that servers state, and what is sent there

An attempt that succeeds left no line, and nothing showed what a server had stated, so the log could not tell a statement that is not read from one that some attempts pass. A line for each change of a limit and for each attempt at a server with one, with the reason of the attempt, and a gauge. No decision depends on it yet.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -56,6 +56,8 @@
     pub expected_wait: Duration,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
+    /// Why the request is sent again; `None` for the first attempt.
+    pub cause: Option<Retry>,
     /// Marks when the request may have reached the server.
     pub marker: Marker,
 }
@@ -200,6 +202,7 @@
                 &job.request.prompt,
                 Instant::now(),
             );
+            self.log_limited(job, attempt);
             attempt.marker.set_sent();
             attempt.reported_load = None;
             let wait = self.begin_wait(job, attempt);
@@ -226,6 +229,19 @@
         }
     }
 
+    /// Logs an attempt at a server that states a rate limit.
+    fn log_limited(&self, job: &Job, attempt: &Attempt) {
+        if let Some(rate) = self.limits.rate(&attempt.server) {
+            log::info!(
+                "sent to a server with a rate limit; id={} route={} server={} rate={rate} cause={}",
+                job.id,
+                job.route.id,
+                attempt.server.id,
+                attempt.cause.map_or("first", Retry::as_str),
+            );
+        }
+    }
+
     /// Returns whether the key of a request is valid under a configuration that is recent enough.
     /// The key is checked against the current configuration, because the request may have waited
     /// since its key was looked up.
@@ -275,6 +291,11 @@
             self.record_statements(job, server, &head, now);
         }
         let class = classify(&job.id, parts.status, &head, is_reused);
+        let is_answer =
+            !matches!(class, Class::Invalid(_)) && parts.status != StatusCode::MISDIRECTED_REQUEST;
+        if let Some(sent_at) = attempt.marker.sent_at().filter(|_| is_answer) {
+            self.limits.record_answer(&job.id, server, head.rate_limit, sent_at);
+        }
         if let Class::Invalid(cause) = class {
             self.record_failure(job, server, cause.as_str());
             return Outcome::Unknown(cause);
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -25,6 +25,7 @@
         cascade::{self, Estimate},
         filter::{Body, Exchange, Response},
         freshness::Freshness,
+        limit,
         load::{PrefillTimes, Tracker},
         membership::Size,
         message::Dialect,
@@ -83,6 +84,7 @@
     exposure: Mutex<Exposure>,
     evidence: Arc<Mutex<Collector>>,
     quarantine: Arc<Monitor>,
+    limits: Arc<limit::monitor::Monitor>,
     retries: Retries,
     fleet_size: Size,
     data_centre: Arc<str>,
@@ -99,6 +101,7 @@
         metrics: Metrics,
     ) -> Self {
         let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
+        let limits = limit::monitor::Monitor::new(metrics.clone());
         Self {
             cell,
             freshness,
@@ -111,6 +114,7 @@
             exposure: Mutex::default(),
             evidence: Arc::default(),
             quarantine: Arc::new(quarantine),
+            limits: Arc::new(limits),
             retries: settings.retries.clone(),
             fleet_size: Size::default(),
             data_centre: settings.data_centre.clone(),
@@ -216,6 +220,7 @@
         let is_known = |id: &Arc<str>| view.has_server(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
+        self.limits.retain(is_known);
         self.quarantine.expire();
     }
 
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -60,6 +60,7 @@
             prefill_ms: f64::from(candidate.uncached_tokens) * candidate.token_prefill_ms,
             expected_wait: Duration::from_secs_f64(candidate.wait() / 1_000.0),
             reported_load: None,
+            cause: progress.retry_reason,
             marker: Marker::default(),
         })
     }
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod freshness;
 pub mod frontend;
 pub mod instance;
+pub mod limit;
 pub mod load;
 pub mod membership;
 pub mod message;
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -1,7 +1,7 @@
 //! Requests and responses as the gateway uses them, independent of the header names of a platform.
 
 use {
-    crate::load::Load,
+    crate::{limit::Rate, load::Load},
     hawthornmount_core::{
         config::Rank,
         id::{AccountId, ModelId, RequestId, ServerId, SessionId},
@@ -88,6 +88,8 @@
     pub is_leaving: bool,
     /// Time for which the server wants no requests of this instance, if it turned the request away.
     pub retry_after: Option<Duration>,
+    /// Requests a second that the server takes from the whole fleet, if it states a limit.
+    pub rate_limit: Option<Rate>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
     /// Time for which the server keeps an idle connection open.
