Log when an instance reaches no server

The log named each server that failed, hundreds of lines a second, but not whether any server was reached at the time, so it could not tell the instance's own links from servers that are down. No decision depends on it yet.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -187,7 +187,7 @@
     ) -> Outcome {
         let server = attempt.server.clone();
         let server = &server;
-        let in_flight = InFlightGuard::new(&self.loads, &server.id, job);
+        let in_flight = InFlightGuard::new(&self.loads, &server.id, job, &self.path);
         let _prefill = PrefillGuard::new(&self.loads, &server.id, attempt.prefill_ms);
         let mut pooled = self.pool.take(&server.id);
         let mut has_passed = false;
@@ -196,8 +196,14 @@
             let mut connection = match pooled.take() {
                 Some(connection) => connection,
                 None => match Connection::open(server.address, CONNECT_TIMEOUT).await {
-                    Ok(connection) => connection,
-                    Err(failure) => return self.record_unsent(job, server, &failure),
+                    Ok(connection) => {
+                        self.path.record_contact();
+                        connection
+                    }
+                    Err(failure) => {
+                        self.path.record_failure();
+                        return self.record_unsent(job, server, &failure);
+                    }
                 },
             };
             if !self.may_send(job) {
@@ -220,6 +226,7 @@
             let wait = self.begin_wait(job, attempt);
             match connection.send(request).await {
                 Ok(response) => {
+                    self.path.record_contact();
                     if let Some(wait) = wait {
                         wait.end(response.status().is_success());
                     }
@@ -233,6 +240,7 @@
                     }
                 }
                 Err(failure) => {
+                    self.path.record_failure();
                     self.record_failure(job, server, &failure.to_string());
                     self.record_unanswered(job, server);
                     return Outcome::Unknown(Retry::CutAnswer);
--- a/crates/hawthornmount-gateway/src/forward/guard.rs
+++ b/crates/hawthornmount-gateway/src/forward/guard.rs
@@ -4,6 +4,7 @@
     super::Job,
     crate::{
         load::Tracker,
+        path::monitor::{Monitor, Waiting},
         rollout::{
             evidence::Collector,
             waits::{Wait, WaitId},
@@ -20,10 +21,16 @@
     loads: Arc<Mutex<Tracker>>,
     server: ServerId,
     is_trial_sized: bool,
+    _waiting: Waiting,
 }
 
 impl InFlightGuard {
-    pub fn new(loads: &Arc<Mutex<Tracker>>, server: &ServerId, job: &Job) -> Self {
+    pub fn new(
+        loads: &Arc<Mutex<Tracker>>,
+        server: &ServerId,
+        job: &Job,
+        path: &Arc<Monitor>,
+    ) -> Self {
         let is_trial_sized = job.is_trial_sized();
         {
             let mut loads = loads.lock();
@@ -31,7 +38,8 @@
             stats.in_flight += 1;
             stats.trial_in_flight += u32::from(is_trial_sized);
         }
-        Self { loads: loads.clone(), server: server.clone(), is_trial_sized }
+        let (loads, server) = (loads.clone(), server.clone());
+        Self { loads, server, is_trial_sized, _waiting: path.wait() }
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -29,6 +29,7 @@
         load::{PrefillTimes, Tracker},
         membership::Size,
         message::Dialect,
+        path,
         pool::Pool,
         quarantine::monitor::Monitor,
         rollout::{
@@ -85,6 +86,7 @@
     evidence: Arc<Mutex<Collector>>,
     quarantine: Arc<Monitor>,
     limits: Arc<limit::monitor::Monitor>,
+    path: Arc<path::monitor::Monitor>,
     retries: Retries,
     fleet_size: Size,
     data_centre: Arc<str>,
@@ -102,6 +104,7 @@
     ) -> Self {
         let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
         let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone());
+        let path = path::monitor::Monitor::new(cell.clone(), metrics.clone());
         Self {
             cell,
             freshness,
@@ -115,6 +118,7 @@
             evidence: Arc::default(),
             quarantine: Arc::new(quarantine),
             limits: Arc::new(limits),
+            path: Arc::new(path),
             retries: settings.retries.clone(),
             fleet_size: Size::default(),
             data_centre: settings.data_centre.clone(),
@@ -218,6 +222,11 @@
         self.limits.clone()
     }
 
+    /// Returns the path to the servers, which the instance checks.
+    pub fn path(&self) -> Arc<path::monitor::Monitor> {
+        self.path.clone()
+    }
+
     /// Closes expired idle connections, and removes the connections and the load statistics of
     /// servers that are no longer in the view.
     pub fn sweep(&self) {
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -164,6 +164,7 @@
             match resumption {
                 Resumption::Continued => {}
                 Resumption::Events(bytes) => {
+                    self.forwarder.path.record_contact();
                     self.is_silent = false;
                     self.log_long_gap();
                     self.relayed += 1;
@@ -311,6 +312,7 @@
             self.record_failure(cause);
             self.exclude_server();
             if cause == Retry::CutAnswer {
+                self.forwarder.path.record_failure();
                 self.record_break();
             }
             self.give_up();
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -202,6 +202,10 @@
             tokio::spawn(frontend::serve_callers(callers.listener, components.clone())),
             tokio::spawn(frontend::serve_operators(readiness.listener, components.clone())),
             tokio::spawn(sweep(components.forwarder.clone())),
+            tokio::spawn({
+                let path = components.forwarder.path();
+                async move { path.run().await }
+            }),
         ];
         if let Some(address) = components.settings.operators {
             let operators = frontend::listen(address).await?;
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod load;
 pub mod membership;
 pub mod message;
+pub mod path;
 pub mod pool;
 pub mod quarantine;
 pub mod registry;
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -154,7 +154,8 @@
         self.all_servers().any(|server| *server.id == *id && server.start_ms == start_ms)
     }
 
-    fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
+    /// Returns the servers of all services that accept requests.
+    pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.endpoints.iter().flat_map(|endpoints| &endpoints.servers)
     }
 
