--- a/crates/hawthornmount-core/src/reason/mod.rs
+++ b/crates/hawthornmount-core/src/reason/mod.rs
@@ -93,6 +93,8 @@
         ServerRefused = "server_refused",
         /// The rate limit of the server had no room for the request.
         RateLimited = "rate_limited",
+        /// Another instance, to which the request was passed, did not forward it.
+        NeighbourDeclined = "neighbour_declined",
         /// The server failed on a request that may be repeated.
         ServerError = "server_error",
         /// The server timed out on a request that may be repeated.
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -38,6 +38,8 @@
 pub struct Exchange {
     /// Id of the request, given by the caller or generated.
     pub id: RequestId,
+    /// Whether another instance passed the request to this one.
+    pub is_passed: bool,
     /// Time at which the head of the request was read.
     pub arrived: Instant,
     /// Method, path and headers of the request.
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -11,6 +11,7 @@
     crate::{
         limit,
         membership::Membership,
+        path,
         quarantine::monitor::Monitor,
         registry::{Registry, Server},
         relay::message::InFlight,
@@ -45,6 +46,8 @@
     quarantine: Option<Arc<Monitor>>,
     /// Limits of servers, which this instance exchanges with others.
     limits: Option<Arc<limit::monitor::Monitor>>,
+    /// Path to the servers, which may lead through other instances.
+    path: Option<Arc<path::monitor::Monitor>>,
     stamp: Stamp,
     /// When this instance saw the last change of the era.
     era_began: Option<Instant>,
@@ -64,6 +67,7 @@
             membership,
             quarantine: None,
             limits: None,
+            path: None,
             stamp: Stamp::default(),
             era_began: None,
             applied: Vec::new(),
@@ -84,6 +88,13 @@
         self
     }
 
+    /// Lets requests be passed to the known instances.
+    #[must_use]
+    pub fn with_path(mut self, path: Arc<path::monitor::Monitor>) -> Self {
+        self.path = Some(path);
+        self
+    }
+
     /// Returns the limits of servers, if they are exchanged.
     pub const fn limits(&self) -> Option<&Arc<limit::monitor::Monitor>> {
         self.limits.as_ref()
@@ -278,8 +289,12 @@
         }
     }
 
-    /// Divides the limits of servers among the known instances.
+    /// Divides the limits of servers among the known instances, and lets requests be passed to them.
     fn publish_members(&self) {
+        if let Some(path) = &self.path {
+            path.set_secret(self.membership.secret());
+            path.set_neighbours(self.membership.neighbours());
+        }
         if let (Some(limits), Some(members)) = (&self.limits, self.membership.names()) {
             limits.set_members(members);
         }
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -11,6 +11,7 @@
         filter::Response,
         load::Load,
         message::{EventId, ForwardHead, ResponseHead},
+        path::neighbour::Neighbour,
         quarantine::start::Start,
         registry::Server,
         sse::MAX_EVENT_BYTES,
@@ -43,6 +44,8 @@
 pub struct Attempt {
     /// The server.
     pub server: Arc<Server>,
+    /// Instance to which the request is passed in place of a server; `server` is its address then.
+    pub neighbour: Option<Arc<Neighbour>>,
     /// Level of the cascade whose model is requested, if the router chooses the model.
     pub level: Option<Level>,
     /// Whether the request is part of the trial of a version, which fills one server after the
@@ -74,12 +77,21 @@
     Unsent,
     /// The rate limit of the server had no room, so nothing of the request was sent.
     Limited,
+    /// Another instance did not forward the request.
+    Declined,
     /// The request may have run.
     Unknown(Retry),
     /// The key could not be confirmed, so nothing of the request was sent.
     KeyUnconfirmed,
 }
 
+impl Attempt {
+    /// Returns whether the request is passed to another instance.
+    pub const fn is_passed(&self) -> bool {
+        self.neighbour.is_some()
+    }
+}
+
 impl Progress {
     /// Records that the server of an attempt that is still running is silent.
     pub(super) fn record_silence(&mut self, attempt: &Attempt) {
@@ -110,6 +122,11 @@
                 self.attempts -= 1;
                 Some(Retry::Connect)
             }
+            Outcome::Declined => {
+                self.attempts -= 1;
+                self.declines += 1;
+                Some(Retry::NeighbourDeclined)
+            }
             Outcome::Limited => {
                 self.attempts -= 1;
                 Some(Retry::RateLimited)
@@ -197,11 +214,11 @@
                 Some(connection) => connection,
                 None => match Connection::open(server.address, CONNECT_TIMEOUT).await {
                     Ok(connection) => {
-                        self.path.record_contact();
+                        self.record_contact(attempt);
                         connection
                     }
                     Err(failure) => {
-                        self.path.record_failure();
+                        self.record_link_failure(attempt);
                         return self.record_unsent(job, server, &failure);
                     }
                 },
@@ -216,7 +233,7 @@
                 Instant::now(),
             );
             // A connection that broke before anything was sent has passed already.
-            if !has_passed && !self.limits.pass(server) {
+            if !has_passed && !attempt.is_passed() && !self.limits.pass(server) {
                 return Outcome::Limited;
             }
             has_passed = true;
@@ -226,7 +243,7 @@
             let wait = self.begin_wait(job, attempt);
             match connection.send(request).await {
                 Ok(response) => {
-                    self.path.record_contact();
+                    self.record_contact(attempt);
                     if let Some(wait) = wait {
                         wait.end(response.status().is_success());
                     }
@@ -240,15 +257,31 @@
                     }
                 }
                 Err(failure) => {
-                    self.path.record_failure();
+                    self.record_link_failure(attempt);
                     self.record_failure(job, server, &failure.to_string());
-                    self.record_unanswered(job, server);
+                    if !attempt.is_passed() {
+                        self.record_unanswered(job, server);
+                    }
                     return Outcome::Unknown(Retry::CutAnswer);
                 }
             }
         }
     }
 
+    /// Records that the server of an attempt was reached, as evidence on the links.
+    fn record_contact(&self, attempt: &Attempt) {
+        if !attempt.is_passed() {
+            self.path.record_contact();
+        }
+    }
+
+    /// Records that the connection of an attempt failed, as evidence on the links.
+    pub(super) fn record_link_failure(&self, attempt: &Attempt) {
+        if !attempt.is_passed() {
+            self.path.record_failure();
+        }
+    }
+
     /// Logs an attempt at a server that states a rate limit.
     fn log_limited(&self, job: &Job, attempt: &Attempt) {
         if let Some(rate) = self.limits.rate(&attempt.server) {
@@ -278,6 +311,9 @@
         attempt: &Attempt,
         resume_after: Option<EventId>,
     ) -> http::Request<Full<Bytes>> {
+        if let Some(neighbour) = &attempt.neighbour {
+            return self.passed_request(job, neighbour, resume_after);
+        }
         let model = attempt.level.and_then(|level| job.route.config.ladder.get(level));
         let forward_head = ForwardHead {
             server: attempt.server.id.clone(),
@@ -306,22 +342,36 @@
         let (parts, body) = response.into_parts();
         let head = self.dialect.parse_response(&parts);
         let now = Instant::now();
-        // Another server may have answered at the address if the expected one is gone.
-        if parts.status != StatusCode::MISDIRECTED_REQUEST {
-            self.record_statements(job, server, &head, now);
-        }
+        let declined = attempt
+            .neighbour
+            .as_ref()
+            .and_then(|neighbour| self.declined(job, neighbour, &parts.headers));
         let class = classify(&job.id, parts.status, &head, is_reused);
-        let is_answer =
-            !matches!(class, Class::Invalid(_)) && parts.status != StatusCode::MISDIRECTED_REQUEST;
-        if let Some(sent_at) = attempt.marker.sent_at().filter(|_| is_answer) {
-            self.limits.record_answer(&job.id, server, head.rate_limit, sent_at);
+        if declined.is_none() && !attempt.is_passed() {
+            self.record_statements(job, attempt, parts.status, &head, class);
+        }
+        if let Some(outcome) = declined {
+            let upstream = Upstream {
+                body,
+                server: server.clone(),
+                start: Start::new(now),
+                is_delimited: true,
+                connection,
+                head,
+                _in_flight: in_flight,
+            };
+            if matches!(outcome, Outcome::Declined) {
+                attempt.marker.clear();
+            }
+            self.drain(job, upstream).await;
+            return outcome;
         }
         if let Class::Invalid(cause) = class {
             self.record_failure(job, server, cause.as_str());
             return Outcome::Unknown(cause);
         }
         attempt.reported_load = head.load;
-        if let Some(load) = head.load {
+        if let Some(load) = head.load.filter(|_| !attempt.is_passed()) {
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
         let (server, start) = (server.clone(), Start::new(now));
@@ -371,8 +421,24 @@
         }
     }
 
-    /// Records that a server is leaving or wants no requests for a time.
-    fn record_statements(&self, job: &Job, server: &Server, head: &ResponseHead, now: Instant) {
+    /// Records that a server is leaving, wants no requests for a time, or has a rate limit.
+    fn record_statements(
+        &self,
+        job: &Job,
+        attempt: &Attempt,
+        status: StatusCode,
+        head: &ResponseHead,
+        class: Class,
+    ) {
+        // Another server may have answered at the address if the expected one is gone.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let (server, now) = (&attempt.server, Instant::now());
+        let is_answer = !matches!(class, Class::Invalid(_));
+        if let Some(sent_at) = attempt.marker.sent_at().filter(|_| is_answer) {
+            self.limits.record_answer(&job.id, server, head.rate_limit, sent_at);
+        }
         let mut loads = self.loads.lock();
         if head.is_leaving && loads.record_leaving(&server.id, server.start_ms) {
             log::info!("server is leaving; id={} server={}", job.id, server.id);
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -0,0 +1,136 @@
+//! Passes requests to other instances while this one reaches no server.
+
+use {
+    super::{
+        Forwarder, Job, Progress,
+        attempt::{Attempt, Outcome},
+        job::Marker,
+    },
+    crate::{
+        message::EventId,
+        path::{
+            links::Reach,
+            neighbour::Neighbour,
+            pass::{NO_PATH, PASS, Pass, RAN, RAN_NO, digest},
+        },
+        registry::{Readiness, Server},
+    },
+    bytes::Bytes,
+    hawthornmount_core::reason::Retry,
+    http::HeaderMap,
+    http_body_util::Full,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Instances that may decline one request.
+const MAX_DECLINES: u32 = 3;
+/// Time that the way back from another instance takes.
+const WAY_BACK: Duration = Duration::from_millis(30);
+
+impl Forwarder {
+    /// Checks the path to the servers when that is due, and adapts to what it finds; never returns.
+    pub async fn watch_path(&self) {
+        let adapt = |reach| match reach {
+            // Connections that are mute now may carry late bytes once the servers are reached again.
+            Reach::None => self.pool.clear(),
+            // The failures were those of the links.
+            Reach::Some => self.loads.lock().forgive(),
+        };
+        self.path.run(adapt).await;
+    }
+
+    /// Chooses an instance for the next attempt; returns `None` if there is none left to try.
+    pub(super) fn choose_neighbour(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+        // The answer to a request without an id could not be recognized.
+        if job.is_passed || job.request.id.is_none() || progress.declines >= MAX_DECLINES {
+            return None;
+        }
+        let now = Instant::now();
+        let load = |neighbour: &Neighbour| {
+            let mut loads = self.loads.lock();
+            let stats = loads.stats(&neighbour.destination);
+            let is_usable =
+                !progress.tried.contains(&neighbour.destination) && !stats.is_avoided(now);
+            is_usable.then_some(stats.in_flight)
+        };
+        let neighbour = self.path.choose_neighbour(&self.data_centre, load)?;
+        Some(Attempt {
+            server: Arc::new(destination(&neighbour, job)),
+            neighbour: Some(neighbour),
+            level: progress.level,
+            is_trial: false,
+            uncached_tokens: 0,
+            prefill_ms: 0.0,
+            expected_wait: Duration::ZERO,
+            reported_load: None,
+            cause: progress.retry_reason,
+            marker: Marker::default(),
+        })
+    }
+
+    /// Returns the request as it is passed to another instance.
+    pub(super) fn passed_request(
+        &self,
+        job: &Job,
+        neighbour: &Neighbour,
+        resume_after: Option<EventId>,
+    ) -> http::Request<Full<Bytes>> {
+        let left = job.deadline().saturating_duration_since(Instant::now());
+        let time_left = left.saturating_sub(WAY_BACK);
+        let pass = Pass {
+            from: self.instance.clone(),
+            to: neighbour.id.clone(),
+            request: job.id.clone(),
+            head: digest(&job.method, &job.target),
+        };
+        let mut request = http::Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.target.clone();
+        *request.headers_mut() = self.dialect.passed_headers(&job.headers, time_left, resume_after);
+        request.headers_mut().insert(PASS, pass.seal(&neighbour.secret));
+        request
+    }
+
+    /// Returns the outcome of an attempt whose request another instance refused itself; `None` if the
+    /// answer is a server's.
+    pub(super) fn declined(
+        &self,
+        job: &Job,
+        neighbour: &Neighbour,
+        headers: &HeaderMap,
+    ) -> Option<Outcome> {
+        let ran = headers.get(RAN)?;
+        let has_path = !headers.contains_key(NO_PATH);
+        if !has_path {
+            self.path.record_cut_off(neighbour);
+        }
+        log::info!(
+            "another instance gave no answer; id={} instance={} ran={} has_path={has_path}",
+            job.id,
+            neighbour.id,
+            ran.to_str().unwrap_or("invalid")
+        );
+        if ran == RAN_NO {
+            Some(Outcome::Declined)
+        } else {
+            Some(Outcome::Unknown(Retry::ServerError))
+        }
+    }
+}
+
+/// Returns an instance as the destination of a request.
+fn destination(neighbour: &Neighbour, job: &Job) -> Server {
+    Server {
+        id: neighbour.destination.clone(),
+        start_ms: 0,
+        service: job.service.clone(),
+        address: neighbour.address,
+        data_centre: neighbour.data_centre.clone(),
+        version: "none".into(),
+        slots: 1,
+        readiness: Readiness::Ready,
+    }
+}
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -55,6 +55,8 @@
     pub principal: Option<Principal>,
     /// Digest of the request, which is the same whenever its caller sends it again.
     pub digest: Digest,
+    /// Whether another instance passed the request to this one.
+    pub is_passed: bool,
     /// Time at which the request arrived.
     pub arrived: Instant,
     /// Time until which the caller waits; the timeout of the route if the caller states none.
@@ -70,6 +72,8 @@
     pub tried: Vec<ServerId>,
     /// Servers among them that failed on the request or refused it; they are not tried again.
     pub failed: Vec<ServerId>,
+    /// Instances that declined the request.
+    pub declines: u32,
     /// Number of refusals by servers since the request may have run.
     pub refusals: u32,
     /// Whether a server may have run the request.
@@ -180,6 +184,7 @@
             service,
             principal: exchange.principal.clone(),
             digest: digest(exchange),
+            is_passed: exchange.is_passed,
             arrived: exchange.arrived,
             caller_deadline: exchange.arrived + wait,
         }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod classify;
+mod detour;
 mod guard;
 mod handover;
 mod job;
@@ -45,7 +46,7 @@
     attempt::{Attempt, Success},
     futures::FutureExt,
     hawthornmount_core::{
-        id::{RegionId, ServiceId},
+        id::{InstanceId, RegionId, ServiceId},
         metrics::Metrics,
         problem::Problem,
         reason::{Refusal, Retry},
@@ -89,6 +90,7 @@
     path: Arc<path::monitor::Monitor>,
     retries: Retries,
     fleet_size: Size,
+    instance: InstanceId,
     data_centre: Arc<str>,
     regions: Table<RegionId>,
 }
@@ -121,6 +123,7 @@
             path: Arc::new(path),
             retries: settings.retries.clone(),
             fleet_size: Size::default(),
+            instance: settings.instance.clone(),
             data_centre: settings.data_centre.clone(),
             regions: settings.regions.clone(),
         }
@@ -163,7 +166,10 @@
 
     async fn run_job(self: &Arc<Self>, job: Arc<Job>) -> Result<Response, Problem> {
         let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
-        self.with_budget(&job.service, |budget, now| budget.record_request(now));
+        if !self.path.is_cut_off() {
+            // The instance to which it is passed counts it otherwise.
+            self.with_budget(&job.service, |budget, now| budget.record_request(now));
+        }
         match self.try_servers(&job, &mut progress).await {
             Ok(answer) => self.respond_with(job, progress, answer).await,
             Err(problem) => self.failure_response(progress, problem),
@@ -231,7 +237,7 @@
     /// servers that are no longer in the view.
     pub fn sweep(&self) {
         let view = self.cell.load();
-        let is_known = |id: &Arc<str>| view.has_server(id);
+        let is_known = |id: &Arc<str>| view.has_server(id) || self.path.is_neighbour(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
         self.limits.retain(|id, start_ms| view.has_start(id, start_ms));
@@ -240,6 +246,9 @@
 
     /// Records the result of an attempt as evidence for the evaluation of the server's version.
     fn record_evidence(&self, job: &Job, attempt: &Attempt, signal: Signal) {
+        if attempt.is_passed() {
+            return;
+        }
         let server = &attempt.server;
         let view = self.cell.load();
         let is_only_version =
@@ -263,10 +272,11 @@
         &self,
         job: &Job,
         progress: &Progress,
+        attempt: &Attempt,
         success: &Success,
     ) -> Option<cascade::Level> {
         let level = progress.level?;
-        if progress.attempts >= job.route.config.attempts {
+        if attempt.is_passed() || progress.attempts >= job.route.config.attempts {
             return None;
         }
         let estimate = |level| Estimate {
--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -59,8 +59,8 @@
             let is_retry = match cause {
                 Retry::Connect => progress.attempts > 0,
                 // The retry was taken from the budget when the response was dropped, or when the
-                // server was chosen whose limit had no room.
-                Retry::Escalation | Retry::RateLimited => false,
+                // server or the instance was chosen that did not take the request.
+                Retry::Escalation | Retry::RateLimited | Retry::NeighbourDeclined => false,
                 _ => true,
             };
             if is_retry && !self.take_retry(job, Cause::Failure) {
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -76,10 +76,14 @@
         self.quarantine.record_end(end.clone());
         end.is_confirmed = true;
         let (digest, address) = (job.digest, server.address);
+        let path = self.path.clone();
         let (quarantine, route) = (self.quarantine.clone(), job.route.id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(END_TIME).await;
-            if connection::is_refused(address, REFUSAL_TIMEOUT).await {
+            let is_refused = connection::is_refused(address, REFUSAL_TIMEOUT).await;
+            path.settle().await;
+            // Without any path, a refusal says nothing about the server.
+            if is_refused && !path.is_cut_off() {
                 log::info!(
                     "server ended under a request; id={} route={route} server={} digest={digest:016x}",
                     end.request,
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -79,6 +79,7 @@
         handover: &mut Handover<'a>,
     ) -> Result<(Attempt, Success), Problem> {
         loop {
+            self.settle_path(progress.retry_reason).await;
             self.start_attempt(job, progress, handover, job.resume_after())?;
             let event = handover.next().await;
             let Some(Begun { attempt, success, time }) =
@@ -87,7 +88,7 @@
                 continue;
             };
             self.record_start(job, &attempt, time);
-            let Some(level) = self.escalate(job, progress, &success) else {
+            let Some(level) = self.escalate(job, progress, &attempt, &success) else {
                 return Ok((attempt, *success));
             };
             handover.keep_answer(attempt, success);
@@ -98,6 +99,14 @@
         }
     }
 
+    /// Waits until it is known whether the failure of the last attempt was that of its server or of the
+    /// links.
+    pub(super) async fn settle_path(&self, cause: Option<Retry>) {
+        if matches!(cause, Some(Retry::Connect | Retry::CutAnswer)) {
+            self.path.settle().await;
+        }
+    }
+
     /// Starts an attempt at another server if the servers of all running attempts are silent. A
     /// stream begins after the event `after`.
     ///
@@ -168,7 +177,9 @@
             }
             Outcome::Failed(response) => progress.server_failure = Some(response),
             Outcome::Unknown(_) => {}
-            Outcome::Refused | Outcome::Unsent | Outcome::Limited => return Ok(None),
+            Outcome::Refused | Outcome::Unsent | Outcome::Limited | Outcome::Declined => {
+                return Ok(None);
+            }
             Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
             Outcome::KeyUnconfirmed => return Ok(None),
         }
@@ -208,6 +219,7 @@
             | Outcome::Refused
             | Outcome::Unsent
             | Outcome::Limited
+            | Outcome::Declined
             | Outcome::KeyUnconfirmed => {}
         }
     }
@@ -215,6 +227,9 @@
     /// Counts a request as waiting, while a roll-out compares the versions. As for latencies, the
     /// requests of a trial are not compared.
     pub(super) fn begin_wait(&self, job: &Job, attempt: &Attempt) -> Option<WaitGuard> {
+        if attempt.is_passed() {
+            return None;
+        }
         let view = self.cell.load();
         let split = view.split(&job.service)?;
         let is_compared = split.phase < Phase::Full && !attempt.is_trial;
@@ -230,6 +245,9 @@
 
     /// Records the time until a server began its response.
     fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
+        if attempt.is_passed() {
+            return;
+        }
         let model = job.model(attempt.level);
         self.prefill_times.lock().record(model, attempt.uncached_tokens, time);
         self.record_evidence(job, attempt, Signal::Started(time));
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -164,7 +164,9 @@
             match resumption {
                 Resumption::Continued => {}
                 Resumption::Events(bytes) => {
-                    self.forwarder.path.record_contact();
+                    if !self.attempt.is_passed() {
+                        self.forwarder.path.record_contact();
+                    }
                     self.is_silent = false;
                     self.log_long_gap();
                     self.relayed += 1;
@@ -290,10 +292,13 @@
         if !route.resumable || self.progress.attempts >= route.attempts {
             return None;
         }
-        if self.relayed == 0 {
-            return Some(route.target_latency * UNRESPONSIVE_TARGETS);
-        }
-        Some(route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS)
+        let timeout = if self.relayed == 0 {
+            route.target_latency * UNRESPONSIVE_TARGETS
+        } else {
+            route.event_gap.unwrap_or(DEFAULT_EVENT_GAP) * UNRESPONSIVE_GAPS
+        };
+        // Another instance moves the stream from a silent server itself.
+        Some(if self.attempt.is_passed() { timeout * 2 } else { timeout })
     }
 
     /// Records that the current server is silent, once until it goes on. It is kept until another
@@ -311,7 +316,7 @@
         if self.upstream.is_some() {
             self.record_failure(cause);
             self.exclude_server();
-            if cause == Retry::CutAnswer {
+            if cause == Retry::CutAnswer && !self.attempt.is_passed() {
                 self.forwarder.path.record_failure();
                 self.record_break();
             }
--- a/crates/hawthornmount-gateway/src/forward/resume.rs
+++ b/crates/hawthornmount-gateway/src/forward/resume.rs
@@ -55,6 +55,7 @@
     ) -> Resumption {
         let after = self.splitter.last_id();
         loop {
+            forwarder.settle_path(self.progress.retry_reason).await;
             if let Err(problem) = forwarder.start_attempt(job, &mut self.progress, handover, after)
             {
                 if !self.progress.can_wait() {
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -21,6 +21,9 @@
     /// Chooses the server for the next attempt; returns `None` if there is no server left to try. A
     /// server that was silent is tried again if no other one is left.
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+        if self.path.is_cut_off() {
+            return self.choose_neighbour(job, progress);
+        }
         let other = if progress.may_ask_others(&job.route.config) {
             self.choose_except(&progress.tried, job, progress)
         } else {
@@ -56,6 +59,7 @@
         let candidate = &candidates[at];
         Some(Attempt {
             server: servers[at].clone(),
+            neighbour: None,
             level: progress.level,
             is_trial,
             uncached_tokens: candidate.uncached_tokens,
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -1,4 +1,4 @@
-//! Connections from callers.
+//! Connections from callers, and from instances that pass their callers' requests on.
 
 use {
     super::{
@@ -10,13 +10,19 @@
     crate::{
         filter::{self, Exchange, Filter, Response},
         instance::Components,
+        path::pass::{self, NO_PATH, PASS, Pass, RAN, RAN_NO, RAN_UNKNOWN},
+    },
+    hawthornmount_core::{
+        config::Limits,
+        id,
+        problem::{Execution, Problem},
+        reason::Refusal,
     },
-    hawthornmount_core::{config::Limits, id, problem::Problem},
     hawthornmount_http::connection::{
         describe, linger,
         meter::{Allowance, Meter},
     },
-    http::header,
+    http::{HeaderValue, header, request},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
@@ -43,19 +49,35 @@
 const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     connection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Name of the requests from other instances among the parts that drop something.
+const PASSED_PART: &str = "passed_request";
+
 /// Name of the connections from callers among the parts that drop something.
 const PART: &str = "caller";
 
-/// HTTP service for callers.
+/// Bytes by which the head of a request that an instance passes on may exceed that of its caller.
+const PASSED_HEAD_BYTES: usize = 4 << 10;
+
+/// Who sends the requests on a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// Callers.
+    Caller,
+    /// Other instances, which reach no server, for their callers.
+    Instance,
+}
+
+/// HTTP service for callers or other instances.
 struct Frontend {
     components: Arc<Components>,
     filters: Vec<Box<dyn Filter>>,
+    origin: Origin,
 }
 
-/// Accepts and serves connections from callers; never returns.
-pub async fn serve(listener: TcpListener, components: Arc<Components>) {
+/// Accepts and serves connections from callers or other instances; never returns.
+pub async fn serve(listener: TcpListener, components: Arc<Components>, origin: Origin) {
     let filters = filter::chain(&components);
-    let frontend = Arc::new(Frontend { components, filters });
+    let frontend = Arc::new(Frontend { components, filters, origin });
     loop {
         let stream = accept(&listener).await;
         tokio::spawn(frontend.clone().serve_connection(stream));
@@ -72,7 +94,12 @@
         allowance.set_whole(max_request_bytes(&limits));
         let activity = Activity::new(self.components.serving.clone());
         let meter = Meter::new(stream, allowance.clone());
-        let stream = Transport::new(meter, activity.clone(), self.components.cell.clone());
+        let extra_head = match self.origin {
+            Origin::Caller => 0,
+            Origin::Instance => PASSED_HEAD_BYTES,
+        };
+        let cell = self.components.cell.clone();
+        let stream = Transport::new(meter, activity.clone(), cell, extra_head);
         let (frontend, active, allowed) = (self.clone(), activity.clone(), allowance.clone());
         let service = service_fn(move |request| {
             allowed.set_whole(max_request_bytes(&frontend.limits()));
@@ -179,12 +206,14 @@
     async fn handle(&self, request: Request<Incoming>, activity: &Activity) -> Response {
         let arrived = Instant::now();
         let in_flight = self.components.in_flight.enter();
-        let (head, incoming) = request.into_parts();
+        let (mut head, incoming) = request.into_parts();
         let request = self.components.dialect.parse_request(&head);
         let id = request.id.clone().unwrap_or_else(|| id::generate("r"));
         activity.set_request(&id);
+        let admitted = self.admit(&mut head, &id);
         let mut exchange = Exchange {
             id,
+            is_passed: self.origin == Origin::Instance,
             arrived,
             head,
             incoming: Some(incoming),
@@ -196,13 +225,21 @@
             principal: None,
             response: None,
         };
-        let outcome = self.run(&mut exchange).await;
+        let outcome = match admitted {
+            Ok(()) => self.run(&mut exchange).await,
+            Err(problem) => Err(problem),
+        };
         let has_unread_body = exchange.has_unread_body();
         if has_unread_body {
             activity.set_unread_body();
         }
         let mut response = match outcome {
-            Ok(response) => response,
+            Ok(mut response) => {
+                // Only an instance can say that it gave no answer.
+                response.headers_mut().remove(RAN);
+                response.headers_mut().remove(NO_PATH);
+                response
+            }
             Err(problem) => {
                 self.components.metrics.count_refusal(problem.reason);
                 log::info!(
@@ -218,7 +255,9 @@
                     arrived.elapsed().as_millis(),
                     problem.detail
                 );
-                response::problem(&problem, &exchange.id)
+                let mut response = response::problem(&problem, &exchange.id);
+                self.mark_refusal(&problem, &mut response);
+                response
             }
         };
         if self.components.is_stopping() || has_unread_body {
@@ -227,6 +266,48 @@
         response::with_guard(response, in_flight)
     }
 
+    /// Checks that a request may be sent on this listener, and removes its mark.
+    fn admit(&self, head: &mut request::Parts, id: &str) -> Result<(), Problem> {
+        if self.origin == Origin::Caller {
+            head.headers.remove(PASS);
+            return Ok(());
+        }
+        let (path, own) = (self.components.forwarder.path(), &self.components.settings.instance);
+        let secret = path.secret().unwrap_or_default();
+        let digest = pass::digest(&head.method, &head.uri);
+        match Pass::take(&mut head.headers, &secret, own, id, digest) {
+            Ok(pass) if path.is_cut_off() => {
+                log::debug!("declined a passed request; id={id} from={}", pass.from);
+                Err(Problem::new(Refusal::NoServer, "the instance reaches no server"))
+            }
+            Ok(pass) => {
+                log::info!("takes a passed request; id={id} from={}", pass.from);
+                Ok(())
+            }
+            Err(invalid) => {
+                self.components.metrics.count_drop(PASSED_PART, &invalid.to_string());
+                log::warn!("rejected a request without a valid mark; id={id} cause={invalid}");
+                Err(Problem::new(Refusal::NotAllowed, "only instances send requests here"))
+            }
+        }
+    }
+
+    /// States in a refusal to another instance whether the request may have run, and whether this
+    /// instance reaches servers.
+    fn mark_refusal(&self, problem: &Problem, response: &mut Response) {
+        if self.origin == Origin::Caller {
+            return;
+        }
+        let ran = match problem.ran {
+            Execution::NotRun => RAN_NO,
+            Execution::Unknown => RAN_UNKNOWN,
+        };
+        response.headers_mut().insert(RAN, HeaderValue::from_static(ran));
+        if self.components.forwarder.path().is_cut_off() {
+            response.headers_mut().insert(NO_PATH, HeaderValue::from_static("1"));
+        }
+    }
+
     /// Applies the filters to a request and returns the response.
     async fn run(&self, exchange: &mut Exchange) -> Result<Response, Problem> {
         for filter in &self.filters {
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -7,7 +7,7 @@
 mod response;
 mod transport;
 
-pub use caller::serve as serve_callers;
+pub use caller::{Origin, serve as serve_requests};
 
 use {
     crate::instance::Components,
--- a/crates/hawthornmount-gateway/src/frontend/transport.rs
+++ b/crates/hawthornmount-gateway/src/frontend/transport.rs
@@ -25,6 +25,8 @@
     stream: S,
     activity: Activity,
     cell: Arc<Cell>,
+    /// Bytes by which heads may exceed the limit.
+    extra_head: usize,
 }
 
 impl HeadTooLarge {
@@ -37,9 +39,9 @@
 
 impl<S> Transport<S> {
     /// Creates a stream that records the activity of `stream`. `cell` contains the configuration in
-    /// force.
-    pub const fn new(stream: S, activity: Activity, cell: Arc<Cell>) -> Self {
-        Self { stream, activity, cell }
+    /// force, and `extra_head` is by how many bytes heads may exceed its limit.
+    pub const fn new(stream: S, activity: Activity, cell: Arc<Cell>, extra_head: usize) -> Self {
+        Self { stream, activity, cell, extra_head }
     }
 
     /// Returns the underlying stream.
@@ -71,7 +73,7 @@
         let Some(received) = self.activity.head_bytes() else {
             return Pin::new(&mut self.stream).poll_read(context, buffer);
         };
-        let limit = self.cell.load().rules.limits.head_bytes;
+        let limit = self.cell.load().rules.limits.head_bytes + self.extra_head;
         if received >= limit {
             return Poll::Ready(Err(io::Error::other(HeadTooLarge)));
         }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -5,7 +5,7 @@
         follow::{self, Follower, State},
         forward::Forwarder,
         freshness::Freshness,
-        frontend::{self, ListenError},
+        frontend::{self, ListenError, Origin},
         membership::{Contact, Membership},
         message::Dialect,
         relay,
@@ -199,12 +199,16 @@
         let readiness = frontend::listen(components.settings.readiness).await?;
         let (callers_address, readiness_address) = (callers.address, readiness.address);
         let mut tasks = vec![
-            tokio::spawn(frontend::serve_callers(callers.listener, components.clone())),
+            tokio::spawn(frontend::serve_requests(
+                callers.listener,
+                components.clone(),
+                Origin::Caller,
+            )),
             tokio::spawn(frontend::serve_operators(readiness.listener, components.clone())),
             tokio::spawn(sweep(components.forwarder.clone())),
             tokio::spawn({
-                let path = components.forwarder.path();
-                async move { path.run().await }
+                let forwarder = components.forwarder.clone();
+                async move { forwarder.watch_path().await }
             }),
         ];
         if let Some(address) = components.settings.operators {
@@ -231,9 +235,20 @@
             Some(address) => Some(frontend::listen(address).await?),
             None => None,
         };
+        let passed = match components.settings.neighbours {
+            Some(address) => Some(frontend::listen(address).await?),
+            None => None,
+        };
+        let passed_requests = passed.as_ref().map(|bound| bound.address);
+        if let Some(bound) = passed {
+            let served =
+                frontend::serve_requests(bound.listener, components.clone(), Origin::Instance);
+            tasks.push(tokio::spawn(served));
+        }
         let contact = peers.as_ref().map(|bound| Contact {
             data_centre: components.settings.data_centre.clone(),
             address: bound.address,
+            passed_requests,
             secret: new_secret(),
         });
         let membership = Membership::new(
@@ -243,7 +258,8 @@
         );
         let state = State::new(adapters.schema.clone(), driver, membership)
             .with_quarantine(components.forwarder.quarantine())
-            .with_limits(components.forwarder.limits());
+            .with_limits(components.forwarder.limits())
+            .with_path(components.forwarder.path());
         let name = components.settings.instance.clone();
         let shared = relay::Shared::new(name, components.freshness.clone())
             .with_metrics(components.metrics.clone());
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -194,6 +194,11 @@
         self.leaving.binary_search_by(|(known, _)| known.cmp(id))
     }
 
+    /// Ends the avoidance of all servers.
+    pub fn forgive(&mut self) {
+        self.rows.iter_mut().for_each(|row| row.stats.record_success());
+    }
+
     /// Removes servers for which `is_known` is false and that have no requests in flight.
     pub fn retain(&mut self, is_known: impl Fn(&ServerId) -> bool) {
         self.rows.retain(|row| row.stats.in_flight > 0 || is_known(&row.id));
--- a/crates/hawthornmount-gateway/src/membership/mod.rs
+++ b/crates/hawthornmount-gateway/src/membership/mod.rs
@@ -3,6 +3,7 @@
 //! shares of the fleet's retry slack smaller.
 
 use {
+    crate::path::neighbour::Neighbour,
     hawthornmount_core::id::{DataCentreId, InstanceId},
     hawthornmount_fleet::role,
     hawthornmount_store::{Entry, Txn},
@@ -32,6 +33,9 @@
     pub data_centre: DataCentreId,
     /// Address for frames of other instances.
     pub address: SocketAddr,
+    /// Address for requests that other instances pass on; `None` if it takes none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub passed_requests: Option<SocketAddr>,
     /// Secret that authenticates the frames from and to the instance. Only instances of the fleet
     /// can read it.
     pub secret: Arc<str>,
@@ -148,6 +152,21 @@
         self.registered.is_some().then(names)
     }
 
+    /// Returns the other instances that take passed requests.
+    pub fn neighbours(&self) -> Vec<Arc<Neighbour>> {
+        let neighbour = |row: &Row| {
+            let contact = row.contact.as_ref().filter(|_| row.id != self.own)?;
+            Some(Arc::new(Neighbour {
+                id: row.id.clone(),
+                destination: format!("neighbour/{}", row.id).into(),
+                data_centre: contact.data_centre.clone(),
+                address: contact.passed_requests?,
+                secret: contact.secret.clone(),
+            }))
+        };
+        self.rows.iter().filter_map(neighbour).collect()
+    }
+
     /// Returns the number of data centres in which instances relay, at least 1. Each of them has
     /// about one instance that reads the store.
     pub fn data_centres(&self) -> usize {
@@ -162,7 +181,9 @@
     /// differ: this instance uses the registered one.
     fn is_reachable_at(&self, entry: &Entry) -> bool {
         let registered = decode(entry);
-        let address = |contact: &Contact| (contact.data_centre.clone(), contact.address);
+        let address = |contact: &Contact| {
+            (contact.data_centre.clone(), contact.address, contact.passed_requests)
+        };
         registered.as_ref().map(address) == self.own_contact.as_ref().map(address)
     }
 
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -104,6 +104,15 @@
     /// Returns the headers with which a request is forwarded to a server.
     fn forward_headers(&self, headers: &HeaderMap, forward_head: &ForwardHead) -> HeaderMap;
 
+    /// Returns the headers with which a request is passed to another instance, which has `time_left`
+    /// for it.
+    fn passed_headers(
+        &self,
+        headers: &HeaderMap,
+        time_left: Duration,
+        resume_after: Option<EventId>,
+    ) -> HeaderMap;
+
     /// Parses the head of a server's response.
     fn parse_response(&self, head: &response::Parts) -> ResponseHead;
 
--- a/crates/hawthornmount-gateway/src/path/links.rs
+++ b/crates/hawthornmount-gateway/src/path/links.rs
@@ -40,12 +40,19 @@
     last_contact: Instant,
     last_failure: Option<Instant>,
     last_check: Option<Instant>,
+    is_checking: bool,
 }
 
 impl Links {
     /// Creates links that are believed to work.
     pub const fn new(now: Instant) -> Self {
-        Self { reach: Reach::Some, last_contact: now, last_failure: None, last_check: None }
+        Self {
+            reach: Reach::Some,
+            last_contact: now,
+            last_failure: None,
+            last_check: None,
+            is_checking: false,
+        }
     }
 
     /// Returns whether servers are reached.
@@ -66,6 +73,9 @@
     /// Returns whether the links have to be checked; `is_waiting` is whether requests wait for
     /// servers.
     pub fn needs_check(&self, is_waiting: bool, now: Instant) -> bool {
+        if self.is_checking {
+            return false;
+        }
         let is_over = |time: Duration| self.last_check.is_none_or(|at| now >= at + time);
         if self.reach == Reach::None {
             return is_over(RETURN_INTERVAL);
@@ -81,10 +91,17 @@
     /// Records that a check began.
     pub const fn begin_check(&mut self, now: Instant) {
         self.last_check = Some(now);
+        self.is_checking = true;
+    }
+
+    /// Returns whether a check is under way.
+    pub const fn is_checking(&self) -> bool {
+        self.is_checking
     }
 
     /// Records the result of a check, and returns the belief if it changes.
     pub fn record_check(&mut self, check: Check, now: Instant) -> Option<Reach> {
+        self.is_checking = false;
         if check.tried == 0 {
             return None;
         }
--- a/crates/hawthornmount-gateway/src/path/monitor.rs
+++ b/crates/hawthornmount-gateway/src/path/monitor.rs
@@ -1,7 +1,10 @@
 //! The belief about the links as the parts of an instance share it, and the checks behind it.
 
 use {
-    super::links::{Check, Links, Reach},
+    super::{
+        links::{Check, Links, Reach},
+        neighbour::{Neighbour, Neighbours},
+    },
     crate::{registry::Server, time, view::Cell},
     futures::{StreamExt, stream::FuturesUnordered},
     hawthornmount_core::{id::DataCentreId, metrics::Metrics},
@@ -30,6 +33,9 @@
     cell: Arc<Cell>,
     metrics: Metrics,
     links: Mutex<Links>,
+    neighbours: Mutex<Neighbours>,
+    /// Secret with which other instances mark the requests that they pass to this one.
+    secret: Mutex<Option<Arc<str>>>,
     /// Attempts that wait for a server.
     waiting: AtomicUsize,
     /// Wakes the checks after a failure.
@@ -49,6 +55,8 @@
             cell,
             metrics,
             links: Mutex::new(Links::new(time::now())),
+            neighbours: Mutex::default(),
+            secret: Mutex::default(),
             waiting: AtomicUsize::new(0),
             failed: Notify::new(),
             checked: Notify::new(),
@@ -77,8 +85,54 @@
         self.failed.notify_one();
     }
 
-    /// Checks the links when that is due; never returns.
-    pub async fn run(&self) {
+    /// Replaces the instances to which requests can be passed.
+    pub fn set_neighbours(&self, neighbours: Vec<Arc<Neighbour>>) {
+        self.neighbours.lock().set(neighbours);
+    }
+
+    /// Sets the secret with which other instances mark the requests that they pass to this one.
+    pub fn set_secret(&self, secret: Option<Arc<str>>) {
+        *self.secret.lock() = secret;
+    }
+
+    /// Returns that secret, once it is known.
+    pub fn secret(&self) -> Option<Arc<str>> {
+        self.secret.lock().clone()
+    }
+
+    /// Returns whether a destination of requests is an instance.
+    pub fn is_neighbour(&self, destination: &str) -> bool {
+        self.neighbours.lock().contains(destination)
+    }
+
+    /// Records that an instance reaches no server.
+    pub fn record_cut_off(&self, neighbour: &Neighbour) {
+        self.neighbours.lock().record_cut_off(neighbour, time::now());
+    }
+
+    /// Chooses an instance to which a request is passed; see [`Neighbours::choose`].
+    pub fn choose_neighbour(
+        &self,
+        data_centre: &str,
+        load: impl Fn(&Neighbour) -> Option<u32>,
+    ) -> Option<Arc<Neighbour>> {
+        self.neighbours.lock().choose(data_centre, load, rand::random, time::now())
+    }
+
+    /// Waits for the result of a check that is due or under way.
+    pub async fn settle(&self) {
+        let checked = self.checked.notified();
+        let is_open = {
+            let links = self.links.lock();
+            links.is_checking() || links.needs_check(false, time::now())
+        };
+        if is_open && tokio::time::timeout(CHECK_TIMEOUT + TICK, checked).await.is_err() {
+            log::debug!("the check of the links took too long");
+        }
+    }
+
+    /// Checks the links when that is due, and calls `adapt` when the belief changes; never returns.
+    pub async fn run(&self, adapt: impl Fn(Reach)) {
         loop {
             let _elapsed = tokio::time::timeout(TICK, self.failed.notified()).await;
             let is_waiting = self.waiting.load(Ordering::Relaxed) > 0;
@@ -89,13 +143,16 @@
                 }
                 links.begin_check(time::now());
             }
-            self.check().await;
+            if let Some(reach) = self.check().await {
+                adapt(reach);
+            }
             self.checked.notify_waiters();
         }
     }
 
-    /// Opens connections to a sample of servers, until one is established.
-    async fn check(&self) {
+    /// Opens connections to a sample of servers, until one is established, and returns the belief if it
+    /// changes.
+    async fn check(&self) -> Option<Reach> {
         let servers = self.sample();
         let mut attempts: FuturesUnordered<_> =
             servers.iter().map(|server| Connection::open(server.address, CHECK_TIMEOUT)).collect();
@@ -106,7 +163,7 @@
                 break;
             }
         }
-        let Some(reach) = self.links.lock().record_check(check, time::now()) else { return };
+        let reach = self.links.lock().record_check(check, time::now())?;
         let reached = i64::from(reach == Reach::Some);
         self.metrics.gauges.with_label_values(&[GAUGE]).set(reached);
         match reach {
@@ -117,6 +174,7 @@
             ),
             Reach::Some => log::info!("reaches servers again"),
         }
+        Some(reach)
     }
 
     /// Returns servers for a check, of as many data centres as possible.
--- a/crates/hawthornmount-gateway/src/pool/mod.rs
+++ b/crates/hawthornmount-gateway/src/pool/mod.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.rows.lock().clear();
+    }
+
     /// Closes idle connections that have expired and those of servers for which `is_known` is
     /// false.
     pub fn sweep(&self, is_known: impl Fn(&ServerId) -> bool) {
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -27,6 +27,7 @@
         "readiness" => json!("127.0.0.1:8081"),
         "operators" => json!("127.0.0.1:9100"),
         "peers" => json!("127.0.0.1:9200"),
+        "neighbours" => json!("127.0.0.1:9201"),
         "store" => json!("127.0.0.1:2379"),
         "revocation_ms" => json!(5_000),
         "propagation_ms" => json!(2_500),
@@ -59,6 +60,7 @@
         vec![("callers", settings.callers), ("readiness", settings.readiness)];
     own.extend(settings.operators.map(|address| ("operators", address)));
     own.extend(settings.peers.map(|address| ("peers", address)));
+    own.extend(settings.neighbours.map(|address| ("neighbours", address)));
     for (at, (path, address)) in own.iter().enumerate() {
         let clash = own[..at].iter().find(|(_, other)| other == address && address.port() != 0);
         if let Some((other, _)) = clash {
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -38,6 +38,10 @@
     /// the store by itself.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// Address at which other instances that reach no server pass on the requests of their callers;
+    /// without it, this instance takes none.
+    #[serde(default)]
+    pub neighbours: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Longest time for which a revoked key may still be accepted.
--- a/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
@@ -154,6 +154,7 @@
     Contact {
         data_centre: "a".into(),
         address: ([127, 0, 0, 1], 1).into(),
+        passed_requests: None,
         secret: "secret".into(),
     }
 }
--- a/crates/hawthornmount-gateway/tests/gateway/frames/service.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/frames/service.rs
@@ -125,7 +125,8 @@
         created: 1,
     };
     let (address, metrics) = serve(&[entry("a"), entry("b")]).await;
-    let contact = Contact { data_centre: "a".into(), address, secret: SECRET.into() };
+    let contact =
+        Contact { data_centre: "a".into(), address, passed_requests: None, secret: SECRET.into() };
     let peer = Peer { id: "one".into(), contact };
     let Query::Follow(follow) = simple_request().query else { unreachable!("it follows") };
     let result = Client::new("two".into()).follow(&peer, follow).await;
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod limit;
 mod load;
+mod path;
 mod quarantine;
 mod registry;
 mod relay;
--- /dev/null
+++ b/crates/hawthornmount-gateway/tests/gateway/path.rs
@@ -0,0 +1,185 @@
+//! Belief about the links to the servers, and the choice of a way around them.
+
+use {
+    hawthornmount_fleet::wire::Reject,
+    hawthornmount_gateway::path::{
+        links::{Check, Links, Reach},
+        neighbour::{Neighbour, Neighbours},
+        pass::{self, Invalid, PASS, Pass},
+    },
+    http::{HeaderMap, HeaderValue, Method, Uri},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rstest::rstest,
+    std::{
+        cell::RefCell,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// What happens to the links at a time.
+#[derive(Clone, Copy)]
+enum Event {
+    Contact,
+    Failure,
+    Check { has_reached: bool },
+}
+
+struct Case {
+    /// Events with their times, in milliseconds.
+    events: &'static [(u64, Event)],
+    is_waiting: bool,
+    /// When it is asked whether a check is due, in milliseconds.
+    at: u64,
+    needs_check: bool,
+}
+
+const FAILED_CHECK: Event = Event::Check { has_reached: false };
+const GOOD_CHECK: Event = Event::Check { has_reached: true };
+
+#[rstest]
+#[case::idle(Case { events: &[], is_waiting: false, at: 60_000, needs_check: false })]
+#[case::failure(Case { events: &[(10, Event::Failure)], is_waiting: false, at: 10, needs_check: true })]
+#[case::failure_of_one_server(Case { events: &[(10, Event::Failure), (11, Event::Contact)], is_waiting: false, at: 12, needs_check: false })]
+#[case::failure_right_after_a_check(Case { events: &[(10, GOOD_CHECK), (20, Event::Failure)], is_waiting: false, at: 20, needs_check: false })]
+#[case::failure_some_time_after_a_check(Case { events: &[(10, GOOD_CHECK), (20, Event::Failure)], is_waiting: false, at: 300, needs_check: true })]
+#[case::silence(Case { events: &[(10, Event::Contact)], is_waiting: true, at: 710, needs_check: true })]
+#[case::silence_without_requests(Case { events: &[(10, Event::Contact)], is_waiting: false, at: 710, needs_check: false })]
+#[case::silence_that_was_checked(Case { events: &[(10, GOOD_CHECK)], is_waiting: true, at: 1_500, needs_check: false })]
+#[case::cut_off(Case { events: &[(10, FAILED_CHECK)], is_waiting: false, at: 200, needs_check: false })]
+#[case::return_from_a_cut(Case { events: &[(10, FAILED_CHECK)], is_waiting: false, at: 510, needs_check: true })]
+fn links_are_checked_when_their_state_is_in_doubt(#[case] case: Case) {
+    let origin = Instant::now();
+    let mut links = Links::new(origin);
+    for (at, event) in case.events {
+        let now = origin + Duration::from_millis(*at);
+        match event {
+            Event::Contact => links.record_contact(now),
+            Event::Failure => links.record_failure(now),
+            Event::Check { has_reached } => {
+                links.begin_check(now);
+                links.record_check(Check { tried: 4, has_reached: *has_reached }, now);
+            }
+        }
+    }
+    let now = origin + Duration::from_millis(case.at);
+    assert_eq!(links.needs_check(case.is_waiting, now), case.needs_check);
+}
+
+#[rstest]
+#[case::none_reached(Check { tried: 4, has_reached: false }, Reach::None)]
+#[case::one_reached(Check { tried: 4, has_reached: true }, Reach::Some)]
+#[case::no_server_known(Check { tried: 0, has_reached: false }, Reach::Some)]
+fn check_decides_whether_servers_are_reached(#[case] check: Check, #[case] reach: Reach) {
+    let now = Instant::now();
+    let mut links = Links::new(now);
+    links.begin_check(now);
+    let change = links.record_check(check, now);
+    assert_eq!(links.reach(), reach);
+    assert_eq!(change, (reach == Reach::None).then_some(Reach::None));
+}
+
+fn neighbour(number: usize, data_centres: usize) -> Arc<Neighbour> {
+    Arc::new(Neighbour {
+        id: format!("instance-{number}").into(),
+        destination: format!("neighbour/instance-{number}").into(),
+        data_centre: format!("dc-{}", number % data_centres).into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        secret: "secret".into(),
+    })
+}
+
+struct Fleet {
+    instances: usize,
+    data_centres: usize,
+    /// Instances of the first data centre that reach no server.
+    cut_off: usize,
+}
+
+/// Load: 50 requests at each instance without a path, within a second.
+#[rstest]
+#[case::one_of_a_small_fleet(Fleet { instances: 6, data_centres: 3, cut_off: 1 })]
+#[case::data_centre_of_a_small_fleet(Fleet { instances: 6, data_centres: 3, cut_off: 2 })]
+#[case::one_of_300(Fleet { instances: 300, data_centres: 6, cut_off: 1 })]
+#[case::most_of_a_data_centre_of_300(Fleet { instances: 300, data_centres: 6, cut_off: 40 })]
+#[case::data_centre_of_300(Fleet { instances: 300, data_centres: 6, cut_off: 50 })]
+fn requests_without_a_path_spread_over_instances_that_reach_servers(#[case] fleet: Fleet) {
+    const REQUESTS: usize = 50;
+    let Fleet { instances, data_centres, cut_off } = fleet;
+    let rows: Vec<_> = (0..instances).map(|number| neighbour(number, data_centres)).collect();
+    let is_cut_off = |one: &Neighbour| {
+        let first = (0..instances).filter(|number| number % data_centres == 0).take(cut_off);
+        first.map(|number| &rows[number]).any(|row| row.id == one.id)
+    };
+    let rng = RefCell::new(SmallRng::seed_from_u64(instances as u64));
+    let now = Instant::now();
+    let (mut taken, mut declined) = (vec![0_usize; instances], 0);
+    for own in rows.iter().filter(|row| is_cut_off(row)) {
+        let mut neighbours = Neighbours::default();
+        let others = rows.iter().filter(|row| row.id != own.id).cloned().collect();
+        neighbours.set(others);
+        let mut in_flight = vec![0_u32; instances];
+        for request in 0..REQUESTS {
+            let now = now + Duration::from_millis(20 * request as u64);
+            let mut attempts = 0;
+            loop {
+                let at = |one: &Neighbour| rows.iter().position(|row| row.id == one.id);
+                let load = |one: &Neighbour| at(one).map(|at| in_flight[at]);
+                let random = || rng.borrow_mut().random();
+                let chosen = neighbours.choose(&own.data_centre, load, random, now);
+                let chosen = chosen.expect("an instance reaches servers");
+                attempts += 1;
+                assert!(attempts <= 3, "declined three times");
+                if is_cut_off(&chosen) {
+                    declined += 1;
+                    neighbours.record_cut_off(&chosen, now);
+                    continue;
+                }
+                let at = at(&chosen).expect("known");
+                in_flight[at] += 1;
+                taken[at] += 1;
+                break;
+            }
+        }
+    }
+    let requests = cut_off * REQUESTS;
+    assert_eq!(taken.iter().sum::<usize>(), requests);
+    assert!(declined <= 4 * cut_off, "{declined} of {requests} passed in vain");
+    let takers = taken.iter().filter(|count| **count > 0).count();
+    let most = taken.iter().max().expect("instances");
+    let mean = requests as f64 / takers as f64;
+    assert!(*most as f64 <= 2.5 * mean.max(4.0), "{most} at one instance, {mean} in the mean");
+}
+
+fn sealed(secret: &str) -> HeaderValue {
+    let pass = Pass {
+        from: "one".into(),
+        to: "two".into(),
+        request: "r1".into(),
+        head: pass::digest(&Method::POST, &Uri::from_static("/a?b=1")),
+    };
+    pass.seal(secret)
+}
+
+#[rstest]
+#[case::none(None, "two", "r1", "/a?b=1", Some(Invalid::Missing))]
+#[case::valid(Some(sealed("secret")), "two", "r1", "/a?b=1", None)]
+#[case::forged(Some(sealed("other")), "two", "r1", "/a?b=1", Some(Invalid::Frame(Reject::Hash)))]
+#[case::text(Some(HeaderValue::from_static("xyz")), "two", "r1", "/a?b=1", Some(Invalid::Text))]
+#[case::for_another_instance(Some(sealed("secret")), "three", "r1", "/a?b=1", Some(Invalid::Other))]
+#[case::of_another_request(Some(sealed("secret")), "two", "r2", "/a?b=1", Some(Invalid::Other))]
+#[case::of_another_path(Some(sealed("secret")), "two", "r1", "/a?b=2", Some(Invalid::Other))]
+fn only_marked_requests_are_accepted(
+    #[case] mark: Option<HeaderValue>,
+    #[case] to: &str,
+    #[case] request: &str,
+    #[case] target: &'static str,
+    #[case] invalid: Option<Invalid>,
+) {
+    let mut headers = HeaderMap::new();
+    headers.extend(mark.map(|mark| (PASS, mark)));
+    let digest = pass::digest(&Method::POST, &Uri::from_static(target));
+    let taken = Pass::take(&mut headers, "secret", to, request, digest);
+    assert_eq!(taken.err(), invalid);
+    assert!(headers.is_empty(), "the mark is not forwarded");
+}
--- a/crates/hawthornmount-gateway/tests/gateway/relay.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/relay.rs
@@ -32,6 +32,7 @@
     Contact {
         data_centre: data_centre.into(),
         address: "127.0.0.1:1".parse().expect("an address"),
+        passed_requests: None,
         secret: "secret".into(),
     }
 }
