Limit the requests in flight at brittle servers over the fleet

Cause: an instance counts the rejections that it sees itself, and balances by reports that are as old as the last answer, so every instance finds out by itself that a server is full. Class of fault: the view of one instance taken for that of the fleet, as with the rate limits.

Fix: the slots of a brittle server are divided among the instances, with an equal part of what reports show as free beside; a rejection closes, halves and holds back. An instance without room passes a request on, so that callers of one without a share are served. The quarantine no longer blames requests for falls of brittle servers: with one path for all requests it had rejected every one of them.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -347,8 +347,11 @@
             .as_ref()
             .and_then(|neighbour| self.declined(job, neighbour, &parts.headers));
         let class = classify(&job.id, parts.status, &head, is_reused);
-        if declined.is_none() && !attempt.is_passed() {
+        if !attempt.is_passed() {
             self.record_statements(job, attempt, parts.status, &head, class);
+        } else if let Some(rejections) = head.brittle {
+            // The servers of a service are brittle together.
+            self.limits.record_brittle(&job.id, server, rejections);
         }
         if let Some(outcome) = declined {
             let upstream = Upstream {
@@ -439,7 +442,13 @@
         if let Some(sent_at) = attempt.marker.sent_at().filter(|_| is_answer) {
             self.limits.record_answer(&job.id, server, head.rate_limit, sent_at);
         }
+        if let Some(rejections) = head.brittle.filter(|_| is_answer) {
+            self.limits.record_brittle(&job.id, server, rejections);
+        }
         let mut loads = self.loads.lock();
+        if class == Class::Refused {
+            self.limits.record_rejection(server, loads.stats(&server.id).in_flight);
+        }
         if head.is_leaving && loads.record_leaving(&server.id, server.start_ms) {
             log::info!("server is leaving; id={} server={}", job.id, server.id);
         }
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -19,6 +19,7 @@
     hawthornmount_core::reason::Retry,
     http::HeaderMap,
     http_body_util::Full,
+    rand::seq::IndexedRandom,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -42,14 +43,39 @@
         self.path.run(adapt).await;
     }
 
-    /// Chooses an instance for the next attempt; returns `None` if there is none left to try.
-    pub(super) fn choose_neighbour(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+    /// Chooses an instance that holds a share of the limits of a server, if all servers of the service
+    /// have limits. One whose own shares are used up asks another one once.
+    pub(super) fn choose_holder(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+        let (view, now) = (self.cell.load(), Instant::now());
+        let servers = view.servers(&job.service);
+        if servers.iter().any(|server| !self.limits.is_limited(server, now)) {
+            return None;
+        }
+        let holds_share = servers.iter().any(|server| self.limits.holds_share(server, now));
+        if holds_share && progress.declines > 0 {
+            return None;
+        }
+        let holders = self.limits.holders(servers.choose(&mut rand::rng())?, now);
+        self.choose_neighbour(job, progress, |neighbour| holders.contains(&neighbour.id))
+    }
+
+    /// Chooses an instance for the next attempt among those for which `is_asked` is true; returns
+    /// `None` if there is none left to try.
+    pub(super) fn choose_neighbour(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        is_asked: impl Fn(&Neighbour) -> bool,
+    ) -> Option<Attempt> {
         // The answer to a request without an id could not be recognized.
         if job.is_passed || job.request.id.is_none() || progress.declines >= MAX_DECLINES {
             return None;
         }
         let now = Instant::now();
         let load = |neighbour: &Neighbour| {
+            if !is_asked(neighbour) {
+                return None;
+            }
             let mut loads = self.loads.lock();
             let stats = loads.stats(&neighbour.destination);
             let is_usable =
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -240,7 +240,7 @@
         let is_known = |id: &Arc<str>| view.has_server(id) || self.path.is_neighbour(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
-        self.limits.retain(|id, start_ms| view.has_start(id, start_ms));
+        self.limits.retain(|id, start_ms| view.has_start(id, start_ms), |id| view.has_server(id));
         self.quarantine.expire();
     }
 
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -65,6 +65,10 @@
     /// Records that a server ended under parts of a request, and under the request itself once the
     /// server refuses connections: a sound server may close a connection too.
     fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>) {
+        if self.limits.is_brittle(&server.service) {
+            // It may have fallen over under its load.
+            return;
+        }
         let mut end = End {
             server: server.id.clone(),
             start_ms: server.start_ms,
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -1,7 +1,7 @@
 //! Choice of the server for the next attempt of a request.
 
 use {
-    super::{Forwarder, Job, Progress, attempt::Attempt, job::Marker},
+    super::{Forwarder, Job, Progress, RETRY_AFTER, attempt::Attempt, job::Marker},
     crate::{
         affinity,
         balancing::{self, Candidate, Locality},
@@ -18,12 +18,18 @@
 };
 
 impl Forwarder {
-    /// Chooses the server for the next attempt; returns `None` if there is no server left to try. A
-    /// server that was silent is tried again if no other one is left.
+    /// Chooses the server for the next attempt, or the instance to which the request is passed; returns
+    /// `None` if there is none left to try. A server that was silent is tried again if no other one is
+    /// left.
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         if self.path.is_cut_off() {
-            return self.choose_neighbour(job, progress);
+            return self.choose_neighbour(job, progress, |_| true);
         }
+        self.choose_server(job, progress).or_else(|| self.choose_holder(job, progress))
+    }
+
+    /// Chooses a server over an own connection.
+    fn choose_server(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let other = if progress.may_ask_others(&job.route.config) {
             self.choose_except(&progress.tried, job, progress)
         } else {
@@ -83,6 +89,7 @@
             !loads.is_leaving(&server.id, server.start_ms)
                 && loads.stats(&server.id).closed_for(now).is_zero()
                 && self.limits.wait(server, now).is_zero()
+                && self.limits.has_room(server, &loads.stats(&server.id).seen(now), now)
         };
         servers.into_iter().filter(|server| is_open(server)).collect()
     }
@@ -96,8 +103,11 @@
         let servers = view.servers(&job.service).iter();
         let staying: Vec<_> =
             servers.filter(|server| !loads.is_leaving(&server.id, server.start_ms)).collect();
+        let is_brittle = self.limits.is_brittle(&job.service);
+        let room = if is_brittle { RETRY_AFTER } else { Duration::ZERO };
         let times = staying.iter().map(|server| {
-            loads.stats(&server.id).closed_for(now).max(self.limits.wait(server, now))
+            let closed_for = loads.stats(&server.id).closed_for(now);
+            closed_for.max(self.limits.wait(server, now)).max(room)
         });
         times.min().filter(|time| !time.is_zero())
     }
--- a/crates/hawthornmount-gateway/src/limit/mod.rs
+++ b/crates/hawthornmount-gateway/src/limit/mod.rs
@@ -1,4 +1,4 @@
-//! Rate limits that servers state in their answers.
+//! Limits that servers state in their answers: on the rate of requests, and on rejections.
 //!
 //! A server in need states how many requests a second it takes from the whole fleet. The statement
 //! belongs to one start of the server, and an answer without one ends it. Answers overtake each
@@ -7,19 +7,28 @@
 //! The limit is divided among some instances ([`share`]), and every request passes [`Limits::pass`]
 //! right before it is handed to the server, whatever its reason. Instances that don't hold a share
 //! send nothing there, so they learn changes from the store ([`exchange`]).
+//!
+//! A server that is brittle falls over if it has to reject too many requests in a second. Those in
+//! flight at it are limited over the fleet ([`room`]).
 
+mod brittle;
 pub mod exchange;
 pub mod monitor;
+pub mod room;
 pub mod share;
 mod statement;
 
 pub use statement::{Change, Rate, Statement};
 
 use {
+    crate::registry::Server,
     hawthornmount_core::id::{InstanceId, ServerId},
     hawthornmount_fleet::role,
     share::Division,
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
 };
 
 /// Limits that are remembered.
@@ -69,12 +78,23 @@
     /// When the members became known.
     members_since: Option<Instant>,
     rows: Vec<Row>,
+    /// Services whose servers are brittle, in order of their ids.
+    services: Vec<brittle::Service>,
+    /// Brittle servers, in order of their names.
+    brittle: Vec<brittle::Row>,
 }
 
 impl Limits {
     /// Creates the limits of the instance `own`, without any.
     pub const fn new(own: InstanceId) -> Self {
-        Self { own, members: Vec::new(), members_since: None, rows: Vec::new() }
+        Self {
+            own,
+            members: Vec::new(),
+            members_since: None,
+            rows: Vec::new(),
+            services: Vec::new(),
+            brittle: Vec::new(),
+        }
     }
 
     /// Sets the instances among which limits are divided.
@@ -88,6 +108,7 @@
             self.rows[at].rank = self.rank(&self.rows[at]);
             self.divide(at, now);
         }
+        self.rank_brittle();
     }
 
     /// Records what an answer of a server states: a limit, or none. `sent_at` is when its request was
@@ -149,6 +170,41 @@
         row.rate().is_some() && is_old && self.wait(server, start_ms, now).is_zero()
     }
 
+    /// Returns whether this instance may ever send a request to a server under its limits.
+    pub fn holds_share(&mut self, server: &Server, now: Instant) -> bool {
+        let has_rate = match self.position(&server.id, server.start_ms) {
+            Ok(at) => self.rows[at].rate().is_none() || self.rows[at].share.is_some(),
+            Err(_) => true,
+        };
+        has_rate && self.division(server, now).is_none_or(|division| division.share() > 0)
+    }
+
+    /// Returns whether a server has a limit.
+    pub fn is_limited(&self, server: &Server, now: Instant) -> bool {
+        self.rate(&server.id, server.start_ms).is_some() || self.is_brittle(&server.service, now)
+    }
+
+    /// Returns the instances that hold a share of the limits of a server.
+    pub fn holders(&self, server: &Server, now: Instant) -> Vec<InstanceId> {
+        let instances = self.members.len();
+        let first = |count: usize, name: &str| {
+            let mut members = self.members.clone();
+            members.sort_by_cached_key(|member| Reverse(order(member, name)));
+            members.truncate(count);
+            members
+        };
+        match self.rate(&server.id, server.start_ms) {
+            Some(rate) => first(
+                Division::new(rate, instances).holders,
+                &name_of_start(&server.id, server.start_ms),
+            ),
+            None if self.is_brittle(&server.service, now) => {
+                first(instances.min(server.slots as usize), &server.id)
+            }
+            None => self.members.clone(),
+        }
+    }
+
     /// Returns the number of servers with a limit.
     pub fn count(&self) -> usize {
         self.rows.iter().filter(|row| row.rate().is_some()).count()
@@ -217,10 +273,13 @@
 
     /// Returns the number of members that come before this instance in the order for a server.
     fn rank(&self, row: &Row) -> usize {
-        let role = format!("limit/{}/{}", row.server, row.start_ms);
-        let order = |id: &InstanceId| (role::weight(id, &role), id.clone());
-        let own = order(&self.own);
-        self.members.iter().filter(|member| order(member) > own).count()
+        self.rank_for(&name_of_start(&row.server, row.start_ms))
+    }
+
+    /// Returns the number of members that come before this instance in the order for something.
+    fn rank_for(&self, name: &str) -> usize {
+        let own = order(&self.own, name);
+        self.members.iter().filter(|member| order(member, name) > own).count()
     }
 
     fn position(&self, server: &str, start_ms: u64) -> Result<usize, usize> {
@@ -228,6 +287,16 @@
     }
 }
 
+/// Returns the place of an instance in the order for something; the greatest comes first.
+fn order(instance: &InstanceId, name: &str) -> (u64, InstanceId) {
+    (role::weight(instance, &format!("limit/{name}")), instance.clone())
+}
+
+/// Returns the name of the start of a server in the orders of the instances.
+fn name_of_start(server: &str, start_ms: u64) -> String {
+    format!("{server}/{start_ms}")
+}
+
 impl Row {
     /// Returns the limit in force: the later of what the server stated and what the store says.
     fn rate(&self) -> Option<Rate> {
--- a/crates/hawthornmount-gateway/src/limit/monitor.rs
+++ b/crates/hawthornmount-gateway/src/limit/monitor.rs
@@ -4,6 +4,7 @@
     super::{
         Change, Limits, Rate,
         exchange::{Key, Stored},
+        room::Seen,
     },
     crate::{registry::Server, time},
     hawthornmount_core::{
@@ -62,6 +63,48 @@
         self.limits.lock().rate(&server.id, server.start_ms)
     }
 
+    /// Records that the server of the answer to request `id` is brittle.
+    pub fn record_brittle(&self, id: &RequestId, server: &Server, rejections: u32) {
+        if self.limits.lock().record_brittle(&server.service, time::now()) {
+            log::warn!(
+                "servers are brittle; id={id} server={} service={} rejections={rejections}",
+                server.id,
+                server.service
+            );
+        }
+    }
+
+    /// Returns whether the servers of a service are brittle.
+    pub fn is_brittle(&self, service: &str) -> bool {
+        self.limits.lock().is_brittle(service, time::now())
+    }
+
+    /// Records that a server rejected a request for want of room while `in_flight` requests of this
+    /// instance were in flight there.
+    pub fn record_rejection(&self, server: &Server, in_flight: u32) {
+        self.limits.lock().record_rejection(server, in_flight, time::now());
+    }
+
+    /// Returns whether this instance may ever send a request to a server under its limits.
+    pub fn holds_share(&self, server: &Server, now: Instant) -> bool {
+        self.limits.lock().holds_share(server, now)
+    }
+
+    /// Returns whether a server has a limit.
+    pub fn is_limited(&self, server: &Server, now: Instant) -> bool {
+        self.limits.lock().is_limited(server, now)
+    }
+
+    /// Returns the instances that hold a share of the limits of a server.
+    pub fn holders(&self, server: &Server, now: Instant) -> Vec<InstanceId> {
+        self.limits.lock().holders(server, now)
+    }
+
+    /// Returns whether a server has room for one more request of this instance.
+    pub fn has_room(&self, server: &Server, seen: &Seen, now: Instant) -> bool {
+        self.limits.lock().has_room(server, seen, now)
+    }
+
     /// Returns the time after which this instance, or another one, may send a request to a server.
     pub fn wait(&self, server: &Server, now: Instant) -> Duration {
         self.limits.lock().wait(&server.id, server.start_ms, now)
@@ -111,10 +154,13 @@
         self.limits.lock().take_writes(time::now())
     }
 
-    /// Removes the limits of servers for which `is_known` is false, given their names and starts.
-    pub fn retain(&self, is_known: impl Fn(&str, u64) -> bool) {
+    /// Removes the limits of servers for which `is_known` is false, given their names and starts, and
+    /// of brittle servers for which `has_server` is.
+    pub fn retain(&self, is_known: impl Fn(&str, u64) -> bool, has_server: impl Fn(&str) -> bool) {
         let mut limits = self.limits.lock();
-        limits.retain(is_known, time::now());
+        let now = time::now();
+        limits.retain_brittle(&has_server, now);
+        limits.retain(is_known, now);
         self.set_gauge(&limits);
     }
 
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -3,7 +3,10 @@
 //! that a server has probably cached.
 
 use {
-    crate::message::Part,
+    crate::{
+        limit::room::{self, Seen},
+        message::Part,
+    },
     hawthornmount_core::id::{ModelId, ServerId},
     std::{
         fmt::{self, Display, Formatter},
@@ -18,6 +21,8 @@
 const MAX_CACHED_PREFIXES: usize = 256;
 /// Age from which a report is no longer used.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(4);
+/// Age from which a report is not used to divide the slots of a brittle server.
+const DIVISION_MAX_AGE: Duration = Duration::from_secs(1);
 /// Time for which a server is avoided after its first failure.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 /// Longest time for which a server is avoided after several consecutive failures.
@@ -92,6 +97,8 @@
     own_in_flight: u32,
     /// Requests of this instance whose responses had not started when the report arrived.
     pending_prompts: u32,
+    /// Uniform draw from 0 to 1.
+    draw: f64,
     at: Instant,
 }
 
@@ -212,6 +219,7 @@
             load,
             own_in_flight: self.in_flight,
             pending_prompts: self.pending_prompts,
+            draw: rand::random(),
             at: now,
         });
     }
@@ -241,6 +249,18 @@
         }
     }
 
+    /// Returns the load as brittle servers are divided by it.
+    pub fn seen(&self, now: Instant) -> Seen {
+        let fresh = self.report.filter(|report| now < report.at + DIVISION_MAX_AGE);
+        let report = fresh.map(|report| room::Report {
+            requests: report.load.running + report.load.waiting,
+            waiting: report.load.waiting,
+            in_flight: report.own_in_flight,
+            draw: report.draw,
+        });
+        Seen { in_flight: self.in_flight, report }
+    }
+
     /// Records a successful response, which ends the avoidance of the server.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -90,6 +90,8 @@
     pub retry_after: Option<Duration>,
     /// Requests a second that the server takes from the whole fleet, if it states a limit.
     pub rate_limit: Option<Rate>,
+    /// Requests that the server can reject in a second without falling over, if it is brittle.
+    pub brittle: Option<u32>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
     /// Time for which the server keeps an idle connection open.
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod balancing;
+mod brittle;
 mod budget;
 mod cascade;
 mod classify;
