End a stream at its deadline also while its caller reads nothing

A server went on working on a stream whose caller had stopped reading, long after the route's time-out: the deadline was looked at only when the caller took bytes, since hyper does not poll a body that it can't write. The connection to the server is now closed by a timer 50 ms after the deadline, which a stream that is read reaches before.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -18,7 +18,7 @@
     },
     bytes::Bytes,
     hawthornmount_core::{config::Kind, reason::Retry},
-    hawthornmount_http::connection::{self, Connection},
+    hawthornmount_http::connection::{self, Closing, Connection},
     http::{HeaderMap, StatusCode, header},
     http_body::Frame,
     http_body_util::Full,
@@ -168,6 +168,8 @@
     pub is_delimited: bool,
     connection: Connection,
     head: ResponseHead,
+    /// Closes the connection at the deadline of the request.
+    closing: Option<Closing>,
     _in_flight: InFlightGuard,
 }
 
@@ -187,8 +189,14 @@
         self.connection.allow(MAX_EVENT_BYTES);
     }
 
+    /// Closes the connection at a time unless the body has ended by then, also while no one reads it.
+    pub fn close_at(&mut self, time: Instant) {
+        self.closing = Some(self.connection.close_at(time));
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub fn finish(self, forwarder: &Forwarder) {
+        drop(self.closing);
         forwarder.return_connection(&self.server, self.connection, &self.head);
     }
 }
@@ -361,6 +369,7 @@
                 is_delimited: true,
                 connection,
                 head,
+                closing: None,
                 _in_flight: in_flight,
             };
             if matches!(outcome, Outcome::Declined) {
@@ -380,8 +389,16 @@
         let (server, start) = (server.clone(), Start::new(now));
         let is_delimited = parts.headers.contains_key(header::CONTENT_LENGTH)
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
-        let upstream =
-            Upstream { body, server, start, is_delimited, connection, head, _in_flight: in_flight };
+        let upstream = Upstream {
+            body,
+            server,
+            start,
+            is_delimited,
+            connection,
+            head,
+            closing: None,
+            _in_flight: in_flight,
+        };
         let server = &upstream.server.clone();
         match class {
             Class::Refused => {
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -39,6 +39,10 @@
 /// target latency.
 const UNRESPONSIVE_TARGETS: u32 = 2;
 
+/// Time after the deadline of a request at which the connection to its server is closed, if its caller
+/// takes no events before.
+pub const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Number of chunks of events over which the mean event gap of a server is measured.
 const EVENT_GAP_CHUNKS: u32 = 8;
 
@@ -89,8 +93,9 @@
         job: Arc<Job>,
         mut progress: Progress,
         attempt: Attempt,
-        upstream: Upstream,
+        mut upstream: Upstream,
     ) -> Self {
+        upstream.close_at(job.deadline() + CLOSE_DELAY);
         let splitter = Splitter::new(job.resume_after());
         progress.begin(&attempt.marker);
         Self {
--- a/crates/hawthornmount-gateway/src/forward/resume.rs
+++ b/crates/hawthornmount-gateway/src/forward/resume.rs
@@ -6,7 +6,7 @@
         attempt::Body,
         handover::{Event, Handover, RECHECK_INTERVAL},
         race::Begun,
-        relay::{Relay, Step, read},
+        relay::{CLOSE_DELAY, Relay, Step, read},
     },
     bytes::Bytes,
     hawthornmount_core::reason::{Refusal, Retry},
@@ -107,9 +107,10 @@
 
     /// Continues the stream at another server.
     fn continue_at(&mut self, begun: Begun) -> Resumption {
-        let Body::Streaming(upstream) = begun.success.body else {
+        let Body::Streaming(mut upstream) = begun.success.body else {
             return Resumption::Failed(Refusal::Internal);
         };
+        upstream.close_at(self.job.deadline() + CLOSE_DELAY);
         self.give_up();
         self.progress.begin(&begun.attempt.marker);
         self.attempt = begun.attempt;
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -14,7 +14,12 @@
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     meter::{Allowance, MAX_PIECE_BYTES, Meter},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
@@ -55,6 +60,10 @@
     allowance: Allowance,
 }
 
+/// Closes a connection at a time, unless it is dropped before.
+#[derive(Debug)]
+pub struct Closing(AbortHandle);
+
 impl Connection {
     /// Opens a connection to `address`.
     ///
@@ -143,6 +152,17 @@
         self.allowance.set(bytes + MAX_FRAMING_BYTES);
     }
 
+    /// Closes the connection at `time`, also while no one reads from it, unless the returned guard is
+    /// dropped before.
+    pub fn close_at(&self, time: Instant) -> Closing {
+        let driver = self.driver.clone();
+        let closing = tokio::spawn(async move {
+            tokio::time::sleep_until(time.into()).await;
+            driver.abort();
+        });
+        Closing(closing.abort_handle())
+    }
+
     /// Returns whether the connection is open, can take a request and has received no unsolicited
     /// bytes.
     pub fn is_ready(&self) -> bool {
@@ -150,6 +170,12 @@
     }
 }
 
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
