Return to servers that were silent, or full for a moment, while a request can't be refused

A sound server that fell silent for a second and went on cost an answer: while its replacement hung, once the attempts were used up, or after a server had been full once, no server was asked any more and the stream was truncated, or the caller got 502 or 504.

Cause: a server was tried again only when no attempt was running and the attempts were not used up, though a return is no further server; a refusal excluded a server for the rest of the request; a wait did not look at whether the server was still there.

Fix: attempts count servers, returns are counted on their own and up to the same number; servers that work on the request, failed, or refused within the last 0.5 s are not returned to; a refusal within 0.3 s means full at the moment, a later one that the request was in the queue. A request that may have run waits for a server that is known. A request that has not run is refused at once, as before.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -61,6 +61,10 @@
     pub reported_load: Option<Load>,
     /// Why the request is sent again; `None` for the first attempt.
     pub cause: Option<Retry>,
+    /// Whether the server was tried before.
+    pub is_return: bool,
+    /// When the server was chosen.
+    pub chosen_at: Instant,
     /// Marks when the request may have reached the server.
     pub marker: Marker,
 }
@@ -104,7 +108,10 @@
     pub(super) fn record_outcome(&mut self, attempt: &Attempt, outcome: &Outcome) {
         self.end(&attempt.marker);
         self.tried.push(attempt.server.id.clone());
-        if !matches!(outcome, Outcome::Success(_) | Outcome::Unknown(Retry::ServerTimeout)) {
+        if !matches!(
+            outcome,
+            Outcome::Success(_) | Outcome::Refused | Outcome::Unknown(Retry::ServerTimeout)
+        ) {
             self.failed.push(attempt.server.id.clone());
         }
         self.may_have_run |=
@@ -114,21 +121,21 @@
             Outcome::Failed(_) => Some(Retry::ServerError),
             Outcome::Unknown(cause) => Some(*cause),
             Outcome::Refused => {
-                self.record_refusal();
+                self.record_refusal(attempt, Instant::now());
                 Some(Retry::ServerRefused)
             }
             Outcome::Unsent => {
                 // A server to which nothing was sent doesn't count as an attempt.
-                self.attempts -= 1;
+                self.take_back(attempt);
                 Some(Retry::Connect)
             }
             Outcome::Declined => {
-                self.attempts -= 1;
+                self.take_back(attempt);
                 self.declines += 1;
                 Some(Retry::NeighbourDeclined)
             }
             Outcome::Limited => {
-                self.attempts -= 1;
+                self.take_back(attempt);
                 Some(Retry::RateLimited)
             }
         };
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -93,6 +93,8 @@
             expected_wait: Duration::ZERO,
             reported_load: None,
             cause: progress.retry_reason,
+            is_return: false,
+            chosen_at: now,
             marker: Marker::default(),
         })
     }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -1,7 +1,7 @@
 //! A request that is forwarded to servers, and the progress of its attempts.
 
 use {
-    super::obstacle::Obstacle,
+    super::{attempt::Attempt, handover::RECHECK_INTERVAL, obstacle::Obstacle},
     crate::{
         cascade::{self, Level},
         filter::{Exchange, Response},
@@ -32,6 +32,10 @@
 /// Upper limit of the attempt timeout, as a multiple of the target latency.
 const MAX_TIMEOUT_TARGETS: u32 = 3;
 
+/// Time within which a server refuses that is full at the moment; one that refuses later had the request
+/// in its queue.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
 /// A request that is forwarded to servers; it is the same for every attempt.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -66,20 +70,25 @@
 /// Progress of a request over its attempts.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// Number of attempts in which the request was, or may have been, sent to a server.
+    /// Number of servers to which the request was, or may have been, sent.
     pub attempts: u32,
+    /// Number of attempts at servers that were tried before.
+    pub returns: u32,
     /// Servers that were tried; they are not tried again while another one is left.
     pub tried: Vec<ServerId>,
     /// Servers among them that failed on the request or refused it; they are not tried again.
     pub failed: Vec<ServerId>,
+    /// Servers that refused the request at once although it may have run elsewhere, and when; they are
+    /// tried again after [`RECHECK_INTERVAL`].
+    pub refused: Vec<(ServerId, Instant)>,
     /// Instances that declined the request.
     pub declines: u32,
     /// Number of refusals by servers since the request may have run.
     pub refusals: u32,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
-    /// Attempts that are still running.
-    pub pending: Vec<Marker>,
+    /// Attempts that are still running, with their servers.
+    pub pending: Vec<(ServerId, Marker)>,
     /// Level of the cascade whose model is requested, if the router chooses the model.
     pub level: Option<Level>,
     /// Last failure response of a server, which is returned to the caller if no attempt succeeds.
@@ -120,13 +129,13 @@
 
 impl Progress {
     /// Adds an attempt that begins.
-    pub fn begin(&mut self, marker: &Marker) {
-        self.pending.push(marker.clone());
+    pub fn begin(&mut self, attempt: &Attempt) {
+        self.pending.push((attempt.server.id.clone(), attempt.marker.clone()));
     }
 
     /// Removes an attempt that has ended.
     pub fn end(&mut self, marker: &Marker) {
-        self.pending.retain(|pending| !pending.is_same(marker));
+        self.pending.retain(|(_, pending)| !pending.is_same(marker));
     }
 
     /// Removes an attempt that is given up before it has ended.
@@ -137,33 +146,77 @@
 
     /// Records that a server refused the request. A refusal counts as an attempt as long as the
     /// request itself can be refused; after that, refusals are counted on their own.
-    pub fn record_refusal(&mut self) {
+    pub fn record_refusal(&mut self, attempt: &Attempt, now: Instant) {
+        let was_at_once = now < attempt.chosen_at + REFUSAL_TIME;
+        if self.may_run() && was_at_once {
+            self.refused.push((attempt.server.id.clone(), now));
+        } else {
+            self.failed.push(attempt.server.id.clone());
+        }
         if self.may_run() {
-            self.attempts -= 1;
+            self.take_back(attempt);
             self.refusals += 1;
         }
     }
 
+    /// Counts an attempt.
+    pub fn count(&mut self, attempt: &Attempt) {
+        if attempt.is_return {
+            self.returns += 1;
+        } else {
+            self.attempts += 1;
+        }
+    }
+
+    /// Removes an attempt from the count whose server did not take the request.
+    pub fn take_back(&mut self, attempt: &Attempt) {
+        if !attempt.is_return {
+            self.attempts -= 1;
+        }
+    }
+
     /// Returns whether the request may be sent to servers that were not tried, of which too many may
     /// have refused it.
     pub const fn may_ask_others(&self, route: &Route) -> bool {
         self.refusals < route.attempts
     }
 
-    /// Returns whether servers that were only silent can be tried again: none of the servers works
-    /// on the request.
-    pub fn can_go_back(&self) -> bool {
-        self.pending.is_empty() && self.tried.iter().any(|server| !self.failed.contains(server))
+    /// Returns whether the request may be sent to a server that was tried before.
+    pub fn can_go_back(&self, route: &Route, now: Instant) -> bool {
+        let excluded = self.excluded_from_return(route, now);
+        self.returns < route.attempts && self.tried.iter().any(|server| !excluded.contains(server))
+    }
+
+    /// Returns the servers that are not tried again at `now`: those that failed, those that work on the
+    /// request, and those that refused it a moment ago, or all that refused it if there are too many.
+    pub fn excluded_from_return(&self, route: &Route, now: Instant) -> Vec<ServerId> {
+        let pending = self.pending.iter().map(|(server, _)| server);
+        let is_excluded = |(_, at): &&(ServerId, Instant)| {
+            !self.may_ask_others(route) || now < *at + RECHECK_INTERVAL
+        };
+        let recent = self.refused.iter().filter(is_excluded);
+        self.failed.iter().chain(pending).chain(recent.map(|(server, _)| server)).cloned().collect()
     }
 
-    /// Returns whether a server that was only silent may take the request later.
-    pub fn can_wait(&self) -> bool {
-        self.can_go_back() && self.obstacle.is_some_and(Obstacle::is_temporary)
+    /// Returns whether a server that was tried before, and that is still known, may take the request
+    /// later.
+    pub fn can_wait(&self, route: &Route, is_known: impl Fn(&ServerId) -> bool) -> bool {
+        let has_refused = |server: &ServerId| self.refused.iter().any(|(id, _)| id == server);
+        let may_take = |server: &ServerId| {
+            !self.failed.contains(server)
+                && is_known(server)
+                && (self.may_ask_others(route) || !has_refused(server))
+        };
+        self.may_have_run
+            && self.pending.is_empty()
+            && self.returns < route.attempts
+            && self.tried.iter().any(may_take)
+            && self.obstacle.is_some_and(Obstacle::is_temporary)
     }
 
     /// Returns whether a server may have run the request, or may do so now.
     pub fn may_run(&self) -> bool {
-        self.may_have_run || self.pending.iter().any(|marker| marker.sent_at().is_some())
+        self.may_have_run || self.pending.iter().any(|(_, marker)| marker.sent_at().is_some())
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -8,7 +8,7 @@
         reason::{Refusal, Retry},
     },
     hawthornmount_http::StatusCode,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 impl Forwarder {
@@ -20,7 +20,9 @@
         progress: &Progress,
         attempt: &Attempt,
     ) -> Option<Duration> {
-        let is_last = progress.attempts >= job.route.config.attempts;
+        let route = &job.route.config;
+        let is_last =
+            progress.attempts >= route.attempts && !progress.can_go_back(route, Instant::now());
         if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
     }
 
@@ -33,15 +35,14 @@
     ) -> Result<Attempt, Problem> {
         self.check_quarantine(job)
             .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
-        if progress.attempts >= job.route.config.attempts {
-            progress.obstacle = Some(Obstacle::Attempts);
-            return Err(overloaded());
-        }
         let Some(attempt) = self.choose(job, progress) else {
             let closed_for = self.closed_for(job);
-            progress.obstacle = Some(if closed_for.is_some() {
+            let route = &job.route.config;
+            progress.obstacle = Some(if progress.attempts >= route.attempts {
+                Obstacle::Attempts
+            } else if closed_for.is_some() {
                 Obstacle::ServersClosed
-            } else if progress.may_ask_others(&job.route.config) {
+            } else if progress.may_ask_others(route) {
                 Obstacle::NoServer
             } else {
                 Obstacle::Refusals
@@ -69,9 +70,9 @@
             }
             self.metrics.count_retry(cause);
         }
-        progress.attempts += 1;
+        progress.count(&attempt);
         progress.obstacle = None;
-        progress.begin(&attempt.marker);
+        progress.begin(&attempt);
         Ok(attempt)
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -6,7 +6,7 @@
         attempt::{Attempt, Outcome, Success},
         deadline_exceeded,
         guard::WaitGuard,
-        handover::{Event, Handover},
+        handover::{Event, Handover, RECHECK_INTERVAL},
         key_unconfirmed, obstacle, server_failed,
     },
     crate::{
@@ -15,11 +15,12 @@
         time,
     },
     hawthornmount_core::{
+        id::ServerId,
         problem::Problem,
         reason::{Refusal, Retry},
     },
     std::time::{Duration, Instant},
-    tokio::time::timeout_at,
+    tokio::time::{sleep, timeout_at},
 };
 
 /// The answer to a request.
@@ -80,7 +81,14 @@
     ) -> Result<(Attempt, Success), Problem> {
         loop {
             self.settle_path(progress.retry_reason).await;
-            self.start_attempt(job, progress, handover, job.resume_after())?;
+            let started = self.start_attempt(job, progress, handover, job.resume_after());
+            if let Err(problem) = started {
+                if handover.has_answer() || !self.can_wait(job, progress) {
+                    return Err(problem);
+                }
+                sleep(RECHECK_INTERVAL).await;
+                continue;
+            }
             let event = handover.next().await;
             let Some(Begun { attempt, success, time }) =
                 self.settle(job, progress, handover, event)?
@@ -95,10 +103,19 @@
             progress.level = Some(level);
             progress.tried.clear();
             progress.failed.clear();
+            progress.refused.clear();
             progress.retry_reason = Some(Retry::Escalation);
         }
     }
 
+    /// Returns whether a server that was tried before may take the request later.
+    pub(super) fn can_wait(&self, job: &Job, progress: &Progress) -> bool {
+        let view = self.cell.load();
+        let is_known =
+            |id: &ServerId| view.servers(&job.service).iter().any(|server| server.id == *id);
+        job.route.config.is_idempotent() && progress.can_wait(&job.route.config, is_known)
+    }
+
     /// Waits until it is known whether the failure of the last attempt was that of its server or of the
     /// links.
     pub(super) async fn settle_path(&self, cause: Option<Retry>) {
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -97,7 +97,7 @@
     ) -> Self {
         upstream.close_at(job.deadline() + CLOSE_DELAY);
         let splitter = Splitter::new(job.resume_after());
-        progress.begin(&attempt.marker);
+        progress.begin(&attempt);
         Self {
             forwarder,
             job,
@@ -294,7 +294,9 @@
     /// unresponsive, or `None` if the stream can't be resumed at another server.
     fn silence_timeout(&self) -> Option<Duration> {
         let route = &self.job.route.config;
-        if !route.resumable || self.progress.attempts >= route.attempts {
+        let is_last = self.progress.attempts >= route.attempts
+            && !self.progress.can_go_back(route, Instant::now());
+        if !route.resumable || is_last {
             return None;
         }
         let timeout = if self.relayed == 0 {
--- a/crates/hawthornmount-gateway/src/forward/resume.rs
+++ b/crates/hawthornmount-gateway/src/forward/resume.rs
@@ -58,7 +58,7 @@
             forwarder.settle_path(self.progress.retry_reason).await;
             if let Err(problem) = forwarder.start_attempt(job, &mut self.progress, handover, after)
             {
-                if !self.progress.can_wait() {
+                if !forwarder.can_wait(job, &self.progress) {
                     return Resumption::Failed(problem.reason);
                 }
                 sleep(RECHECK_INTERVAL).await;
@@ -112,7 +112,7 @@
         };
         upstream.close_at(self.job.deadline() + CLOSE_DELAY);
         self.give_up();
-        self.progress.begin(&begun.attempt.marker);
+        self.progress.begin(&begun.attempt);
         self.attempt = begun.attempt;
         self.upstream = Some(*upstream);
         self.silent_since = Instant::now();
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -22,21 +22,29 @@
     /// `None` if there is none left to try. A server that was silent is tried again if no other one is
     /// left.
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
+        let may_add = progress.attempts < job.route.config.attempts;
         if self.path.is_cut_off() {
-            return self.choose_neighbour(job, progress, |_| true);
+            return self.choose_neighbour(job, progress, |_| may_add);
         }
-        self.choose_server(job, progress).or_else(|| self.choose_holder(job, progress))
+        let server = self.choose_server(job, progress, may_add);
+        server.or_else(|| self.choose_holder(job, progress).filter(|_| may_add))
     }
 
     /// Chooses a server over an own connection.
-    fn choose_server(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
-        let other = if progress.may_ask_others(&job.route.config) {
+    fn choose_server(&self, job: &Job, progress: &Progress, may_add: bool) -> Option<Attempt> {
+        let (route, now) = (&job.route.config, Instant::now());
+        let other = if may_add && progress.may_ask_others(route) {
             self.choose_except(&progress.tried, job, progress)
         } else {
             None
         };
-        if other.is_none() && progress.can_go_back() {
-            return self.choose_except(&progress.failed, job, progress);
+        if other.is_none() && progress.can_go_back(route, now) {
+            let known = |server: &Arc<Server>| !progress.tried.contains(&server.id);
+            let view = self.cell.load();
+            let others = view.servers(&job.service).iter().filter(|server| known(server));
+            let mut excluded = progress.excluded_from_return(route, now);
+            excluded.extend(others.map(|server| server.id.clone()));
+            return self.choose_except(&excluded, job, progress);
         }
         other
     }
@@ -73,6 +81,8 @@
             expected_wait: Duration::from_secs_f64(candidate.wait() / 1_000.0),
             reported_load: None,
             cause: progress.retry_reason,
+            is_return: progress.tried.contains(&servers[at].id),
+            chosen_at: now,
             marker: Marker::default(),
         })
     }
