--- a/crates/hawthornmount-gateway/src/forward/handover.rs
+++ b/crates/hawthornmount-gateway/src/forward/handover.rs
@@ -7,8 +7,9 @@
 use {
     super::{
         Forwarder, Job,
-        attempt::{Attempt, Outcome, Success},
+        attempt::{Attempt, Outcome},
         job::Marker,
+        upstream::Success,
     },
     crate::message::EventId,
     futures::{
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -12,8 +12,10 @@
 mod quarantine;
 mod race;
 mod relay;
+mod response;
 mod resume;
 mod select;
+mod upstream;
 
 pub use {
     classify::{Class, classify},
@@ -43,7 +45,7 @@
         settings::{Retries, Settings},
         view::Cell,
     },
-    attempt::{Attempt, Success},
+    attempt::Attempt,
     futures::FutureExt,
     hawthornmount_core::{
         id::{InstanceId, RegionId, ServiceId},
@@ -62,6 +64,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    upstream::Success,
 };
 
 /// Delay after which a caller can retry a request that could not be forwarded.
@@ -303,8 +306,8 @@
         *response.status_mut() = success.status;
         *response.headers_mut() = self.dialect.caller_headers(&success.headers);
         let body = match success.body {
-            attempt::Body::Complete(bytes) => full_body(bytes),
-            attempt::Body::Streaming(upstream) => {
+            upstream::Body::Complete(bytes) => full_body(bytes),
+            upstream::Body::Streaming(upstream) => {
                 let relay = Relay::new(self.clone(), job, progress, attempt, *upstream);
                 match relay.start().await {
                     Ok(body) => body,
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         Forwarder, Job, Progress,
-        attempt::{Attempt, Outcome, Success},
+        attempt::{Attempt, Outcome},
         deadline_exceeded,
         guard::WaitGuard,
         handover::{Event, Handover, RECHECK_INTERVAL},
         key_unconfirmed, obstacle, server_failed,
+        upstream::Success,
     },
     crate::{
         message::EventId,
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -3,11 +3,8 @@
 
 use {
     super::{
-        Forwarder, Job, Progress,
-        attempt::{Attempt, Upstream},
-        deadline_exceeded, obstacle, race,
-        resume::Resumption,
-        server_failed,
+        Forwarder, Job, Progress, attempt::Attempt, deadline_exceeded, obstacle, race,
+        resume::Resumption, server_failed, upstream::Upstream,
     },
     crate::{
         filter::{self, Truncated},
--- a/crates/hawthornmount-gateway/src/forward/resume.rs
+++ b/crates/hawthornmount-gateway/src/forward/resume.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         Forwarder, Job,
-        attempt::Body,
         handover::{Event, Handover, RECHECK_INTERVAL},
         race::Begun,
         relay::{CLOSE_DELAY, Relay, Step, read},
+        upstream::Body,
     },
     bytes::Bytes,
     hawthornmount_core::reason::{Refusal, Retry},
