--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -79,7 +79,7 @@
     /// Servers among them that failed on the request or refused it; they are not tried again.
     pub failed: Vec<ServerId>,
     /// Servers that refused the request at once although it may have run elsewhere, and when; they are
-    /// tried again after [`RECHECK_INTERVAL`].
+    /// tried again after a pause.
     pub refused: Vec<(ServerId, Instant)>,
     /// Instances that declined the request.
     pub declines: u32,
--- a/crates/hawthornmount-gateway/src/limit/share.rs
+++ b/crates/hawthornmount-gateway/src/limit/share.rs
@@ -4,7 +4,7 @@
 //! instances hold equal shares, and each of them keeps an interval between its requests. Which
 //! instances hold one follows from their order for the server, which all instances that know the same
 //! members agree on. Views of the members differ for a time, so there are as many holders as possible
-//! while [`SPARE_HOLDERS`] more than intended still keep the limit.
+//! while a few more than intended still keep the limit.
 
 use {super::Rate, std::time::Duration};
 
