--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -42,6 +42,8 @@
     registry: Registry,
     driver: Driver,
     membership: Membership,
+    /// Whether the membership has changed since it was published.
+    has_new_members: bool,
     /// Quarantine whose reports this instance exchanges with others.
     quarantine: Option<Arc<Monitor>>,
     /// Limits of servers, which this instance exchanges with others.
@@ -65,6 +67,7 @@
             registry,
             driver,
             membership,
+            has_new_members: false,
             quarantine: None,
             limits: None,
             path: None,
@@ -252,7 +255,9 @@
             Ok(at) => self.applied[at].1 = entry.revision,
             Err(at) => self.applied.insert(at, (entry.key.clone(), entry.revision)),
         }
-        self.apply(entry)
+        let changes_view = self.apply(entry);
+        self.publish_members();
+        changes_view
     }
 
     /// Applies the deletion of a key, and returns whether the view changes.
@@ -289,8 +294,12 @@
         }
     }
 
-    /// Divides the limits of servers among the known instances, and lets requests be passed to them.
-    fn publish_members(&self) {
+    /// Divides the limits of servers among the known instances, and lets requests be passed to them, if
+    /// they have changed.
+    fn publish_members(&mut self) {
+        if !std::mem::take(&mut self.has_new_members) {
+            return;
+        }
         if let Some(path) = &self.path {
             path.set_secret(self.membership.secret());
             path.set_neighbours(self.membership.neighbours());
@@ -319,7 +328,7 @@
                     return false;
                 }
                 if self.membership.put(entry) {
-                    self.publish_members();
+                    self.has_new_members = true;
                     return false;
                 }
                 self.driver.put(entry)
