One order of instances for a role, and one lookup of a brittle server

The order by weight and name stood in fleet::role::rank, in the membership and in the limits; role::place serves all three, and the limits no longer format the role anew for each member. has_room looked a brittle service and server up twice. The slots of a server are called Slots: two types of the limits were both Division. Behaviour is the same; the tests change names only.

--- a/crates/hawthornmount-fleet/src/role/mod.rs
+++ b/crates/hawthornmount-fleet/src/role/mod.rs
@@ -11,11 +11,11 @@
 /// is the first choice. An instance that is not a live member has no rank.
 pub fn rank(members: &[Member], local: &InstanceId, role: &str) -> Option<usize> {
     let own = members.iter().find(|member| member.id == *local)?;
-    let own_weight = weight(&own.id, role);
+    let own_place = place(&own.id, role);
     let ahead = |member: &&Member| {
         member.data_centre == own.data_centre
             && is_live(member)
-            && (weight(&member.id, role), &member.id) > (own_weight, &own.id)
+            && place(&member.id, role) > own_place
     };
     is_live(own).then(|| members.iter().filter(ahead).count())
 }
@@ -25,6 +25,12 @@
     matches!(member.liveness, Liveness::Alive | Liveness::Suspect)
 }
 
+/// Returns the place of an instance in the order for a role; the greatest place comes first, and no two
+/// instances have the same one.
+pub fn place(id: &InstanceId, role: &str) -> (u64, InstanceId) {
+    (weight(id, role), id.clone())
+}
+
 /// Returns the rendezvous weight of an instance for a role; the highest weight comes first.
 pub fn weight(id: &InstanceId, role: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
--- a/crates/hawthornmount-gateway/src/limit/brittle.rs
+++ b/crates/hawthornmount-gateway/src/limit/brittle.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Limits,
-        room::{self, Division, Reduction, Seen},
+        room::{self, Reduction, Seen, Slots},
     },
     crate::registry::Server,
     hawthornmount_core::id::{ServerId, ServiceId},
@@ -74,21 +74,27 @@
     /// Returns whether a server has room for one more request of this instance.
     pub fn has_room(&mut self, server: &Server, seen: &Seen, now: Instant) -> bool {
         let Some(service) = self.brittle_service(&server.service, now) else { return true };
-        let Some(division) = self.division(server, now) else { return true };
         let until = self.services[service].keeps_to_shares_until;
         let keeps_to_share = until.is_some_and(|until| now < until);
         let at = self.brittle(&server.id);
-        let reduction = self.brittle[at].reduction;
-        let limit = reduction.map(|reduction| reduction.limit(division.instances, now));
-        limit.is_none_or(|limit| seen.in_flight < limit) && division.has_room(seen, keeps_to_share)
+        let limit = self.brittle[at].reduction.map(|one| one.limit(self.members.len(), now));
+        limit.is_none_or(|limit| seen.in_flight < limit)
+            && self.slots(server, at).has_room(seen, keeps_to_share)
     }
 
-    /// Returns the division of the slots of a brittle server; `None` if it is not brittle.
-    pub(super) fn division(&mut self, server: &Server, now: Instant) -> Option<Division> {
-        self.brittle_service(&server.service, now)?;
+    /// Returns whether this instance holds a share of the slots of a server, if it is brittle.
+    pub(super) fn holds_slot(&mut self, server: &Server, now: Instant) -> bool {
+        if !self.is_brittle(&server.service, now) {
+            return true;
+        }
         let at = self.brittle(&server.id);
+        self.slots(server, at).share() > 0
+    }
+
+    /// Returns the slots of a server, which is the brittle one at `at`.
+    fn slots(&self, server: &Server, at: usize) -> Slots {
         let (instances, rank) = (self.members.len(), self.brittle[at].rank);
-        Some(Division { slots: server.slots, instances, rank })
+        Slots { count: server.slots, instances, rank }
     }
 
     /// Removes the brittle servers for which `is_known` is false.
--- a/crates/hawthornmount-gateway/src/limit/mod.rs
+++ b/crates/hawthornmount-gateway/src/limit/mod.rs
@@ -176,7 +176,7 @@
             Ok(at) => self.rows[at].rate().is_none() || self.rows[at].share.is_some(),
             Err(_) => true,
         };
-        has_rate && self.division(server, now).is_none_or(|division| division.share() > 0)
+        has_rate && self.holds_slot(server, now)
     }
 
     /// Returns whether a server has a limit.
@@ -188,8 +188,8 @@
     pub fn holders(&self, server: &Server, now: Instant) -> Vec<InstanceId> {
         let instances = self.members.len();
         let first = |count: usize, name: &str| {
-            let mut members = self.members.clone();
-            members.sort_by_cached_key(|member| Reverse(order(member, name)));
+            let (role, mut members) = (role_for(name), self.members.clone());
+            members.sort_by_cached_key(|member| Reverse(role::place(member, &role)));
             members.truncate(count);
             members
         };
@@ -278,8 +278,9 @@
 
     /// Returns the number of members that come before this instance in the order for something.
     fn rank_for(&self, name: &str) -> usize {
-        let own = order(&self.own, name);
-        self.members.iter().filter(|member| order(member, name) > own).count()
+        let role = role_for(name);
+        let own = role::place(&self.own, &role);
+        self.members.iter().filter(|member| role::place(member, &role) > own).count()
     }
 
     fn position(&self, server: &str, start_ms: u64) -> Result<usize, usize> {
@@ -287,9 +288,9 @@
     }
 }
 
-/// Returns the place of an instance in the order for something; the greatest comes first.
-fn order(instance: &InstanceId, name: &str) -> (u64, InstanceId) {
-    (role::weight(instance, &format!("limit/{name}")), instance.clone())
+/// Returns the role for which the instances are ordered that divide the limit of something.
+fn role_for(name: &str) -> String {
+    format!("limit/{name}")
 }
 
 /// Returns the name of the start of a server in the orders of the instances.
--- a/crates/hawthornmount-gateway/src/limit/room.rs
+++ b/crates/hawthornmount-gateway/src/limit/room.rs
@@ -25,11 +25,11 @@
     SHARE_TIME * u32::try_from(instances.max(1)).unwrap_or(u32::MAX)
 }
 
-/// Division of the slots of a server.
+/// Slots of a server, which are divided among the instances.
 #[derive(Clone, Copy, Debug)]
-pub struct Division {
+pub struct Slots {
     /// Requests that the server takes at a time.
-    pub slots: u32,
+    pub count: u32,
     /// Instances of the fleet.
     pub instances: usize,
     /// Number of instances that come before this one in the order for the server.
@@ -66,13 +66,13 @@
     in_flight: u32,
 }
 
-impl Division {
+impl Slots {
     /// Returns the slots that this instance may use whatever the others do.
     pub fn share(&self) -> u32 {
         let instances = self.instances.max(1);
-        let slots = self.slots as usize;
-        let rest = usize::from(self.rank < slots % instances);
-        u32::try_from(slots / instances + rest).unwrap_or(u32::MAX)
+        let count = self.count as usize;
+        let rest = usize::from(self.rank < count % instances);
+        u32::try_from(count / instances + rest).unwrap_or(u32::MAX)
     }
 
     /// Returns whether this instance may have one more request in flight at the server, given whether
@@ -85,7 +85,7 @@
     /// Returns the requests that this instance may have in flight by the last report.
     fn allowance(&self, seen: &Seen) -> u32 {
         let Some(report) = seen.report.filter(|report| report.waiting == 0) else { return 0 };
-        let free = (f64::from(self.slots) * FILLED - f64::from(report.requests)).max(0.0);
+        let free = (f64::from(self.count) * FILLED - f64::from(report.requests)).max(0.0);
         let part = free / self.instances.max(1) as f64;
         report.in_flight + (part + report.draw).floor() as u32
     }
--- a/crates/hawthornmount-gateway/src/membership/mod.rs
+++ b/crates/hawthornmount-gateway/src/membership/mod.rs
@@ -138,7 +138,7 @@
             let contact = row.contact.clone().filter(|one| one.data_centre == own.data_centre)?;
             (row.id != self.own).then(|| Peer { id: row.id.clone(), contact })
         };
-        let rank = |id: &InstanceId| (role::weight(id, READER), id.clone());
+        let rank = |id: &InstanceId| role::place(id, READER);
         let mut peers: Vec<Peer> = self.rows.iter().filter_map(peer).collect();
         peers.sort_by_cached_key(|peer| std::cmp::Reverse(rank(&peer.id)));
         let own_rank = rank(&self.own);
--- a/crates/hawthornmount-gateway/tests/gateway/brittle.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/brittle.rs
@@ -4,7 +4,7 @@
     hawthornmount_gateway::{
         limit::{
             Limits,
-            room::{Division, Report, Seen},
+            room::{Report, Seen, Slots},
         },
         load::{Load, Stats},
         registry::{Readiness, Server},
@@ -171,7 +171,7 @@
     #[values(1, 3, 9, 75, 300)] instances: usize,
     #[values(1, 6, 48)] slots: u32,
 ) {
-    let share = |rank| Division { slots, instances, rank }.share();
+    let share = |rank| Slots { count: slots, instances, rank }.share();
     assert_eq!((0..instances).map(share).sum::<u32>(), slots);
 }
 
@@ -191,7 +191,7 @@
 #[case::requests_wait(Room { in_flight: 2, report: Some((2, 1, 2)), has_room: false })]
 #[case::own_part_of_what_was_free_is_used(Room { in_flight: 4, report: Some((2, 0, 2)), has_room: false })]
 fn room_follows_from_the_share_and_the_last_report(#[case] room: Room) {
-    let division = Division { slots: 6, instances: 3, rank: 0 };
+    let slots = Slots { count: 6, instances: 3, rank: 0 };
     let report = room.report.map(|(requests, waiting, in_flight)| Report {
         requests,
         waiting,
@@ -199,5 +199,5 @@
         draw: 0.5,
     });
     let seen = Seen { in_flight: room.in_flight, report };
-    assert_eq!(division.has_room(&seen, false), room.has_room);
+    assert_eq!(slots.has_room(&seen, false), room.has_room);
 }
