Returns to servers by one predicate, and requests built in one place

The servers that a request may return to were computed as a list of excluded ones and again, with small differences, for the wait; Progress::may_return serves the choice and the question, and the choice takes a predicate in place of a list of all others. A request to a server and one that is passed on differ in their headers only. Behaviour is the same.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -19,6 +19,7 @@
     bytes::Bytes,
     hawthornmount_core::reason::Retry,
     hawthornmount_http::connection::{self, Connection},
+    http::HeaderMap,
     http_body_util::Full,
     std::{
         sync::Arc,
@@ -247,29 +248,40 @@
                 && job.is_key_valid_in(&self.cell.load()))
     }
 
-    /// Returns the request as it is sent to a server.
-    fn request(
+    /// Returns the headers with which a request is sent to a server.
+    fn forward_headers(
         &self,
         job: &Job,
         attempt: &Attempt,
         resume_after: Option<EventId>,
-    ) -> http::Request<Full<Bytes>> {
-        if let Some(neighbour) = &attempt.neighbour {
-            return self.passed_request(job, neighbour, resume_after);
-        }
+    ) -> HeaderMap {
         let model = attempt.level.and_then(|level| job.route.config.ladder.get(level));
         let forward_head = ForwardHead {
             server: attempt.server.id.clone(),
             account: job.principal.as_ref().map(|principal| principal.account.clone()),
             model: model.cloned(),
             rank: job.rank(),
-            time_left: job.deadline().saturating_duration_since(Instant::now()),
+            time_left: job.time_left(),
             resume_after,
         };
+        self.dialect.forward_headers(&job.headers, &forward_head)
+    }
+
+    /// Returns the request as it is sent to a server, or passed to another instance.
+    fn request(
+        &self,
+        job: &Job,
+        attempt: &Attempt,
+        resume_after: Option<EventId>,
+    ) -> http::Request<Full<Bytes>> {
+        let headers = match &attempt.neighbour {
+            Some(neighbour) => self.passed_headers(job, neighbour, resume_after),
+            None => self.forward_headers(job, attempt, resume_after),
+        };
         let mut request = http::Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.target.clone();
-        *request.headers_mut() = self.dialect.forward_headers(&job.headers, &forward_head);
+        *request.headers_mut() = headers;
         request
     }
 
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -1,4 +1,5 @@
-//! Passes requests to other instances while this one reaches no server.
+//! Passes requests to other instances: while this one reaches no server, or where the limits of the
+//! servers leave it no room.
 
 use {
     super::{
@@ -15,10 +16,8 @@
         },
         registry::{Readiness, Server},
     },
-    bytes::Bytes,
     hawthornmount_core::reason::Retry,
     http::HeaderMap,
-    http_body_util::Full,
     rand::seq::IndexedRandom,
     std::{
         sync::Arc,
@@ -99,27 +98,23 @@
         })
     }
 
-    /// Returns the request as it is passed to another instance.
-    pub(super) fn passed_request(
+    /// Returns the headers with which a request is passed to another instance.
+    pub(super) fn passed_headers(
         &self,
         job: &Job,
         neighbour: &Neighbour,
         resume_after: Option<EventId>,
-    ) -> http::Request<Full<Bytes>> {
-        let left = job.deadline().saturating_duration_since(Instant::now());
-        let time_left = left.saturating_sub(WAY_BACK);
+    ) -> HeaderMap {
+        let time_left = job.time_left().saturating_sub(WAY_BACK);
         let pass = Pass {
             from: self.instance.clone(),
             to: neighbour.id.clone(),
             request: job.id.clone(),
             head: digest(&job.method, &job.target),
         };
-        let mut request = http::Request::new(Full::new(job.body.clone()));
-        *request.method_mut() = job.method.clone();
-        *request.uri_mut() = job.target.clone();
-        *request.headers_mut() = self.dialect.passed_headers(&job.headers, time_left, resume_after);
-        request.headers_mut().insert(PASS, pass.seal(&neighbour.secret));
-        request
+        let mut headers = self.dialect.passed_headers(&job.headers, time_left, resume_after);
+        headers.insert(PASS, pass.seal(&neighbour.secret));
+        headers
     }
 
     /// Returns the outcome of an attempt whose request another instance refused itself; `None` if the
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -183,33 +183,35 @@
 
     /// Returns whether the request may be sent to a server that was tried before.
     pub fn can_go_back(&self, route: &Route, now: Instant) -> bool {
-        let excluded = self.excluded_from_return(route, now);
-        self.returns < route.attempts && self.tried.iter().any(|server| !excluded.contains(server))
+        self.tried.iter().any(|server| self.may_return(server, route, now))
     }
 
-    /// Returns the servers that are not tried again at `now`: those that failed, those that work on the
-    /// request, and those that refused it a moment ago, or all that refused it if there are too many.
-    pub fn excluded_from_return(&self, route: &Route, now: Instant) -> Vec<ServerId> {
-        let pending = self.pending.iter().map(|(server, _)| server);
-        let is_excluded = |(_, at): &&(ServerId, Instant)| {
-            !self.may_ask_others(route) || now < *at + RECHECK_INTERVAL
-        };
-        let recent = self.refused.iter().filter(is_excluded);
-        self.failed.iter().chain(pending).chain(recent.map(|(server, _)| server)).cloned().collect()
+    /// Returns whether the request may be sent again at `now` to a server that was tried before: one that
+    /// is not at work on it and did not refuse it a moment ago.
+    pub fn may_return(&self, server: &ServerId, route: &Route, now: Instant) -> bool {
+        let is_pending = self.pending.iter().any(|(pending, _)| pending == server);
+        let mut recent = self.refused.iter().filter(|(_, at)| now < *at + RECHECK_INTERVAL);
+        self.may_return_later(server, route)
+            && !is_pending
+            && !recent.any(|(refused, _)| refused == server)
+    }
+
+    /// Returns whether the request may be sent again, at some time, to a server that was tried before:
+    /// one that did not fail, and did not refuse it if too many have.
+    fn may_return_later(&self, server: &ServerId, route: &Route) -> bool {
+        let has_refused = self.refused.iter().any(|(refused, _)| refused == server);
+        self.returns < route.attempts
+            && self.tried.contains(server)
+            && !self.failed.contains(server)
+            && (self.may_ask_others(route) || !has_refused)
     }
 
     /// Returns whether a server that was tried before, and that is still known, may take the request
     /// later.
     pub fn can_wait(&self, route: &Route, is_known: impl Fn(&ServerId) -> bool) -> bool {
-        let has_refused = |server: &ServerId| self.refused.iter().any(|(id, _)| id == server);
-        let may_take = |server: &ServerId| {
-            !self.failed.contains(server)
-                && is_known(server)
-                && (self.may_ask_others(route) || !has_refused(server))
-        };
+        let may_take = |server: &ServerId| is_known(server) && self.may_return_later(server, route);
         self.may_have_run
             && self.pending.is_empty()
-            && self.returns < route.attempts
             && self.tried.iter().any(may_take)
             && self.obstacle.is_some_and(Obstacle::is_temporary)
     }
@@ -249,6 +251,11 @@
         self.caller_deadline.min(self.arrived + self.route.config.timeout)
     }
 
+    /// Returns the time until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline().saturating_duration_since(Instant::now())
+    }
+
     /// Returns whether the request may only run while its key is valid.
     pub fn requires_key(&self) -> bool {
         self.principal.is_some() && !self.route.config.anonymous
@@ -295,7 +302,7 @@
         if !route.is_idempotent() {
             return None;
         }
-        let left = self.deadline().saturating_duration_since(Instant::now());
+        let left = self.time_left();
         let timeout = (expected_wait * EXPECTED_WAIT_FACTOR)
             .max(route.target_latency.mul_f64(MIN_TIMEOUT_TARGETS));
         Some(timeout.min(route.target_latency * MAX_TIMEOUT_TARGETS).min(left / 2))
@@ -304,7 +311,7 @@
     /// Returns the time in which the first event of a stream has to arrive while another answer is
     /// kept for it: long enough for an attempt, and at most half of the time until the deadline.
     pub fn first_event_timeout(&self, expected_wait: Duration) -> Duration {
-        let left = self.deadline().saturating_duration_since(Instant::now());
+        let left = self.time_left();
         self.attempt_timeout(expected_wait).unwrap_or(left / 2)
     }
 
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -24,44 +24,37 @@
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let may_add = progress.attempts < job.route.config.attempts;
         if self.path.is_cut_off() {
-            return self.choose_neighbour(job, progress, |_| may_add);
+            return if may_add { self.choose_neighbour(job, progress, |_| true) } else { None };
         }
         let server = self.choose_server(job, progress, may_add);
-        server.or_else(|| self.choose_holder(job, progress).filter(|_| may_add))
+        if server.is_none() && may_add { self.choose_holder(job, progress) } else { server }
     }
 
-    /// Chooses a server over an own connection.
+    /// Chooses a server over an own connection; `may_add` is whether it may be one that was not tried.
     fn choose_server(&self, job: &Job, progress: &Progress, may_add: bool) -> Option<Attempt> {
         let (route, now) = (&job.route.config, Instant::now());
         let other = if may_add && progress.may_ask_others(route) {
-            self.choose_except(&progress.tried, job, progress)
+            self.choose_among(job, progress, |server| !progress.tried.contains(server))
         } else {
             None
         };
         if other.is_none() && progress.can_go_back(route, now) {
-            let known = |server: &Arc<Server>| !progress.tried.contains(&server.id);
-            let view = self.cell.load();
-            let others = view.servers(&job.service).iter().filter(|server| known(server));
-            let mut excluded = progress.excluded_from_return(route, now);
-            excluded.extend(others.map(|server| server.id.clone()));
-            return self.choose_except(&excluded, job, progress);
+            return self
+                .choose_among(job, progress, |server| progress.may_return(server, route, now));
         }
         other
     }
 
-    /// Chooses one of the servers that are not `excluded`.
-    fn choose_except(
+    /// Chooses one of the servers for which `may_take` is true.
+    fn choose_among(
         &self,
-        excluded: &[ServerId],
         job: &Job,
         progress: &Progress,
+        may_take: impl Fn(&ServerId) -> bool,
     ) -> Option<Attempt> {
         let view = self.cell.load();
-        let servers: Vec<&Arc<Server>> = view
-            .servers(&job.service)
-            .iter()
-            .filter(|server| !excluded.contains(&server.id))
-            .collect();
+        let servers: Vec<&Arc<Server>> =
+            view.servers(&job.service).iter().filter(|server| may_take(&server.id)).collect();
         let now = Instant::now();
         let servers = self.open_servers(servers, now);
         let (servers, is_trial) = self.servers_for_session(&view, job, progress, servers, now);
