Report the end of a limit that the store shows, and name what the links reach

Writes of limits and of roll-outs are committed by one function. Reach::Some and Reach::None read like an Option; they are Servers and CutOff.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -236,7 +236,7 @@
         };
         let step = self.state.step_rollouts(part, now);
         for txn in step.writes {
-            self.commit(txn);
+            self.commit(txn, "a write of a roll-out");
         }
         for report in step.reports {
             self.deliver(report);
@@ -246,16 +246,15 @@
         }
     }
 
-    /// Commits a write of a roll-out in the background.
-    fn commit(&self, txn: Txn) {
+    /// Commits a write in the background, of which the instances need one only; `what` names it in the
+    /// log.
+    fn commit(&self, txn: Txn, what: &'static str) {
         let store = self.store.clone();
         tokio::spawn(async move {
             match store.commit(txn).await {
                 Ok(commit) if commit.applied => {}
-                Ok(_) => log::debug!("another instance wrote the roll-out first"),
-                Err(error) => {
-                    log::warn!("the store did not confirm a write of a roll-out; cause={error}");
-                }
+                Ok(_) => log::debug!("another instance wrote {what} first"),
+                Err(error) => log::warn!("the store did not confirm {what}; cause={error}"),
             }
         });
     }
@@ -278,12 +277,7 @@
     fn write_limits(&self) {
         let Some(limits) = self.state.limits() else { return };
         for txn in limits.take_writes() {
-            let store = self.store.clone();
-            tokio::spawn(async move {
-                if let Err(error) = store.commit(txn).await {
-                    log::warn!("the store did not confirm a rate limit; cause={error}");
-                }
-            });
+            self.commit(txn, "a rate limit");
         }
     }
 
--- a/crates/hawthornmount-gateway/src/follow/read.rs
+++ b/crates/hawthornmount-gateway/src/follow/read.rs
@@ -127,7 +127,7 @@
     fn write_missing(&mut self) {
         self.register();
         for txn in self.state.driver().leftover_deletions(self.state.membership().data_centres()) {
-            self.commit(txn);
+            self.commit(txn, "a write of a roll-out");
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -35,9 +35,9 @@
     pub async fn watch_path(&self) {
         let adapt = |reach| match reach {
             // Connections that are mute now may carry late bytes once the servers are reached again.
-            Reach::None => self.pool.clear(),
+            Reach::CutOff => self.pool.clear(),
             // The failures were those of the links.
-            Reach::Some => self.loads.lock().forgive(),
+            Reach::Servers => self.loads.lock().forgive(),
         };
         self.path.run(adapt).await;
     }
--- a/crates/hawthornmount-gateway/src/limit/exchange.rs
+++ b/crates/hawthornmount-gateway/src/limit/exchange.rs
@@ -94,17 +94,25 @@
         self.apply(at, before, now)
     }
 
-    /// Applies a complete list of keys, given whether it contains a key.
-    pub fn retain_listed(&mut self, is_listed: impl Fn(&str) -> bool, now: Instant) {
+    /// Applies a complete list of keys, given whether it contains a key, and returns the changes of the
+    /// limits in force.
+    pub fn retain_listed(
+        &mut self,
+        is_listed: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Vec<(Key, Change)> {
+        let mut changes = Vec::new();
         for at in 0..self.rows.len() {
-            let is_written = self.rows[at].exchange.is_written();
-            if is_written && !is_listed(&self.rows[at].key().to_string()) {
-                let before = self.rows[at].rate();
-                self.rows[at].exchange.revision = None;
-                self.rows[at].shared = Some(Statement { rate: None, at: now });
-                let _change = self.apply(at, before, now);
+            let key = self.rows[at].key();
+            if !self.rows[at].exchange.is_written() || is_listed(&key.to_string()) {
+                continue;
             }
+            let before = self.rows[at].rate();
+            self.rows[at].exchange.revision = None;
+            self.rows[at].shared = Some(Statement { rate: None, at: now });
+            changes.extend(self.apply(at, before, now).map(|change| (key, change)));
         }
+        changes
     }
 
     /// Returns the writes that are due.
--- a/crates/hawthornmount-gateway/src/limit/monitor.rs
+++ b/crates/hawthornmount-gateway/src/limit/monitor.rs
@@ -127,14 +127,8 @@
             Ok(record) => {
                 let stored = Stored { record, revision: entry.revision };
                 let mut limits = self.limits.lock();
-                if let Some(Change { before, after }) = limits.put(&key, stored, time::now()) {
-                    self.set_gauge(&limits);
-                    log::info!(
-                        "server has a rate limit, says the store; server={} rate={} before={}",
-                        key.server,
-                        Text(after),
-                        Text(before)
-                    );
+                if let Some(change) = limits.put(&key, stored, time::now()) {
+                    self.report_stored(&limits, &key, change);
                 }
             }
             Err(error) => {
@@ -146,7 +140,10 @@
 
     /// Applies a complete list of keys, given whether it contains a key.
     pub fn retain_listed(&self, is_listed: impl Fn(&str) -> bool) {
-        self.limits.lock().retain_listed(is_listed, time::now());
+        let mut limits = self.limits.lock();
+        for (key, change) in limits.retain_listed(is_listed, time::now()) {
+            self.report_stored(&limits, &key, change);
+        }
     }
 
     /// Returns the writes of limits that are due.
@@ -164,6 +161,17 @@
         self.set_gauge(&limits);
     }
 
+    /// Logs a change of a limit that the store showed.
+    fn report_stored(&self, limits: &Limits, key: &Key, change: Change) {
+        self.set_gauge(limits);
+        log::info!(
+            "server has a rate limit, says the store; server={} rate={} before={}",
+            key.server,
+            Text(change.after),
+            Text(change.before)
+        );
+    }
+
     fn set_gauge(&self, limits: &Limits) {
         let count = i64::try_from(limits.count()).unwrap_or(i64::MAX);
         self.metrics.gauges.with_label_values(&[SERVERS_GAUGE]).set(count);
--- a/crates/hawthornmount-gateway/src/path/links.rs
+++ b/crates/hawthornmount-gateway/src/path/links.rs
@@ -18,10 +18,10 @@
 /// Whether servers are reached.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reach {
-    /// Some server is reached, as far as is known.
-    Some,
+    /// Servers are reached, as far as is known.
+    Servers,
     /// No server is reached.
-    None,
+    CutOff,
 }
 
 /// Result of a check.
@@ -47,7 +47,7 @@
     /// Creates links that are believed to work.
     pub const fn new(now: Instant) -> Self {
         Self {
-            reach: Reach::Some,
+            reach: Reach::Servers,
             last_contact: now,
             last_failure: None,
             last_check: None,
@@ -77,7 +77,7 @@
             return false;
         }
         let is_over = |time: Duration| self.last_check.is_none_or(|at| now >= at + time);
-        if self.reach == Reach::None {
+        if self.reach == Reach::CutOff {
             return is_over(RETURN_INTERVAL);
         }
         // Contact after a failure shows that only that server failed.
@@ -108,7 +108,7 @@
         if check.has_reached {
             self.record_contact(now);
         }
-        let reach = if check.has_reached { Reach::Some } else { Reach::None };
+        let reach = if check.has_reached { Reach::Servers } else { Reach::CutOff };
         let is_new = std::mem::replace(&mut self.reach, reach) != reach;
         is_new.then_some(reach)
     }
--- a/crates/hawthornmount-gateway/src/path/monitor.rs
+++ b/crates/hawthornmount-gateway/src/path/monitor.rs
@@ -65,7 +65,7 @@
 
     /// Returns whether no server is reached.
     pub fn is_cut_off(&self) -> bool {
-        self.links.lock().reach() == Reach::None
+        self.links.lock().reach() == Reach::CutOff
     }
 
     /// Counts an attempt that waits for a server.
@@ -164,15 +164,15 @@
             }
         }
         let reach = self.links.lock().record_check(check, time::now())?;
-        let reached = i64::from(reach == Reach::Some);
+        let reached = i64::from(reach == Reach::Servers);
         self.metrics.gauges.with_label_values(&[GAUGE]).set(reached);
         match reach {
-            Reach::None => log::warn!(
+            Reach::CutOff => log::warn!(
                 "reaches no server; checked={} data_centres={}",
                 servers.len(),
                 data_centres(&servers).len()
             ),
-            Reach::Some => log::info!("reaches servers again"),
+            Reach::Servers => log::info!("reaches servers again"),
         }
         Some(reach)
     }
--- a/crates/hawthornmount-gateway/tests/gateway/path.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/path.rs
@@ -67,16 +67,16 @@
 }
 
 #[rstest]
-#[case::none_reached(Check { tried: 4, has_reached: false }, Reach::None)]
-#[case::one_reached(Check { tried: 4, has_reached: true }, Reach::Some)]
-#[case::no_server_known(Check { tried: 0, has_reached: false }, Reach::Some)]
+#[case::none_reached(Check { tried: 4, has_reached: false }, Reach::CutOff)]
+#[case::one_reached(Check { tried: 4, has_reached: true }, Reach::Servers)]
+#[case::no_server_known(Check { tried: 0, has_reached: false }, Reach::Servers)]
 fn check_decides_whether_servers_are_reached(#[case] check: Check, #[case] reach: Reach) {
     let now = Instant::now();
     let mut links = Links::new(now);
     links.begin_check(now);
     let change = links.record_check(check, now);
     assert_eq!(links.reach(), reach);
-    assert_eq!(change, (reach == Reach::None).then_some(Reach::None));
+    assert_eq!(change, (reach == Reach::CutOff).then_some(Reach::CutOff));
 }
 
 fn neighbour(number: usize, data_centres: usize) -> Arc<Neighbour> {
