Add the regions of routes and accounts to the configuration

Cause: no code knew in which regions a request may be served. Change: routes and accounts have allowed_regions, services a cold start; policy::residency decides where both lists allow a request, and the server choice of the own interface keeps to it. Checked with the configuration: a region without a data centre, a cold rate that is not above 0.

--- a/crates/hawthornmount-bench/src/experiment/decision.rs
+++ b/crates/hawthornmount-bench/src/experiment/decision.rs
@@ -149,6 +149,7 @@
                 priority: 0,
                 require_key: false,
                 rank: None,
+                allowed_regions: Vec::new(),
             },
         );
     }
--- a/crates/hawthornmount-core/src/config/check.rs
+++ b/crates/hawthornmount-core/src/config/check.rs
@@ -1,8 +1,8 @@
 //! Validation of the merged configuration: references between sections, and ranges of values.
 
 use {
-    super::{Account, Allowance, Cascade, Config, Rollout, Route, Server},
-    crate::table::Row,
+    super::{Account, Allowance, Cascade, Config, Rollout, Route, Server, Service},
+    crate::{id::RegionId, table::Row},
     std::{fmt::Display, sync::Arc},
 };
 
@@ -30,6 +30,7 @@
     config.rollouts.iter().for_each(|row| checker.check_rollout(row));
     checker.check_one_rollout_per_model();
     config.servers.iter().for_each(|row| checker.check_server(row));
+    config.services.iter().for_each(|row| checker.check_service(row));
     config.routes.iter().for_each(|row| checker.check_route(row));
     checker.check_limits();
     checker.findings
@@ -66,6 +67,7 @@
                 self.add(path, what, "add it under services or take it from the list");
             }
         }
+        self.check_regions("accounts", &row.id, &account.allowed_regions);
         self.check_account_cascade(row);
         if !(0.0..=1.0).contains(&account.quality_target) {
             let path = path(&["accounts", &row.id, "quality_target"]);
@@ -110,6 +112,7 @@
                 );
             }
         }
+        self.check_regions("routes", &row.id, &route.allowed_regions);
         for model in &route.ladder {
             if !self.config.models.contains(model) {
                 let what = format!("model {model} does not exist");
@@ -122,6 +125,29 @@
         }
     }
 
+    /// Checks that every region of a list has a data centre, if data centres are configured.
+    fn check_regions(&mut self, section: &str, id: &str, regions: &[RegionId]) {
+        let data_centres = &self.config.data_centres;
+        if data_centres.iter().next().is_none() {
+            return;
+        }
+        for (index, region) in regions.iter().enumerate() {
+            if !data_centres.iter().any(|row| row.value.region == *region) {
+                let path = path(&[section, id, "allowed_regions", &index.to_string()]);
+                let what = format!("region {region} has no data centre");
+                self.add(path, what, "name the region of a data centre or remove it");
+            }
+        }
+    }
+
+    fn check_service(&mut self, row: &Row<Service>) {
+        let Some(cold) = &row.value.cold_start else { return };
+        if !(cold.per_second.is_finite() && cold.per_second > 0.0) {
+            let path = path(&["services", &row.id, "cold_start", "per_second"]);
+            self.add(path, "is not above 0", "give the requests a second that a cold server takes");
+        }
+    }
+
     fn check_allowance(&mut self, path: &str, allowance: &Allowance) {
         let Some(model) = self.config.models.get(&allowance.model) else {
             let what = format!("model {} does not exist", allowance.model);
--- a/crates/hawthornmount-core/src/config/mod.rs
+++ b/crates/hawthornmount-core/src/config/mod.rs
@@ -74,6 +74,9 @@
     /// Urgency of the account's requests on routes; if absent, the route's rank applies.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rank: Option<Rank>,
+    /// Regions in which the account's requests may be served; empty if they may be served in all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// A model that an account may use.
@@ -201,6 +204,22 @@
     /// engines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cache_tokens: Option<u64>,
+    /// What a server takes while it is cold; absent if its servers take any rate from their start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a server of a service takes while it is cold: after a start, or after it was away.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Time for which a server is cold after its start.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "duration_ms")]
+    pub duration: Duration,
+    /// Requests a second that a cold server takes from the whole fleet.
+    pub per_second: f64,
 }
 
 /// Pattern that matches calls of a service by method and path.
--- a/crates/hawthornmount-core/src/config/route.rs
+++ b/crates/hawthornmount-core/src/config/route.rs
@@ -1,7 +1,7 @@
 //! Routes, which map a request's host and path to services and set its time limits and retries.
 
 use {
-    crate::id::{ModelId, ServiceId},
+    crate::id::{ModelId, RegionId, ServiceId},
     serde::{Deserialize, Serialize},
     serde_with::{DurationMilliSeconds, serde_as},
     std::{sync::Arc, time::Duration},
@@ -51,6 +51,9 @@
     /// name the model or the service has none.
     #[serde(default)]
     pub ladder: Vec<ModelId>,
+    /// Regions in which the requests may be served; empty if they may be served in all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// Kind of a route's requests, which decides whether they may run more than once.
--- a/crates/hawthornmount-core/src/reason/mod.rs
+++ b/crates/hawthornmount-core/src/reason/mod.rs
@@ -48,6 +48,8 @@
         NoVersion = "no_version",
         /// No server of the allowed versions, or of the service, accepts the request.
         NoServer = "no_server",
+        /// No server in the regions in which the request may be served accepts requests.
+        RegionUnavailable = "region_unavailable",
         /// Too many requests of the account wait while the fleet is at capacity.
         OverShare = "over_share",
         /// The fleet is at capacity.
@@ -95,6 +97,8 @@
         RateLimited = "rate_limited",
         /// Another instance, to which the request was passed, did not forward it.
         NeighbourDeclined = "neighbour_declined",
+        /// The server may not take the request any more, because of a change since it was chosen.
+        Withheld = "withheld",
         /// The server failed on a request that may be repeated.
         ServerError = "server_error",
         /// The server timed out on a request that may be repeated.
--- a/crates/hawthornmount-policy/src/lib.rs
+++ b/crates/hawthornmount-policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod cascade;
 pub mod eligibility;
+pub mod residency;
 pub mod router;
 pub mod server;
 pub mod version;
--- a/crates/hawthornmount-policy/src/server/mod.rs
+++ b/crates/hawthornmount-policy/src/server/mod.rs
@@ -10,7 +10,10 @@
 };
 
 use {
-    crate::router::{Choice, Class, Outcome, Query},
+    crate::{
+        residency::Regions,
+        router::{Choice, Class, Outcome, Query},
+    },
     hawthornmount_core::{
         id::ServerId,
         snapshot::{Backend, Liveness, Member, Release, Snapshot},
@@ -198,10 +201,14 @@
         tried: &[ServerId],
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let is_available = |at: &usize| {
-            let server = &self.servers[*at];
-            server.tracker.can_accept(query.now) && !tried.contains(&server.id)
+        let account = snapshot.config.accounts.get(&query.account);
+        let regions = Regions::common(account.map(|account| &*account.allowed_regions));
+        let is_candidate = |at: &usize| {
+            !tried.contains(&self.servers[*at].id)
+                && regions.allows(Some(&snapshot.backends[*at].region))
         };
+        let is_available =
+            |at: &usize| is_candidate(at) && self.servers[*at].tracker.can_accept(query.now);
         if let Some(at) = self.affinity_server(query, group)
             && is_available(&at)
         {
@@ -221,7 +228,7 @@
                 }
             }
         }
-        best.map(|(at, _)| at).or_else(|| self.last_resort(query, group, tried))
+        best.map(|(at, _)| at).or_else(|| self.last_resort(query, group, is_candidate))
     }
 
     /// Returns a random sample of the available servers of `near`, or all of them if the sample
@@ -247,9 +254,14 @@
 
     /// Returns the server to use if none is available: the one with the lowest score, preferably
     /// not an ejected one.
-    fn last_resort(&self, query: &Query, group: &Group, tried: &[ServerId]) -> Option<usize> {
-        let untried = group.all().filter(|at| !tried.contains(&self.servers[*at].id));
-        untried.min_by(|a, b| {
+    fn last_resort(
+        &self,
+        query: &Query,
+        group: &Group,
+        is_candidate: impl Fn(&usize) -> bool,
+    ) -> Option<usize> {
+        let candidates = group.all().filter(is_candidate);
+        candidates.min_by(|a, b| {
             let rank = |at: usize| {
                 let is_ejected = self.servers[at].tracker.is_ejected(query.now);
                 (is_ejected, self.score(at, query))
--- a/crates/hawthornmount-policy/tests/policy/fleet.rs
+++ b/crates/hawthornmount-policy/tests/policy/fleet.rs
@@ -61,6 +61,7 @@
             priority: 0,
             require_key: false,
             rank: None,
+            allowed_regions: Vec::new(),
         },
     );
     let data_centres = [("one", "north"), ("two", "north"), ("far", "south")];
--- a/crates/hawthornmount-policy/tests/policy/main.rs
+++ b/crates/hawthornmount-policy/tests/policy/main.rs
@@ -5,5 +5,6 @@
 mod cascade;
 mod fleet;
 mod reason;
+mod residency;
 mod router;
 mod server;
