Keep requests in their regions, empty data centres, and spare cold servers

Change: one list of allowed servers for all choices, and one check right before each hand-over, of key, region, evacuation and server; evacuations follow the list of the store; cold servers are one more source of a limit that is divided by arithmetic; an outage is told from a cut by what the store has written; instances that follow each other ask a failed store again as soon as it is due.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -76,6 +76,8 @@
     registered_at: Option<Instant>,
     /// Interval between two lists.
     list_interval: Duration,
+    /// Interval at which servers write their entries, if it is known.
+    heartbeat: Option<Duration>,
     /// Stamp of the last list, and whether nothing has changed since the one before.
     listed: Option<(Stamp, bool)>,
     /// Watch of the phases of roll-outs and of the reports on them, while one is under way.
@@ -112,6 +114,7 @@
             reads_store: true,
             registered_at: None,
             list_interval,
+            heartbeat: None,
             listed: None,
             watch: None,
             has_long_list: false,
@@ -119,6 +122,13 @@
         }
     }
 
+    /// Sets the interval at which servers write their entries.
+    #[must_use]
+    pub const fn with_heartbeat(mut self, heartbeat: Option<Duration>) -> Self {
+        self.heartbeat = heartbeat;
+        self
+    }
+
     /// Follows the store until the task is dropped.
     pub async fn run(mut self) {
         loop {
@@ -300,7 +310,9 @@
         let Some(rules) = self.state.rules().cloned() else { return };
         let (excluded, splits) =
             (self.state.driver().excluded_versions(), self.state.driver().splits());
-        self.cell.publish(View::new(rules, self.state.servers(), &excluded, splits));
+        let mut view = View::new(rules, self.state.servers(), &excluded, splits);
+        view.evacuated = self.state.evacuated();
+        self.cell.publish(view);
     }
 
     fn store_failed(&mut self, error: &store::Error) {
--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -55,10 +55,14 @@
     }
 
     /// Returns how long to wait for a confirmation: until the last one is older than a reader's
-    /// confirmations usually get.
+    /// confirmations usually get. While the store has failed this instance, it waits no longer than
+    /// until the store is due again: the other one may follow this instance and learn nothing either.
     fn peer_wait(&self) -> Duration {
         let stale = self.list_interval.mul_f64(STALE_INTERVALS) + STALE_MARGIN;
-        stale.saturating_sub(self.freshness.age()).max(MIN_WAIT)
+        let wait = stale.saturating_sub(self.freshness.age());
+        let due =
+            if self.is_store_unreachable { self.selector.store_delay(time::now()) } else { wait };
+        wait.min(due).max(MIN_WAIT)
     }
 
     /// Returns the point up to which the content of an instance is known, and its last confirmation.
@@ -124,8 +128,9 @@
     fn apply_replica(&mut self, stamp: Stamp) {
         let entries = self.relay.replica.lock().entries();
         // Entries may have expired while no source was available.
-        let was_unreachable = self.is_store_unreachable || self.freshness.age() > self.outage();
-        self.state.apply_list(&entries, stamp, was_unreachable, time::now());
+        let was_blind = self.is_store_unreachable || self.freshness.age() > self.outage();
+        let may_lack = was_blind && self.may_lack_servers(stamp);
+        self.state.apply_list(&entries, stamp, may_lack, time::now());
         self.publish();
         self.register();
     }
--- a/crates/hawthornmount-gateway/src/follow/read.rs
+++ b/crates/hawthornmount-gateway/src/follow/read.rs
@@ -113,7 +113,8 @@
         self.has_long_list = pages > 1;
         self.keep_equal_servers(&mut entries, stamp);
         self.relay.replica.lock().replace(&entries, stamp);
-        self.state.apply_list(&entries, stamp, self.is_store_unreachable, time::now());
+        let may_lack = self.is_store_unreachable && self.may_lack_servers(stamp);
+        self.state.apply_list(&entries, stamp, may_lack, time::now());
         self.is_reader = true;
         self.store_responded();
         self.publish();
@@ -122,6 +123,21 @@
         Ok(())
     }
 
+    /// Returns whether a list at `stamp` may lack servers whose entries lapsed while the store was away.
+    pub(super) fn may_lack_servers(&self, stamp: Stamp) -> bool {
+        let blindness = self.state.blindness(self.freshness.age(), stamp);
+        let may_lack = blindness.may_hide_lapses(self.heartbeat);
+        if !may_lack {
+            log::info!(
+                "the store was not away; blind_ms={} changes={} servers={}",
+                blindness.time.as_millis(),
+                blindness.changes,
+                blindness.servers
+            );
+        }
+        may_lack
+    }
+
     /// Writes the key of this instance if it is missing, and deletes the keys of roll-outs that have
     /// ended.
     fn write_missing(&mut self) {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -9,21 +9,25 @@
 
 use {
     crate::{
-        limit,
+        evacuation::Evacuations,
+        limit::{self, cold::Cause},
         membership::Membership,
         path,
         quarantine::monitor::Monitor,
-        registry::{Registry, Server},
+        registry::{Blindness, Registry, Server},
         relay::message::InFlight,
         rollout::{
             Driver,
             driver::{Part, Step},
         },
-        schema::{Codec, Key},
+        schema::{Codec, Configuration, Key},
         time,
         view::Rules,
     },
-    hawthornmount_core::id::{Revision, ServerId, ServiceId},
+    hawthornmount_core::{
+        id::{DataCentreId, RegionId, Revision, ServerId, ServiceId},
+        table::Table,
+    },
     hawthornmount_store::{Entry, Era, Stamp},
     std::{
         sync::Arc,
@@ -40,6 +44,9 @@
     schema: Arc<dyn Codec>,
     rules: Option<Arc<Rules>>,
     registry: Registry,
+    evacuations: Evacuations,
+    /// Region of each data centre, to report names that stand for none.
+    regions: Table<RegionId>,
     driver: Driver,
     membership: Membership,
     /// Whether the membership has changed since it was published.
@@ -65,6 +72,8 @@
             schema,
             rules: None,
             registry,
+            evacuations: Evacuations::default(),
+            regions: Table::new(),
             driver,
             membership,
             has_new_members: false,
@@ -98,6 +107,13 @@
         self
     }
 
+    /// Sets the region of each data centre.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Table<RegionId>) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Returns the limits of servers, if they are exchanged.
     pub const fn limits(&self) -> Option<&Arc<limit::monitor::Monitor>> {
         self.limits.as_ref()
@@ -133,9 +149,21 @@
         self.rules.as_ref()
     }
 
-    /// Returns the registered servers.
+    /// Returns how long and how far the store has changed without this instance, up to a list at
+    /// `stamp`; `time` is the age of the last confirmation.
+    pub fn blindness(&self, time: Duration, stamp: Stamp) -> Blindness {
+        let changes = stamp.revision.saturating_sub(self.stamp.revision);
+        Blindness { time, changes, servers: self.registry.iter().count() }
+    }
+
+    /// Returns the registered servers that may get requests: those of evacuated data centres may not.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.registry.iter()
+        self.registry.iter().filter(|server| !self.evacuations.contains(&server.data_centre))
+    }
+
+    /// Returns the evacuated data centres.
+    pub fn evacuated(&self) -> Vec<DataCentreId> {
+        self.evacuations.data_centres()
     }
 
     /// Returns the known instances.
@@ -183,10 +211,12 @@
         let revision = stamp.revision;
         let mut present: Vec<ServerId> = Vec::new();
         let mut ordered: Vec<ServiceId> = Vec::new();
+        let mut evacuated: Vec<DataCentreId> = Vec::new();
         for entry in entries {
             match self.schema.parse_key(&entry.key) {
                 Key::Server(id) => present.push(id),
                 Key::Order(service) => ordered.push(service),
+                Key::Evacuation(data_centre) => evacuated.push(data_centre),
                 Key::Config | Key::Other => {}
             }
             if self.is_newer(entry) {
@@ -198,6 +228,10 @@
         present.sort_unstable();
         self.registry.retain_listed(&present, was_store_unreachable, now);
         self.registry.expire(now);
+        evacuated.sort_unstable();
+        for data_centre in self.evacuations.missing(&evacuated, now) {
+            self.end_evacuation(&data_centre, revision);
+        }
         ordered.sort_unstable();
         self.driver.retain_ordered(&ordered, revision, now);
         let applied = &self.applied;
@@ -231,6 +265,7 @@
         self.era_began = Some(now);
         self.applied.clear();
         self.registry.begin_era(now);
+        self.evacuations.begin_era(now);
         self.driver.begin_era(now);
         true
     }
@@ -269,6 +304,7 @@
         match self.schema.parse_key(key) {
             Key::Server(id) => self.registry.remove(&id),
             Key::Order(service) => return self.driver.set_order(&service, revision, None),
+            Key::Evacuation(data_centre) => self.end_evacuation(&data_centre, revision),
             Key::Other => {
                 self.driver.delete(key);
                 let is_listed = |other: &str| other != key;
@@ -322,6 +358,7 @@
                 let order = self.decode(entry, |schema| schema.decode_order(&entry.value));
                 self.driver.set_order(&service, entry.revision, order)
             }
+            Key::Evacuation(data_centre) => self.begin_evacuation(&data_centre, entry.revision),
             Key::Other => {
                 let is_report = self.quarantine.as_ref().is_some_and(|one| one.put(entry));
                 if is_report || self.limits.as_ref().is_some_and(|limits| limits.put(entry)) {
@@ -355,13 +392,61 @@
             configuration.version,
             entry.revision
         );
+        self.report_unknown_regions(&configuration);
+        if let Some(limits) = &self.limits {
+            limits.set_cold_starts(&configuration.config.services);
+        }
         self.rules = Some(Arc::new(Rules::new(entry.revision, &configuration)));
         true
     }
 
+    /// Logs the regions of routes and accounts that have no data centre: nothing is served there.
+    fn report_unknown_regions(&self, configuration: &Configuration) {
+        let config = &configuration.config;
+        let routes = config.routes.iter().map(|row| ("route", &row.id, &row.value.allowed_regions));
+        let accounts =
+            config.accounts.iter().map(|row| ("account", &row.id, &row.value.allowed_regions));
+        for (kind, id, regions) in routes.chain(accounts) {
+            let is_unknown =
+                |region: &&RegionId| self.regions.iter().all(|row| row.value != **region);
+            for region in regions.iter().filter(is_unknown) {
+                log::warn!("an allowed region has no data centre; {kind}={id} region={region}");
+            }
+        }
+    }
+
+    fn begin_evacuation(&mut self, data_centre: &DataCentreId, revision: Revision) -> bool {
+        let is_new = self.evacuations.begin(data_centre);
+        if is_new {
+            log::warn!("data centre is evacuated; data_centre={data_centre} revision={revision}");
+            if !self.regions.contains(data_centre) {
+                log::warn!("the evacuated data centre is not known; data_centre={data_centre}");
+            }
+        }
+        is_new
+    }
+
+    /// Ends an evacuation. The servers may have become cold in the meantime, and their entries may not
+    /// state it yet.
+    fn end_evacuation(&mut self, data_centre: &DataCentreId, revision: Revision) {
+        if !self.evacuations.end(data_centre) {
+            return;
+        }
+        log::info!("evacuation has ended; data_centre={data_centre} revision={revision}");
+        let Some(limits) = &self.limits else { return };
+        for server in self.registry.iter().filter(|one| one.data_centre == *data_centre) {
+            limits.assume_cold(server, Cause::Evacuation);
+        }
+    }
+
     fn apply_server(&mut self, id: &ServerId, entry: &Entry) -> bool {
         match self.decode(entry, |schema| schema.decode_server(id, &entry.value)) {
-            Some(server) => self.registry.put(server, time::now()),
+            Some(server) => {
+                if let Some(limits) = &self.limits {
+                    limits.record_cold(&server, server.cold_remaining, Cause::Entry);
+                }
+                self.registry.put(server, time::now());
+            }
             None => self.registry.remove(id),
         }
         true
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -5,12 +5,14 @@
         Forwarder, Job, Progress,
         guard::{InFlightGuard, PrefillGuard},
         job::Marker,
+        permit::{Denial, Destination, Knowledge, Request},
         response::Received,
         upstream::Success,
     },
     crate::{
         cascade::Level,
         filter::Response,
+        limit::cold::Cause,
         load::Load,
         message::{EventId, ForwardHead},
         path::neighbour::Neighbour,
@@ -79,6 +81,8 @@
     Unknown(Retry),
     /// The key could not be confirmed, so nothing of the request was sent.
     KeyUnconfirmed,
+    /// The server may not take the request any more, so nothing of it was sent.
+    Withheld,
 }
 
 impl Attempt {
@@ -130,6 +134,10 @@
                 self.take_back(attempt);
                 Some(Retry::RateLimited)
             }
+            Outcome::Withheld => {
+                self.take_back(attempt);
+                Some(Retry::Withheld)
+            }
         };
         self.retry_reason = reason;
         self.replacement = reason;
@@ -162,12 +170,16 @@
                     }
                     Err(failure) => {
                         self.record_link_failure(attempt);
-                        return self.record_unsent(job, server, &failure);
+                        return self.record_unsent(job, attempt, &failure);
                     }
                 },
             };
-            if !self.may_send(job) {
-                return Outcome::KeyUnconfirmed;
+            if let Err(denial) = self.check_handover(job, attempt) {
+                self.pool.put(&server.id, connection, None);
+                return match denial {
+                    Denial::Key => Outcome::KeyUnconfirmed,
+                    Denial::Region | Denial::Evacuated | Denial::Withdrawn => Outcome::Withheld,
+                };
             }
             let request = self.request(job, attempt, resume_after);
             // A connection that broke before anything was sent has passed already.
@@ -197,13 +209,14 @@
                 Err(failure) if failure.is_unsent() => {
                     attempt.marker.clear();
                     if !is_reused {
-                        return self.record_unsent(job, server, &failure);
+                        return self.record_unsent(job, attempt, &failure);
                     }
                 }
                 Err(failure) => {
                     self.record_link_failure(attempt);
                     self.record_failure(job, server, &failure.to_string());
                     if !attempt.is_passed() {
+                        self.limits.assume_cold(server, Cause::Absence);
                         self.record_unanswered(job, server);
                     }
                     return Outcome::Unknown(Retry::CutAnswer);
@@ -239,13 +252,30 @@
         }
     }
 
-    /// Returns whether the key of a request is valid under a configuration that is recent enough.
-    /// The key is checked against the current configuration, because the request may have waited
-    /// since its key was looked up.
-    fn may_send(&self, job: &Job) -> bool {
-        !job.requires_key()
-            || (self.freshness.is_within_revocation_bound()
-                && job.is_key_valid_in(&self.cell.load()))
+    /// Checks that the request may still be handed to the destination of an attempt.
+    fn check_handover(&self, job: &Job, attempt: &Attempt) -> Result<(), Denial> {
+        let view = self.cell.load();
+        let knowledge =
+            Knowledge { view: &view, freshness: &self.freshness, regions: &self.regions };
+        let request = Request {
+            key: job.request.key.as_deref(),
+            principal: job.principal.as_ref(),
+            route: &job.route,
+        };
+        let destination = match &attempt.neighbour {
+            Some(neighbour) => Destination::Instance(&neighbour.data_centre),
+            None => Destination::Server(&attempt.server),
+        };
+        knowledge.check(&request, destination).inspect_err(|denial| {
+            log::info!(
+                "not handed over; id={} route={} server={} data_centre={} regions={} cause={denial}",
+                job.id,
+                job.route.id,
+                attempt.server.id,
+                attempt.server.data_centre,
+                self.allowed_regions(&view, job),
+            );
+        })
     }
 
     /// Returns the headers with which a request is sent to a server.
@@ -286,8 +316,16 @@
     }
 
     /// Records a failure of a server to which nothing could be sent.
-    fn record_unsent(&self, job: &Job, server: &Server, failure: &connection::Failure) -> Outcome {
-        self.record_failure(job, server, &failure.to_string());
+    fn record_unsent(
+        &self,
+        job: &Job,
+        attempt: &Attempt,
+        failure: &connection::Failure,
+    ) -> Outcome {
+        if !attempt.is_passed() {
+            self.limits.assume_cold(&attempt.server, Cause::Absence);
+        }
+        self.record_failure(job, &attempt.server, &failure.to_string());
         Outcome::Unsent
     }
 
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -46,7 +46,7 @@
     /// have limits. One whose own shares are used up asks another one once.
     pub(super) fn choose_holder(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let (view, now) = (self.cell.load(), Instant::now());
-        let servers = view.servers(&job.service);
+        let servers = self.allowed_servers(&view, job);
         if servers.iter().any(|server| !self.limits.is_limited(server, now)) {
             return None;
         }
@@ -59,7 +59,8 @@
     }
 
     /// Chooses an instance for the next attempt among those for which `is_asked` is true; returns
-    /// `None` if there is none left to try.
+    /// `None` if there is none left to try. The body goes only to regions in which the request may be
+    /// served: the region of the caller may be another one than that of this instance.
     pub(super) fn choose_neighbour(
         &self,
         job: &Job,
@@ -71,8 +72,9 @@
             return None;
         }
         let now = Instant::now();
+        let regions = self.allowed_regions(&self.cell.load(), job);
         let load = |neighbour: &Neighbour| {
-            if !is_asked(neighbour) {
+            if !is_asked(neighbour) || !self.is_in(&neighbour.data_centre, &regions) {
                 return None;
             }
             let mut loads = self.loads.lock();
@@ -155,5 +157,6 @@
         version: "none".into(),
         slots: 1,
         readiness: Readiness::Ready,
+        cold_remaining: Duration::ZERO,
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -8,7 +8,7 @@
         message::{Digest, EventId, RequestHead},
         rollout::plan,
         route::Entry,
-        view::{Principal, View},
+        view::Principal,
     },
     bytes::Bytes,
     hawthornmount_core::{
@@ -256,18 +256,6 @@
         self.deadline().saturating_duration_since(Instant::now())
     }
 
-    /// Returns whether the request may only run while its key is valid.
-    pub fn requires_key(&self) -> bool {
-        self.principal.is_some() && !self.route.config.anonymous
-    }
-
-    /// Returns whether the key still belongs to the same account under the configuration of a view.
-    pub fn is_key_valid_in(&self, view: &View) -> bool {
-        let principal = self.request.key.as_deref().and_then(|key| view.rules.principal(key));
-        principal.map(|principal| &principal.account)
-            == self.principal.as_ref().map(|principal| &principal.account)
-    }
-
     /// Returns whether a trial of a new version could use the request: its prompt is short.
     pub const fn is_trial_sized(&self) -> bool {
         self.request.prompt_tokens <= plan::SHORT_PROMPT_TOKENS
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod next;
 mod obstacle;
+pub mod permit;
 mod quarantine;
 mod race;
 mod relay;
@@ -108,7 +109,12 @@
         metrics: Metrics,
     ) -> Self {
         let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
-        let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone());
+        let tolerance = limit::cold::Tolerance {
+            overshoot: settings.cold.overshoot,
+            slack: settings.cold.slack,
+        };
+        let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone())
+            .with_tolerance(tolerance);
         let path = path::monitor::Monitor::new(cell.clone(), metrics.clone());
         Self {
             cell,
--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -2,15 +2,20 @@
 
 use {
     super::{Forwarder, Job, Progress, RETRY_AFTER, attempt::Attempt, obstacle::Obstacle},
-    crate::budget::Cause,
+    crate::{budget::Cause, view::View},
     hawthornmount_core::{
         problem::Problem,
         reason::{Refusal, Retry},
     },
     hawthornmount_http::StatusCode,
+    hawthornmount_policy::residency::Regions,
     std::time::{Duration, Instant},
 };
 
+/// Delay after which a caller can retry a request that may not be served where servers are left:
+/// about the time in which a server starts, or an operator's change is in force.
+const REGION_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 impl Forwarder {
     /// Returns the time in which the current attempt has to start its response; the last attempt is
     /// limited only by the deadline of the request.
@@ -47,7 +52,12 @@
             } else {
                 Obstacle::Refusals
             });
-            return Err(if let Some(time) = closed_for {
+            let view = self.cell.load();
+            let is_excluded = self.allowed_servers(&view, job).is_empty()
+                && (!view.evacuated.is_empty() || !view.servers(&job.service).is_empty());
+            return Err(if is_excluded {
+                region_unavailable(&job.service, &self.allowed_regions(&view, job), &view)
+            } else if let Some(time) = closed_for {
                 overloaded().retry_after(time)
             } else if progress.retry_reason.is_some() {
                 overloaded()
@@ -61,7 +71,10 @@
                 Retry::Connect => progress.attempts > 0,
                 // The retry was taken from the budget when the response was dropped, or when the
                 // server or the instance was chosen that did not take the request.
-                Retry::Escalation | Retry::RateLimited | Retry::NeighbourDeclined => false,
+                Retry::Escalation
+                | Retry::RateLimited
+                | Retry::NeighbourDeclined
+                | Retry::Withheld => false,
                 _ => true,
             };
             if is_retry && !self.take_retry(job, Cause::Failure) {
@@ -86,6 +99,18 @@
     problem
 }
 
+/// Returns the problem of a request that no server may take: those of its regions are gone, or their
+/// data centres are evacuated.
+fn region_unavailable(service: &str, regions: &Regions, view: &View) -> Problem {
+    let evacuated = view.evacuated.join(",");
+    let detail = format!(
+        "no server of {service} may serve the request: come back; regions={regions} \
+         evacuated={}",
+        if evacuated.is_empty() { "none" } else { &evacuated }
+    );
+    Problem::new(Refusal::RegionUnavailable, detail).retry_after(REGION_RETRY_AFTER)
+}
+
 fn no_server(service: &str) -> Problem {
     let detail = format!("no server of {service} takes requests: come back");
     Problem::new(Refusal::NoServer, detail).retry_after(RETRY_AFTER)
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -112,8 +112,8 @@
     /// Returns whether a server that was tried before may take the request later.
     pub(super) fn can_wait(&self, job: &Job, progress: &Progress) -> bool {
         let view = self.cell.load();
-        let is_known =
-            |id: &ServerId| view.servers(&job.service).iter().any(|server| server.id == *id);
+        let allowed = self.allowed_servers(&view, job);
+        let is_known = |id: &ServerId| allowed.iter().any(|server| server.id == *id);
         job.route.config.is_idempotent() && progress.can_wait(&job.route.config, is_known)
     }
 
@@ -195,7 +195,11 @@
             }
             Outcome::Failed(response) => progress.server_failure = Some(response),
             Outcome::Unknown(_) => {}
-            Outcome::Refused | Outcome::Unsent | Outcome::Limited | Outcome::Declined => {
+            Outcome::Refused
+            | Outcome::Unsent
+            | Outcome::Limited
+            | Outcome::Declined
+            | Outcome::Withheld => {
                 return Ok(None);
             }
             Outcome::KeyUnconfirmed if handover.is_empty() => return Err(key_unconfirmed()),
@@ -238,6 +242,7 @@
             | Outcome::Unsent
             | Outcome::Limited
             | Outcome::Declined
+            | Outcome::Withheld
             | Outcome::KeyUnconfirmed => {}
         }
     }
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         filter::{self, Truncated},
+        limit::cold::Cause,
         rollout::evidence::Signal,
         sse::Splitter,
     },
@@ -331,6 +332,7 @@
     /// Records that the connection of the current server broke.
     fn record_break(&self) {
         if let Some(upstream) = &self.upstream {
+            self.forwarder.limits.assume_cold(&upstream.server, Cause::Absence);
             self.forwarder.record_break(&self.job, &upstream.server, &upstream.start);
         }
     }
--- a/crates/hawthornmount-gateway/src/forward/response.rs
+++ b/crates/hawthornmount-gateway/src/forward/response.rs
@@ -8,7 +8,9 @@
         guard::InFlightGuard,
         upstream::{Body, Success, Upstream},
     },
-    crate::{message::ResponseHead, quarantine::start::Start, registry::Server},
+    crate::{
+        limit::cold::Cause, message::ResponseHead, quarantine::start::Start, registry::Server,
+    },
     bytes::Bytes,
     hawthornmount_core::{config::Kind, reason::Retry},
     hawthornmount_http::connection::{self, Connection},
@@ -145,6 +147,9 @@
         if let Some(sent_at) = attempt.marker.sent_at().filter(|_| is_answer) {
             self.limits.record_answer(&job.id, server, head.rate_limit, sent_at);
         }
+        if let Some(remaining) = head.cold_remaining.filter(|_| is_answer) {
+            self.limits.record_cold(server, remaining, Cause::Answer);
+        }
         if let Some(rejections) = head.brittle.filter(|_| is_answer) {
             self.limits.record_brittle(&job.id, server, rejections);
         }
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -10,7 +10,8 @@
         rollout::{Phase, sessions::Side},
         view::View,
     },
-    hawthornmount_core::id::ServerId,
+    hawthornmount_core::id::{DataCentreId, ServerId},
+    hawthornmount_policy::residency::Regions,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -53,8 +54,8 @@
         may_take: impl Fn(&ServerId) -> bool,
     ) -> Option<Attempt> {
         let view = self.cell.load();
-        let servers: Vec<&Arc<Server>> =
-            view.servers(&job.service).iter().filter(|server| may_take(&server.id)).collect();
+        let mut servers = self.allowed_servers(&view, job);
+        servers.retain(|server| may_take(&server.id));
         let now = Instant::now();
         let servers = self.open_servers(servers, now);
         let (servers, is_trial) = self.servers_for_session(&view, job, progress, servers, now);
@@ -80,6 +81,25 @@
         })
     }
 
+    /// Returns the regions in which a request may be served.
+    pub(super) fn allowed_regions(&self, view: &View, job: &Job) -> Regions {
+        let account = job.principal.as_ref().map(|principal| &principal.account);
+        view.rules.regions(&job.route, account)
+    }
+
+    /// Returns the servers of a view that accept requests of the service, in the regions in which the
+    /// request may be served. Every choice of a server is made among them.
+    pub(super) fn allowed_servers<'a>(&self, view: &'a View, job: &Job) -> Vec<&'a Arc<Server>> {
+        let regions = self.allowed_regions(view, job);
+        let servers = view.servers(&job.service).iter();
+        servers.filter(|server| self.is_in(&server.data_centre, &regions)).collect()
+    }
+
+    /// Returns whether a data centre lies in one of the allowed regions.
+    pub(super) fn is_in(&self, data_centre: &DataCentreId, allowed: &Regions) -> bool {
+        allowed.allows(self.regions.get(data_centre))
+    }
+
     /// Returns the servers that want requests of this instance: they are not leaving, have not turned
     /// requests away for a time that still lasts, and have room in their rate limits.
     fn open_servers<'a>(
@@ -103,9 +123,11 @@
     pub(super) fn closed_for(&self, job: &Job) -> Option<Duration> {
         let (view, now) = (self.cell.load(), Instant::now());
         let mut loads = self.loads.lock();
-        let servers = view.servers(&job.service).iter();
-        let staying: Vec<_> =
-            servers.filter(|server| !loads.is_leaving(&server.id, server.start_ms)).collect();
+        let servers = self.allowed_servers(&view, job);
+        let staying: Vec<_> = servers
+            .into_iter()
+            .filter(|server| !loads.is_leaving(&server.id, server.start_ms))
+            .collect();
         let is_brittle = self.limits.is_brittle(&job.service);
         let room = if is_brittle { RETRY_AFTER } else { Duration::ZERO };
         let times = staying.iter().map(|server| {
@@ -190,7 +212,7 @@
     pub(super) fn least_wait(&self, job: &Job, level: cascade::Level) -> Duration {
         let view = self.cell.load();
         let now = Instant::now();
-        let servers = self.open_servers(view.servers(&job.service).iter().collect(), now);
+        let servers = self.open_servers(self.allowed_servers(&view, job), now);
         let candidates = self.candidates(job, Some(level), &servers, now);
         let least = candidates.iter().map(Candidate::wait).min_by(f64::total_cmp);
         Duration::from_secs_f64(least.unwrap_or(0.0) / 1_000.0)
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -218,9 +218,11 @@
                 components.clone(),
             )));
         }
+        let settings = &components.settings;
         let list_interval = follow::list_interval(&[
-            components.settings.revocation,
-            components.settings.propagation,
+            settings.revocation,
+            settings.propagation,
+            settings.evacuation.unwrap_or(settings.propagation),
         ]);
         let driver = Driver::new(
             &components.settings.instance,
@@ -259,7 +261,8 @@
         let state = State::new(adapters.schema.clone(), driver, membership)
             .with_quarantine(components.forwarder.quarantine())
             .with_limits(components.forwarder.limits())
-            .with_path(components.forwarder.path());
+            .with_path(components.forwarder.path())
+            .with_regions(components.settings.regions.clone());
         let name = components.settings.instance.clone();
         let shared = relay::Shared::new(name, components.freshness.clone())
             .with_metrics(components.metrics.clone());
@@ -272,7 +275,8 @@
             shared.clone(),
             Arc::new(relay::client::Client::new(components.settings.instance.clone())),
             list_interval,
-        );
+        )
+        .with_heartbeat(components.settings.heartbeat);
         let listener = peers.map(|bound| bound.listener.into_std()).transpose()?;
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         let (control_sender, dropped) = oneshot::channel::<()>();
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balancing;
 pub mod budget;
 pub mod cascade;
+pub mod evacuation;
 pub mod filter;
 pub mod follow;
 pub mod forward;
--- a/crates/hawthornmount-gateway/src/limit/mod.rs
+++ b/crates/hawthornmount-gateway/src/limit/mod.rs
@@ -8,10 +8,14 @@
 //! right before it is handed to the server, whatever its reason. Instances that don't hold a share
 //! send nothing there, so they learn changes from the store ([`exchange`]).
 //!
+//! A server that is cold takes a lower rate for some seconds ([`cold`]), which is divided in the same
+//! way.
+//!
 //! A server that is brittle falls over if it has to reject too many requests in a second. Those in
 //! flight at it are limited over the fleet ([`room`]).
 
 mod brittle;
+pub mod cold;
 pub mod exchange;
 pub mod monitor;
 pub mod room;
@@ -22,7 +26,10 @@
 
 use {
     crate::registry::Server,
-    hawthornmount_core::id::{InstanceId, ServerId},
+    hawthornmount_core::{
+        config::ColdStart,
+        id::{InstanceId, ServerId, ServiceId},
+    },
     hawthornmount_fleet::role,
     share::Division,
     std::{
@@ -58,6 +65,8 @@
     last_pass: Option<Instant>,
     /// Whether the limit was divided since the server stated one.
     is_divided: bool,
+    /// Whether the server is cold, which limits it beside what it states.
+    cold: Option<cold::Cold>,
     exchange: exchange::Progress,
 }
 
@@ -78,6 +87,9 @@
     /// When the members became known.
     members_since: Option<Instant>,
     rows: Vec<Row>,
+    /// What cold servers take, for each service that has them, in order of their ids.
+    cold_starts: Vec<(ServiceId, ColdStart)>,
+    tolerance: cold::Tolerance,
     /// Services whose servers are brittle, in order of their ids.
     services: Vec<brittle::Service>,
     /// Brittle servers, in order of their names.
@@ -92,6 +104,8 @@
             members: Vec::new(),
             members_since: None,
             rows: Vec::new(),
+            cold_starts: Vec::new(),
+            tolerance: cold::Tolerance { overshoot: 1.0, slack: 0.0 },
             services: Vec::new(),
             brittle: Vec::new(),
         }
@@ -107,6 +121,7 @@
         for at in 0..self.rows.len() {
             self.rows[at].rank = self.rank(&self.rows[at]);
             self.divide(at, now);
+            self.divide_cold(at, false, now);
         }
         self.rank_brittle();
     }
@@ -145,11 +160,12 @@
     pub fn wait(&self, server: &str, start_ms: u64, now: Instant) -> Duration {
         let Ok(at) = self.position(server, start_ms) else { return Duration::ZERO };
         let row = &self.rows[at];
-        match (row.rate(), row.share) {
+        let stated = match (row.rate(), row.share) {
             (None, _) => Duration::ZERO,
             (Some(_), Some(share)) => share.wait(row.last_pass, now),
             (Some(rate), None) => Duration::from_secs_f64(1.0 / rate),
-        }
+        };
+        stated.max(row.cold.map_or(Duration::ZERO, |cold| cold.wait(row.last_pass, now)))
     }
 
     /// Returns whether this instance may send a request to a server now, and counts it.
@@ -173,7 +189,12 @@
     /// Returns whether this instance may ever send a request to a server under its limits.
     pub fn holds_share(&mut self, server: &Server, now: Instant) -> bool {
         let has_rate = match self.position(&server.id, server.start_ms) {
-            Ok(at) => self.rows[at].rate().is_none() || self.rows[at].share.is_some(),
+            Ok(at) => {
+                let row = &self.rows[at];
+                let is_warm = row.cold.is_none_or(|cold| cold.remaining(now).is_zero());
+                (row.rate().is_none() || row.share.is_some())
+                    && (is_warm || row.cold.is_some_and(|cold| cold.share.is_some()))
+            }
             Err(_) => true,
         };
         has_rate && self.holds_slot(server, now)
@@ -181,7 +202,9 @@
 
     /// Returns whether a server has a limit.
     pub fn is_limited(&self, server: &Server, now: Instant) -> bool {
-        self.rate(&server.id, server.start_ms).is_some() || self.is_brittle(&server.service, now)
+        self.rate(&server.id, server.start_ms).is_some()
+            || self.is_cold(server, now)
+            || self.is_brittle(&server.service, now)
     }
 
     /// Returns the instances that hold a share of the limits of a server.
@@ -193,11 +216,14 @@
             members.truncate(count);
             members
         };
+        let start = name_of_start(&server.id, server.start_ms);
+        let row = self.position(&server.id, server.start_ms).ok().map(|at| &self.rows[at]);
+        let cold = row.and_then(|row| row.cold).filter(|cold| !cold.remaining(now).is_zero());
         match self.rate(&server.id, server.start_ms) {
-            Some(rate) => first(
-                Division::new(rate, instances).holders,
-                &name_of_start(&server.id, server.start_ms),
-            ),
+            _ if cold.is_some() => {
+                first(cold.map_or(0, |cold| cold.division(instances).holders), &start)
+            }
+            Some(rate) => first(Division::new(rate, instances).holders, &start),
             None if self.is_brittle(&server.service, now) => {
                 first(instances.min(server.slots as usize), &server.id)
             }
@@ -216,7 +242,8 @@
         self.rows.retain_mut(|row| {
             let is_known = is_known(&row.server, row.start_ms);
             row.exchange.record_server(is_known, now);
-            is_known || row.exchange.is_written()
+            let is_cold = row.cold.is_some_and(|cold| !cold.remaining(now).is_zero());
+            is_known || is_cold || row.exchange.is_written()
         });
     }
 
@@ -235,6 +262,7 @@
                     share: None,
                     last_pass: None,
                     is_divided: false,
+                    cold: None,
                     exchange: exchange::Progress::default(),
                 };
                 row.rank = self.rank(&row);
--- a/crates/hawthornmount-gateway/src/limit/monitor.rs
+++ b/crates/hawthornmount-gateway/src/limit/monitor.rs
@@ -3,13 +3,16 @@
 use {
     super::{
         Change, Limits, Rate,
+        cold::{self, Cause},
         exchange::{Key, Stored},
         room::Seen,
     },
     crate::{registry::Server, time},
     hawthornmount_core::{
+        config::Service,
         id::{InstanceId, RequestId},
         metrics::Metrics,
+        table::Table,
     },
     hawthornmount_store::{Entry, Txn},
     parking_lot::Mutex,
@@ -19,6 +22,9 @@
 /// Name of the gauge of the servers that state a limit.
 const SERVERS_GAUGE: &str = "limited_servers";
 
+/// Name of the gauge of the servers that are taken as cold.
+const COLD_GAUGE: &str = "cold_servers";
+
 /// Shares the limits, and logs how they change.
 pub struct Monitor {
     metrics: Metrics,
@@ -29,6 +35,7 @@
     /// Creates a monitor without limits for an instance.
     pub fn new(instance: InstanceId, metrics: Metrics) -> Self {
         metrics.gauges.with_label_values(&[SERVERS_GAUGE]).set(0);
+        metrics.gauges.with_label_values(&[COLD_GAUGE]).set(0);
         Self { metrics, limits: Mutex::new(Limits::new(instance)) }
     }
 
@@ -63,6 +70,53 @@
         self.limits.lock().rate(&server.id, server.start_ms)
     }
 
+    /// Sets what cold servers tolerate beyond their rates.
+    #[must_use]
+    pub fn with_tolerance(mut self, tolerance: cold::Tolerance) -> Self {
+        self.limits.get_mut().set_tolerance(tolerance);
+        self
+    }
+
+    /// Sets what cold servers take of each service that has cold servers.
+    pub fn set_cold_starts(&self, services: &Table<Service>) {
+        self.limits.lock().set_cold_starts(services);
+    }
+
+    /// Records for how long a server states to remain cold.
+    pub fn record_cold(&self, server: &Server, remaining: Duration, cause: Cause) {
+        let mut limits = self.limits.lock();
+        let change = limits.record_cold(server, remaining, time::now());
+        self.report_cold(&limits, server, change, cause);
+    }
+
+    /// Records that a server may be cold although it did not state it.
+    pub fn assume_cold(&self, server: &Server, cause: Cause) {
+        let mut limits = self.limits.lock();
+        let change = limits.assume_cold(server, cause, time::now());
+        self.report_cold(&limits, server, change, cause);
+    }
+
+    /// Logs that a server is taken as cold from now on, or not any more.
+    fn report_cold(
+        &self,
+        limits: &Limits,
+        server: &Server,
+        change: Option<cold::Change>,
+        cause: Cause,
+    ) {
+        let Some(cold::Change { remaining, requests }) = change else { return };
+        self.set_gauge(limits);
+        log::info!(
+            "server is taken as {}; server={} service={} data_centre={} remaining_ms={} \
+             per_second={requests} cause={cause}",
+            if remaining.is_zero() { "warm" } else { "cold" },
+            server.id,
+            server.service,
+            server.data_centre,
+            remaining.as_millis(),
+        );
+    }
+
     /// Records that the server of the answer to request `id` is brittle.
     pub fn record_brittle(&self, id: &RequestId, server: &Server, rejections: u32) {
         if self.limits.lock().record_brittle(&server.service, time::now()) {
@@ -156,6 +210,9 @@
     pub fn retain(&self, is_known: impl Fn(&str, u64) -> bool, has_server: impl Fn(&str) -> bool) {
         let mut limits = self.limits.lock();
         let now = time::now();
+        for server in limits.take_warmed(now) {
+            log::info!("server is taken as warm; server={server} cause=time");
+        }
         limits.retain_brittle(&has_server, now);
         limits.retain(is_known, now);
         self.set_gauge(&limits);
@@ -175,6 +232,8 @@
     fn set_gauge(&self, limits: &Limits) {
         let count = i64::try_from(limits.count()).unwrap_or(i64::MAX);
         self.metrics.gauges.with_label_values(&[SERVERS_GAUGE]).set(count);
+        let cold = i64::try_from(limits.count_cold(time::now())).unwrap_or(i64::MAX);
+        self.metrics.gauges.with_label_values(&[COLD_GAUGE]).set(cold);
     }
 }
 
--- a/crates/hawthornmount-gateway/src/message/mod.rs
+++ b/crates/hawthornmount-gateway/src/message/mod.rs
@@ -92,6 +92,8 @@
     pub rate_limit: Option<Rate>,
     /// Requests that the server can reject in a second without falling over, if it is brittle.
     pub brittle: Option<u32>,
+    /// Time for which the server states to remain cold.
+    pub cold_remaining: Option<Duration>,
     /// Whether the server closes the connection after this response.
     pub closes_connection: bool,
     /// Time for which the server keeps an idle connection open.
--- a/crates/hawthornmount-gateway/src/registry/mod.rs
+++ b/crates/hawthornmount-gateway/src/registry/mod.rs
@@ -15,12 +15,42 @@
 /// store.
 const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Intervals between heartbeats for which the store has to be away for an entry to lapse.
+const LEAST_LAPSE_INTERVALS: f64 = 2.0;
+/// Entries that each server writes right after an outage of the store.
+const WRITES_AFTER_OUTAGE: f64 = 1.0;
+
 /// Time after the store was restored from a copy in which a server that was gone before is not used
 /// again. Entries of servers that no longer exist expire within it.
 const RESTORED_ENTRY_HOLD: Duration = Duration::from_secs(6);
 /// Number of servers that are remembered as gone.
 const MAX_GONE: usize = 4_096;
 
+/// Time in which an instance did not hear from the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Blindness {
+    /// Time since the last confirmation.
+    pub time: Duration,
+    /// Changes of the store in that time.
+    pub changes: u64,
+    /// Servers that write to the store.
+    pub servers: usize,
+}
+
+impl Blindness {
+    /// Returns whether entries of live servers may have lapsed during that time because the store was
+    /// away; `heartbeat` is the interval at which servers write their entries. An entry lapses after
+    /// three intervals, so the store must have been away for two at least. If only the links of this
+    /// instance were cut, the servers went on writing, and each of them changes the store once an
+    /// interval; after an outage they all write once at its end.
+    pub fn may_hide_lapses(&self, heartbeat: Option<Duration>) -> bool {
+        let Some(heartbeat) = heartbeat.filter(|interval| !interval.is_zero()) else { return true };
+        let intervals = self.time.as_secs_f64() / heartbeat.as_secs_f64();
+        let written = self.changes as f64 / self.servers.max(1) as f64;
+        intervals - (written - WRITES_AFTER_OUTAGE).max(0.0) >= LEAST_LAPSE_INTERVALS
+    }
+}
+
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Readiness {
@@ -50,6 +80,8 @@
     pub slots: u32,
     /// Whether the server accepts new requests.
     pub readiness: Readiness,
+    /// Time for which the server remains cold, as of its entry.
+    pub cold_remaining: Duration,
 }
 
 /// A registered server.
--- a/crates/hawthornmount-gateway/src/route/mod.rs
+++ b/crates/hawthornmount-gateway/src/route/mod.rs
@@ -41,10 +41,11 @@
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Entry>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
         let slashes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
-        slashes.filter_map(|prefix| self.find_exact(host, prefix)).next()
+        slashes.filter_map(|prefix| self.get(host, prefix)).next()
     }
 
-    fn find_exact(&self, host: &str, prefix: &str) -> Option<&Arc<Entry>> {
+    /// Returns the route with exactly this host and path prefix.
+    pub fn get(&self, host: &str, prefix: &str) -> Option<&Arc<Entry>> {
         let at = self.rows.binary_search_by(|row| key(row).cmp(&(host, prefix))).ok()?;
         Some(&self.rows[at])
     }
--- a/crates/hawthornmount-gateway/src/schema/mod.rs
+++ b/crates/hawthornmount-gateway/src/schema/mod.rs
@@ -4,7 +4,7 @@
     crate::registry::Server,
     hawthornmount_core::{
         config::Config,
-        id::{ServerId, ServiceId, VersionId},
+        id::{DataCentreId, ServerId, ServiceId, VersionId},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -18,6 +18,8 @@
     Server(ServerId),
     /// The order to roll out a version of a service.
     Order(ServiceId),
+    /// The order to send nothing to the servers of a data centre, as long as the key exists.
+    Evacuation(DataCentreId),
     /// Any other key.
     Other,
 }
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -31,6 +31,9 @@
         "store" => json!("127.0.0.1:2379"),
         "revocation_ms" => json!(5_000),
         "propagation_ms" => json!(2_500),
+        "evacuation_ms" => json!(5_000),
+        "heartbeat_ms" => json!(1_200),
+        "cold" => json!({ "overshoot": 1.5, "slack": 5 }),
         "allowed_exposure" => json!(0.12),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
         "grace_ms" => json!(8_000),
@@ -79,6 +82,19 @@
         let remedy = format!("give at least {}", MIN_PROPAGATION.as_millis());
         problems.push(Problem::new("propagation_ms", "is too short", &remedy));
     }
+    if settings.evacuation.is_some_and(|bound| bound < MIN_PROPAGATION) {
+        let remedy = format!("give at least {}", MIN_PROPAGATION.as_millis());
+        problems.push(Problem::new("evacuation_ms", "is too short", &remedy));
+    }
+    if settings.heartbeat.is_some_and(|interval| interval.is_zero()) {
+        problems.push(Problem::new("heartbeat_ms", "is 0", "give the interval of the entries"));
+    }
+    if !(0.1..=100.0).contains(&settings.cold.overshoot) {
+        problems.push(Problem::new("cold.overshoot", "is out of range", "give 0.1 to 100"));
+    }
+    if !(0.0..=10_000.0).contains(&settings.cold.slack) {
+        problems.push(Problem::new("cold.slack", "is out of range", "give 0 to 10000"));
+    }
     if !(0.01..=1.0).contains(&settings.allowed_exposure) {
         problems.push(Problem::new("allowed_exposure", "is out of range", "give 0.01 to 1"));
     }
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -52,6 +52,18 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "propagation_ms")]
     pub propagation: Duration,
+    /// Time within which servers of an evacuated data centre must get no more requests; the
+    /// propagation bound if absent.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default, rename = "evacuation_ms")]
+    pub evacuation: Option<Duration>,
+    /// Interval at which servers write their entries in the store.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default, rename = "heartbeat_ms")]
+    pub heartbeat: Option<Duration>,
+    /// What cold servers tolerate beyond the rate that their service states.
+    #[serde(default)]
+    pub cold: Cold,
     /// Share of all requests of a roll-out's time that a bad version may get.
     #[serde(default = "default_allowed_exposure")]
     pub allowed_exposure: f64,
@@ -66,6 +78,22 @@
     pub log: Arc<str>,
 }
 
+/// What cold servers tolerate in a second beyond the rate that their service states.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Multiple of the rate.
+    pub overshoot: f64,
+    /// Requests in addition.
+    pub slack: f64,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        Self { overshoot: 1.0, slack: 0.0 }
+    }
+}
+
 /// Limits on retries over the whole fleet.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -5,14 +5,15 @@
     crate::{
         registry::{Readiness, Server},
         rollout::{Phase, Split},
-        route::Table,
+        route::{Entry, Table},
         schema::Configuration,
     },
     arc_swap::ArcSwap,
     hawthornmount_core::{
         config::{Config, Limits, Rank, key_hash},
-        id::{AccountId, Revision, ServiceId, VersionId},
+        id::{AccountId, DataCentreId, RegionId, Revision, ServiceId, VersionId},
     },
+    hawthornmount_policy::residency::Regions,
     std::sync::Arc,
 };
 
@@ -64,6 +65,8 @@
     /// Whether requests need a key, except on anonymous routes.
     pub requires_keys: bool,
     keys: Vec<Key>,
+    /// Regions of the accounts whose requests may not be served in all, in order of the accounts.
+    residencies: Vec<(AccountId, Vec<RegionId>)>,
 }
 
 /// Configuration and servers at one point in time.
@@ -74,6 +77,8 @@
     /// Traffic splits of the roll-outs.
     splits: Vec<Split>,
     endpoints: Vec<Endpoints>,
+    /// Data centres that are evacuated; the endpoints hold none of their servers.
+    pub evacuated: Vec<DataCentreId>,
 }
 
 impl Rules {
@@ -87,9 +92,23 @@
             limits: config.limits.clone(),
             requires_keys: !config.accounts.is_empty(),
             keys: keys(config),
+            residencies: residencies(config),
         }
     }
 
+    /// Returns the regions in which a request may be served. `route` is the route that was found for
+    /// it; if the configuration has changed since, its present regions apply.
+    pub fn regions(&self, route: &Entry, account: Option<&AccountId>) -> Regions {
+        let current = self.routes.get(&route.config.host, &route.config.path_prefix);
+        let of_route = current
+            .map_or(&*route.config.allowed_regions, |current| &*current.config.allowed_regions);
+        let of_account = account.and_then(|account| {
+            let found = self.residencies.binary_search_by(|(known, _)| known.cmp(account));
+            found.ok().map(|at| &*self.residencies[at].1)
+        });
+        Regions::common([of_route].into_iter().chain(of_account))
+    }
+
     /// Returns the account to which a key belongs.
     pub fn principal(&self, key: &str) -> Option<&Principal> {
         let hash = key_hash(key);
@@ -107,7 +126,7 @@
         exclusions: &[Exclusion],
         splits: Vec<Split>,
     ) -> Self {
-        let mut view = Self { rules, splits, endpoints: Vec::new() };
+        let mut view = Self { rules, splits, ..Self::default() };
         for server in servers.filter(|server| server.readiness == Readiness::Ready) {
             if !view.is_excluded(server, exclusions) {
                 view.add(server);
@@ -154,6 +173,12 @@
         self.all_servers().any(|server| *server.id == *id && server.start_ms == start_ms)
     }
 
+    /// Returns whether a server of a service accepts requests, and has not been restarted.
+    pub fn accepts(&self, server: &Server) -> bool {
+        let servers = self.servers(&server.service);
+        servers.iter().any(|one| one.id == server.id && one.start_ms == server.start_ms)
+    }
+
     /// Returns the servers of all services that accept requests.
     pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.endpoints.iter().flat_map(|endpoints| &endpoints.servers)
@@ -177,6 +202,15 @@
     keys
 }
 
+/// Returns the regions of the accounts that are restricted to some, sorted by account.
+fn residencies(config: &Config) -> Vec<(AccountId, Vec<RegionId>)> {
+    let restricted = config.accounts.iter().filter(|row| !row.value.allowed_regions.is_empty());
+    let mut rows: Vec<_> =
+        restricted.map(|row| (row.id.clone(), row.value.allowed_regions.clone())).collect();
+    rows.sort_unstable();
+    rows
+}
+
 /// Holds the current view: the control thread publishes it, and request processing reads it.
 #[derive(Debug, Default)]
 pub struct Cell(ArcSwap<View>);
--- a/crates/hawthornmount-gateway/tests/gateway/brittle.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/brittle.rs
@@ -64,6 +64,7 @@
         version: "v1".into(),
         slots,
         readiness: Readiness::Ready,
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/hawthornmount-gateway/tests/gateway/fence/codec.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/codec.rs
@@ -68,6 +68,7 @@
             } else {
                 Readiness::Ready
             },
+            cold_remaining: Duration::ZERO,
         })
     }
 
--- a/crates/hawthornmount-gateway/tests/gateway/registry.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/registry.rs
@@ -1,7 +1,8 @@
 //! Tests of the registered servers.
 
 use {
-    hawthornmount_gateway::registry::{Readiness, Registry, Server},
+    hawthornmount_gateway::registry::{Blindness, Readiness, Registry, Server},
+    rstest::rstest,
     std::time::{Duration, Instant},
 };
 
@@ -15,6 +16,7 @@
         version: "v1".into(),
         slots: 4,
         readiness,
+        cold_remaining: Duration::ZERO,
     }
 }
 
@@ -56,3 +58,34 @@
     registry.put(server("i-1", 1, Readiness::Ready), Instant::now());
     assert!(!registry.expire(now + Duration::from_secs(9)));
 }
+
+/// What an instance missed while it did not hear from the store; servers write every 1.2 s.
+struct Missed {
+    time_ms: u64,
+    changes: u64,
+    servers: usize,
+    may_hide_lapses: bool,
+}
+
+/// A leaving server that is held after a cut of this instance alone gets requests for too long; a live
+/// one that is dropped after an outage of the store is missing.
+#[rstest]
+#[case::shorter_than_a_lapse(
+    Missed { time_ms: 1_500, changes: 0, servers: 21, may_hide_lapses: false })]
+#[case::outage(Missed { time_ms: 3_600, changes: 3, servers: 21, may_hide_lapses: true })]
+#[case::outage_that_has_just_ended(
+    Missed { time_ms: 3_600, changes: 21, servers: 21, may_hide_lapses: true })]
+#[case::cut_of_this_instance(
+    Missed { time_ms: 3_600, changes: 63, servers: 21, may_hide_lapses: false })]
+#[case::long_cut(Missed { time_ms: 12_000, changes: 900, servers: 96, may_hide_lapses: false })]
+#[case::outage_within_a_long_cut(
+    Missed { time_ms: 12_000, changes: 480, servers: 96, may_hide_lapses: true })]
+#[case::first_list(
+    Missed { time_ms: u64::MAX, changes: 9_000, servers: 0, may_hide_lapses: true })]
+fn outage_of_the_store_is_told_from_a_cut_of_the_instance(#[case] missed: Missed) {
+    let Missed { time_ms, changes, servers, may_hide_lapses } = missed;
+    let blindness = Blindness { time: Duration::from_millis(time_ms), changes, servers };
+    let heartbeat = Some(Duration::from_millis(1_200));
+    assert_eq!(blindness.may_hide_lapses(heartbeat), may_hide_lapses);
+    assert!(blindness.may_hide_lapses(None), "without the interval, a lapse is always possible");
+}
--- a/crates/hawthornmount-gateway/tests/gateway/route.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/route.rs
@@ -24,6 +24,7 @@
         anonymous: false,
         resumable: false,
         ladder: Vec::new(),
+        allowed_regions: Vec::new(),
     }
 }
 
