Learn speeds of servers, and share the queue of admission between both request paths

Cause: the gateway used one prefill time for all servers and took no decision under load; the queue of the own interface could not be used by it, since it stood in the entry crate and its deadlines covered the answer. Change: policy::speed learns how long work takes at a server from event gaps, response starts and statements, merged over instances by samples. policy::admission holds the queue; a deadline can be that of the start (Due).

--- a/crates/hawthornmount-entry/src/filter/admission/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/admission/mod.rs
@@ -1,8 +1,6 @@
 //! Admission control: a request starts when its account's share of the capacity allows it, and is
 //! refused early if it can't finish before its deadline.
 
-mod queue;
-
 use {
     super::{Filter, Flow},
     crate::{
@@ -11,8 +9,10 @@
     },
     async_trait::async_trait,
     hawthornmount_core::{problem::Problem, reason::Refusal},
-    hawthornmount_policy::{admission::Arrival, router::Class},
-    queue::Queue,
+    hawthornmount_policy::{
+        admission::{Arrival, Due, Queue, Refused},
+        router::Class,
+    },
     std::{
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
@@ -52,6 +52,7 @@
             weight: account.map_or(1.0, |account| f64::from(account.weight)) * share,
             priority: account.map_or(0, |account| account.priority),
             deadline: exchange.deadline,
+            due: Due::Answer,
             now,
         }
     }
@@ -77,7 +78,9 @@
         let query = exchange.query(&settings.data_centre, &settings.region);
         let snapshot = self.components.snapshot.load();
         if let Some(capacity) = self.components.router.concurrency_limit(&snapshot, &query, class) {
-            let permit = queue.acquire(&self.arrival(exchange), capacity).await?;
+            let acquired = queue.acquire(&self.arrival(exchange), capacity).await;
+            let permit =
+                acquired.map_err(|Refused { reason, retry_after }| refusal(reason, retry_after))?;
             exchange.guards.push(Box::new(permit));
         }
         Ok(Flow::Next)
--- a/crates/hawthornmount-policy/src/admission/demand.rs
+++ b/crates/hawthornmount-policy/src/admission/demand.rs
@@ -81,6 +81,12 @@
         self.peers.insert(peer.clone(), Peer { rates, at: now });
     }
 
+    /// Returns the number of peers that have recently sent rates.
+    pub fn heard(&self, now: Instant) -> usize {
+        let is_fresh = |peer: &Peer| now.saturating_duration_since(peer.at) < PEER_RATES_TIMEOUT;
+        self.peers.iter().filter(|row| is_fresh(&row.value)).count()
+    }
+
     /// Returns the share of the account's demand that arrives at this instance, from 0 to 1; 1 if
     /// no peer has recently reported requests of the account.
     pub fn local_share(&self, account: &AccountId, now: Instant) -> f64 {
--- a/crates/hawthornmount-entry/src/filter/admission/queue.rs
+++ b/crates/hawthornmount-policy/src/admission/queue.rs
@@ -1,15 +1,30 @@
 //! Queue of requests that wait until the scheduler lets them run on backend servers.
 
 use {
-    super::{RETRY_AFTER, refusal},
-    hawthornmount_core::{id::AccountId, problem::Problem, reason::Refusal},
-    hawthornmount_policy::admission::{Arrival, Decision, Dispatched, Scheduler, Ticket},
+    super::{Arrival, Decision, Dispatched, Scheduler, Ticket},
+    hawthornmount_core::{id::AccountId, reason::Refusal},
     parking_lot::Mutex,
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::oneshot,
 };
 
+/// Time after which a caller should retry whose request waited in vain.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A request that is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refused {
+    /// The reason.
+    pub reason: Refusal,
+    /// Time after which the caller should retry.
+    pub retry_after: Duration,
+}
+
 /// Signal that ends the wait of a request.
+#[derive(Debug)]
 enum Signal {
     /// The request may run.
     Start,
@@ -18,11 +33,13 @@
 }
 
 /// A waiting request.
+#[derive(Debug)]
 struct Waiter {
     ticket: Ticket,
     sender: oneshot::Sender<Signal>,
 }
 
+#[derive(Debug)]
 struct State {
     scheduler: Scheduler,
     /// Waiting requests, sorted by ticket.
@@ -30,9 +47,11 @@
 }
 
 /// Scheduler with the channels that wake the requests it lets run.
+#[derive(Debug)]
 pub struct Queue(Mutex<State>);
 
 /// Permit of a request that runs or waits; dropping it releases it to the scheduler.
+#[derive(Debug)]
 pub struct Permit {
     queue: Arc<Queue>,
     account: AccountId,
@@ -46,18 +65,18 @@
     ///
     /// # Errors
     ///
-    /// Returns a problem if the request can't finish before its deadline or too many requests wait.
+    /// Returns the reason if the request can't finish before its deadline or too many requests wait.
     pub async fn acquire(
         self: &Arc<Self>,
         arrival: &Arrival,
         capacity: f64,
-    ) -> Result<Permit, Problem> {
+    ) -> Result<Permit, Refused> {
         let (mut permit, receiver) = self.request_permit(arrival, capacity)?;
         let Some(receiver) = receiver else { return Ok(permit) };
         let deadline = tokio::time::Instant::from_std(arrival.deadline);
         let signal = tokio::time::timeout_at(deadline, receiver).await;
         let Ok(Ok(Signal::Start)) = signal else {
-            return Err(refusal(Refusal::Deadline, RETRY_AFTER));
+            return Err(Refused { reason: Refusal::Deadline, retry_after: RETRY_AFTER });
         };
         permit.start();
         Ok(permit)
@@ -68,7 +87,7 @@
         self: &Arc<Self>,
         arrival: &Arrival,
         capacity: f64,
-    ) -> Result<(Permit, Option<oneshot::Receiver<Signal>>), Problem> {
+    ) -> Result<(Permit, Option<oneshot::Receiver<Signal>>), Refused> {
         let mut state = self.0.lock();
         state.scheduler.set_capacity(capacity);
         let decision = state.scheduler.admit(arrival);
@@ -80,7 +99,7 @@
         };
         let result = match decision {
             Decision::Start => Ok((permit(None), None)),
-            Decision::Refuse { reason, retry_after } => Err(refusal(reason, retry_after)),
+            Decision::Refuse { reason, retry_after } => Err(Refused { reason, retry_after }),
             Decision::Wait(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiters.push(Waiter { ticket, sender });
@@ -109,6 +128,14 @@
     }
 }
 
+impl Queue {
+    /// Returns the numbers of running and of waiting requests.
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.0.lock();
+        (state.scheduler.running(), state.scheduler.waiting())
+    }
+}
+
 impl Default for Queue {
     fn default() -> Self {
         Self(Mutex::new(State { scheduler: Scheduler::new(1.0), waiters: Vec::new() }))
--- a/crates/hawthornmount-policy/src/admission/scheduler.rs
+++ b/crates/hawthornmount-policy/src/admission/scheduler.rs
@@ -25,6 +25,15 @@
 /// Identifies a waiting request.
 pub type Ticket = u64;
 
+/// What has to happen by the deadline of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Due {
+    /// The answer has to be complete.
+    Answer,
+    /// The request has to start.
+    Start,
+}
+
 /// A request that asks for admission.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -34,8 +43,10 @@
     pub weight: f64,
     /// Priority; requests of a higher priority start first.
     pub priority: u8,
-    /// Time by which the answer has to be complete.
+    /// Time by which `due` has to happen.
     pub deadline: Instant,
+    /// What has to happen by the deadline.
+    pub due: Due,
     /// The current time.
     pub now: Instant,
 }
@@ -60,6 +71,7 @@
 struct Waiting {
     ticket: Ticket,
     deadline: Instant,
+    due: Due,
 }
 
 /// Running and waiting requests of one account.
@@ -135,12 +147,12 @@
         }
         let wait = self.expected_wait_seconds(arrival);
         let left = arrival.deadline.saturating_duration_since(arrival.now).as_secs_f64();
+        if wait + self.seconds_until(arrival.due) > left {
+            return refuse(Refusal::Deadline, wait);
+        }
         let Some(queue) = self.queues.get_mut(&arrival.account) else {
             return refuse(Refusal::Internal, wait);
         };
-        if wait + self.mean_service_seconds > left {
-            return refuse(Refusal::Deadline, wait);
-        }
         if queue.waiting.len() >= MAX_WAITING_PER_ACCOUNT {
             return refuse(Refusal::OverShare, wait);
         }
@@ -148,7 +160,11 @@
             return refuse(Refusal::Overloaded, wait);
         }
         self.last_ticket += 1;
-        queue.waiting.push_back(Waiting { ticket: self.last_ticket, deadline: arrival.deadline });
+        queue.waiting.push_back(Waiting {
+            ticket: self.last_ticket,
+            deadline: arrival.deadline,
+            due: arrival.due,
+        });
         self.waiting += 1;
         Decision::Wait(self.last_ticket)
     }
@@ -184,7 +200,7 @@
             let Some(first) = queue.waiting.pop_front() else { break };
             self.waiting -= 1;
             let left = first.deadline.saturating_duration_since(now).as_secs_f64();
-            if left < self.mean_service_seconds {
+            if left < self.seconds_until(first.due) {
                 dispatched.expired.push(first.ticket);
             } else {
                 self.start(&account);
@@ -194,6 +210,14 @@
         dispatched
     }
 
+    /// Returns the seconds from the start of a request until what has to happen by its deadline.
+    const fn seconds_until(&self, due: Due) -> f64 {
+        match due {
+            Due::Answer => self.mean_service_seconds,
+            Due::Start => 0.0,
+        }
+    }
+
     fn has_capacity(&self) -> bool {
         (self.running as f64) < self.capacity
     }
--- a/crates/hawthornmount-policy/src/lib.rs
+++ b/crates/hawthornmount-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod residency;
 pub mod router;
 pub mod server;
+pub mod speed;
 pub mod version;
 
 pub use router::{Candidate, Choice, Plan, Query, Router};
--- a/crates/hawthornmount-policy/tests/policy/admission.rs
+++ b/crates/hawthornmount-policy/tests/policy/admission.rs
@@ -1,6 +1,6 @@
 use {
     hawthornmount_core::reason::Refusal,
-    hawthornmount_policy::admission::{Arrival, Decision, Demand, Rate, Scheduler},
+    hawthornmount_policy::admission::{Arrival, Decision, Demand, Due, Rate, Scheduler},
     rstest::rstest,
     std::{
         sync::Arc,
@@ -10,7 +10,7 @@
 
 fn arrival(account: &str, weight: f64, priority: u8, now: Instant) -> Arrival {
     let deadline = now + Duration::from_secs(600);
-    Arrival { account: account.into(), weight, priority, deadline, now }
+    Arrival { account: account.into(), weight, priority, deadline, due: Due::Answer, now }
 }
 
 struct Backlog {
--- a/crates/hawthornmount-policy/tests/policy/main.rs
+++ b/crates/hawthornmount-policy/tests/policy/main.rs
@@ -8,3 +8,4 @@
 mod residency;
 mod router;
 mod server;
+mod speed;
