Adapt to servers that differ, and admit requests where callers compete for room

Silent servers were left at 1.5 targets, trials filled servers with the most urgent prompts, servers that failed at once seemed idle, urgent requests spent their target on answers that were dropped. At three times the load nobody was refused and the most urgent were late first. Change: loads, demand and slowness are exchanged by datagrams within a data centre; the choice counts them; error responses in a row make a server avoided; urgent requests begin with the largest model and are no trial; silent servers are left at 0.45 targets. With adaptation on, an instance keeps to its share of the slots and the rest waits by rank and account.

--- a/crates/hawthornmount-gateway/src/balancing/mod.rs
+++ b/crates/hawthornmount-gateway/src/balancing/mod.rs
@@ -54,28 +54,32 @@
     /// Prefill time of the prompts that this instance sent and whose responses have not started, in
     /// milliseconds.
     pub prefill_backlog_ms: f64,
+    /// How many times as long as usual work takes at the server.
+    pub slowness: f64,
     /// Whether the server failed recently.
     pub is_avoided: bool,
 }
 
 impl Candidate {
-    /// Returns the expected wait, in milliseconds.
-    pub fn wait(&self) -> f64 {
+    /// Returns the expected wait at a server of the usual speed in the data centre, in milliseconds.
+    pub fn usual_wait(&self) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
         let fill = f64::from(self.load.running) / slots;
+        f64::from(self.uncached_tokens) * self.token_prefill_ms
+            + fill * fill * FULL_LOAD_MS
+            + f64::from(self.load.waiting) * WAITING_MS
+            + self.prefill_backlog_ms
+    }
 
+    /// Returns the expected wait, in milliseconds.
+    pub fn wait(&self) -> f64 {
         let locality_ms = match self.locality {
             Locality::SameDataCentre => 0.0,
             Locality::SameRegion => DATA_CENTRE_MS,
             Locality::OtherRegion => REGION_MS,
         };
         let failure_ms = if self.is_avoided { FAILED_SERVER_MS } else { 0.0 };
-        f64::from(self.uncached_tokens) * self.token_prefill_ms
-            + fill * fill * FULL_LOAD_MS
-            + f64::from(self.load.waiting) * WAITING_MS
-            + self.prefill_backlog_ms
-            + locality_ms
-            + failure_ms
+        self.usual_wait() * self.slowness + locality_ms + failure_ms
     }
 }
 
--- a/crates/hawthornmount-gateway/src/cascade/mod.rs
+++ b/crates/hawthornmount-gateway/src/cascade/mod.rs
@@ -27,11 +27,25 @@
 /// Index of a model in a cascade, starting with the smallest.
 pub type Level = usize;
 
+/// Share of the target latency within which the largest model has to start its response for an urgent
+/// request to begin with it. The rest is left for another server if the first one is silent.
+const DIRECT_SHARE: f64 = 0.4;
+
 /// Returns the level at which a request starts, or `None` if the cascade has no models.
 pub const fn initial_level(levels: usize) -> Option<Level> {
     if levels == 0 { None } else { Some(0) }
 }
 
+/// Returns the level at which a request of the most urgent rank starts: the largest model while it
+/// responds early, so that no time of the target is spent on an answer that is dropped. Under load, the
+/// smallest model takes a tenth of the work.
+pub fn urgent_level(levels: usize, estimate: impl FnOnce(Level) -> Estimate) -> Option<Level> {
+    let last = levels.checked_sub(1)?;
+    let Estimate { latency, target } = estimate(last);
+    let is_early = latency <= target.mul_f64(DIRECT_SHARE);
+    Some(if is_early { last } else { 0 })
+}
+
 /// Estimate of when the response of a larger model would start.
 #[derive(Clone, Copy, Debug)]
 pub struct Estimate {
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -11,6 +11,7 @@
     crate::{
         evacuation::Evacuations,
         limit::{self, cold::Cause},
+        load::exchange::task::Peers,
         membership::Membership,
         path,
         quarantine::monitor::Monitor,
@@ -57,6 +58,8 @@
     limits: Option<Arc<limit::monitor::Monitor>>,
     /// Path to the servers, which may lead through other instances.
     path: Option<Arc<path::monitor::Monitor>>,
+    /// Other instances of the data centre, with which loads are exchanged.
+    exchange_peers: Option<Arc<Peers>>,
     stamp: Stamp,
     /// When this instance saw the last change of the era.
     era_began: Option<Instant>,
@@ -80,6 +83,7 @@
             quarantine: None,
             limits: None,
             path: None,
+            exchange_peers: None,
             stamp: Stamp::default(),
             era_began: None,
             applied: Vec::new(),
@@ -107,6 +111,13 @@
         self
     }
 
+    /// Exchanges loads with the known instances of the data centre.
+    #[must_use]
+    pub fn with_exchange(mut self, peers: Arc<Peers>) -> Self {
+        self.exchange_peers = Some(peers);
+        self
+    }
+
     /// Sets the region of each data centre.
     #[must_use]
     pub fn with_regions(mut self, regions: Table<RegionId>) -> Self {
@@ -336,6 +347,9 @@
         if !std::mem::take(&mut self.has_new_members) {
             return;
         }
+        if let Some(peers) = &self.exchange_peers {
+            peers.set(self.membership.secret(), &self.membership.ranked_peers().0);
+        }
         if let Some(path) = &self.path {
             path.set_secret(self.membership.secret());
             path.set_neighbours(self.membership.neighbours());
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -51,6 +51,8 @@
     pub prefill_ms: f64,
     /// Wait that was expected when the server was chosen.
     pub expected_wait: Duration,
+    /// The same at a server of the usual speed in the data centre, in milliseconds.
+    pub usual_wait_ms: f64,
     /// Load that the server reported with its response.
     pub reported_load: Option<Load>,
     /// Why the request is sent again; `None` for the first attempt.
@@ -155,7 +157,10 @@
     ) -> Outcome {
         let server = attempt.server.clone();
         let server = &server;
-        let in_flight = InFlightGuard::new(&self.loads, &server.id, job, &self.path);
+        let in_flight = {
+            let is_trial_sized = job.is_trial_sized(self.adaptation.is_on());
+            InFlightGuard::new(&self.loads, &server.id, is_trial_sized, &self.path)
+        };
         let _prefill = PrefillGuard::new(&self.loads, &server.id, attempt.prefill_ms);
         let mut pooled = self.pool.take(&server.id);
         let mut has_passed = false;
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -92,6 +92,7 @@
             uncached_tokens: 0,
             prefill_ms: 0.0,
             expected_wait: Duration::ZERO,
+            usual_wait_ms: 0.0,
             reported_load: None,
             cause: progress.retry_reason,
             is_return: false,
--- a/crates/hawthornmount-gateway/src/forward/guard.rs
+++ b/crates/hawthornmount-gateway/src/forward/guard.rs
@@ -1,7 +1,6 @@
 //! Guards that count a request in the load statistics of a server until they are dropped.
 
 use {
-    super::Job,
     crate::{
         load::Tracker,
         path::monitor::{Monitor, Waiting},
@@ -28,10 +27,9 @@
     pub fn new(
         loads: &Arc<Mutex<Tracker>>,
         server: &ServerId,
-        job: &Job,
+        is_trial_sized: bool,
         path: &Arc<Monitor>,
     ) -> Self {
-        let is_trial_sized = job.is_trial_sized();
         {
             let mut loads = loads.lock();
             let stats = loads.stats(server);
--- a/crates/hawthornmount-gateway/src/forward/job.rs
+++ b/crates/hawthornmount-gateway/src/forward/job.rs
@@ -16,6 +16,7 @@
         id::{ModelId, RequestId, ServerId, ServiceId},
         reason::Retry,
     },
+    hawthornmount_policy::admission::Permit,
     http::{HeaderMap, Method, Uri},
     parking_lot::Mutex,
     std::{
@@ -24,11 +25,16 @@
     },
 };
 
+/// Rank of the most urgent requests.
+const MOST_URGENT: Rank = 0;
 /// Attempt timeout as a multiple of the expected wait; a server that takes longer is unusually
 /// slow.
 const EXPECTED_WAIT_FACTOR: u32 = 4;
 /// Lower limit of the attempt timeout, as a multiple of the target latency.
 const MIN_TIMEOUT_TARGETS: f64 = 1.5;
+/// Lower limit of the attempt timeout while the instance adapts, as a multiple of the target latency: a
+/// server that is tried next can still respond within the target.
+const MIN_ADAPTED_TIMEOUT_TARGETS: f64 = 0.45;
 /// Upper limit of the attempt timeout, as a multiple of the target latency.
 const MAX_TIMEOUT_TARGETS: u32 = 3;
 
@@ -65,6 +71,8 @@
     pub arrived: Instant,
     /// Time until which the caller waits; the timeout of the route if the caller states none.
     pub caller_deadline: Instant,
+    /// Permit of a request that was admitted, until its last attempt has ended.
+    pub permit: Arc<Mutex<Option<Permit>>>,
 }
 
 /// Progress of a request over its attempts.
@@ -242,6 +250,7 @@
             is_passed: exchange.is_passed,
             arrived: exchange.arrived,
             caller_deadline: exchange.arrived + wait,
+            permit: Arc::default(),
         }
     }
 
@@ -256,9 +265,17 @@
         self.deadline().saturating_duration_since(Instant::now())
     }
 
-    /// Returns whether a trial of a new version could use the request: its prompt is short.
-    pub const fn is_trial_sized(&self) -> bool {
+    /// Returns whether a trial of a new version could use the request: its prompt is short. A trial
+    /// fills servers, which makes requests wait, so that the most urgent ones are left out if the
+    /// instance adapts to callers who compete for room.
+    pub fn is_trial_sized(&self, adapts: bool) -> bool {
         self.request.prompt_tokens <= plan::SHORT_PROMPT_TOKENS
+            && !(adapts && self.is_most_urgent())
+    }
+
+    /// Returns whether the route of the request has the most urgent rank.
+    pub fn is_most_urgent(&self) -> bool {
+        self.route.config.rank == MOST_URGENT
     }
 
     /// Returns the priority of the account, or that of the route if the account has none.
@@ -284,15 +301,17 @@
 
     /// Returns the time in which an attempt has to start its response before another server is
     /// tried: at most half of the time until the deadline. Returns `None` if the request must not
-    /// run twice. `expected_wait` is the wait that was expected when the server was chosen.
-    pub fn attempt_timeout(&self, expected_wait: Duration) -> Option<Duration> {
+    /// run twice. `expected_wait` is the wait that was expected when the server was chosen;
+    /// `adapts` is whether the instance adapts to servers that differ.
+    pub fn attempt_timeout(&self, expected_wait: Duration, adapts: bool) -> Option<Duration> {
         let route = &self.route.config;
         if !route.is_idempotent() {
             return None;
         }
         let left = self.time_left();
-        let timeout = (expected_wait * EXPECTED_WAIT_FACTOR)
-            .max(route.target_latency.mul_f64(MIN_TIMEOUT_TARGETS));
+        let least = if adapts { MIN_ADAPTED_TIMEOUT_TARGETS } else { MIN_TIMEOUT_TARGETS };
+        let timeout =
+            (expected_wait * EXPECTED_WAIT_FACTOR).max(route.target_latency.mul_f64(least));
         Some(timeout.min(route.target_latency * MAX_TIMEOUT_TARGETS).min(left / 2))
     }
 
@@ -300,7 +319,7 @@
     /// kept for it: long enough for an attempt, and at most half of the time until the deadline.
     pub fn first_event_timeout(&self, expected_wait: Duration) -> Duration {
         let left = self.time_left();
-        self.attempt_timeout(expected_wait).unwrap_or(left / 2)
+        self.attempt_timeout(expected_wait, false).unwrap_or(left / 2)
     }
 
     /// Returns the id of the event after which the caller asked to resume the stream.
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards requests to servers: retries failed attempts within the limits of the route and the
 //! retry budget, and escalates responses of low confidence.
 
+pub mod admission;
 mod attempt;
 mod classify;
 mod detour;
@@ -25,12 +26,16 @@
 
 use {
     crate::{
+        adaptation::Adaptation,
         budget::{Budget, Cause},
         cascade::{self, Estimate},
         filter::{Body, Exchange, Response},
         freshness::Freshness,
         limit,
-        load::{PrefillTimes, Tracker},
+        load::{
+            PrefillTimes, Tracker,
+            exchange::task::{Channel, Peers},
+        },
         membership::Size,
         message::Dialect,
         path,
@@ -46,6 +51,7 @@
         settings::{Retries, Settings},
         view::Cell,
     },
+    admission::Admission,
     attempt::Attempt,
     futures::FutureExt,
     hawthornmount_core::{
@@ -85,6 +91,9 @@
     pool: Pool,
     loads: Arc<Mutex<Tracker>>,
     prefill_times: Mutex<PrefillTimes>,
+    adaptation: Adaptation,
+    admission: Arc<Admission>,
+    exchange_peers: Arc<Peers>,
     budgets: Mutex<Vec<ServiceBudget>>,
     /// Versions of the sessions, and numbers of requests that new versions got during roll-outs.
     exposure: Mutex<Exposure>,
@@ -116,6 +125,7 @@
         let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone())
             .with_tolerance(tolerance);
         let path = path::monitor::Monitor::new(cell.clone(), metrics.clone());
+        let adaptation = Adaptation::new(settings.adaptation, metrics.clone());
         Self {
             cell,
             freshness,
@@ -124,6 +134,9 @@
             pool: Pool::default(),
             loads: Arc::default(),
             prefill_times: Mutex::default(),
+            adaptation,
+            admission: Arc::default(),
+            exchange_peers: Arc::default(),
             budgets: Mutex::default(),
             exposure: Mutex::default(),
             evidence: Arc::default(),
@@ -174,7 +187,8 @@
     }
 
     async fn run_job(self: &Arc<Self>, job: Arc<Job>) -> Result<Response, Problem> {
-        let mut progress = Progress { level: job.initial_level(), ..Progress::default() };
+        *job.permit.lock() = self.admit(&job).await?;
+        let mut progress = Progress { level: self.initial_level(&job), ..Progress::default() };
         if !self.path.is_cut_off() {
             // The instance to which it is passed counts it otherwise.
             self.with_budget(&job.service, |budget, now| budget.record_request(now));
@@ -227,6 +241,23 @@
         Sources { collector: self.evidence.clone(), loads: self.loads.clone() }
     }
 
+    /// Returns the other instances with which loads are exchanged.
+    pub fn exchange_peers(&self) -> Arc<Peers> {
+        self.exchange_peers.clone()
+    }
+
+    /// Returns the exchange of loads with other instances of the data centre.
+    pub fn exchange(&self) -> Channel {
+        Channel {
+            instance: self.instance.clone(),
+            peers: self.exchange_peers.clone(),
+            loads: self.loads.clone(),
+            admission: self.admission.clone(),
+            adaptation: self.adaptation.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
     /// Returns the quarantine, whose reports the follower of the store exchanges.
     pub fn quarantine(&self) -> Arc<Monitor> {
         self.quarantine.clone()
@@ -275,6 +306,19 @@
         });
     }
 
+    /// Returns the level of the cascade at which a request starts, if the router chooses the model.
+    fn initial_level(&self, job: &Job) -> Option<cascade::Level> {
+        let level = job.initial_level()?;
+        let is_crowded = self.admission.is_crowded(&job.service);
+        if !job.is_most_urgent() || !self.adaptation.is_on() || is_crowded {
+            return Some(level);
+        }
+        cascade::urgent_level(job.route.config.ladder.len(), |level| Estimate {
+            latency: self.least_wait(job, level),
+            target: job.route.config.target_latency,
+        })
+    }
+
     /// Returns the level to which the request is escalated, if the confidence of the response is
     /// low and the route and the retry budget allow another attempt.
     fn escalate(
@@ -288,8 +332,14 @@
         if attempt.is_passed() || progress.attempts >= job.route.config.attempts {
             return None;
         }
+        // A crowded instance escalates only what is nearly useless otherwise.
+        let crowded = if self.adaptation.is_on() && self.admission.is_crowded(&job.service) {
+            job.route.config.target_latency
+        } else {
+            Duration::ZERO
+        };
         let estimate = |level| Estimate {
-            latency: job.arrived.elapsed() + self.least_wait(job, level),
+            latency: crowded + job.arrived.elapsed() + self.least_wait(job, level),
             target: job.route.config.target_latency,
         };
         let levels = job.route.config.ladder.len();
--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -28,7 +28,11 @@
         let route = &job.route.config;
         let is_last =
             progress.attempts >= route.attempts && !progress.can_go_back(route, Instant::now());
-        if is_last { None } else { job.attempt_timeout(attempt.expected_wait) }
+        if is_last {
+            None
+        } else {
+            job.attempt_timeout(attempt.expected_wait, self.adaptation.is_on())
+        }
     }
 
     /// Chooses the server for the next attempt, and counts it against the attempts of the route and
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -16,14 +16,19 @@
         time,
     },
     hawthornmount_core::{
-        id::ServerId,
+        id::{ModelId, ServerId},
         problem::Problem,
         reason::{Refusal, Retry},
     },
+    hawthornmount_policy::speed::Measure,
     std::time::{Duration, Instant},
     tokio::time::{sleep, timeout_at},
 };
 
+/// Time that is added to the measured and the expected time until a response starts, in milliseconds, so
+/// that short ones don't give large ratios.
+const MEASURE_BASE_MS: f64 = 50.0;
+
 /// The answer to a request.
 pub struct Answer {
     /// Attempt at the server that answers.
@@ -145,7 +150,7 @@
         match self.next_attempt(job, progress) {
             Ok(attempt) => {
                 let timeout = if handover.has_answer() {
-                    job.attempt_timeout(attempt.expected_wait)
+                    job.attempt_timeout(attempt.expected_wait, false)
                 } else {
                     self.attempt_timeout(job, progress, &attempt)
                 };
@@ -266,6 +271,18 @@
         is_compared.then(|| WaitGuard::new(&self.evidence, wait()))
     }
 
+    /// Records a measurement of the server of an attempt.
+    pub(super) fn record_measure(
+        &self,
+        attempt: &Attempt,
+        measure: Measure,
+        model: Option<&ModelId>,
+        value: f64,
+    ) {
+        let mut loads = self.loads.lock();
+        loads.record_measure(&attempt.server, measure, model, value, Instant::now());
+    }
+
     /// Records the time until a server began its response.
     fn record_start(&self, job: &Job, attempt: &Attempt, time: Duration) {
         if attempt.is_passed() {
@@ -273,6 +290,11 @@
         }
         let model = job.model(attempt.level);
         self.prefill_times.lock().record(model, attempt.uncached_tokens, time);
+        if self.adaptation.is_on() && attempt.uncached_tokens > 0 {
+            let taken_ms = time.as_secs_f64() * 1_000.0;
+            let ratio = (taken_ms + MEASURE_BASE_MS) / (attempt.usual_wait_ms + MEASURE_BASE_MS);
+            self.record_measure(attempt, Measure::Start, None, ratio);
+        }
         self.record_evidence(job, attempt, Signal::Started(time));
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -19,6 +19,7 @@
         reason::{Refusal, Retry},
     },
     hawthornmount_http::connection,
+    hawthornmount_policy::speed::Measure,
     http_body::Frame,
     http_body_util::{BodyExt, StreamBody},
     std::{
@@ -278,6 +279,11 @@
         }
         let gap = since.elapsed() / (EVENT_GAP_CHUNKS - 1);
         self.forwarder.record_evidence(&self.job, &self.attempt, Signal::EventGap(gap));
+        if self.forwarder.adaptation.is_on() && !self.attempt.is_passed() {
+            let model = self.job.model(self.attempt.level);
+            let seconds = gap.as_secs_f64();
+            self.forwarder.record_measure(&self.attempt, Measure::EventGap, model, seconds);
+        }
     }
 
     /// Records that the answer of the current server goes on.
--- a/crates/hawthornmount-gateway/src/forward/response.rs
+++ b/crates/hawthornmount-gateway/src/forward/response.rs
@@ -62,6 +62,9 @@
             return Outcome::Unknown(cause);
         }
         if let Some(load) = head.load.filter(|_| !attempt.is_passed()) {
+            if load.slowdown_percent.is_some() {
+                self.adaptation.record_statement(&server.id);
+            }
             attempt.reported_load = Some(load);
             self.loads.lock().stats(&server.id).record_report(load, now);
         }
@@ -188,6 +191,9 @@
             server.version,
             format_load(upstream.head.load)
         );
+        if self.adaptation.is_on() {
+            self.loads.lock().stats(&server.id).record_error(Instant::now());
+        }
         match self.read_body(upstream, MAX_BODY_BYTES).await {
             Ok(bytes) => {
                 let mut response = http::Response::new(full_body(bytes));
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -73,6 +73,7 @@
             uncached_tokens: candidate.uncached_tokens,
             prefill_ms: f64::from(candidate.uncached_tokens) * candidate.token_prefill_ms,
             expected_wait: Duration::from_secs_f64(candidate.wait() / 1_000.0),
+            usual_wait_ms: candidate.usual_wait(),
             reported_load: None,
             cause: progress.retry_reason,
             is_return: progress.tried.contains(&servers[at].id),
@@ -154,8 +155,9 @@
             &job.request.prompt,
             servers.iter().map(|server| &server.id),
         );
+        let adapts = self.adaptation.is_on();
         let candidate = |server: &&Arc<Server>| {
-            let stats = loads.stats(&server.id);
+            let stats = loads.stats_of_start(&server.id, server.start_ms);
             let is_preferred = preferred == Some(&server.id);
             let cached = affinity::cached_tokens(stats, model, &job.request.prompt, is_preferred);
             Candidate {
@@ -163,8 +165,10 @@
                 load: stats.load(server.slots, now),
                 uncached_tokens: job.request.prompt_tokens.saturating_sub(cached),
                 token_prefill_ms,
-                prefill_backlog_ms: stats.prefill_backlog_ms,
-                is_avoided: stats.is_avoided(now),
+                prefill_backlog_ms: stats.prefill_backlog_ms
+                    + if adapts { stats.peers_backlog_ms(now) } else { 0.0 },
+                slowness: if adapts { stats.expected_slowness(now) } else { 1.0 },
+                is_avoided: stats.is_avoided(now) || (adapts && stats.fails_at_peers(now)),
             }
         };
         servers.iter().map(candidate).collect()
@@ -195,7 +199,7 @@
             return (servers, false);
         }
         let is_trial = side == Side::New && matches!(split.phase, Phase::Probe | Phase::Widening);
-        (assigned, is_trial && job.is_trial_sized())
+        (assigned, is_trial && job.is_trial_sized(self.adaptation.is_on()))
     }
 
     /// Returns the location of a server relative to this instance.
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -237,6 +237,16 @@
             Some(address) => Some(frontend::listen(address).await?),
             None => None,
         };
+        if let Some(bound) = &peers {
+            let (exchange, address) = (components.forwarder.exchange(), bound.address);
+            tasks.push(tokio::spawn(async move {
+                if let Err(error) = exchange.run(address).await {
+                    log::error!(
+                        "loads are not exchanged, free the address; address={address} cause={error}"
+                    );
+                }
+            }));
+        }
         let passed = match components.settings.neighbours {
             Some(address) => Some(frontend::listen(address).await?),
             None => None,
@@ -262,6 +272,7 @@
             .with_quarantine(components.forwarder.quarantine())
             .with_limits(components.forwarder.limits())
             .with_path(components.forwarder.path())
+            .with_exchange(components.forwarder.exchange_peers())
             .with_regions(components.settings.regions.clone());
         let name = components.settings.instance.clone();
         let shared = relay::Shared::new(name, components.freshness.clone())
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! How a platform encodes requests and stored values is hidden behind [`message::Dialect`] and
 //! [`schema::Codec`].
 
+pub mod adaptation;
 pub mod affinity;
 pub mod balancing;
 pub mod budget;
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -2,12 +2,16 @@
 //! responses, corrected by the requests that the instance has sent since, and the prompt prefixes
 //! that a server has probably cached.
 
+pub mod exchange;
+
 use {
     crate::{
         limit::room::{self, Seen},
         message::Part,
+        registry::Server,
     },
     hawthornmount_core::id::{ModelId, ServerId},
+    hawthornmount_policy::speed::{Measure, Measurement, Slowness, Usual},
     std::{
         fmt::{self, Display, Formatter},
         hash::{DefaultHasher, Hash, Hasher},
@@ -39,6 +43,22 @@
 const MIN_SAMPLE_TOKENS: u32 = 1_000;
 /// Time until the response to a request without a prompt starts.
 const BASE_LATENCY: Duration = Duration::from_millis(15);
+/// Age from which the work that another instance stated is not counted any more.
+const PEER_WORK_MAX_AGE: Duration = Duration::from_millis(600);
+/// Age from which another instance's measurement of a server is forgotten.
+const PEER_MAX_AGE: Duration = Duration::from_secs(5);
+/// Error responses in a row from which a server is avoided; single ones are usual.
+const ERRORS_IN_A_ROW: u32 = 2;
+/// Age from which the failures that another instance has seen are not counted any more.
+const PEER_FAILURE_MAX_AGE: Duration = Duration::from_secs(3);
+/// Failures in a row at other instances, together, from which a server is avoided. A server that fails
+/// at once reports little load, and would otherwise attract the requests of all of them.
+const PEER_FAILURES: u32 = 4;
+/// Failures of one instance that count among them, since its own link may be at fault.
+const MAX_FAILURES_OF_PEER: u32 = 2;
+/// Other instances whose loads are kept for a server.
+const MAX_PEERS: usize = 64;
+
 /// Weight of a sample below the current prefill time.
 const DECREASE_WEIGHT: f64 = 0.2;
 /// Weight of a sample above the current prefill time.
@@ -53,6 +73,9 @@
     pub waiting: u32,
     /// Requests that can run concurrently.
     pub slots: u32,
+    /// How long work takes on the machine at this moment, in percent of the usual time, if the server
+    /// states it.
+    pub slowdown_percent: Option<u16>,
 }
 
 impl Display for Load {
@@ -84,10 +107,39 @@
     pub pending_prompts: u32,
     report: Option<Report>,
     failures: u32,
+    /// Error responses in a row.
+    errors: u32,
     avoided_until: Option<Instant>,
     /// Time until which the server wants no requests of this instance.
     closed_until: Option<Instant>,
     cached: Vec<CachedPrefix>,
+    /// Unix time in milliseconds of the start of the server that the statistics belong to.
+    start_ms: u64,
+    /// How long work takes there.
+    pub slowness: Slowness,
+    /// What other instances of the data centre have at the server.
+    peers: Vec<PeerLoad>,
+    /// Whether the last datagram to other instances stated work at the server.
+    was_busy: bool,
+}
+
+/// What another instance has at a server.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLoad {
+    /// Hash of its name.
+    pub peer: u64,
+    /// When it was received.
+    pub at: Instant,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Those of them whose prompts have not started.
+    pub pending_prompts: u32,
+    /// Prefill time of these prompts, in milliseconds.
+    pub backlog_ms: f64,
+    /// Lasting slowness that it has measured, if it has; 1 is usual.
+    pub slowness: Option<Measurement>,
+    /// Failures in a row that it has seen.
+    pub failures: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +149,10 @@
     own_in_flight: u32,
     /// Requests of this instance whose responses had not started when the report arrived.
     pending_prompts: u32,
+    /// Requests of other instances of the data centre whose responses had not started then.
+    peers_pending: u32,
+    /// Whether the report came with a response to this instance.
+    is_own: bool,
     /// Uniform draw from 0 to 1.
     draw: f64,
     at: Instant,
@@ -143,12 +199,24 @@
     }
 }
 
+/// Usual value of a measure for a model.
+#[derive(Clone, Debug)]
+struct UsualMeasure {
+    measure: Measure,
+    model: Option<ModelId>,
+    usual: Usual,
+}
+
 /// Load statistics of all servers, sorted by server id.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     rows: Vec<ServerStats>,
     /// Servers that stated that they are leaving, with their start times, in order of their ids.
     leaving: Vec<(ServerId, u64)>,
+    /// When the loads were last told to other instances.
+    digested_at: Option<Instant>,
+    /// Usual values, sorted by measure and model.
+    usual: Vec<UsualMeasure>,
 }
 
 #[derive(Clone, Debug)]
@@ -170,6 +238,42 @@
         &mut self.rows[at].stats
     }
 
+    /// Returns the statistics of a start of a server; what was learned of an earlier start is forgotten.
+    pub fn stats_of_start(&mut self, id: &ServerId, start_ms: u64) -> &mut Stats {
+        let stats = self.stats(id);
+        if stats.start_ms != start_ms {
+            stats.start_ms = start_ms;
+            stats.report = None;
+            stats.slowness = Slowness::default();
+            stats.peers.clear();
+        }
+        stats
+    }
+
+    /// Records a measurement of a server, from which its slowness follows.
+    pub fn record_measure(
+        &mut self,
+        server: &Server,
+        measure: Measure,
+        model: Option<&ModelId>,
+        value: f64,
+        now: Instant,
+    ) {
+        let key = (measure, model);
+        let found =
+            self.usual.binary_search_by(|known| (known.measure, known.model.as_ref()).cmp(&key));
+        let at = found.unwrap_or_else(|at| {
+            let usual = Usual::default();
+            self.usual.insert(at, UsualMeasure { measure, model: model.cloned(), usual });
+            at
+        });
+        if let Some(ratio) = self.usual[at].usual.record(value) {
+            self.stats_of_start(&server.id, server.start_ms)
+                .slowness
+                .record_ratio(ratio, measure, now);
+        }
+    }
+
     /// Records that the server that started at `start_ms` stated that it is leaving, and returns
     /// whether that is new. The statement outlives the server's statistics: the store may show it as
     /// ready again when it is restored from a copy.
@@ -215,15 +319,81 @@
 impl Stats {
     /// Records a load report that arrived with a response.
     pub fn record_report(&mut self, load: Load, now: Instant) {
+        self.set_report(load, now, true);
+    }
+
+    /// Records a load report that another instance received at `at`, if it is the latest.
+    pub fn record_shared_report(&mut self, load: Load, at: Instant) {
+        if self.report.is_none_or(|known| known.at < at) {
+            self.set_report(load, at, false);
+        }
+    }
+
+    fn set_report(&mut self, load: Load, at: Instant, is_own: bool) {
+        if let Some(percent) = load.slowdown_percent {
+            self.slowness.record_statement(f64::from(percent) / 100.0, at);
+        }
         self.report = Some(Report {
             load,
             own_in_flight: self.in_flight,
             pending_prompts: self.pending_prompts,
+            peers_pending: self.peers_pending(at),
+            is_own,
             draw: rand::random(),
-            at: now,
+            at,
         });
     }
 
+    /// Replaces what another instance has at the server.
+    fn set_peer(&mut self, load: PeerLoad) {
+        match self.peers.iter().position(|known| known.peer == load.peer) {
+            Some(at) => self.peers[at] = load,
+            None => {
+                let since = load.at;
+                let is_fresh =
+                    |known: &PeerLoad| since.saturating_duration_since(known.at) < PEER_MAX_AGE;
+                self.peers.retain(is_fresh);
+                if self.peers.len() < MAX_PEERS {
+                    self.peers.push(load);
+                }
+            }
+        }
+    }
+
+    /// Returns the other instances whose work at the server is known.
+    fn working_peers(&self, now: Instant) -> impl Iterator<Item = &PeerLoad> {
+        self.peers
+            .iter()
+            .filter(move |peer| now.saturating_duration_since(peer.at) < PEER_WORK_MAX_AGE)
+    }
+
+    /// Returns the prefill time of the prompts that other instances of the data centre sent and whose
+    /// responses have not started, in milliseconds.
+    pub fn peers_backlog_ms(&self, now: Instant) -> f64 {
+        self.working_peers(now).map(|peer| peer.backlog_ms).sum()
+    }
+
+    fn peers_pending(&self, now: Instant) -> u32 {
+        self.working_peers(now).map(|peer| peer.pending_prompts).sum()
+    }
+
+    /// Returns whether other instances of the data centre have seen the server fail.
+    pub fn fails_at_peers(&self, now: Instant) -> bool {
+        let recent = self
+            .peers
+            .iter()
+            .filter(|peer| now.saturating_duration_since(peer.at) < PEER_FAILURE_MAX_AGE);
+        recent.map(|peer| peer.failures.min(MAX_FAILURES_OF_PEER)).sum::<u32>() >= PEER_FAILURES
+    }
+
+    /// Returns how many times as long as usual work at the server is expected to take: by own
+    /// measurements, those of other instances, and what the server states.
+    pub fn expected_slowness(&self, now: Instant) -> f64 {
+        let is_fresh = |peer: &&PeerLoad| now.saturating_duration_since(peer.at) < PEER_MAX_AGE;
+        let others = self.peers.iter().filter(is_fresh).filter_map(|peer| peer.slowness);
+        self.slowness.expected(others, now)
+    }
+
     /// Returns the estimated load of the server: the requests of other instances according to the
     /// last report, and the requests of this instance.
     ///
@@ -233,19 +403,20 @@
     pub fn load(&self, slots: u32, now: Instant) -> Load {
         let fresh = self.report.filter(|report| now < report.at + REPORT_MAX_AGE);
         let Some(report) = fresh else {
-            return Load { running: self.in_flight, waiting: 0, slots };
+            return Load { running: self.in_flight, waiting: 0, slots, slowdown_percent: None };
         };
         let reported = report.load.running + report.load.waiting;
         let all = reported.saturating_sub(report.own_in_flight) + self.in_flight;
         let slots = report.load.slots.max(1);
         let drained = (now.saturating_duration_since(report.at).as_millis()
             / DRAIN_INTERVAL.as_millis()) as u32;
-        let queued_prompts =
-            report.load.waiting.saturating_sub(report.pending_prompts).saturating_sub(drained);
+        let known = report.pending_prompts + report.peers_pending;
+        let queued_prompts = report.load.waiting.saturating_sub(known).saturating_sub(drained);
         Load {
             running: all.min(slots),
             waiting: all.saturating_sub(slots).max(queued_prompts),
             slots,
+            slowdown_percent: report.load.slowdown_percent,
         }
     }
 
@@ -264,6 +435,7 @@
     /// Records a successful response, which ends the avoidance of the server.
     pub fn record_success(&mut self) {
         self.failures = 0;
+        self.errors = 0;
         self.avoided_until = None;
     }
 
@@ -276,6 +448,15 @@
         self.avoided_until = Some(now + time);
     }
 
+    /// Records that the server ran a request and responded with an error. From the second one in a row,
+    /// it is avoided: a server that fails all requests responds at once and seems idle.
+    pub fn record_error(&mut self, now: Instant) {
+        self.errors += 1;
+        if self.errors >= ERRORS_IN_A_ROW {
+            self.record_failure(now);
+        }
+    }
+
     /// Records that the server turned a request away and wants no others for `time`.
     pub fn close(&mut self, time: Duration, now: Instant) {
         self.closed_until = self.closed_until.max(Some(now + time));
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -32,7 +32,9 @@
         "revocation_ms" => json!(5_000),
         "propagation_ms" => json!(2_500),
         "evacuation_ms" => json!(5_000),
-        "heartbeat_ms" => json!(1_200),
+        "registration_interval_ms" => json!(1_200),
+        "adaptation" => json!("stated"),
+        "requirements" => json!([]),
         "cold" => json!({ "overshoot": 1.5, "slack": 5 }),
         "allowed_exposure" => json!(0.12),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
@@ -87,7 +89,11 @@
         problems.push(Problem::new("evacuation_ms", "is too short", &remedy));
     }
     if settings.heartbeat.is_some_and(|interval| interval.is_zero()) {
-        problems.push(Problem::new("heartbeat_ms", "is 0", "give the interval of the entries"));
+        problems.push(Problem::new(
+            "registration_interval_ms",
+            "is 0",
+            "give the interval of the entries",
+        ));
     }
     if !(0.1..=100.0).contains(&settings.cold.overshoot) {
         problems.push(Problem::new("cold.overshoot", "is out of range", "give 0.1 to 100"));
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 
 use {
+    crate::adaptation,
     hawthornmount_core::{
         id::{DataCentreId, InstanceId, RegionId},
         settings::{Error, schema},
@@ -59,8 +60,14 @@
     pub evacuation: Option<Duration>,
     /// Interval at which servers write their entries in the store.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
-    #[serde(default, rename = "heartbeat_ms")]
+    #[serde(default, rename = "registration_interval_ms")]
     pub heartbeat: Option<Duration>,
+    /// When the instance adapts to servers that differ and to callers that compete for room.
+    #[serde(default)]
+    pub adaptation: adaptation::Mode,
+    /// Parts of the platform's rules that are in force, by the names that the platform gives them.
+    #[serde(default)]
+    pub requirements: Vec<Arc<str>>,
     /// What cold servers tolerate beyond the rate that their service states.
     #[serde(default)]
     pub cold: Cold,
--- a/crates/hawthornmount-gateway/tests/gateway/affinity.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/affinity.rs
@@ -68,10 +68,11 @@
                     } else {
                         Locality::OtherRegion
                     },
-                    load: Load { running: 8, waiting: 0, slots: 64 },
+                    load: Load { running: 8, waiting: 0, slots: 64, slowdown_percent: None },
                     uncached_tokens: SHARED_TOKENS + OWN_TOKENS - cached,
                     token_prefill_ms: TOKEN_PREFILL_MS,
                     prefill_backlog_ms: 0.0,
+                    slowness: 1.0,
                     is_avoided: false,
                 }
             })
@@ -118,10 +119,11 @@
             let waiting = if is_preferred { 10 } else { 0 };
             Candidate {
                 locality: Locality::SameDataCentre,
-                load: Load { running: 8, waiting, slots: 64 },
+                load: Load { running: 8, waiting, slots: 64, slowdown_percent: None },
                 uncached_tokens: SHARED_TOKENS + OWN_TOKENS - cached,
                 token_prefill_ms: TOKEN_PREFILL_MS,
                 prefill_backlog_ms: 0.0,
+                slowness: 1.0,
                 is_avoided: false,
             }
         })
--- a/crates/hawthornmount-gateway/tests/gateway/balancing.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/balancing.rs
@@ -10,10 +10,11 @@
 
 const IDLE: Candidate = Candidate {
     locality: Locality::SameDataCentre,
-    load: Load { running: 0, waiting: 0, slots: 8 },
+    load: Load { running: 0, waiting: 0, slots: 8, slowdown_percent: None },
     uncached_tokens: 0,
     token_prefill_ms: 0.016,
     prefill_backlog_ms: 0.0,
+    slowness: 1.0,
     is_avoided: false,
 };
 
@@ -22,8 +23,8 @@
 }
 
 #[rstest]
-#[case::busier(Case { others: Candidate { load: Load { running: 7, waiting: 0, slots: 8 }, ..IDLE } })]
-#[case::has_queue(Case { others: Candidate { load: Load { running: 8, waiting: 4, slots: 8 }, ..IDLE } })]
+#[case::busier(Case { others: Candidate { load: Load { running: 7, waiting: 0, slots: 8, slowdown_percent: None }, ..IDLE } })]
+#[case::has_queue(Case { others: Candidate { load: Load { running: 8, waiting: 4, slots: 8, slowdown_percent: None }, ..IDLE } })]
 #[case::has_more_uncached_tokens(Case { others: Candidate { uncached_tokens: 5_000, ..IDLE } })]
 #[case::has_prefill_backlog(Case { others: Candidate { prefill_backlog_ms: 200.0, ..IDLE } })]
 #[case::in_other_region(Case { others: Candidate { locality: Locality::OtherRegion, ..IDLE } })]
@@ -44,7 +45,10 @@
 
 #[test]
 fn trial_fills_servers_one_after_the_other() {
-    let with = |running| Candidate { load: Load { running, waiting: 0, slots: 8 }, ..IDLE };
+    let with = |running| Candidate {
+        load: Load { running, waiting: 0, slots: 8, slowdown_percent: None },
+        ..IDLE
+    };
     assert_eq!(first_unfilled(&[with(7), with(0)]), Some(0));
     assert_eq!(first_unfilled(&[with(8), with(0)]), Some(1));
     assert_eq!(first_unfilled(&[with(8), with(8)]), None);
--- a/crates/hawthornmount-gateway/tests/gateway/brittle.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/brittle.rs
@@ -105,7 +105,10 @@
                 continue;
             }
             machine.running -= 1;
-            stats.record_report(Load { running: machine.running, waiting: 0, slots }, now);
+            stats.record_report(
+                Load { running: machine.running, waiting: 0, slots, slowdown_percent: None },
+                now,
+            );
             node.limits.record_brittle(&"plain".into(), now);
             served += usize::from(now > origin + WARM_UP);
         }
--- a/crates/hawthornmount-gateway/tests/gateway/cascade.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/cascade.rs
@@ -1,7 +1,7 @@
 //! Escalation of requests in a model cascade.
 
 use {
-    hawthornmount_gateway::cascade::{Estimate, escalate, initial_level},
+    hawthornmount_gateway::cascade::{Estimate, escalate, initial_level, urgent_level},
     rstest::rstest,
     std::time::Duration,
 };
@@ -37,3 +37,21 @@
 fn requests_start_at_the_smallest_model() {
     assert_eq!((initial_level(0), initial_level(3)), (None, Some(0)));
 }
+
+/// An urgent request that starts at the smallest model and is escalated spends its target twice; under
+/// load, the largest model would make it late.
+#[rstest]
+#[case::early(3, 300, Some(2))]
+#[case::at_the_limit(3, 800, Some(2))]
+#[case::late(3, 900, Some(0))]
+#[case::one_model(1, 300, Some(0))]
+#[case::no_cascade(0, 300, None)]
+fn urgent_request_starts_at_the_largest_model_while_it_is_early(
+    #[case] levels: usize,
+    #[case] latency_ms: u64,
+    #[case] expected: Option<usize>,
+) {
+    let estimate =
+        |_| Estimate { latency: Duration::from_millis(latency_ms), target: Duration::from_secs(2) };
+    assert_eq!(urgent_level(levels, estimate), expected);
+}
--- a/crates/hawthornmount-gateway/tests/gateway/load.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/load.rs
@@ -13,11 +13,17 @@
     let (mut tracker, now) = (Tracker::default(), Instant::now());
     let stats = tracker.stats(&"i-1".into());
     stats.in_flight = 2;
-    stats.record_report(Load { running: 5, waiting: 0, slots: 8 }, now);
+    stats.record_report(Load { running: 5, waiting: 0, slots: 8, slowdown_percent: None }, now);
     stats.in_flight = 6;
-    assert_eq!(stats.load(8, now), Load { running: 8, waiting: 1, slots: 8 });
+    assert_eq!(
+        stats.load(8, now),
+        Load { running: 8, waiting: 1, slots: 8, slowdown_percent: None }
+    );
     let later = now + Duration::from_secs(10);
-    assert_eq!(stats.load(8, later), Load { running: 6, waiting: 0, slots: 8 });
+    assert_eq!(
+        stats.load(8, later),
+        Load { running: 6, waiting: 0, slots: 8, slowdown_percent: None }
+    );
 }
 
 #[test]
@@ -27,10 +33,16 @@
     // Of the two own requests, one has a response that has started; the other one is covered by
     // the prefill backlog.
     (stats.in_flight, stats.pending_prompts) = (2, 1);
-    stats.record_report(Load { running: 15, waiting: 19, slots: 64 }, now);
-    assert_eq!(stats.load(64, now), Load { running: 34, waiting: 18, slots: 64 });
+    stats.record_report(Load { running: 15, waiting: 19, slots: 64, slowdown_percent: None }, now);
+    assert_eq!(
+        stats.load(64, now),
+        Load { running: 34, waiting: 18, slots: 64, slowdown_percent: None }
+    );
     let later = now + Duration::from_millis(1_050);
-    assert_eq!(stats.load(64, later), Load { running: 34, waiting: 8, slots: 64 });
+    assert_eq!(
+        stats.load(64, later),
+        Load { running: 34, waiting: 8, slots: 64, slowdown_percent: None }
+    );
     let much_later = now + Duration::from_millis(3_000);
     assert_eq!(stats.load(64, much_later).waiting, 0);
 }
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions of the gateway, without a network.
 
+mod admission;
 mod affinity;
 mod balancing;
 mod brittle;
@@ -8,6 +9,7 @@
 mod classify;
 mod cold;
 mod evacuation;
+mod exchange;
 mod fence;
 mod frames;
 mod freshness;
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -305,7 +305,12 @@
         is_trial: false,
         is_only_version: false,
         uncached_tokens: 0,
-        load: running.map(|running| ServerLoad { running, waiting: 0, slots: 10 }),
+        load: running.map(|running| ServerLoad {
+            running,
+            waiting: 0,
+            slots: 10,
+            slowdown_percent: None,
+        }),
         signal,
     }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,9 @@
     crate::log,
     hawthornmount_core::clock::System,
     hawthornmount_gateway::{Instance, instance::Adapters, settings::Settings},
-    hawthornmount_platform::{request::Headers, schema::Schema, settings_path, store::Client},
+    hawthornmount_platform::{
+        request::Headers, requirement, schema::Schema, settings_path, store::Client,
+    },
     pico_args::Arguments,
     std::{path::PathBuf, process::ExitCode, sync::Arc},
     tokio::signal::unix::{SignalKind, signal},
@@ -37,7 +39,11 @@
         return Err(Error::Usage { message: "no settings: give --settings FILE".into() });
     };
     let settings = match Settings::read(&file) {
-        Ok(settings) => settings,
+        Ok(mut settings) => {
+            settings.adaptation =
+                requirement::adaptation(&settings.requirements, settings.adaptation);
+            settings
+        }
         Err(error) => {
             serve::print_problems(&file, &error);
             return Ok(ExitCode::from(EXIT_USAGE));
