Count the slots of all servers for admission; capacity and open points

Cause: requests with and without allowed regions wait in one queue, but each set its capacity by the servers that it may use itself.

--- a/crates/hawthornmount-gateway/src/forward/admission.rs
+++ b/crates/hawthornmount-gateway/src/forward/admission.rs
@@ -160,10 +160,11 @@
         })
     }
 
-    /// Returns how many requests this instance may have in flight at the servers of a request.
+    /// Returns how many requests this instance may have in flight at the service of a request.
     fn capacity(&self, job: &Job, now: Instant) -> f64 {
         let view = self.cell.load();
-        let slots = self.allowed_servers(&view, job).iter().map(|server| server.slots).sum();
+        // Requests with and without allowed regions wait in one queue, so all servers count.
+        let slots = view.servers(&job.service).iter().map(|server| server.slots).sum();
         let mut demand = self.admission.demand.lock();
         demand.record_arrival(&job.service, now);
         let fleet = Fleet {
