--- a/crates/hawthornmount-gateway/src/adaptation/mod.rs
+++ b/crates/hawthornmount-gateway/src/adaptation/mod.rs
@@ -12,6 +12,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    tokio::sync::Notify,
 };
 
 /// Name of the gauge that is 1 while the instance adapts, else 0.
@@ -35,6 +36,8 @@
 pub struct Adaptation {
     mode: Mode,
     is_on: Arc<AtomicBool>,
+    /// Wakes what waits until the instance adapts.
+    turned_on: Arc<Notify>,
     metrics: Metrics,
 }
 
@@ -43,7 +46,7 @@
     pub fn new(mode: Mode, metrics: Metrics) -> Self {
         let is_on = mode == Mode::On;
         metrics.gauges.with_label_values(&[GAUGE]).set(i64::from(is_on));
-        Self { mode, is_on: Arc::new(AtomicBool::new(is_on)), metrics }
+        Self { mode, is_on: Arc::new(AtomicBool::new(is_on)), turned_on: Arc::default(), metrics }
     }
 
     /// Returns whether the instance adapts.
@@ -51,6 +54,14 @@
         self.is_on.load(Ordering::Relaxed)
     }
 
+    /// Waits until the instance adapts.
+    pub async fn wait(&self) {
+        let turned_on = self.turned_on.notified();
+        if !self.is_on() {
+            turned_on.await;
+        }
+    }
+
     /// Returns whether requests wait for their turn while the engines are full: only where the settings
     /// demand it.
     pub fn admits(&self) -> bool {
@@ -60,6 +71,7 @@
     /// Records that a server states how long work takes on its machine.
     pub fn record_statement(&self, server: &str) {
         if self.mode == Mode::Stated && !self.is_on.swap(true, Ordering::Relaxed) {
+            self.turned_on.notify_waiters();
             self.metrics.gauges.with_label_values(&[GAUGE]).set(1);
             log::info!("servers state how long work takes, adapts to it; server={server}");
         }
--- a/crates/hawthornmount-gateway/src/forward/admission.rs
+++ b/crates/hawthornmount-gateway/src/forward/admission.rs
@@ -88,27 +88,17 @@
 }
 
 impl Admission {
-    /// Sets how many requests may be in flight at a service.
-    fn set_capacity(&self, service: &ServiceId, capacity: f64) {
-        let mut rows = self.rows.lock();
-        if let Ok(at) = rows.binary_search_by(|row| row.service.cmp(service)) {
-            rows[at].capacity = capacity;
-        }
-    }
-
-    /// Returns the queue of a service.
-    fn queue(&self, service: &ServiceId) -> Arc<Queue> {
+    /// Returns the queue of a service, and sets how many requests may be in flight there.
+    fn queue(&self, service: &ServiceId, capacity: f64) -> Arc<Queue> {
         let mut rows = self.rows.lock();
         let at = match rows.binary_search_by(|row| row.service.cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                rows.insert(
-                    at,
-                    Row { service: service.clone(), queue: Arc::default(), capacity: 0.0 },
-                );
+                rows.insert(at, Row { service: service.clone(), queue: Arc::default(), capacity });
                 at
             }
         };
+        rows[at].capacity = capacity;
         rows[at].queue.clone()
     }
 
@@ -145,8 +135,7 @@
             due: Due::Start,
             now,
         };
-        let queue = self.admission.queue(&job.service);
-        self.admission.set_capacity(&job.service, capacity);
+        let queue = self.admission.queue(&job.service, capacity);
         queue.acquire(&arrival, capacity).await.map(Some).map_err(|refused| {
             let (running, waiting) = queue.counts();
             log::info!(
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -118,12 +118,8 @@
         metrics: Metrics,
     ) -> Self {
         let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
-        let tolerance = limit::cold::Tolerance {
-            overshoot: settings.cold.overshoot,
-            slack: settings.cold.slack,
-        };
         let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone())
-            .with_tolerance(tolerance);
+            .with_tolerance(settings.cold);
         let path = path::monitor::Monitor::new(cell.clone(), metrics.clone());
         let adaptation = Adaptation::new(settings.adaptation, metrics.clone());
         Self {
@@ -309,8 +305,8 @@
     /// Returns the level of the cascade at which a request starts, if the router chooses the model.
     fn initial_level(&self, job: &Job) -> Option<cascade::Level> {
         let level = job.initial_level()?;
-        let is_crowded = self.admission.is_crowded(&job.service);
-        if !job.is_most_urgent() || !self.adaptation.is_on() || is_crowded {
+        let adapts = self.adaptation.is_on();
+        if !adapts || !job.is_most_urgent() || self.admission.is_crowded(&job.service) {
             return Some(level);
         }
         cascade::urgent_level(job.route.config.ladder.len(), |level| Estimate {
--- a/crates/hawthornmount-gateway/src/limit/cold.rs
+++ b/crates/hawthornmount-gateway/src/limit/cold.rs
@@ -20,6 +20,7 @@
         id::{ServerId, ServiceId},
         table::Table,
     },
+    serde::{Deserialize, Serialize},
     std::time::{Duration, Instant},
 };
 
@@ -48,8 +49,9 @@
     Evacuation,
 }
 
-/// Requests that a cold server tolerates in a second beyond what it takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// Requests that a cold server tolerates in a second, from the whole fleet.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tolerance {
     /// Multiple of the rate that it takes.
     pub overshoot: f64,
@@ -57,9 +59,14 @@
     pub slack: f64,
 }
 
+impl Tolerance {
+    /// No request beyond the rate.
+    pub const NONE: Self = Self { overshoot: 1.0, slack: 0.0 };
+}
+
 impl Default for Tolerance {
     fn default() -> Self {
-        Self { overshoot: 1.0, slack: 0.0 }
+        Self::NONE
     }
 }
 
@@ -108,6 +115,13 @@
     }
 }
 
+impl Row {
+    /// Returns what is known of the cold server, unless it is warm.
+    pub(super) fn cold_at(&self, now: Instant) -> Option<Cold> {
+        self.cold.filter(|cold| !cold.remaining(now).is_zero())
+    }
+}
+
 impl Limits {
     /// Sets what cold servers take of each service that has cold servers.
     pub fn set_cold_starts(&mut self, services: &Table<Service>) {
@@ -149,13 +163,12 @@
     /// Returns whether a server is taken as cold.
     pub fn is_cold(&self, server: &Server, now: Instant) -> bool {
         let at = self.position(&server.id, server.start_ms);
-        let cold = at.ok().and_then(|at| self.rows[at].cold);
-        cold.is_some_and(|cold| !cold.remaining(now).is_zero())
+        at.is_ok_and(|at| self.rows[at].cold_at(now).is_some())
     }
 
     /// Forgets the cold times that are over, and returns their servers.
     pub fn take_warmed(&mut self, now: Instant) -> Vec<ServerId> {
-        let is_over = |row: &&mut Row| row.cold.is_some_and(|cold| cold.remaining(now).is_zero());
+        let is_over = |row: &&mut Row| row.cold.is_some() && row.cold_at(now).is_none();
         let over = self.rows.iter_mut().filter(is_over);
         let forget = |row: &mut Row| {
             row.cold = None;
@@ -166,8 +179,7 @@
 
     /// Returns the number of servers that are taken as cold.
     pub fn count_cold(&self, now: Instant) -> usize {
-        let cold = self.rows.iter().filter_map(|row| row.cold);
-        cold.filter(|cold| !cold.remaining(now).is_zero()).count()
+        self.rows.iter().filter(|row| row.cold_at(now).is_some()).count()
     }
 
     /// Applies a function to what is known of a cold server, and returns the change of the belief: its
--- a/crates/hawthornmount-gateway/src/limit/mod.rs
+++ b/crates/hawthornmount-gateway/src/limit/mod.rs
@@ -65,7 +65,7 @@
     last_pass: Option<Instant>,
     /// Whether the limit was divided since the server stated one.
     is_divided: bool,
-    /// Whether the server is cold, which limits it beside what it states.
+    /// Until when the server is cold, which limits it in addition to what it states.
     cold: Option<cold::Cold>,
     exchange: exchange::Progress,
 }
@@ -105,7 +105,7 @@
             members_since: None,
             rows: Vec::new(),
             cold_starts: Vec::new(),
-            tolerance: cold::Tolerance { overshoot: 1.0, slack: 0.0 },
+            tolerance: cold::Tolerance::NONE,
             services: Vec::new(),
             brittle: Vec::new(),
         }
@@ -191,9 +191,8 @@
         let has_rate = match self.position(&server.id, server.start_ms) {
             Ok(at) => {
                 let row = &self.rows[at];
-                let is_warm = row.cold.is_none_or(|cold| cold.remaining(now).is_zero());
                 (row.rate().is_none() || row.share.is_some())
-                    && (is_warm || row.cold.is_some_and(|cold| cold.share.is_some()))
+                    && row.cold_at(now).is_none_or(|cold| cold.share.is_some())
             }
             Err(_) => true,
         };
@@ -218,11 +217,10 @@
         };
         let start = name_of_start(&server.id, server.start_ms);
         let row = self.position(&server.id, server.start_ms).ok().map(|at| &self.rows[at]);
-        let cold = row.and_then(|row| row.cold).filter(|cold| !cold.remaining(now).is_zero());
+        if let Some(cold) = row.and_then(|row| row.cold_at(now)) {
+            return first(cold.division(instances).holders, &start);
+        }
         match self.rate(&server.id, server.start_ms) {
-            _ if cold.is_some() => {
-                first(cold.map_or(0, |cold| cold.division(instances).holders), &start)
-            }
             Some(rate) => first(Division::new(rate, instances).holders, &start),
             None if self.is_brittle(&server.service, now) => {
                 first(instances.min(server.slots as usize), &server.id)
@@ -242,8 +240,7 @@
         self.rows.retain_mut(|row| {
             let is_known = is_known(&row.server, row.start_ms);
             row.exchange.record_server(is_known, now);
-            let is_cold = row.cold.is_some_and(|cold| !cold.remaining(now).is_zero());
-            is_known || is_cold || row.exchange.is_written()
+            is_known || row.cold_at(now).is_some() || row.exchange.is_written()
         });
     }
 
--- a/crates/hawthornmount-gateway/src/load/exchange/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/exchange/mod.rs
@@ -152,7 +152,6 @@
             stats.set_peer(PeerLoad {
                 peer,
                 at: now,
-                in_flight: row.in_flight.into(),
                 pending_prompts: row.pending.into(),
                 backlog_ms: row.backlog_ms.into(),
                 slowness: row.slowness.map(|(percent, tenths)| Measurement {
--- a/crates/hawthornmount-gateway/src/load/exchange/task.rs
+++ b/crates/hawthornmount-gateway/src/load/exchange/task.rs
@@ -93,20 +93,21 @@
     pub loads: Arc<Mutex<Tracker>>,
     /// Demand of the instances.
     pub admission: Arc<Admission>,
-    /// Whether loads are exchanged.
+    /// When loads are exchanged.
     pub adaptation: Adaptation,
     /// Counts what is dropped.
     pub metrics: Metrics,
 }
 
 impl Channel {
-    /// Exchanges loads over a datagram socket at an address; never returns unless the address can't be
-    /// bound.
+    /// Exchanges loads over a datagram socket at an address, once the instance adapts; never returns
+    /// unless the address can't be bound.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
     pub async fn run(self, address: SocketAddr) -> io::Result<()> {
+        self.adaptation.wait().await;
         let socket = UdpSocket::bind(address).await?;
         let mut ticks = tokio::time::interval(INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -124,9 +125,6 @@
     }
 
     async fn send(&self, socket: &UdpSocket) {
-        if !self.adaptation.is_on() {
-            return;
-        }
         let Some((keyring, addresses)) = self.peers.destinations() else { return };
         let now = Instant::now();
         let rows = self.loads.lock().take_rows(now);
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -130,9 +130,7 @@
     pub peer: u64,
     /// When it was received.
     pub at: Instant,
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Those of them whose prompts have not started.
+    /// Requests whose prompts have not started.
     pub pending_prompts: u32,
     /// Prefill time of these prompts, in milliseconds.
     pub backlog_ms: f64,
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -3,7 +3,7 @@
 mod check;
 
 use {
-    crate::adaptation,
+    crate::{adaptation, limit::cold::Tolerance},
     hawthornmount_core::{
         id::{DataCentreId, InstanceId, RegionId},
         settings::{Error, schema},
@@ -70,7 +70,7 @@
     pub requirements: Vec<Arc<str>>,
     /// What cold servers tolerate beyond the rate that their service states.
     #[serde(default)]
-    pub cold: Cold,
+    pub cold: Tolerance,
     /// Share of all requests of a roll-out's time that a bad version may get.
     #[serde(default = "default_allowed_exposure")]
     pub allowed_exposure: f64,
@@ -85,22 +85,6 @@
     pub log: Arc<str>,
 }
 
-/// What cold servers tolerate in a second beyond the rate that their service states.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Cold {
-    /// Multiple of the rate.
-    pub overshoot: f64,
-    /// Requests in addition.
-    pub slack: f64,
-}
-
-impl Default for Cold {
-    fn default() -> Self {
-        Self { overshoot: 1.0, slack: 0.0 }
-    }
-}
-
 /// Limits on retries over the whole fleet.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/hawthornmount-gateway/tests/gateway/exchange.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/exchange.rs
@@ -1,11 +1,14 @@
 //! Exchange of loads between the instances of a data centre.
 
 use {
-    hawthornmount_core::id::ServerId,
+    hawthornmount_core::{id::ServerId, metrics::Metrics},
     hawthornmount_fleet::wire::{Keyring, MAX_DATAGRAM_BYTES, Reject},
-    hawthornmount_gateway::load::{
-        Load, Tracker,
-        exchange::{Digest, Report, Row},
+    hawthornmount_gateway::{
+        adaptation::{Adaptation, Mode},
+        load::{
+            Load, Tracker,
+            exchange::{Digest, Report, Row},
+        },
     },
     hawthornmount_policy::admission::Rate,
     rstest::rstest,
@@ -188,3 +191,27 @@
     stats.record_error(now);
     assert!(stats.is_avoided(now));
 }
+
+/// When the exchange begins. An instance that never adapts must not wake up for it.
+#[rstest]
+#[case::off(Mode::Off, true, false)]
+#[case::nothing_stated(Mode::Stated, false, false)]
+#[case::stated(Mode::Stated, true, true)]
+#[case::on(Mode::On, false, true)]
+#[tokio::test(start_paused = true)]
+async fn exchange_begins_when_the_instance_adapts(
+    #[case] mode: Mode,
+    #[case] is_stated: bool,
+    #[case] begins: bool,
+) {
+    let adaptation = Adaptation::new(mode, Metrics::new());
+    let statement = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        if is_stated {
+            adaptation.record_statement("i-1");
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(2), adaptation.wait());
+    let (waited, ()) = tokio::join!(waited, statement);
+    assert_eq!(waited.is_ok(), begins);
+}
