--- a/review/standin/crash.rs
+++ b/review/standin/crash.rs
@@ -73,6 +73,7 @@
         record: record.clone(),
         arrivals: Mutex::default(),
         crashes: Mutex::default(),
+        runs: Mutex::default(),
         is_over: AtomicBool::new(false),
     });
     service.start(6);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod world;
 
 mod crash;
+mod entry;
 
 use std::path::PathBuf;
 
@@ -24,6 +25,7 @@
     let verdict = match case.as_str() {
         "crash-stream" => crash::play(&record, is_disturbed, crash::Kind::Request),
         "crash-part" => crash::play(&record, is_disturbed, crash::Kind::Part),
+        "foreign-entry" => entry::play(&record, is_disturbed),
         _ => None,
     };
     let (code, text) = match verdict {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -73,6 +73,7 @@
 pub struct Arrival {
     pub at: Instant,
     pub attempt: String,
+    pub server: String,
     pub act: Act,
 }
 
@@ -95,13 +96,18 @@
     pub record: Record,
     pub arrivals: Mutex<Vec<Arrival>>,
     pub crashes: Mutex<Vec<(Instant, String)>>,
+    pub runs: Mutex<Vec<Arc<Run>>>,
     pub is_over: AtomicBool,
 }
 
 /// One start of a server.
-struct Run {
-    id: String,
+pub struct Run {
+    pub id: String,
+    pub zone: &'static str,
+    pub address: SocketAddr,
     is_alive: AtomicBool,
+    /// Whether its entry is written.
+    is_listed: AtomicBool,
     running: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
 }
@@ -122,7 +128,10 @@
         let address = listener.local_addr().expect("bound");
         let run = Arc::new(Run {
             id: format!("i-{:010x}", noise() >> 24),
+            zone,
+            address,
             is_alive: AtomicBool::new(true),
+            is_listed: AtomicBool::new(true),
             running: AtomicU64::new(0),
             streams: Mutex::default(),
         });
@@ -143,6 +152,7 @@
                 }
             }
         });
+        self.runs.lock().unwrap().push(run.clone());
         let service = self.clone();
         thread::spawn(move || service.beat(&run, zone, address));
     }
@@ -151,7 +161,7 @@
     fn beat(&self, run: &Run, zone: &str, address: SocketAddr) {
         let (key, born) = (format!("servers/{}", run.id), unix_ms());
         let mut sequence = 0;
-        while run.is_alive.load(Ordering::SeqCst) {
+        while run.is_alive.load(Ordering::SeqCst) && run.is_listed.load(Ordering::SeqCst) {
             sequence += 1;
             let (name, slots) = (self.name, self.slots);
             self.store.put(
@@ -164,8 +174,26 @@
             );
             thread::sleep(HEARTBEAT);
         }
-        thread::sleep(HEARTBEAT * 2);
-        self.store.remove(&key);
+        if run.is_listed.load(Ordering::SeqCst) {
+            thread::sleep(HEARTBEAT * 2);
+            self.store.remove(&key);
+        }
+    }
+
+    /// Lets a server leave without a word: its entry is removed, and it goes on serving.
+    pub fn leave(&self, run: &Run) {
+        run.is_listed.store(false, Ordering::SeqCst);
+        // The heartbeat under way must not write the entry again.
+        thread::sleep(HEARTBEAT + Duration::from_millis(100));
+        self.store.remove(&format!("servers/{}", run.id));
+    }
+
+    /// Ends a server that has left: its connections close, and its port refuses new ones.
+    pub fn exit(&self, run: &Run) {
+        run.is_alive.store(false, Ordering::SeqCst);
+        for stream in run.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 
     fn is_over(&self) -> bool {
@@ -233,7 +261,8 @@
             return http::write(stream, &text).ok();
         }
         let act = (self.plan)(request);
-        let arrival = Arrival { at: Instant::now(), attempt: attempt.clone(), act };
+        let server = run.id.clone();
+        let arrival = Arrival { at: Instant::now(), attempt: attempt.clone(), server, act };
         self.arrivals.lock().unwrap().push(arrival);
         if act != Act::Answer {
             self.record.line(&format!("{attempt} reaches server {}", run.id));
