--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -371,14 +371,22 @@
     Gateway { callers, readiness, child }
 }
 
-/// Starts gateways in all zones and waits until they are ready and registered.
+/// Starts gateways in all zones and waits until they are ready and registered. A port that was free may
+/// be taken by another program before a gateway listens on it, so that is tried up to three times.
 pub fn start_fleet(folder: &Folder, store: &Store, each: usize) -> Option<Vec<Gateway>> {
+    (0..3).find_map(|_| try_start_fleet(folder, store, each))
+}
+
+fn try_start_fleet(folder: &Folder, store: &Store, each: usize) -> Option<Vec<Gateway>> {
     let places = ZONES.iter().flat_map(|zone| (1..=each).map(move |number| (*zone, number)));
-    let fleet: Vec<Gateway> = places
+    let mut fleet: Vec<Gateway> = places
         .map(|(zone, number)| start_gateway(folder, store.address, zone, number))
         .collect();
-    let until = Instant::now() + Duration::from_secs(20);
+    let until = Instant::now() + Duration::from_secs(8);
     while Instant::now() < until {
+        if fleet.iter_mut().any(|one| !matches!(one.child.try_wait(), Ok(None))) {
+            return None;
+        }
         let are_ready = fleet.iter().all(|one| is_ready(one.readiness));
         if are_ready && store.count("hawthornmount/instance") >= fleet.len() {
             thread::sleep(Duration::from_millis(2_500));
