--- a/review/standin/crash.rs
+++ b/review/standin/crash.rs
@@ -83,7 +83,7 @@
     // Sound requests a second: a usual load, or that of a quiet hour.
     let interval = match kind {
         Kind::Request => Duration::from_millis(50),
-        Kind::Part => Duration::from_millis(2_000),
+        Kind::Part => Duration::from_millis(1_000),
     };
     let began = Instant::now();
     let end = began + SOUND_TIME + CRASHING_TIME;
