Log why no instance takes a passed request, and what each instance observes of a roll-out

The logs could not tell a choice that runs out of neighbours from neighbours without room, nor evidence that is missing from evidence that the readers don't know of.

--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -103,6 +103,19 @@
         })
     }
 
+    /// Logs that a request is not passed to another instance although this one reaches no server.
+    pub(super) fn log_no_neighbour(&self, job: &Job, progress: &Progress) {
+        let (instances, cut_off) = self.path.neighbour_counts();
+        log::info!(
+            "no instance takes the request; id={} service={} declines={} attempts={} instances={instances} \
+             cut_off={cut_off}",
+            job.id,
+            job.service,
+            progress.declines,
+            progress.attempts
+        );
+    }
+
     /// Returns the headers with which a request is passed to another instance.
     pub(super) fn passed_headers(
         &self,
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -25,7 +25,12 @@
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let may_add = progress.attempts < job.attempts;
         if self.path.is_cut_off() {
-            return if may_add { self.choose_neighbour(job, progress, |_| true) } else { None };
+            let neighbour =
+                if may_add { self.choose_neighbour(job, progress, |_| true) } else { None };
+            if neighbour.is_none() && !job.is_passed {
+                self.log_no_neighbour(job, progress);
+            }
+            return neighbour;
         }
         let server = self.choose_server(job, progress, may_add);
         if server.is_none() && may_add { self.choose_holder(job, progress) } else { server }
--- a/crates/hawthornmount-gateway/src/path/monitor.rs
+++ b/crates/hawthornmount-gateway/src/path/monitor.rs
@@ -119,6 +119,12 @@
         self.neighbours.lock().choose(data_centre, load, rand::random, time::now())
     }
 
+    /// Returns the number of other instances, and how many of them have said recently that they reach no
+    /// server.
+    pub fn neighbour_counts(&self) -> (usize, usize) {
+        self.neighbours.lock().counts(time::now())
+    }
+
     /// Waits for the result of a check that is due or under way.
     pub async fn settle(&self) {
         let checked = self.checked.notified();
--- a/crates/hawthornmount-gateway/src/path/neighbour.rs
+++ b/crates/hawthornmount-gateway/src/path/neighbour.rs
@@ -70,6 +70,12 @@
         });
     }
 
+    /// Returns the number of instances, and how many of them have said recently that they reach no server.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let cut_off = self.cut_off.iter().filter(|known| now < known.until);
+        (self.rows.len(), cut_off.count())
+    }
+
     /// Chooses an instance, of the data centre `own` if possible. `load` returns the requests in flight
     /// at an instance, or `None` if it is not to be asked; `random` is a uniform draw from 0 to 1.
     pub fn choose(
--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -528,7 +528,14 @@
             record.version,
             record.phase
         );
-        row.recorded = Some(Recorded { record, received_at: time::now() });
+        row.recorded = Some(Recorded { record: record.clone(), received_at: time::now() });
+        let own = self.own_report(service, &record.version, time::now());
+        log::info!(
+            "observed by this instance; service={service} version={} phase={:?} {}",
+            record.version,
+            record.phase,
+            describe_evidence(own.failures.iter(), own.latencies.iter(), own.late.iter())
+        );
         true
     }
 
