Add failing tests: parts of all data centres without a path, and bad versions without load

- A plain service of 29, 95 or 380 requests a second, none of whose servers is loaded: a version that is slow, or that fails under load, is completed in each fleet.
One that fails at once is rolled back, a good one completed.

--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod evacuation;
 mod exchange;
+mod exposure;
 mod fence;
 mod frames;
 mod freshness;
--- a/crates/hawthornmount-gateway/tests/gateway/path.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/path.rs
@@ -8,7 +8,7 @@
         pass::{self, Invalid, PASS, Pass},
     },
     http::{HeaderMap, HeaderValue, Method, Uri},
-    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom},
     rstest::rstest,
     std::{
         cell::RefCell,
@@ -34,6 +34,9 @@
     needs_check: bool,
 }
 
+/// Instances that may decline one request, and which the next one may therefore follow.
+const MAX_DECLINES: usize = 2;
+
 const FAILED_CHECK: Event = Event::Check { has_reached: false };
 const GOOD_CHECK: Event = Event::Check { has_reached: true };
 
@@ -151,6 +154,68 @@
     assert!(*most as f64 <= 2.5 * mean.max(4.0), "{most} at one instance, {mean} in the mean");
 }
 
+struct Scattered {
+    instances: usize,
+    data_centres: usize,
+    /// Share of the instances of each data centre that reach no server.
+    cut_off: f64,
+}
+
+/// Load: 20 requests a second at each of the instances without a path, which are some of each data centre,
+/// for 8 s. Of the first tries at these instances, at least two thirds of those at the others are to be
+/// served, from 3 s after the cut on.
+#[rstest]
+fn first_tries_are_served_while_parts_of_all_data_centres_reach_no_server(
+    #[values((3, 3), (75, 6), (300, 6))] (instances, data_centres): (usize, usize),
+    #[values(1.0 / 3.0, 0.5, 0.75)] cut_off: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+    const SECONDS: usize = 8;
+    const ALLOWED_SECONDS: usize = 3;
+    let fleet = Scattered { instances, data_centres, cut_off };
+    let rows: Vec<_> =
+        (0..fleet.instances).map(|number| neighbour(number, fleet.data_centres)).collect();
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut order: Vec<usize> = (0..fleet.instances).collect();
+    order.shuffle(&mut rng);
+    // At least one instance reaches servers, and one does not.
+    let count = (fleet.instances as f64 * fleet.cut_off).round() as usize;
+    let cut: Vec<usize> = order[..count.clamp(1, fleet.instances - 1)].to_vec();
+    let rng = RefCell::new(rng);
+    let at = |one: &Neighbour| -> usize {
+        let (_, number) = one.id.rsplit_once('-').expect("numbered");
+        number.parse().expect("numbered")
+    };
+    let origin = Instant::now();
+    let mut served = [0_usize; SECONDS];
+    let is_cut = |number: usize| cut.contains(&number);
+    for own in &cut {
+        let mut neighbours = Neighbours::default();
+        neighbours.set(rows.iter().filter(|row| row.id != rows[*own].id).cloned().collect());
+        for request in 0..SECONDS * 20 {
+            let now = origin + REQUEST_INTERVAL * request as u32;
+            let mut tried: Vec<usize> = Vec::new();
+            while tried.len() <= MAX_DECLINES {
+                let load = |one: &Neighbour| (!tried.contains(&at(one))).then_some(0);
+                let random = || rng.borrow_mut().random();
+                let data_centre = &rows[*own].data_centre;
+                let Some(chosen) = neighbours.choose(data_centre, load, random, now) else { break };
+                if !is_cut(at(&chosen)) {
+                    served[request / 20] += 1;
+                    break;
+                }
+                neighbours.record_cut_off(&chosen, now);
+                tried.push(at(&chosen));
+            }
+        }
+    }
+    let least = cut.len() as f64 * 20.0 * 2.0 / 3.0;
+    for (second, served) in served.into_iter().enumerate().skip(ALLOWED_SECONDS) {
+        assert!(served as f64 >= least, "{served} served in second {second}, {least:.0} wanted");
+    }
+}
+
 fn sealed(secret: &str) -> HeaderValue {
     let pass = Pass {
         from: "one".into(),
