Remember which instances reach the servers of a service

Callers of instances without a path were refused although neighbours served: with some of each data centre cut off, two declining instances excluded their whole data centre, both were forgotten after a second, and a request was given up after three declines. The belief was one for all services and ended with any of four connections, so it changed each second or two.

Links are checked by service, and a cut ends if half of a sample is reached or one server in each of two checks. Refused as no_path, which is also what a neighbour marks.

--- a/crates/hawthornmount-core/src/problem/mod.rs
+++ b/crates/hawthornmount-core/src/problem/mod.rs
@@ -108,6 +108,7 @@
         Refusal::Deadline => 504,
         Refusal::NoVersion
         | Refusal::NoServer
+        | Refusal::NoPath
         | Refusal::RegionUnavailable
         | Refusal::StoreUnavailable
         | Refusal::UsageBacklog
--- a/crates/hawthornmount-core/src/reason/mod.rs
+++ b/crates/hawthornmount-core/src/reason/mod.rs
@@ -48,6 +48,8 @@
         NoVersion = "no_version",
         /// No server of the allowed versions, or of the service, accepts the request.
         NoServer = "no_server",
+        /// The instance reaches no server of the service, and no other instance takes the request.
+        NoPath = "no_path",
         /// No server in the regions in which the request may be served accepts requests.
         RegionUnavailable = "region_unavailable",
         /// Too many requests of the account wait while the fleet is at capacity.
--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -164,7 +164,8 @@
         let server = &server;
         let in_flight = {
             let is_trial_sized = job.is_trial_sized(self.adaptation.is_on());
-            InFlightGuard::new(&self.loads, &server.id, is_trial_sized, &self.path)
+            let destination = (&server.id, &job.service);
+            InFlightGuard::new(&self.loads, destination, is_trial_sized, &self.path)
         };
         let _prefill = PrefillGuard::new(&self.loads, &server.id, attempt.prefill_ms);
         let mut pooled = if attempt.needs_connection { None } else { self.pool.take(&server.id) };
@@ -238,14 +239,14 @@
     /// Records that the server of an attempt was reached, as evidence on the links.
     fn record_contact(&self, attempt: &Attempt) {
         if !attempt.is_passed() {
-            self.path.record_contact();
+            self.path.record_contact(&attempt.server.service);
         }
     }
 
     /// Records that the connection of an attempt failed, as evidence on the links.
     pub(super) fn record_link_failure(&self, attempt: &Attempt) {
         if !attempt.is_passed() {
-            self.path.record_failure();
+            self.path.record_failure(&attempt.server.service);
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/detour.rs
+++ b/crates/hawthornmount-gateway/src/forward/detour.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Forwarder, Job, Progress,
+        Forwarder, Job, Progress, RETRY_AFTER,
         attempt::{Attempt, Outcome},
         job::Marker,
     },
@@ -11,12 +11,16 @@
         message::EventId,
         path::{
             links::Reach,
-            neighbour::Neighbour,
+            neighbour::{MAX_DECLINES, Neighbour, Query},
             pass::{ATTEMPTS, NO_PATH, PASS, Pass, RAN, RAN_NO, digest},
         },
         registry::{Readiness, Server},
     },
-    hawthornmount_core::reason::Retry,
+    hawthornmount_core::{
+        id::{ServerId, ServiceId},
+        problem::Problem,
+        reason::{Refusal, Retry},
+    },
     http::HeaderMap,
     rand::seq::IndexedRandom,
     std::{
@@ -25,19 +29,22 @@
     },
 };
 
-/// Instances that may decline one request.
-const MAX_DECLINES: u32 = 3;
 /// Time that the way back from another instance takes.
 const WAY_BACK: Duration = Duration::from_millis(30);
 
 impl Forwarder {
     /// Checks the path to the servers when that is due, and adapts to what it finds; never returns.
     pub async fn watch_path(&self) {
-        let adapt = |reach| match reach {
-            // Connections that are mute now may carry late bytes once the servers are reached again.
-            Reach::CutOff => self.pool.clear(),
-            // The failures were those of the links.
-            Reach::Servers => self.loads.lock().forgive(),
+        let adapt = |service: &ServiceId, reach| {
+            let view = self.cell.load();
+            let is_of_service =
+                |id: &ServerId| view.servers(service).iter().any(|server| server.id == *id);
+            match reach {
+                // Connections that are mute now may carry late bytes once the servers are reached again.
+                Reach::CutOff => self.pool.remove(is_of_service),
+                // The failures were those of the links.
+                Reach::Servers => self.loads.lock().forgive(is_of_service),
+            }
         };
         self.path.run(adapt).await;
     }
@@ -83,7 +90,12 @@
                 !progress.tried.contains(&neighbour.destination) && !stats.is_avoided(now);
             is_usable.then_some(stats.in_flight)
         };
-        let neighbour = self.path.choose_neighbour(&self.data_centre, load)?;
+        let query = Query {
+            service: &job.service,
+            data_centre: &self.data_centre,
+            is_declined: progress.declines > 0,
+        };
+        let neighbour = self.path.choose_neighbour(query, load)?;
         Some(Attempt {
             server: Arc::new(destination(&neighbour, job)),
             neighbour: Some(neighbour),
@@ -105,7 +117,7 @@
 
     /// Logs that a request is not passed to another instance although this one reaches no server.
     pub(super) fn log_no_neighbour(&self, job: &Job, progress: &Progress) {
-        let (instances, cut_off) = self.path.neighbour_counts();
+        let (instances, cut_off) = self.path.neighbour_counts(&job.service);
         log::info!(
             "no instance takes the request; id={} service={} declines={} attempts={} instances={instances} \
              cut_off={cut_off}",
@@ -145,10 +157,13 @@
         neighbour: &Neighbour,
         headers: &HeaderMap,
     ) -> Option<Outcome> {
-        let ran = headers.get(RAN)?;
+        let Some(ran) = headers.get(RAN) else {
+            self.path.record_neighbour(neighbour, &job.service, true);
+            return None;
+        };
         let has_path = !headers.contains_key(NO_PATH);
         if !has_path {
-            self.path.record_cut_off(neighbour);
+            self.path.record_neighbour(neighbour, &job.service, false);
         }
         log::info!(
             "another instance gave no answer; id={} instance={} ran={} has_path={has_path}",
@@ -184,3 +199,10 @@
         cold_remaining: Duration::ZERO,
     }
 }
+
+/// Returns the problem of a request whose service this instance does not reach, and which no other
+/// instance takes.
+pub(super) fn no_path(service: &str) -> Problem {
+    let detail = format!("no server of {service} is reached: come back");
+    Problem::new(Refusal::NoPath, detail).retry_after(RETRY_AFTER)
+}
--- a/crates/hawthornmount-gateway/src/forward/guard.rs
+++ b/crates/hawthornmount-gateway/src/forward/guard.rs
@@ -10,7 +10,7 @@
         },
         time,
     },
-    hawthornmount_core::id::ServerId,
+    hawthornmount_core::id::{ServerId, ServiceId},
     parking_lot::Mutex,
     std::sync::Arc,
 };
@@ -26,7 +26,7 @@
 impl InFlightGuard {
     pub fn new(
         loads: &Arc<Mutex<Tracker>>,
-        server: &ServerId,
+        (server, service): (&ServerId, &ServiceId),
         is_trial_sized: bool,
         path: &Arc<Monitor>,
     ) -> Self {
@@ -37,7 +37,7 @@
             stats.trial_in_flight += u32::from(is_trial_sized);
         }
         let (loads, server) = (loads.clone(), server.clone());
-        Self { loads, server, is_trial_sized, _waiting: path.wait() }
+        Self { loads, server, is_trial_sized, _waiting: path.wait(service) }
     }
 }
 
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -53,6 +53,7 @@
     },
     admission::Admission,
     attempt::Attempt,
+    detour::no_path,
     futures::FutureExt,
     hawthornmount_core::{
         id::{InstanceId, RegionId, ServiceId},
@@ -184,9 +185,13 @@
     }
 
     async fn run_job(self: &Arc<Self>, job: Arc<Job>) -> Result<Response, Problem> {
+        let is_cut_off = self.path.is_cut_off(&job.service);
+        if job.is_passed && is_cut_off {
+            return Err(no_path(&job.service));
+        }
         *job.permit.lock() = self.admit(&job).await?;
         let mut progress = Progress { level: self.initial_level(&job), ..Progress::default() };
-        if !self.path.is_cut_off() {
+        if !is_cut_off {
             // The instance to which it is passed counts it otherwise.
             self.with_budget(&job.service, |budget, now| budget.record_request(now));
         }
--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -1,7 +1,10 @@
 //! Decision whether a request is sent to another server.
 
 use {
-    super::{Forwarder, Job, Progress, RETRY_AFTER, attempt::Attempt, obstacle::Obstacle},
+    super::{
+        Forwarder, Job, Progress, RETRY_AFTER, attempt::Attempt, detour::no_path,
+        obstacle::Obstacle,
+    },
     crate::{budget::Cause, view::View},
     hawthornmount_core::{
         problem::Problem,
@@ -56,6 +59,9 @@
             } else {
                 Obstacle::Refusals
             });
+            if progress.attempts < job.attempts && self.path.is_cut_off(&job.service) {
+                return Err(no_path(&job.service));
+            }
             let view = self.cell.load();
             let is_excluded = self.allowed_servers(&view, job).is_empty()
                 && (!view.evacuated.is_empty() || !view.servers(&job.service).is_empty());
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -80,14 +80,14 @@
         self.quarantine.record_end(end.clone());
         end.is_confirmed = true;
         let (digest, address) = (job.digest, server.address);
-        let path = self.path.clone();
+        let (path, service) = (self.path.clone(), server.service.clone());
         let (quarantine, route) = (self.quarantine.clone(), job.route.id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(END_TIME).await;
             let is_refused = connection::is_refused(address, REFUSAL_TIMEOUT).await;
-            path.settle().await;
+            path.settle(&service).await;
             // Without any path, a refusal says nothing about the server.
-            if is_refused && !path.is_cut_off() {
+            if is_refused && !path.is_cut_off(&service) {
                 log::info!(
                     "server ended under a request; id={} route={route} server={} digest={digest:016x}",
                     end.request,
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -86,7 +86,7 @@
         handover: &mut Handover<'a>,
     ) -> Result<(Attempt, Success), Problem> {
         loop {
-            self.settle_path(progress.retry_reason).await;
+            self.settle_path(job, progress.retry_reason).await;
             let started = self.start_attempt(job, progress, handover, job.resume_after());
             if let Err(problem) = started {
                 if handover.has_answer() || !self.can_wait(job, progress) {
@@ -124,9 +124,9 @@
 
     /// Waits until it is known whether the failure of the last attempt was that of its server or of the
     /// links.
-    pub(super) async fn settle_path(&self, cause: Option<Retry>) {
+    pub(super) async fn settle_path(&self, job: &Job, cause: Option<Retry>) {
         if matches!(cause, Some(Retry::Connect | Retry::CutAnswer)) {
-            self.path.settle().await;
+            self.path.settle(&job.service).await;
         }
     }
 
--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -174,7 +174,7 @@
                 Resumption::Continued => {}
                 Resumption::Events(bytes) => {
                     if !self.attempt.is_passed() {
-                        self.forwarder.path.record_contact();
+                        self.forwarder.path.record_contact(&self.job.service);
                     }
                     self.is_silent = false;
                     self.log_long_gap();
@@ -333,7 +333,7 @@
             self.record_failure(cause);
             self.exclude_server();
             if cause == Retry::CutAnswer && !self.attempt.is_passed() {
-                self.forwarder.path.record_failure();
+                self.forwarder.path.record_failure(&self.job.service);
                 self.record_break();
             }
             self.give_up();
--- a/crates/hawthornmount-gateway/src/forward/resume.rs
+++ b/crates/hawthornmount-gateway/src/forward/resume.rs
@@ -62,7 +62,7 @@
     ) -> Resumption {
         let after = self.splitter.last_id();
         loop {
-            forwarder.settle_path(self.progress.retry_reason).await;
+            forwarder.settle_path(&self.job, self.progress.retry_reason).await;
             if let Err(problem) = forwarder.start_attempt(job, &mut self.progress, handover, after)
             {
                 if !forwarder.can_wait(job, &self.progress) {
--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -24,7 +24,7 @@
     /// left.
     pub(super) fn choose(&self, job: &Job, progress: &Progress) -> Option<Attempt> {
         let may_add = progress.attempts < job.attempts;
-        if self.path.is_cut_off() {
+        if self.path.is_cut_off(&job.service) {
             let neighbour =
                 if may_add { self.choose_neighbour(job, progress, |_| true) } else { None };
             if neighbour.is_none() && !job.is_passed {
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -278,10 +278,6 @@
         let secret = path.secret().unwrap_or_default();
         let digest = pass::digest(&head.method, &head.uri);
         match Pass::take(&mut head.headers, &secret, own, id, digest) {
-            Ok(pass) if path.is_cut_off() => {
-                log::debug!("declined a passed request; id={id} from={}", pass.from);
-                Err(Problem::new(Refusal::NoServer, "the instance reaches no server"))
-            }
             Ok(pass) => {
                 log::info!("takes a passed request; id={id} from={}", pass.from);
                 Ok(())
@@ -305,7 +301,7 @@
             Execution::Unknown => RAN_UNKNOWN,
         };
         response.headers_mut().insert(RAN, HeaderValue::from_static(ran));
-        if self.components.forwarder.path().is_cut_off() {
+        if problem.reason == Refusal::NoPath {
             response.headers_mut().insert(NO_PATH, HeaderValue::from_static("1"));
         }
     }
--- a/crates/hawthornmount-gateway/src/load/mod.rs
+++ b/crates/hawthornmount-gateway/src/load/mod.rs
@@ -303,9 +303,10 @@
         self.leaving.binary_search_by(|(known, _)| known.cmp(id))
     }
 
-    /// Ends the avoidance of all servers.
-    pub fn forgive(&mut self) {
-        self.rows.iter_mut().for_each(|row| row.stats.record_success());
+    /// Ends the avoidance of the servers for which `is_forgiven` is true.
+    pub fn forgive(&mut self, is_forgiven: impl Fn(&ServerId) -> bool) {
+        let forgiven = self.rows.iter_mut().filter(|row| is_forgiven(&row.id));
+        forgiven.for_each(|row| row.stats.record_success());
     }
 
     /// Removes servers for which `is_known` is false and that have no requests in flight.
--- a/crates/hawthornmount-gateway/src/path/links.rs
+++ b/crates/hawthornmount-gateway/src/path/links.rs
@@ -1,8 +1,10 @@
-//! Belief whether this instance reaches any server.
+//! Belief whether this instance reaches the servers of a service.
 //!
 //! Single failures only raise the question. It is answered by connections to a sample of servers of
 //! all data centres: if none of them is established, the fault is in the own links or common to all
-//! servers, and no single server is to blame.
+//! servers, and no single server is to blame. An instance that reaches few of many servers finds one
+//! of them now and then, so the belief ends only if half of a sample is reached, or one in each of
+//! two samples.
 
 use std::time::{Duration, Instant};
 
@@ -15,7 +17,7 @@
 /// Time between two checks while no server is reached.
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Whether servers are reached.
+/// Whether the servers of a service are reached.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reach {
     /// Servers are reached, as far as is known.
@@ -29,8 +31,8 @@
 pub struct Check {
     /// Servers to which a connection was tried.
     pub tried: usize,
-    /// Whether one was established.
-    pub has_reached: bool,
+    /// Servers to which one was established.
+    pub reached: usize,
 }
 
 /// What is known about the links.
@@ -41,6 +43,8 @@
     last_failure: Option<Instant>,
     last_check: Option<Instant>,
     is_checking: bool,
+    /// Whether the last check reached a server.
+    has_reached: bool,
 }
 
 impl Links {
@@ -52,6 +56,7 @@
             last_failure: None,
             last_check: None,
             is_checking: false,
+            has_reached: true,
         }
     }
 
@@ -105,10 +110,17 @@
         if check.tried == 0 {
             return None;
         }
-        if check.has_reached {
+        let has_reached = check.reached > 0;
+        if has_reached {
             self.record_contact(now);
         }
-        let reach = if check.has_reached { Reach::Servers } else { Reach::CutOff };
+        let had_reached = std::mem::replace(&mut self.has_reached, has_reached);
+        let is_back = 2 * check.reached >= check.tried || (has_reached && had_reached);
+        let reach = match self.reach {
+            Reach::Servers if !has_reached => Reach::CutOff,
+            Reach::CutOff if is_back => Reach::Servers,
+            unchanged => unchanged,
+        };
         let is_new = std::mem::replace(&mut self.reach, reach) != reach;
         is_new.then_some(reach)
     }
--- a/crates/hawthornmount-gateway/src/path/monitor.rs
+++ b/crates/hawthornmount-gateway/src/path/monitor.rs
@@ -1,24 +1,25 @@
-//! The belief about the links as the parts of an instance share it, and the checks behind it.
+//! The beliefs about the links to the servers of each service as the parts of an instance share them,
+//! and the checks behind them.
 
 use {
     super::{
         links::{Check, Links, Reach},
-        neighbour::{Neighbour, Neighbours},
+        neighbour::{Neighbour, Neighbours, Query},
     },
     crate::{registry::Server, time, view::Cell},
-    futures::{StreamExt, stream::FuturesUnordered},
-    hawthornmount_core::{id::DataCentreId, metrics::Metrics},
+    futures::{StreamExt, future, stream::FuturesUnordered},
+    hawthornmount_core::{
+        id::{DataCentreId, ServiceId},
+        metrics::Metrics,
+    },
     hawthornmount_http::connection::Connection,
     parking_lot::Mutex,
     rand::seq::SliceRandom,
-    std::{
-        sync::{Arc, atomic::AtomicUsize, atomic::Ordering},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
     tokio::sync::Notify,
 };
 
-/// Name of the gauge that is 1 while servers are reached, else 0.
+/// Name of the gauge that is 1 while servers of all services are reached, else 0.
 const GAUGE: &str = "servers_reached";
 /// Servers to which a check opens a connection.
 const CHECKED_SERVERS: usize = 4;
@@ -28,24 +29,34 @@
 /// Longest time between two looks at whether a check is due.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Shares the belief whether servers are reached, and logs how it changes.
+/// The links to the servers of a service.
+struct Row {
+    service: ServiceId,
+    links: Links,
+    /// Attempts that wait for a server.
+    waiting: usize,
+}
+
+/// Shares the beliefs whether servers are reached, and logs how they change.
 pub struct Monitor {
     cell: Arc<Cell>,
     metrics: Metrics,
-    links: Mutex<Links>,
+    /// In order of the services.
+    rows: Mutex<Vec<Row>>,
     neighbours: Mutex<Neighbours>,
     /// Secret with which other instances mark the requests that they pass to this one.
     secret: Mutex<Option<Arc<str>>>,
-    /// Attempts that wait for a server.
-    waiting: AtomicUsize,
     /// Wakes the checks after a failure.
     failed: Notify,
     /// Wakes those that wait for the result of a check.
     checked: Notify,
 }
 
-/// Counts an attempt that waits for a server until it is dropped.
-pub struct Waiting(Arc<Monitor>);
+/// Counts an attempt that waits for a server of a service until it is dropped.
+pub struct Waiting {
+    monitor: Arc<Monitor>,
+    service: ServiceId,
+}
 
 impl Monitor {
     /// Creates a monitor of the links to the servers of a view.
@@ -54,34 +65,33 @@
         Self {
             cell,
             metrics,
-            links: Mutex::new(Links::new(time::now())),
+            rows: Mutex::default(),
             neighbours: Mutex::default(),
             secret: Mutex::default(),
-            waiting: AtomicUsize::new(0),
             failed: Notify::new(),
             checked: Notify::new(),
         }
     }
 
-    /// Returns whether no server is reached.
-    pub fn is_cut_off(&self) -> bool {
-        self.links.lock().reach() == Reach::CutOff
+    /// Returns whether no server of a service is reached.
+    pub fn is_cut_off(&self, service: &ServiceId) -> bool {
+        self.with_row(service, |row| row.links.reach() == Reach::CutOff)
     }
 
-    /// Counts an attempt that waits for a server.
-    pub fn wait(self: &Arc<Self>) -> Waiting {
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        Waiting(self.clone())
+    /// Counts an attempt that waits for a server of a service.
+    pub fn wait(self: &Arc<Self>, service: &ServiceId) -> Waiting {
+        self.with_row(service, |row| row.waiting += 1);
+        Waiting { monitor: self.clone(), service: service.clone() }
     }
 
-    /// Records bytes of a server, or an established connection.
-    pub fn record_contact(&self) {
-        self.links.lock().record_contact(time::now());
+    /// Records bytes of a server of a service, or an established connection.
+    pub fn record_contact(&self, service: &ServiceId) {
+        self.with_row(service, |row| row.links.record_contact(time::now()));
     }
 
-    /// Records that a connection to a server failed or broke.
-    pub fn record_failure(&self) {
-        self.links.lock().record_failure(time::now());
+    /// Records that a connection to a server of a service failed or broke.
+    pub fn record_failure(&self, service: &ServiceId) {
+        self.with_row(service, |row| row.links.record_failure(time::now()));
         self.failed.notify_one();
     }
 
@@ -105,88 +115,125 @@
         self.neighbours.lock().contains(destination)
     }
 
-    /// Records that an instance reaches no server.
-    pub fn record_cut_off(&self, neighbour: &Neighbour) {
-        self.neighbours.lock().record_cut_off(neighbour, time::now());
+    /// Records whether an instance reaches servers of a service.
+    pub fn record_neighbour(&self, neighbour: &Neighbour, service: &ServiceId, has_path: bool) {
+        self.neighbours.lock().record(neighbour, service, has_path, time::now());
     }
 
     /// Chooses an instance to which a request is passed; see [`Neighbours::choose`].
     pub fn choose_neighbour(
         &self,
-        data_centre: &str,
+        query: Query<'_>,
         load: impl Fn(&Neighbour) -> Option<u32>,
     ) -> Option<Arc<Neighbour>> {
-        self.neighbours.lock().choose(data_centre, load, rand::random, time::now())
+        self.neighbours.lock().choose(query, load, rand::random, time::now())
     }
 
-    /// Returns the number of other instances, and how many of them have said recently that they reach no
-    /// server.
-    pub fn neighbour_counts(&self) -> (usize, usize) {
-        self.neighbours.lock().counts(time::now())
+    /// Returns the number of other instances, and how many of them are known to reach no server of a
+    /// service.
+    pub fn neighbour_counts(&self, service: &ServiceId) -> (usize, usize) {
+        self.neighbours.lock().counts(service, time::now())
     }
 
-    /// Waits for the result of a check that is due or under way.
-    pub async fn settle(&self) {
-        let checked = self.checked.notified();
-        let is_open = {
-            let links = self.links.lock();
-            links.is_checking() || links.needs_check(false, time::now())
+    /// Waits for the result of a check of a service that is due or under way.
+    pub async fn settle(&self, service: &ServiceId) {
+        let settled = async {
+            loop {
+                let checked = self.checked.notified();
+                let is_open = self.with_row(service, |row| {
+                    row.links.is_checking() || row.links.needs_check(false, time::now())
+                });
+                if !is_open {
+                    return;
+                }
+                checked.await;
+            }
         };
-        if is_open && tokio::time::timeout(CHECK_TIMEOUT + TICK, checked).await.is_err() {
-            log::debug!("the check of the links took too long");
+        if tokio::time::timeout(CHECK_TIMEOUT + TICK, settled).await.is_err() {
+            log::debug!("the check of the links took too long; service={service}");
         }
     }
 
-    /// Checks the links when that is due, and calls `adapt` when the belief changes; never returns.
-    pub async fn run(&self, adapt: impl Fn(Reach)) {
+    /// Checks the links when that is due, and calls `adapt` when the belief about a service changes; never
+    /// returns.
+    pub async fn run(&self, adapt: impl Fn(&ServiceId, Reach)) {
         loop {
             let _elapsed = tokio::time::timeout(TICK, self.failed.notified()).await;
-            let is_waiting = self.waiting.load(Ordering::Relaxed) > 0;
-            {
-                let mut links = self.links.lock();
-                if !links.needs_check(is_waiting, time::now()) {
-                    continue;
+            let checks = self.begin_checks().into_iter().map(async |service| {
+                if let Some(reach) = self.check(&service).await {
+                    adapt(&service, reach);
                 }
-                links.begin_check(time::now());
-            }
-            if let Some(reach) = self.check().await {
-                adapt(reach);
-            }
-            self.checked.notify_waiters();
+                self.checked.notify_waiters();
+            });
+            future::join_all(checks).await;
         }
     }
 
-    /// Opens connections to a sample of servers, until one is established, and returns the belief if it
-    /// changes.
-    async fn check(&self) -> Option<Reach> {
-        let servers = self.sample();
+    /// Returns the services whose links have to be checked, and marks them as being checked.
+    fn begin_checks(&self) -> Vec<ServiceId> {
+        let now = time::now();
+        let mut rows = self.rows.lock();
+        let due = rows.iter_mut().filter(|row| row.links.needs_check(row.waiting > 0, now));
+        due.map(|row| {
+            row.links.begin_check(now);
+            row.service.clone()
+        })
+        .collect()
+    }
+
+    /// Opens connections to a sample of the servers of a service, and returns the belief if it changes.
+    async fn check(&self, service: &ServiceId) -> Option<Reach> {
+        let servers = self.sample(service);
+        let is_cut_off = self.is_cut_off(service);
         let mut attempts: FuturesUnordered<_> =
             servers.iter().map(|server| Connection::open(server.address, CHECK_TIMEOUT)).collect();
-        let mut check = Check { tried: servers.len(), has_reached: false };
+        let mut check = Check { tried: servers.len(), reached: 0 };
         while let Some(result) = attempts.next().await {
-            if result.is_ok() {
-                check.has_reached = true;
+            check.reached += usize::from(result.is_ok());
+            // One is enough unless the belief is that none is reached.
+            if check.reached > 0 && !is_cut_off {
                 break;
             }
         }
-        let reach = self.links.lock().record_check(check, time::now())?;
-        let reached = i64::from(reach == Reach::Servers);
-        self.metrics.gauges.with_label_values(&[GAUGE]).set(reached);
+        let reach = self.with_row(service, |row| row.links.record_check(check, time::now()))?;
+        self.publish();
         match reach {
             Reach::CutOff => log::warn!(
-                "reaches no server; checked={} data_centres={}",
+                "reaches no server; service={service} checked={} data_centres={}",
                 servers.len(),
                 data_centres(&servers).len()
             ),
-            Reach::Servers => log::info!("reaches servers again"),
+            Reach::Servers => log::info!(
+                "reaches servers again; service={service} checked={} reached={}",
+                check.tried,
+                check.reached
+            ),
         }
         Some(reach)
     }
 
-    /// Returns servers for a check, of as many data centres as possible.
-    fn sample(&self) -> Vec<Arc<Server>> {
-        let view = self.cell.load();
-        let mut servers: Vec<Arc<Server>> = view.all_servers().cloned().collect();
+    fn publish(&self) {
+        let is_reached = self.rows.lock().iter().all(|row| row.links.reach() == Reach::Servers);
+        self.metrics.gauges.with_label_values(&[GAUGE]).set(i64::from(is_reached));
+    }
+
+    /// Applies a function to the links of a service, which are created on first use.
+    fn with_row<T>(&self, service: &ServiceId, apply: impl FnOnce(&mut Row) -> T) -> T {
+        let mut rows = self.rows.lock();
+        let at = match rows.binary_search_by(|row| row.service.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let links = Links::new(time::now());
+                rows.insert(at, Row { service: service.clone(), links, waiting: 0 });
+                at
+            }
+        };
+        apply(&mut rows[at])
+    }
+
+    /// Returns servers of a service for a check, of as many data centres as possible.
+    fn sample(&self, service: &ServiceId) -> Vec<Arc<Server>> {
+        let mut servers: Vec<Arc<Server>> = self.cell.load().servers(service).to_vec();
         servers.shuffle(&mut rand::rng());
         let mut sample: Vec<Arc<Server>> = Vec::new();
         for data_centre in data_centres(&servers) {
@@ -201,7 +248,7 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.monitor.with_row(&self.service, |row| row.waiting = row.waiting.saturating_sub(1));
     }
 }
 
--- a/crates/hawthornmount-gateway/src/pool/mod.rs
+++ b/crates/hawthornmount-gateway/src/pool/mod.rs
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        self.rows.lock().clear();
+    /// Closes the idle connections to the servers for which `is_removed` is true.
+    pub fn remove(&self, is_removed: impl Fn(&ServerId) -> bool) {
+        self.rows.lock().retain(|row| !is_removed(&row.server));
     }
 
     /// Closes idle connections that have expired and those of servers for which `is_known` is
--- a/crates/hawthornmount-gateway/tests/gateway/path.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/path.rs
@@ -1,10 +1,11 @@
 //! Belief about the links to the servers, and the choice of a way around them.
 
 use {
+    hawthornmount_core::id::ServiceId,
     hawthornmount_fleet::wire::Reject,
     hawthornmount_gateway::path::{
         links::{Check, Links, Reach},
-        neighbour::{Neighbour, Neighbours},
+        neighbour::{MAX_DECLINES, Neighbour, Neighbours, Query},
         pass::{self, Invalid, PASS, Pass},
     },
     http::{HeaderMap, HeaderValue, Method, Uri},
@@ -22,7 +23,10 @@
 enum Event {
     Contact,
     Failure,
-    Check { has_reached: bool },
+    /// A check of four servers.
+    Check {
+        reached: usize,
+    },
 }
 
 struct Case {
@@ -34,11 +38,8 @@
     needs_check: bool,
 }
 
-/// Instances that may decline one request, and which the next one may therefore follow.
-const MAX_DECLINES: usize = 2;
-
-const FAILED_CHECK: Event = Event::Check { has_reached: false };
-const GOOD_CHECK: Event = Event::Check { has_reached: true };
+const FAILED_CHECK: Event = Event::Check { reached: 0 };
+const GOOD_CHECK: Event = Event::Check { reached: 4 };
 
 #[rstest]
 #[case::idle(Case { events: &[], is_waiting: false, at: 60_000, needs_check: false })]
@@ -59,9 +60,9 @@
         match event {
             Event::Contact => links.record_contact(now),
             Event::Failure => links.record_failure(now),
-            Event::Check { has_reached } => {
+            Event::Check { reached } => {
                 links.begin_check(now);
-                links.record_check(Check { tried: 4, has_reached: *has_reached }, now);
+                links.record_check(Check { tried: 4, reached: *reached }, now);
             }
         }
     }
@@ -70,9 +71,9 @@
 }
 
 #[rstest]
-#[case::none_reached(Check { tried: 4, has_reached: false }, Reach::CutOff)]
-#[case::one_reached(Check { tried: 4, has_reached: true }, Reach::Servers)]
-#[case::no_server_known(Check { tried: 0, has_reached: false }, Reach::Servers)]
+#[case::none_reached(Check { tried: 4, reached: 0 }, Reach::CutOff)]
+#[case::one_reached(Check { tried: 4, reached: 1 }, Reach::Servers)]
+#[case::no_server_known(Check { tried: 0, reached: 0 }, Reach::Servers)]
 fn check_decides_whether_servers_are_reached(#[case] check: Check, #[case] reach: Reach) {
     let now = Instant::now();
     let mut links = Links::new(now);
@@ -82,6 +83,28 @@
     assert_eq!(change, (reach == Reach::CutOff).then_some(Reach::CutOff));
 }
 
+fn query<'a>(data_centre: &'a str, service: &'a ServiceId, is_declined: bool) -> Query<'a> {
+    Query { service, data_centre, is_declined }
+}
+
+/// A service whose servers are reached by `reached` of the connections of each check, in turn.
+#[rstest]
+#[case::all_are_back(&[0, 4], Reach::Servers)]
+#[case::half_are_back(&[0, 2], Reach::Servers)]
+#[case::one_was_found(&[0, 1], Reach::CutOff)]
+#[case::one_is_found_now_and_then(&[0, 1, 0, 1], Reach::CutOff)]
+#[case::one_is_found_again(&[0, 1, 1], Reach::Servers)]
+fn belief_does_not_change_with_single_servers(#[case] reached: &[usize], #[case] reach: Reach) {
+    let origin = Instant::now();
+    let mut links = Links::new(origin);
+    for (number, reached) in reached.iter().enumerate() {
+        let now = origin + Duration::from_millis(500 * number as u64);
+        links.begin_check(now);
+        links.record_check(Check { tried: 4, reached: *reached }, now);
+    }
+    assert_eq!(links.reach(), reach);
+}
+
 fn neighbour(number: usize, data_centres: usize) -> Arc<Neighbour> {
     Arc::new(Neighbour {
         id: format!("instance-{number}").into(),
@@ -116,6 +139,7 @@
     };
     let rng = RefCell::new(SmallRng::seed_from_u64(instances as u64));
     let now = Instant::now();
+    let service: ServiceId = "service".into();
     let (mut taken, mut declined) = (vec![0_usize; instances], 0);
     for own in rows.iter().filter(|row| is_cut_off(row)) {
         let mut neighbours = Neighbours::default();
@@ -129,15 +153,17 @@
                 let at = |one: &Neighbour| rows.iter().position(|row| row.id == one.id);
                 let load = |one: &Neighbour| at(one).map(|at| in_flight[at]);
                 let random = || rng.borrow_mut().random();
-                let chosen = neighbours.choose(&own.data_centre, load, random, now);
+                let query = query(&own.data_centre, &service, attempts > 0);
+                let chosen = neighbours.choose(query, load, random, now);
                 let chosen = chosen.expect("an instance reaches servers");
                 attempts += 1;
                 assert!(attempts <= 3, "declined three times");
                 if is_cut_off(&chosen) {
                     declined += 1;
-                    neighbours.record_cut_off(&chosen, now);
+                    neighbours.record(&chosen, &service, false, now);
                     continue;
                 }
+                neighbours.record(&chosen, &service, true, now);
                 let at = at(&chosen).expect("known");
                 in_flight[at] += 1;
                 taken[at] += 1;
@@ -161,8 +187,8 @@
     cut_off: f64,
 }
 
-/// Load: 20 requests a second at each of the instances without a path, which are some of each data centre,
-/// for 8 s. Of the first tries at these instances, at least two thirds of those at the others are to be
+/// Load: eight requests a second at each of the instances without a path, which are some of each data
+/// centre, for 6 s. Of the first tries at these instances, at least two thirds of those at the others are to be
 /// served, from 3 s after the cut on.
 #[rstest]
 fn first_tries_are_served_while_parts_of_all_data_centres_reach_no_server(
@@ -170,8 +196,9 @@
     #[values(1.0 / 3.0, 0.5, 0.75)] cut_off: f64,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
-    const SECONDS: usize = 8;
+    const REQUEST_INTERVAL: Duration = Duration::from_millis(1_000 / PER_SECOND as u64);
+    const PER_SECOND: usize = 8;
+    const SECONDS: usize = 6;
     const ALLOWED_SECONDS: usize = 3;
     let fleet = Scattered { instances, data_centres, cut_off };
     let rows: Vec<_> =
@@ -188,29 +215,33 @@
         number.parse().expect("numbered")
     };
     let origin = Instant::now();
+    let service: ServiceId = "service".into();
     let mut served = [0_usize; SECONDS];
     let is_cut = |number: usize| cut.contains(&number);
     for own in &cut {
         let mut neighbours = Neighbours::default();
         neighbours.set(rows.iter().filter(|row| row.id != rows[*own].id).cloned().collect());
-        for request in 0..SECONDS * 20 {
+        for request in 0..SECONDS * PER_SECOND {
             let now = origin + REQUEST_INTERVAL * request as u32;
             let mut tried: Vec<usize> = Vec::new();
-            while tried.len() <= MAX_DECLINES {
+            while tried.len() < MAX_DECLINES as usize {
                 let load = |one: &Neighbour| (!tried.contains(&at(one))).then_some(0);
                 let random = || rng.borrow_mut().random();
                 let data_centre = &rows[*own].data_centre;
-                let Some(chosen) = neighbours.choose(data_centre, load, random, now) else { break };
+                let query = query(data_centre, &service, !tried.is_empty());
+                let chosen = neighbours.choose(query, load, random, now);
+                let Some(chosen) = chosen else { break };
                 if !is_cut(at(&chosen)) {
-                    served[request / 20] += 1;
+                    neighbours.record(&chosen, &service, true, now);
+                    served[request / PER_SECOND] += 1;
                     break;
                 }
-                neighbours.record_cut_off(&chosen, now);
+                neighbours.record(&chosen, &service, false, now);
                 tried.push(at(&chosen));
             }
         }
     }
-    let least = cut.len() as f64 * 20.0 * 2.0 / 3.0;
+    let least = (cut.len() * PER_SECOND) as f64 * 2.0 / 3.0;
     for (second, served) in served.into_iter().enumerate().skip(ALLOWED_SECONDS) {
         assert!(served as f64 >= least, "{served} served in second {second}, {least:.0} wanted");
     }
