Complete a version only on evidence

Callers of a plain service with few requests were sent to a bad version for good: a version whose servers are never loaded was completed 0.7 s after it got all requests, whatever was known of it, and its answers were left out of the comparison of latencies. A rolled-back version got requests again with the next order.

The evidence is judged in one place: bad, doubtful or neither. A version without a load test is completed at the last moment and rolled back in doubt. It gets all requests earlier by the slack of the allowed exposure and fills one server after the other; answers without a prompt count as slow by what is usual on the route, in all phases; bad answers are reported each 0.2 s. The record keeps rolled-back versions. longer_waits_do_not_count_against_the_only_version had requests without a prompt, which wait for none; it plays prompts now, and that the others count.

--- a/crates/hawthornmount-gateway/src/forward/select.rs
+++ b/crates/hawthornmount-gateway/src/forward/select.rs
@@ -205,7 +205,7 @@
         if assigned.is_empty() && may_use_other_version {
             return (servers, false);
         }
-        let is_trial = side == Side::New && matches!(split.phase, Phase::Probe | Phase::Widening);
+        let is_trial = side == Side::New && split.is_trial(job.request.prompt_tokens == 0);
         (assigned, is_trial && job.is_trial_sized(self.adaptation.is_on()))
     }
 
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -231,6 +231,7 @@
             Limits {
                 visibility_delay: follow::visibility_delay(list_interval),
                 allowed_exposure: components.settings.allowed_exposure,
+                exposure_slack: components.settings.exposure_slack,
             },
         );
         let peers = match components.settings.peers {
--- a/crates/hawthornmount-gateway/src/rollout/comparison.rs
+++ b/crates/hawthornmount-gateway/src/rollout/comparison.rs
@@ -59,6 +59,12 @@
         &mut self.rows[at].aggregate
     }
 
+    /// Returns the aggregates of all versions of a service in one scope.
+    pub fn by_version(&self, service: &ServiceId, scope: &S) -> impl Iterator<Item = T> {
+        let is_in_scope = move |row: &&Row<S, T>| row.service == *service && row.scope == *scope;
+        self.rows.iter().filter(is_in_scope).map(|row| row.aggregate)
+    }
+
     /// Removes the aggregates of a service.
     pub fn forget(&mut self, service: &ServiceId) {
         self.rows.retain(|row| row.service != *service);
--- a/crates/hawthornmount-gateway/src/rollout/counts.rs
+++ b/crates/hawthornmount-gateway/src/rollout/counts.rs
@@ -37,15 +37,21 @@
 
 impl Counts {
     /// Returns whether there are at least `min_failures` failures, and they are too unlikely at the
-    /// baseline rate of `old`, which is at least `min_baseline`, by the Chernoff bound.
+    /// baseline rate of `old`, which is at least `min_baseline`.
     pub fn is_failing_more(self, old: Self, min_failures: u32, min_baseline: f64) -> bool {
+        self.bad >= min_failures && self.weight_against(old, min_baseline) >= MIN_REGRESSION_WEIGHT
+    }
+
+    /// Returns the weight of the evidence, in nats, that the failures are more than the baseline rate of
+    /// `old`, which is at least `min_baseline`, yields: by the Chernoff bound.
+    pub fn weight_against(self, old: Self, min_baseline: f64) -> f64 {
         let baseline = (f64::from(old.bad) + PRIOR_FAILURES)
             / (f64::from(old.all) + PRIOR_RESPONSES)
             * BASELINE_FACTOR;
         let baseline = baseline.clamp(min_baseline, MAX_BASELINE_RATE);
         let rate = self.rate();
-        if self.bad < min_failures || rate <= baseline {
-            return false;
+        if rate <= baseline {
+            return 0.0;
         }
         let success_rate = 1.0 - rate;
         let success_divergence = if success_rate > 0.0 {
@@ -54,7 +60,7 @@
             0.0
         };
         let divergence = rate * (rate / baseline).ln() + success_divergence;
-        f64::from(self.all) * divergence >= MIN_REGRESSION_WEIGHT
+        f64::from(self.all) * divergence
     }
 
     fn rate(self) -> f64 {
--- a/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/mod.rs
@@ -8,7 +8,7 @@
         Phase, Record, Split,
         evidence::{self, Collector, Report},
         plan::{self, Conditions},
-        waits,
+        verdict::{self, Verdict},
     },
     crate::{
         load::Tracker,
@@ -51,6 +51,9 @@
 const MAX_ROLLBACK_DELAY: Duration = Duration::from_millis(60);
 /// Time over which the number of requests in flight is averaged.
 const IN_FLIGHT_MEAN_TIME: Duration = Duration::from_secs(4);
+/// Factor by which the rate of requests may exceed the one that an instance expects by those of its own
+/// part of the fleet: the parts differ.
+const RATE_MARGIN: f64 = 1.35;
 /// Interval at which [`Driver::step`] is called.
 pub const STEP_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -111,6 +114,8 @@
     pub visibility_delay: Duration,
     /// Share of all requests of the roll-out's time that a bad version may get.
     pub allowed_exposure: f64,
+    /// Number of requests that it may get in addition.
+    pub exposure_slack: f64,
 }
 
 impl Driver {
@@ -226,20 +231,24 @@
                 version: order.version.clone(),
                 phase: row.effective_phase()?,
                 widening_share: self.widening_share(order),
+                fills_servers: row.recorded.as_ref()?.record.fills_servers,
             })
         };
         self.rows.iter().filter_map(split).collect()
     }
 
     /// Returns the versions that get no requests: a new version before its roll-out has started and
-    /// after it was rolled back.
+    /// after it was rolled back, also once another version is ordered.
     pub fn excluded_versions(&self) -> Vec<Exclusion> {
         let excluded = |row: &Row| {
-            let version = row.ordered.as_ref()?.order.version.clone();
             let is_excluded = row.effective_phase().is_none_or(|phase| phase == Phase::RolledBack);
-            is_excluded.then(|| Exclusion { service: row.service.clone(), version })
+            let ordered = row.ordered.as_ref().filter(|_| is_excluded);
+            let ordered = ordered.map(|ordered| ordered.order.version.clone());
+            let service = row.service.clone();
+            let exclusion = move |version| Exclusion { service: service.clone(), version };
+            row.rolled_back().into_iter().chain(ordered).map(exclusion)
         };
-        self.rows.iter().filter_map(excluded).collect()
+        self.rows.iter().flat_map(excluded).collect()
     }
 
     /// Returns whether a roll-out is under way, or the store has lost the phase of one.
@@ -267,7 +276,7 @@
             // A follower has only its own observations, which are too few for a judgement.
             if let Part::Reader { readers } = part {
                 self.update_in_flight(at, readers, servers, now);
-                step.writes.extend(self.advance(at, servers, now));
+                step.writes.extend(self.advance(at, readers, servers, now));
             }
             let Some(report) = self.report(at, part, servers, now) else { continue };
             match part {
@@ -287,11 +296,17 @@
     }
 
     /// Returns the write of the next phase, if it is due.
-    fn advance(&mut self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Txn> {
+    fn advance(
+        &mut self,
+        at: usize,
+        readers: usize,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> Option<Txn> {
         let next = if let Some(phase) = self.rows[at].lost_phase() {
             phase
         } else {
-            let conditions = self.conditions(at, servers, now)?;
+            let conditions = self.conditions(at, readers, servers, now)?;
             let row = &mut self.rows[at];
             row.is_bad = conditions.is_bad;
             let Some(next) = plan::next_phase(row.phase(), &conditions) else {
@@ -348,13 +363,34 @@
         row.mean_in_flight += (in_flight - row.mean_in_flight) * weight;
     }
 
+    /// Returns the share of the requests of the roll-out's time that [`Limits::exposure_slack`] amounts to;
+    /// `reports` are those of this instance and of those that follow it, which are one of `readers` parts.
+    fn slack_exposure(
+        &self,
+        reports: &[&Report],
+        readers: usize,
+        elapsed: Duration,
+        order: &Order,
+    ) -> f64 {
+        let responses: u32 = reports.iter().map(|report| report.response_count()).sum();
+        let per_second = f64::from(responses) * readers as f64 / elapsed.as_secs_f64().max(1.0);
+        let expected = per_second * RATE_MARGIN * order.duration.as_secs_f64();
+        if expected > 0.0 { (self.limits.exposure_slack / expected).min(1.0) } else { 0.0 }
+    }
+
     fn widening_share(&self, order: &Order) -> f64 {
         plan::widening_share(order.duration, self.limits.allowed_exposure)
     }
 
     /// Returns the conditions for the next phase, or `None` if no roll-out of the service is under
     /// way.
-    fn conditions(&self, at: usize, servers: &[Arc<Server>], now: Instant) -> Option<Conditions> {
+    fn conditions(
+        &self,
+        at: usize,
+        readers: usize,
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> Option<Conditions> {
         let row = &self.rows[at];
         let ordered = row.ordered.as_ref()?;
         if row.phase().is_some_and(Phase::is_over) {
@@ -385,32 +421,28 @@
         let single: Vec<&Report> =
             std::iter::once(&own).chain(delivered.filter(is_same_version)).collect();
         let merged = others.map(|reported| &reported.report).filter(is_same_version).collect();
+        let since_order = now.saturating_duration_since(ordered.received_at);
+        let slack_exposure = self.slack_exposure(&single, readers, since_order, &ordered.order);
         let reports = evidence::disjoint_reports(single, merged);
-        let all_failures = reports.iter().flat_map(|report| &report.failures);
-        let all_latencies = reports.iter().flat_map(|report| &report.latencies);
-        let all_late = reports.iter().flat_map(|report| &report.late);
-        let mut is_bad = row.is_bad;
-        if !is_bad
-            && let Some(regression) =
-                evidence::detect_regression(all_failures.clone(), all_latencies.clone())
-                    .or_else(|| waits::late_regression(all_late.clone()))
-        {
-            is_bad = true;
-            let evidence = describe_evidence(all_failures, all_latencies, all_late);
-            let service = &row.service;
+        let Verdict { regression, is_doubtful, is_load_tested } = verdict::judge(&reports);
+        let is_bad = row.is_bad || regression.is_some();
+        if let Some(regression) = regression.filter(|_| !row.is_bad) {
             log::warn!(
-                "version is bad; service={service} version={version} {regression} {evidence}"
+                "version is bad; service={} version={version} {regression} {}",
+                row.service,
+                describe_evidence(&reports)
             );
         }
         Some(Conditions {
-            since_order: now.saturating_duration_since(ordered.received_at),
+            since_order,
             since_phase: row.recorded.as_ref().map_or(Duration::ZERO, |recorded| {
                 now.saturating_duration_since(recorded.received_at)
             }),
             duration: ordered.order.duration,
             visibility_delay: self.limits.visibility_delay,
             is_bad,
-            is_load_tested: reports.iter().any(|report| report.is_load_tested()),
+            is_doubtful,
+            is_load_tested,
             is_load_testable: slots.is_some_and(|slots| {
                 in_flight_is_steady
                     && evidence::could_load(row.mean_in_flight, slots, widening_share)
@@ -418,6 +450,7 @@
             has_servers: servers.iter().any(|server| is_new(&server)),
             is_old_version_idle: !runs_old,
             allowed_exposure: self.limits.allowed_exposure,
+            slack_exposure,
         })
     }
 
@@ -471,7 +504,15 @@
         let ordered = row.ordered.as_ref()?;
         let version = ordered.order.version.clone();
         let order = ordered.revision;
-        let record = Record { order, version: version.clone(), phase, canary_share: 0.0 };
+        let record = Record {
+            order,
+            version: version.clone(),
+            phase,
+            canary_share: 0.0,
+            // Only a version without a load test gets all sessions without a widening.
+            fills_servers: phase == Phase::Full && row.phase() == Some(Phase::Probe),
+            rolled_back: row.rolled_back(),
+        };
         let key = format!("{RECORD_PREFIX}{}", row.service);
         let stage = match phase {
             Phase::Canary | Phase::Probe | Phase::Widening | Phase::Full => Stage::Running,
@@ -494,8 +535,7 @@
             }
         }
         let report = self.merged_report(row, &ordered.order.version, now);
-        let evidence =
-            describe_evidence(report.failures.iter(), report.latencies.iter(), report.late.iter());
+        let evidence = describe_evidence(&[&report]);
         log::info!("roll-out goes on; service={} phase={phase:?} {evidence}", row.service);
         if !phase.is_over() {
             // Instances that start later compare the new version with these earlier observations.
@@ -534,7 +574,7 @@
             "observed by this instance; service={service} version={} phase={:?} {}",
             record.version,
             record.phase,
-            describe_evidence(own.failures.iter(), own.latencies.iter(), own.late.iter())
+            describe_evidence(&[&own])
         );
         true
     }
--- a/crates/hawthornmount-gateway/src/rollout/driver/report.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/report.rs
@@ -14,6 +14,7 @@
             evidence::{FailureComparison, Report},
             latency::{self, LatencyComparison},
             plan,
+            slowness::SlowComparison,
             waits::LateComparison,
         },
         time,
@@ -40,8 +41,12 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(600);
 /// Minimum interval between two reports of an instance to the one that it follows, while the version
 /// gets a share of the sessions. In a large fleet each instance sees few responses of the version,
-/// which count only together.
-const FOLLOWER_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// which count only together. It is also the minimum interval between two reports of a reader that know
+/// of more bad responses, while the version gets most sessions.
+const EXPOSED_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in the full phase in which all responses of the version are reported: a version that was not tested
+/// before is judged by them.
+const FULL_REPORT_TIME: Duration = Duration::from_secs(4);
 /// Interval at which an instance repeats its report that requests still run on the old version.
 const RUNS_OLD_REPORT_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time in the full phase after which an instance reports that requests still run on the old
@@ -101,6 +106,7 @@
             failures: collector.failures(service, version),
             latencies: collector.latencies(service, version),
             late: collector.waits.compare(service, version, now),
+            slow: collector.slow(service, version),
             runs_old: false,
             reporters: vec![self.reporter.clone()],
         }
@@ -145,14 +151,16 @@
         };
         report.runs_old = runs_old;
         let last = row.last_report.as_ref().filter(|last| last.part.is_same_kind(part));
-        let is_followed = part == Part::Follower && matches!(phase, Phase::Probe | Phase::Widening);
+        let is_judged = phase == Phase::Full && since < FULL_REPORT_TIME;
+        let is_followed = part == Part::Follower
+            && (matches!(phase, Phase::Probe | Phase::Widening) || is_judged);
         let is_due = match last {
             last if is_followed => {
-                let count = last.map_or(0, |last| last.report.comparison_count());
-                let has_more = report.comparison_count() > count;
+                let counts = |report: &Report| (report.comparison_count(), report.new_count());
+                let has_more = counts(&report) > last.map_or((0, 0), |last| counts(&last.report));
                 let is_urgent = has_more
                     || report.failure_count() > last.map_or(0, |last| last.report.failure_count());
-                is_urgent && last.is_none_or(|last| now >= last.at + FOLLOWER_REPORT_INTERVAL)
+                is_urgent && last.is_none_or(|last| now >= last.at + EXPOSED_REPORT_INTERVAL)
             }
             None => {
                 is_report_urgent(&report, &Report::default())
@@ -164,9 +172,13 @@
                     report.latency_count() >= last.latency_count() + MIN_NEW_LATENCIES;
                 let interval = plan::routine_report_interval(reporters);
                 let is_routine = has_more_latencies && now >= *at + interval;
-                let is_due_for_content = is_report_urgent(&report, last) || is_routine;
+                let is_new = is_judged && report.new_count() > last.new_count();
+                let is_due_for_content = is_report_urgent(&report, last) || is_routine || is_new;
                 let has_changed = is_due_for_content || runs_old != last.runs_old;
+                let is_worse = report.failure_count() > last.failure_count()
+                    && matches!(phase, Phase::Widening | Phase::Full);
                 (has_changed && now >= *at + REPORT_INTERVAL)
+                    || (is_worse && now >= *at + EXPOSED_REPORT_INTERVAL)
                     || (runs_old && now >= *at + RUNS_OLD_REPORT_INTERVAL)
             }
         };
@@ -209,17 +221,21 @@
     has_more_latencies && latency::mean_shift(report.latencies.iter()).mean >= MIN_REPORTED_SHIFT
 }
 
-/// Formats the evidence for the log.
-pub(super) fn describe_evidence<'a>(
-    failures: impl Iterator<Item = &'a FailureComparison>,
-    latencies: impl Iterator<Item = &'a LatencyComparison>,
-    late: impl Iterator<Item = &'a LateComparison>,
-) -> String {
+/// Formats the evidence of reports for the log.
+pub(super) fn describe_evidence(reports: &[&Report]) -> String {
+    let latencies = reports.iter().flat_map(|report| &report.latencies);
     let compared = latencies.filter(|latency| latency.new.count > 0 && latency.old.count > 0);
+    let failures = reports.iter().flat_map(|report| &report.failures);
+    let late = reports.iter().flat_map(|report| &report.late);
+    let slow = reports.iter().flat_map(|report| &report.slow);
+    let slow = slow.map(|SlowComparison { scope, new, old }| {
+        format!("slow/{scope}:new={}/{},old={}/{}", new.bad, new.all, old.bad, old.all)
+    });
     let parts: Vec<String> = failures
         .map(FailureComparison::to_string)
         .chain(compared.map(LatencyComparison::to_string))
         .chain(late.map(LateComparison::to_string))
+        .chain(slow)
         .collect();
     parts.join(" ")
 }
--- a/crates/hawthornmount-gateway/src/rollout/driver/row.rs
+++ b/crates/hawthornmount-gateway/src/rollout/driver/row.rs
@@ -8,10 +8,13 @@
         rollout::{Phase, Record, evidence::Report},
         schema::Order,
     },
-    hawthornmount_core::id::{Revision, ServiceId},
+    hawthornmount_core::id::{Revision, ServiceId, VersionId},
     std::{sync::Arc, time::Instant},
 };
 
+/// Number of rolled-back versions of a service that are remembered. Their servers leave soon.
+const MAX_ROLLED_BACK: usize = 8;
+
 /// Order of a roll-out as received from the store.
 #[derive(Clone, Debug)]
 pub struct Ordered {
@@ -85,6 +88,19 @@
 }
 
 impl Row {
+    /// Returns the versions that were rolled back by other orders than the current one, the last one last.
+    pub fn rolled_back(&self) -> Vec<VersionId> {
+        let Some(Recorded { record, .. }) = &self.recorded else { return Vec::new() };
+        let mut versions = record.rolled_back.clone();
+        if record.phase == Phase::RolledBack && self.phase().is_none() {
+            versions.push(record.version.clone());
+        }
+        let ordered = self.ordered.as_ref().map(|ordered| &ordered.order.version);
+        versions.retain(|version| Some(version) != ordered);
+        let excess = versions.len().saturating_sub(MAX_ROLLED_BACK);
+        versions.split_off(excess)
+    }
+
     /// Returns whether an order, or its removal, is one that this instance knows, so that nothing
     /// changes. A known order that a restored store shows again takes its new revision, and so does
     /// its record.
--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -10,6 +10,7 @@
         comparison::{self, Aggregate, Comparison, Table},
         counts::{Counts, MIN_REGRESSION_WEIGHT},
         latency::{self, LatencyComparison, Moments, Shift, Span, Stratum},
+        slowness::{SlowComparison, Slowness},
         waits::{LateComparison, Waits},
     },
     crate::{load::Load, route::RouteId},
@@ -32,7 +33,7 @@
 /// Fewest failed responses in one scope that count as evidence against a version.
 const MIN_SCOPE_FAILURES: u32 = 3;
 /// Lower limit of the baseline failure rate; servers fail a few requests on any day.
-const MIN_BASELINE_RATE: f64 = 0.01;
+pub(super) const MIN_BASELINE_RATE: f64 = 0.01;
 /// Lower limit of the baseline rate of interrupted responses. Connections also break when the
 /// network fails or servers die. A new version has few servers, so a fifth of them may be affected.
 const MIN_BASELINE_BROKEN_RATE: f64 = 0.2;
@@ -65,6 +66,9 @@
     /// Counts of late requests by route.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub late: Vec<LateComparison>,
+    /// Counts of slow responses to requests without a prompt, by route.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slow: Vec<SlowComparison>,
     /// Whether requests run on the old version at one of the instances.
     pub runs_old: bool,
     /// Names under which the instances report whose evidence the report contains.
@@ -73,12 +77,13 @@
 }
 
 impl Report {
-    /// Returns how many responses of the new version failed, were interrupted or are late.
+    /// Returns how many responses of the new version failed, were interrupted, are slow or are late.
     pub fn failure_count(&self) -> u32 {
         // Responses of loaded servers are also counted on their routes.
         let is_counted_once = |failures: &&FailureComparison| failures.scope != Scope::Loaded;
         let failed = self.failures.iter().filter(is_counted_once).map(|failures| failures.new.bad);
-        failed.chain(self.late.iter().map(|late| late.new.bad)).sum()
+        let slow = self.slow.iter().map(|slow| slow.new.bad);
+        failed.chain(slow).chain(self.late.iter().map(|late| late.new.bad)).sum()
     }
 
     /// Returns the number of responses of all versions.
@@ -87,12 +92,10 @@
         all.map(|failures| failures.new.all + failures.old.all).sum()
     }
 
-    /// Returns whether enough responses came from servers of the new version under load.
-    pub fn is_load_tested(&self) -> bool {
-        let is_enough = |failures: &FailureComparison| {
-            failures.scope == Scope::Loaded && failures.new.all >= MIN_SCOPE_FAILURES
-        };
-        self.failures.iter().any(is_enough)
+    /// Returns the number of responses of the new version.
+    pub fn new_count(&self) -> u32 {
+        let all = self.failures.iter().filter(|failures| failures.scope == Scope::Broken);
+        all.map(|failures| failures.new.all).sum()
     }
 
     /// Adds the evidence of another report, which must not contain the same observations.
@@ -109,6 +112,7 @@
                 self.latencies.into_iter().chain(other.latencies.iter().cloned()),
             ),
             late: comparison::merge(self.late.into_iter().chain(other.late.iter().cloned())),
+            slow: comparison::merge(self.slow.into_iter().chain(other.slow.iter().cloned())),
             runs_old: self.runs_old || other.runs_old,
             reporters,
         }
@@ -138,6 +142,15 @@
     },
     /// Its responses in one scope fail more often.
     FailuresInScope(FailureComparison),
+    /// Its responses to requests without a prompt are slow more often.
+    SlowShare {
+        /// Responses of the version.
+        new: Counts,
+        /// Responses of the other versions.
+        old: Counts,
+        /// Route on which they are slow, or `None` for all routes.
+        route: Option<RouteId>,
+    },
     /// Its responses start late more often.
     Late {
         /// Requests to the version.
@@ -200,16 +213,29 @@
 pub struct Collector {
     failures: Table<Scope, Counts>,
     latencies: Table<Stratum, Moments>,
+    slowness: Slowness,
     /// Requests that wait for the start of their responses.
     pub waits: Waits,
 }
 
+impl Observation<'_> {
+    /// Returns whether the request has no prompt, so that its time does not depend on what the server has
+    /// cached, nor on how many prompts wait there.
+    pub const fn is_promptless(&self) -> bool {
+        self.model.is_none() && self.uncached_tokens == 0
+    }
+}
+
 impl Collector {
     /// Records an observation.
     pub fn record(&mut self, observation: &Observation<'_>) {
         if let Some((stratum, log_time)) = latency::measure(observation) {
             self.latencies.entry(observation.service, observation.version, stratum).push(log_time);
         }
+        if let (Signal::Started(time), true) = (observation.signal, observation.is_promptless()) {
+            let Observation { service, version, route, .. } = observation;
+            self.slowness.record(service, version, route, time);
+        }
         if matches!(observation.signal, Signal::EventGap(_)) {
             return;
         }
@@ -233,6 +259,7 @@
     pub fn forget(&mut self, service: &ServiceId) {
         self.failures.forget(service);
         self.latencies.forget(service);
+        self.slowness.forget(service);
         self.waits.forget(service);
     }
 
@@ -241,6 +268,12 @@
         self.failures.compare(service, version)
     }
 
+    /// Returns the counts of slow responses of `version` and of the other versions of its service, by
+    /// route.
+    pub fn slow(&self, service: &ServiceId, version: &VersionId) -> Vec<SlowComparison> {
+        self.slowness.compare(service, version)
+    }
+
     /// Returns the latencies of `version` and of the other versions of its service, by stratum.
     pub fn latencies(&self, service: &ServiceId, version: &VersionId) -> Vec<LatencyComparison> {
         self.latencies.compare(service, version)
@@ -255,6 +288,15 @@
                 "cause=failures new={}/{} old={}/{}",
                 new.bad, new.all, old.bad, old.all
             ),
+            Self::SlowShare { new, old, route } => write!(
+                formatter,
+                "cause=slow answers route={} new={}/{} old={}/{}",
+                route.as_deref().unwrap_or("all"),
+                new.bad,
+                new.all,
+                old.bad,
+                old.all
+            ),
             Self::Late { new, old, route } => write!(
                 formatter,
                 "cause=late route={} new={}/{} old={}/{}",
@@ -303,27 +345,50 @@
     failures: impl Iterator<Item = &'a FailureComparison>,
 ) -> Option<Regression> {
     let scopes = comparison::merge(failures.cloned());
+    let (new, old) = all_routes(&scopes);
+    if new.is_failing_more(old, MIN_FAILURES, MIN_BASELINE_RATE) {
+        return Some(Regression::Failures { new, old });
+    }
+    let is_failing = |new: Counts, old: Counts, min_baseline: f64| {
+        new.is_failing_more(old, MIN_SCOPE_FAILURES, min_baseline)
+    };
+    let failing = scopes.iter().find(|one| one.is_worse(old, is_failing))?;
+    Some(Regression::FailuresInScope(failing.clone()))
+}
+
+/// Returns whether the counts of the new and of the other versions are worse, in the sense of `is_worse`, in
+/// one scope or on all routes together. Its last argument is the least baseline rate.
+pub fn is_any_scope<'a>(
+    failures: impl Iterator<Item = &'a FailureComparison>,
+    is_worse: impl Fn(Counts, Counts, f64) -> bool,
+) -> bool {
+    let scopes = comparison::merge(failures.cloned());
+    let (new, old) = all_routes(&scopes);
+    is_worse(new, old, MIN_BASELINE_RATE) || scopes.iter().any(|one| one.is_worse(old, &is_worse))
+}
+
+/// Returns the counts of all routes together. Responses of the other scopes are also counted there.
+pub(super) fn all_routes(scopes: &[FailureComparison]) -> (Counts, Counts) {
     let (mut new, mut old) = (Counts::default(), Counts::default());
-    // Responses of the other scopes are also counted on their routes.
     for failures in scopes.iter().filter(|failures| matches!(failures.scope, Scope::Route(_))) {
         new.add(failures.new);
         old.add(failures.old);
     }
-    if new.is_failing_more(old, MIN_FAILURES, MIN_BASELINE_RATE) {
-        return Some(Regression::Failures { new, old });
-    }
-    let is_failing = |failures: &FailureComparison| match failures.scope {
-        Scope::Broken => {
-            failures.new.is_failing_more(failures.old, MIN_SCOPE_FAILURES, MIN_BASELINE_BROKEN_RATE)
-        }
-        Scope::Route(_) => {
-            failures.new.is_failing_more(failures.old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE)
+    (new, old)
+}
+
+impl FailureComparison {
+    /// Returns whether the counts are worse in the sense of `is_worse`; `all_old` are those of the other
+    /// versions on all routes.
+    fn is_worse(&self, all_old: Counts, is_worse: impl Fn(Counts, Counts, f64) -> bool) -> bool {
+        match self.scope {
+            Scope::Broken => is_worse(self.new, self.old, MIN_BASELINE_BROKEN_RATE),
+            Scope::Route(_) => is_worse(self.new, self.old, MIN_BASELINE_RATE),
+            // Servers of the other versions are seldom loaded, and hardly fail more often when they
+            // are. They are therefore compared by their responses on all routes.
+            Scope::Loaded => is_worse(self.new, all_old, MIN_BASELINE_RATE),
         }
-        // Servers of the other versions are seldom loaded, and hardly fail more often when they
-        // are. They are therefore compared by their responses on all routes.
-        Scope::Loaded => failures.new.is_failing_more(old, MIN_SCOPE_FAILURES, MIN_BASELINE_RATE),
-    };
-    scopes.into_iter().find(is_failing).map(Regression::FailuresInScope)
+    }
 }
 
 /// Returns reports that don't share observations, with as many of them as possible: `single` are the
--- a/crates/hawthornmount-gateway/src/rollout/latency.rs
+++ b/crates/hawthornmount-gateway/src/rollout/latency.rs
@@ -150,12 +150,15 @@
 }
 
 /// Returns the stratum of an observation and the logarithm of its latency, or `None` if it can't be
-/// compared. The time until a response starts is divided by the expected time. It can't be compared
-/// during a trial, which fills one server after the other, or once one version gets all requests:
-/// prompts then wait at fewer servers, which makes it longer.
+/// compared. The time until a response starts is divided by the expected time. That of a request with a
+/// prompt can't be compared during a trial, which fills one server after the other, or once one version
+/// gets all requests: prompts then wait at fewer servers, which makes it longer.
 pub fn measure(observation: &Observation<'_>) -> Option<(Stratum, f64)> {
     let (span, time) = match observation.signal {
-        Signal::Started(_) if observation.is_only_version || observation.is_trial => {
+        Signal::Started(_)
+            if (observation.is_only_version || observation.is_trial)
+                && !observation.is_promptless() =>
+        {
             return None;
         }
         Signal::Started(time) => (Span::Start, time),
--- a/crates/hawthornmount-gateway/src/rollout/mod.rs
+++ b/crates/hawthornmount-gateway/src/rollout/mod.rs
@@ -13,6 +13,8 @@
 pub mod latency;
 pub mod plan;
 pub mod sessions;
+pub mod slowness;
+pub mod verdict;
 pub mod waits;
 
 pub use driver::Driver;
@@ -54,6 +56,13 @@
     /// canary phase; it is 0, because they would move sessions in the first half of the roll-out.
     #[serde(default)]
     pub canary_share: f64,
+    /// Whether requests without a prompt fill one server after the other in [`Phase::Full`], because the
+    /// version was not tested under load before.
+    #[serde(default)]
+    pub fills_servers: bool,
+    /// Versions that were rolled back by earlier orders and must get no requests, the last one last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rolled_back: Vec<VersionId>,
 }
 
 /// Traffic split of a service while a roll-out is under way.
@@ -68,6 +77,8 @@
     /// Share of the sessions that go to the new version in [`Phase::Widening`]. Every instance
     /// derives the same share from the order.
     pub widening_share: f64,
+    /// Whether requests without a prompt fill one server after the other in [`Phase::Full`].
+    pub fills_servers: bool,
 }
 
 impl Split {
@@ -83,6 +94,16 @@
         }
     }
 
+    /// Returns whether a request to the new version is part of its trial, which fills one server after the
+    /// other; `is_promptless` is whether it has no prompt.
+    pub const fn is_trial(&self, is_promptless: bool) -> bool {
+        match self.phase {
+            Phase::Probe | Phase::Widening => true,
+            Phase::Full => self.fills_servers && is_promptless,
+            Phase::Canary | Phase::Completed | Phase::RolledBack => false,
+        }
+    }
+
     /// Returns whether `server` runs a version that this roll-out has replaced.
     pub fn has_replaced(&self, server: &Server) -> bool {
         self.phase == Phase::Completed
--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -10,7 +10,9 @@
 //! evidence against the version stops the roll-out within the allowed exposure. A version can be
 //! faulty only under load. While too few requests are in flight to load one of its servers, widening
 //! would show nothing; it then gets all sessions so late that even a bad version stays within the
-//! allowed exposure.
+//! allowed exposure until the deadline. What it shows in that time decides: such a version is completed at
+//! the last moment, and only if the evidence leaves no doubt about it. Nothing can bring the other
+//! versions back afterwards.
 
 use {super::Phase, std::time::Duration};
 
@@ -62,6 +64,10 @@
 /// Fraction of the allowed exposure that the plan uses. The rest allows for traffic that grows
 /// towards the deadline.
 const PLANNED_EXPOSURE: f64 = 0.85;
+/// The same for a version without a load test, which gets all sessions only shortly before the deadline.
+const PLANNED_UNTESTED_EXPOSURE: f64 = 0.95;
+/// Time before the deadline at which a version without a load test is completed: enough to write that.
+const COMPLETION_MARGIN: Duration = Duration::from_millis(700);
 /// Latest start of the full phase, as a fraction of the roll-out's time.
 const LATEST_FULL_FRACTION: f64 = 0.93;
 /// Minimum duration of a full phase that began late.
@@ -115,6 +121,8 @@
     pub visibility_delay: Duration,
     /// Whether the evidence speaks against the new version.
     pub is_bad: bool,
+    /// Whether the evidence raises doubt about the new version without showing it to be bad.
+    pub is_doubtful: bool,
     /// Whether servers of the new version have responded under load.
     pub is_load_tested: bool,
     /// Whether the requests in flight are enough to load a server of the new version in the widening
@@ -126,6 +134,9 @@
     pub is_old_version_idle: bool,
     /// Share of all requests of the roll-out's time that a bad version may get.
     pub allowed_exposure: f64,
+    /// Share of them that it may get in addition, because a number of requests is allowed whatever their
+    /// rate.
+    pub slack_exposure: f64,
 }
 
 /// Returns the phase that is due next, or `None` if the current phase continues.
@@ -176,12 +187,18 @@
                 MIN_FULL_DURATION,
                 MAX_FULL_DURATION,
             );
-            let is_out_of_time =
-                conditions.since_order >= conditions.duration.mul_f64(COMPLETION_FRACTION);
+            let completion = if conditions.is_load_tested {
+                conditions.duration.mul_f64(COMPLETION_FRACTION)
+            } else {
+                conditions.duration.saturating_sub(COMPLETION_MARGIN)
+            };
+            let is_out_of_time = conditions.since_order >= completion;
             let is_done = conditions.since_phase >= min_duration
                 && (conditions.is_old_version_idle || is_out_of_time);
             let is_last_moment = is_out_of_time && conditions.since_phase >= MIN_LATE_FULL_DURATION;
-            (is_done || is_last_moment).then_some(Phase::Completed)
+            let is_reliable = conditions.is_load_tested || !conditions.is_doubtful;
+            let end = if is_reliable { Phase::Completed } else { Phase::RolledBack };
+            (is_done || is_last_moment).then_some(end)
         }
         Phase::Completed | Phase::RolledBack => None,
     }
@@ -206,7 +223,8 @@
 /// Returns the time after the order at which a version without a load test gets all sessions: from
 /// then to the deadline it gets what the probe phase leaves of the allowed exposure.
 fn untested_full_start(conditions: &Conditions) -> Duration {
-    let exposure = conditions.allowed_exposure * PLANNED_EXPOSURE;
+    let allowed_exposure = conditions.allowed_exposure + conditions.slack_exposure;
+    let exposure = allowed_exposure * PLANNED_UNTESTED_EXPOSURE;
     let rest = (exposure - PROBE_SHARE * (1.0 - CANARY_FRACTION)) / (1.0 - PROBE_SHARE);
     let fraction = (1.0 - rest).clamp(CANARY_FRACTION, LATEST_FULL_FRACTION);
     conditions.duration.mul_f64(fraction)
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -37,6 +37,7 @@
         "requirements" => json!([]),
         "cold" => json!({ "overshoot": 1.5, "slack": 5 }),
         "allowed_exposure" => json!(0.12),
+        "exposure_slack" => json!(30),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
         "grace_ms" => json!(8_000),
         "log" => json!("info"),
@@ -104,6 +105,9 @@
     if !(0.01..=1.0).contains(&settings.allowed_exposure) {
         problems.push(Problem::new("allowed_exposure", "is out of range", "give 0.01 to 1"));
     }
+    if !(0.0..=100_000.0).contains(&settings.exposure_slack) {
+        problems.push(Problem::new("exposure_slack", "is out of range", "give 0 to 100000"));
+    }
     let retries = &settings.retries;
     if !(0.0..=10.0).contains(&retries.ratio) {
         problems.push(Problem::new("retries.ratio", "is out of range", "give 0 to 10"));
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -74,6 +74,9 @@
     /// Share of all requests of a roll-out's time that a bad version may get.
     #[serde(default = "default_allowed_exposure")]
     pub allowed_exposure: f64,
+    /// Number of requests that it may get in addition.
+    #[serde(default)]
+    pub exposure_slack: f64,
     /// Limits on retries.
     pub retries: Retries,
     /// Time in which the instance must end after the stop signal.
--- a/crates/hawthornmount-gateway/tests/gateway/exposure.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/exposure.rs
@@ -6,8 +6,9 @@
         load::Load,
         rollout::{
             Phase, Split,
-            evidence::{Collector, Observation, Signal, detect_regression},
+            evidence::{Collector, Observation, Report, Signal},
             plan::{self, Conditions, next_phase},
+            verdict::{self, Verdict},
         },
         route::RouteId,
     },
@@ -27,9 +28,11 @@
 /// Number of bad answers after which a bad version may get requests for `ROLLBACK_TIME` only.
 const BAD_ANSWERS: usize = 50;
 const ROLLBACK_TIME: Duration = Duration::from_secs(5);
-/// Time after which the reader that decides knows what an instance has seen: instances report each 0.2 s,
-/// and readers each 0.6 s.
-const REPORT_TIME: Duration = Duration::from_millis(800);
+/// Factor by which an instance may take the rate of requests for too small.
+const RATE_MARGIN: f64 = 1.35;
+/// Time after which the reader that decides knows what an instance has seen: instances and readers report
+/// bad answers each 0.2 s, and look each 0.2 s.
+const REPORT_TIME: Duration = Duration::from_millis(600);
 /// Longest time until a phase is written.
 const WRITE_TIME: Duration = Duration::from_millis(400);
 const SLOTS: u32 = 6;
@@ -86,7 +89,7 @@
     let mut collector = Collector::default();
     let (mut runs, mut known): (Vec<Run>, Vec<(Duration, Run)>) = (Vec::new(), Vec::new());
     let (mut phase, mut entered, mut due) = (None, Duration::ZERO, None);
-    let (mut is_bad, mut bad_answers) = (false, Vec::new());
+    let (mut is_bad, mut bad_answers, mut fills_servers) = (false, Vec::new(), false);
     let mut outcome = Outcome { phase: Phase::Canary, new: 0.0, all: 0.0, late: 0 };
     let widening_share = plan::widening_share(DURATION, ALLOWED_EXPOSURE);
     let mut now = Duration::ZERO;
@@ -114,26 +117,35 @@
                 signal: if is_failed { Signal::Failed } else { Signal::Started(run.time) },
             });
         }
-        let (failures, latencies) =
-            (collector.failures(&service, &new), collector.latencies(&service, &new));
-        is_bad |= detect_regression(failures.iter(), latencies.iter()).is_some();
+        let report = Report {
+            failures: collector.failures(&service, &new),
+            latencies: collector.latencies(&service, &new),
+            slow: collector.slow(&service, &new),
+            ..Report::default()
+        };
+        let Verdict { regression, is_doubtful, is_load_tested } = verdict::judge(&[&report]);
+        is_bad |= regression.is_some();
         let conditions = Conditions {
             since_order: now,
             since_phase: now - entered,
             duration: DURATION,
             visibility_delay: Duration::from_secs(2),
             is_bad,
-            is_load_tested: false,
+            is_doubtful,
+            is_load_tested,
             is_load_testable: false,
             has_servers: true,
             is_old_version_idle: true,
             allowed_exposure: ALLOWED_EXPOSURE,
+            slack_exposure: EXPOSURE_SLACK
+                / (fleet.per_second * RATE_MARGIN * DURATION.as_secs_f64()),
         };
         if let Some(next) = next_phase(phase, &conditions) {
             let (planned, at) = *due.get_or_insert((next, now + WRITE_TIME));
             if planned != next {
                 due = None;
             } else if now >= at {
+                fills_servers = next == Phase::Full && phase == Some(Phase::Probe);
                 (phase, entered, due) = (Some(next), now, None);
             }
         }
@@ -145,6 +157,7 @@
             version: new.clone(),
             phase,
             widening_share,
+            fills_servers,
         });
         let has_session = rng.random::<f64>() < 0.9;
         let share = match (&split, phase) {
@@ -163,7 +176,7 @@
             let at = runs.iter().filter(|run| run.is_new == is_new && run.server == server);
             at.count() as u32
         };
-        let is_trial = is_new && matches!(phase, Some(Phase::Probe | Phase::Widening));
+        let is_trial = is_new && split.as_ref().is_some_and(|split| split.is_trial(true));
         let unfilled = (0..fleet.servers).find(|server| used(*server) < SLOTS);
         let drawn = [(); 2].map(|()| rng.random_range(0..fleet.servers));
         let spread = drawn.into_iter().min_by_key(|server| used(*server)).expect("two");
--- a/crates/hawthornmount-gateway/tests/gateway/fence/node.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/node.rs
@@ -79,8 +79,11 @@
         let shared = Arc::new(Shared::new(id(number), Arc::new(freshness)));
         let access = || Arc::new(Access { network: network.clone(), number });
         let sources = Sources { collector: Arc::default(), loads: Arc::default() };
-        let limits =
-            Limits { visibility_delay: visibility_delay(LIST_INTERVAL), allowed_exposure: 0.12 };
+        let limits = Limits {
+            visibility_delay: visibility_delay(LIST_INTERVAL),
+            allowed_exposure: 0.12,
+            exposure_slack: 0.0,
+        };
         let driver = Driver::new(&id(number), Arc::new(Plain), sources, limits);
         let membership = Membership::new(id(number), Some(contact()), Size::default());
         let state = State::new(Arc::new(Plain), driver, membership);
--- a/crates/hawthornmount-gateway/tests/gateway/rollout.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/rollout.rs
@@ -23,11 +23,13 @@
     duration: Duration::from_secs(24),
     visibility_delay: Duration::from_secs(2),
     is_bad: false,
+    is_doubtful: false,
     is_load_tested: true,
     is_load_testable: false,
     has_servers: true,
     is_old_version_idle: true,
     allowed_exposure: 0.12,
+    slack_exposure: 0.0,
 };
 
 struct Step {
@@ -217,7 +219,8 @@
 
 fn split(phase: Phase) -> Split {
     let widening_share = plan::MAX_WIDENING_SHARE;
-    Split { service: "s".into(), version: "v2".into(), phase, widening_share }
+    let (service, version) = ("s".into(), "v2".into());
+    Split { service, version, phase, widening_share, fills_servers: false }
 }
 
 fn ids() -> impl Iterator<Item = std::sync::Arc<str>> {
@@ -520,21 +523,32 @@
     assert!(is_v2_bad(&collector));
 }
 
-#[test]
-fn longer_waits_do_not_count_against_the_only_version() {
+/// Prompts wait at fewer servers once one version gets all requests; requests without a prompt don't.
+#[rstest]
+#[case::prompt(Some("m"), 600, false)]
+#[case::cached_prompt(Some("m"), 0, false)]
+#[case::no_prompt(None, 0, true)]
+fn longer_waits_of_prompts_do_not_count_against_the_only_version(
+    #[case] model: Option<&'static str>,
+    #[case] uncached_tokens: u32,
+    #[case] is_bad: bool,
+) {
     let mut collector = Collector::default();
-    for _ in 0..100 {
-        record(&mut collector, "v1", "r1", None, Signal::Started(Duration::from_millis(40)));
-    }
-    for _ in 0..60 {
-        let signal = Signal::Started(Duration::from_millis(300));
-        let (service, version, route) = ("s".into(), "v2".into(), "r1".into());
+    let (service, route) = ("s".into(), "r1".into());
+    let model = model.map(Into::into);
+    let mut record = |version: &str, is_only_version, millis| {
+        let signal = Signal::Started(Duration::from_millis(millis));
+        let version = version.into();
         collector.record(&Observation {
-            is_only_version: true,
+            is_only_version,
+            model: model.as_ref(),
+            uncached_tokens,
             ..observation(&service, &version, &route, None, signal)
         });
-    }
-    assert!(!is_v2_bad(&collector));
+    };
+    (0..100).for_each(|_| record("v1", false, 40));
+    (0..60).for_each(|_| record("v2", true, 300));
+    assert_eq!(is_v2_bad(&collector), is_bad);
 }
 
 proptest! {
