Answer requests that outlast a planned stop

Callers whose requests were still in flight when a stopping instance exited got no answer: their connections were closed, whether a server had the request or not. 0.3 s before the end of its wait the instance now ends them, with 503 if nothing can have run, else with 502 or 504.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -73,6 +73,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::sync::watch,
     upstream::Success,
 };
 
@@ -105,6 +106,8 @@
     path: Arc<path::monitor::Monitor>,
     retries: Retries,
     fleet_size: Size,
+    /// Whether the requests that are not answered yet have to end.
+    ending: watch::Sender<bool>,
     instance: InstanceId,
     data_centre: Arc<str>,
     regions: Table<RegionId>,
@@ -143,6 +146,7 @@
             path: Arc::new(path),
             retries: settings.retries.clone(),
             fleet_size: Size::default(),
+            ending: watch::Sender::new(false),
             instance: settings.instance.clone(),
             data_centre: settings.data_centre.clone(),
             regions: settings.regions.clone(),
@@ -189,7 +193,7 @@
         if job.is_passed && is_cut_off {
             return Err(no_path(&job.service));
         }
-        *job.permit.lock() = self.admit(&job).await?;
+        *job.permit.lock() = self.until_end(self.admit(&job)).await?;
         let mut progress = Progress { level: self.initial_level(&job), ..Progress::default() };
         if !is_cut_off {
             // The instance to which it is passed counts it otherwise.
@@ -201,6 +205,25 @@
         }
     }
 
+    /// Ends the requests that are not answered yet, because the instance exits: their callers get an answer
+    /// that states whether they may have run.
+    pub fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Returns the result of some work, or a problem if the requests have to end before it.
+    async fn until_end<T>(
+        &self,
+        work: impl Future<Output = Result<T, Problem>>,
+    ) -> Result<T, Problem> {
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            biased;
+            result = work => result,
+            _ = ending.wait_for(|is_ending| *is_ending) => Err(stopping()),
+        }
+    }
+
     /// Returns the response to the caller: the answer, or the one that was kept for it if the answer
     /// fails before its first event.
     async fn respond_with(
@@ -469,6 +492,12 @@
     Problem::new(Refusal::StoreUnavailable, detail).retry_after(RETRY_AFTER)
 }
 
+/// Returns the problem of a request that no server had run when the instance had to exit.
+fn stopping() -> Problem {
+    let detail = "the instance is stopping: send to another one";
+    Problem::new(Refusal::Stopping, detail).retry_after(RETRY_AFTER)
+}
+
 /// Returns the problem of a request that no server had run when its deadline passed.
 fn deadline_exceeded() -> Problem {
     let mut problem = Problem::new(Refusal::Deadline, "no server took the request in time")
--- a/crates/hawthornmount-gateway/src/forward/race.rs
+++ b/crates/hawthornmount-gateway/src/forward/race.rs
@@ -59,8 +59,11 @@
     ) -> Result<Answer, Problem> {
         let mut handover = Handover::default();
         let raced = self.race_servers(job, progress, &mut handover);
-        let result = timeout_at(job.deadline().into(), raced).await;
-        let result = result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()));
+        let timed = async {
+            let result = timeout_at(job.deadline().into(), raced).await;
+            result.unwrap_or_else(|_elapsed| Err(deadline_exceeded()))
+        };
+        let result = self.until_end(timed).await;
         self.end_attempts(job, progress, &mut handover);
         let spare = handover.take_answer();
         match (result, spare) {
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -43,6 +43,8 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_900);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the exit at which requests that are still in flight are ended with an answer.
+const END_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which the requests in flight are checked while the instance stops.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two sweeps of idle connections and load statistics.
@@ -330,7 +332,8 @@
 
     /// Stops the instance gracefully. It is not ready from now on, closes idle connections once the
     /// load balancer has noticed, and waits within the grace period until the requests in flight have
-    /// been answered and the answers are written.
+    /// been answered and the answers are written. Those that are not answered shortly before its end get an
+    /// answer that states whether they may have run.
     pub async fn stop(self) -> Stopped {
         let deadline = Instant::now() + self.components.settings.grace.saturating_sub(EXIT_MARGIN);
         self.components.stopping_since.get_or_init(Instant::now);
@@ -344,6 +347,9 @@
         // has ended, or once the head of a request that is arriving is complete or late.
         let (in_flight, serving) = (&self.components.in_flight, &self.components.serving);
         while in_flight.count() + serving.count() > 0 && Instant::now() < deadline {
+            if Instant::now() + END_MARGIN >= deadline {
+                self.components.forwarder.end();
+            }
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         for task in &self.tasks {
