--- a/crates/hawthornmount-gateway/src/rollout/plan.rs
+++ b/crates/hawthornmount-gateway/src/rollout/plan.rs
@@ -187,7 +187,9 @@
                 MIN_FULL_DURATION,
                 MAX_FULL_DURATION,
             );
-            let completion = if conditions.is_load_tested {
+            // If its servers could be loaded, the widening phase has shown what it could.
+            let is_tested = conditions.is_load_tested || conditions.is_load_testable;
+            let completion = if is_tested {
                 conditions.duration.mul_f64(COMPLETION_FRACTION)
             } else {
                 conditions.duration.saturating_sub(COMPLETION_MARGIN)
@@ -196,8 +198,11 @@
             let is_done = conditions.since_phase >= min_duration
                 && (conditions.is_old_version_idle || is_out_of_time);
             let is_last_moment = is_out_of_time && conditions.since_phase >= MIN_LATE_FULL_DURATION;
-            let is_reliable = conditions.is_load_tested || !conditions.is_doubtful;
-            let end = if is_reliable { Phase::Completed } else { Phase::RolledBack };
+            let end = if is_tested || !conditions.is_doubtful {
+                Phase::Completed
+            } else {
+                Phase::RolledBack
+            };
             (is_done || is_last_moment).then_some(end)
         }
         Phase::Completed | Phase::RolledBack => None,
