--- a/crates/hawthornmount-gateway/src/rollout/evidence.rs
+++ b/crates/hawthornmount-gateway/src/rollout/evidence.rs
@@ -358,12 +358,11 @@
 
 /// Returns whether the counts of the new and of the other versions are worse, in the sense of `is_worse`, in
 /// one scope or on all routes together. Its last argument is the least baseline rate.
-pub fn is_any_scope<'a>(
-    failures: impl Iterator<Item = &'a FailureComparison>,
+pub(super) fn is_any_scope(
+    scopes: &[FailureComparison],
     is_worse: impl Fn(Counts, Counts, f64) -> bool,
 ) -> bool {
-    let scopes = comparison::merge(failures.cloned());
-    let (new, old) = all_routes(&scopes);
+    let (new, old) = all_routes(scopes);
     is_worse(new, old, MIN_BASELINE_RATE) || scopes.iter().any(|one| one.is_worse(old, &is_worse))
 }
 
