--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -228,7 +228,7 @@
                     self.record_failure(job, server, &failure.to_string());
                     if !attempt.is_passed() {
                         self.limits.assume_cold(server, Cause::Absence);
-                        self.record_unanswered(job, server);
+                        self.record_unanswered(job, attempt);
                     }
                     return Outcome::Unknown(Retry::CutAnswer);
                 }
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -2,7 +2,7 @@
 //! servers or have parts in their prompts that do.
 
 use {
-    super::{Forwarder, Job},
+    super::{Forwarder, Job, attempt::Attempt},
     crate::{
         message::PartId,
         quarantine::{
@@ -56,8 +56,19 @@
 
     /// Records that a server gave no answer and closed the connection. Streams wait without an answer
     /// until they run; other requests may be running.
-    pub(super) fn record_unanswered(&self, job: &Job, server: &Server) {
-        if job.route.config.kind != Kind::Stream {
+    pub(super) fn record_unanswered(&self, job: &Job, attempt: &Attempt) {
+        let server = &attempt.server;
+        let is_stream = job.route.config.kind == Kind::Stream;
+        log::info!(
+            "connection closed without an answer; id={} route={} server={} digest={:016x} \
+             after_ms={} stream={is_stream}",
+            job.id,
+            job.route.id,
+            server.id,
+            job.digest,
+            attempt.marker.sent_at().map_or(0, |sent_at| sent_at.elapsed().as_millis()),
+        );
+        if !is_stream {
             self.record_end(job, server, Vec::new());
         }
     }
