Stop sending streams on that end servers before their head

Counting such streams like other requests would blame sound ones that wait beside.

- A stream whose server ends before its head is reported as waiting, in a field that older builds skip; so is each request at a brittle server, which was no evidence at all before.
- A request under which three servers ended is not sent again to another one in the same attempt, whatever is to blame.
Sound ones lose nothing by it but a fourth server.
- It is blamed once it came four times, when all instances had 2.5 s to report, and if no comparable request waited beside it at all but one of its servers.
A stream that was answered in the last minute or two is blamed only if it was alone at most of its servers.
- When the memory of ends is full, those of answered requests, and of those that came least often, go first.

Evidence: the model plays 34 cases over the fleet's size, rates, times, repeated streams, guilty parts and kills.

--- a/crates/hawthornmount-gateway/src/forward/next.rs
+++ b/crates/hawthornmount-gateway/src/forward/next.rs
@@ -47,6 +47,10 @@
     ) -> Result<Attempt, Problem> {
         self.check_quarantine(job)
             .inspect_err(|_| progress.obstacle = Some(Obstacle::Quarantine))?;
+        if (progress.attempts > 0 || progress.may_run()) && self.is_suspected(job) {
+            progress.obstacle = Some(Obstacle::Suspicion);
+            return Err(overloaded());
+        }
         let Some(attempt) = self.choose(job, progress) else {
             let closed_for = self.closed_for(job);
             let route = &job.route.config;
--- a/crates/hawthornmount-gateway/src/forward/obstacle.rs
+++ b/crates/hawthornmount-gateway/src/forward/obstacle.rs
@@ -28,6 +28,9 @@
     /// Servers ended under parts of the request.
     #[display("quarantine")]
     Quarantine,
+    /// Servers ended under the request, or while it waited there.
+    #[display("suspicion")]
+    Suspicion,
 }
 
 impl Obstacle {
@@ -35,7 +38,7 @@
     pub const fn is_temporary(self) -> bool {
         match self {
             Self::Refusals | Self::Budget | Self::NoServer | Self::ServersClosed => true,
-            Self::Attempts | Self::Quarantine => false,
+            Self::Attempts | Self::Quarantine | Self::Suspicion => false,
         }
     }
 }
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -51,11 +51,11 @@
             start.age(now).as_millis(),
             format_parts(&parts)
         );
-        self.record_end(job, server, parts);
+        self.record_end(job, server, parts, false);
     }
 
     /// Records that a server gave no answer and closed the connection. Streams wait without an answer
-    /// until they run; other requests may be running.
+    /// until they run, and so may any request at a server that has no room; others may be running.
     pub(super) fn record_unanswered(&self, job: &Job, attempt: &Attempt) {
         let server = &attempt.server;
         let is_stream = job.route.config.kind == Kind::Stream;
@@ -68,24 +68,27 @@
             job.digest,
             attempt.marker.sent_at().map_or(0, |sent_at| sent_at.elapsed().as_millis()),
         );
-        if !is_stream {
-            self.record_end(job, server, Vec::new());
-        }
+        self.record_end(job, server, Vec::new(), is_stream);
     }
 
     /// Records that a server ended under parts of a request, and under the request itself once the
     /// server refuses connections: a sound server may close a connection too.
-    fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>) {
-        if self.limits.is_brittle(&server.service) {
-            // It may have fallen over under its load.
-            return;
-        }
+    fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>, may_have_waited: bool) {
+        // A brittle server may have fallen over under its load.
+        let is_brittle = self.limits.is_brittle(&server.service);
+        let parts = if is_brittle { Vec::new() } else { parts };
+        let (digest, waiting) = if may_have_waited || is_brittle {
+            (None, Some(job.digest))
+        } else {
+            (Some(job.digest), None)
+        };
         let mut end = End {
             server: server.id.clone(),
             start_ms: server.start_ms,
             request: job.id.clone(),
             parts,
-            digest: Some(job.digest),
+            digest,
+            waiting,
             is_confirmed: false,
         };
         self.quarantine.record_end(end.clone());
@@ -112,6 +115,15 @@
     /// Records that the answer to a request went on for a while or was complete.
     pub(super) fn record_proof(&self, job: &Job) {
         self.quarantine.record_proof(&job.suspects().collect::<Vec<_>>());
+        if job.route.config.kind == Kind::Stream {
+            self.quarantine.record_answered(Suspect::Request(job.digest));
+        }
+    }
+
+    /// Returns whether a request may not be sent again to another server because several have ended under
+    /// it.
+    pub(super) fn is_suspected(&self, job: &Job) -> bool {
+        self.quarantine.is_suspected(Suspect::Request(job.digest))
     }
 }
 
--- a/crates/hawthornmount-gateway/src/quarantine/evidence.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/evidence.rs
@@ -25,7 +25,7 @@
     Request(Digest),
 }
 
-/// A request whose answer broke off because its server ended.
+/// A request that got no whole answer because its server ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct End {
     /// Server that ended.
@@ -37,9 +37,13 @@
     /// Parts of its prompt that other requests can share, in their order, if its answer broke off
     /// right after its head.
     pub parts: Vec<PartId>,
-    /// Digest of the request. Builds that know parts only skip it and write none.
+    /// Digest of the request, if it was running. Builds that know parts only skip it and write none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<Digest>,
+    /// Digest of the request, if it may only have waited at the server. Builds that take every request
+    /// for a running one skip it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waiting: Option<Digest>,
     /// Whether the server refused connections since. A sound server may break off an answer too.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_confirmed: bool,
@@ -55,6 +59,9 @@
     /// Requests of these and other ends, and the numbers of recent answers to them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub digest_proofs: Vec<(Digest, u32)>,
+    /// Requests of these and other ends, to which there was an answer before or since.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub answered: Vec<Digest>,
 }
 
 impl Suspect {
@@ -81,7 +88,7 @@
 
     /// Returns the request as a suspect, also if the end is not confirmed.
     pub fn request_suspect(&self) -> Option<Suspect> {
-        self.digest.map(Suspect::Request)
+        self.digest.or(self.waiting).map(Suspect::Request)
     }
 
     /// Returns whether both are the same end of the same request.
@@ -91,9 +98,10 @@
 }
 
 impl Report {
-    /// Creates a report of ends and of the numbers of answers in favour of suspects, in their order.
-    pub fn new(ends: Vec<End>, proofs: &[(Suspect, u32)]) -> Self {
-        let mut report = Self { ends, ..Self::default() };
+    /// Creates a report of ends, of the numbers of answers in favour of suspects, in their order, and of
+    /// the requests that were answered.
+    pub fn new(ends: Vec<End>, proofs: &[(Suspect, u32)], answered: Vec<Digest>) -> Self {
+        let mut report = Self { ends, answered, ..Self::default() };
         for (suspect, count) in proofs {
             match suspect {
                 Suspect::Part(part) => report.proofs.push((*part, *count)),
@@ -103,6 +111,11 @@
         report
     }
 
+    /// Returns whether the report names a request as answered.
+    pub fn has_answered(&self, suspect: Suspect) -> bool {
+        matches!(suspect, Suspect::Request(digest) if self.answered.contains(&digest))
+    }
+
     /// Returns the numbers of answers in favour of suspects.
     pub fn suspect_proofs(&self) -> impl Iterator<Item = (Suspect, u32)> {
         let parts = self.proofs.iter().map(|(part, count)| (Suspect::Part(*part), *count));
--- a/crates/hawthornmount-gateway/src/quarantine/exchange.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/exchange.rs
@@ -47,8 +47,11 @@
         let mut proofs: Vec<(Suspect, u32)> =
             report.suspect_proofs().take(MAX_REPORTED_PROOFS).collect();
         proofs.sort_unstable();
+        let answered = report.answered.iter().copied().map(Suspect::Request);
+        let mut answered: Vec<Suspect> = answered.take(MAX_REPORTED_PROOFS).collect();
+        answered.sort_unstable();
         let ends = report.ends.into_iter().take(MAX_OWN_ENDS).map(known).collect();
-        let row = Reported { instance: instance.clone(), ends, proofs, received_at: now };
+        let row = Reported { instance: instance.clone(), ends, proofs, answered, received_at: now };
         match at {
             Ok(at) => self.reports[at] = row,
             Err(at) if self.reports.len() < MAX_REPORTS => self.reports.insert(at, row),
@@ -105,6 +108,9 @@
             for (suspect, count) in report.suspect_proofs() {
                 self.proofs.add(suspect, count, now);
             }
+            for digest in report.answered.iter().take(MAX_REPORTED_PROOFS) {
+                self.record_answered(Suspect::Request(*digest), now);
+            }
             self.written = Some(report);
         } else {
             self.is_lost = self.written.as_ref().is_some_and(|last| last.ends != report.ends);
@@ -122,10 +128,14 @@
         // The most suspect first.
         let mut counts = verdict::counts(&self.ends_in_force(now));
         counts.sort_by_key(|(_, servers)| Reverse(*servers));
-        let proofs = counts.into_iter().map(|(one, _)| (one, self.proofs.count(one, now)));
+        let proofs = counts.iter().map(|(one, _)| (*one, self.proofs.count(*one, now)));
         let proofs = proofs.filter(|(_, count)| *count > 0).take(MAX_REPORTED_PROOFS);
         let mut proofs: Vec<(Suspect, u32)> = proofs.collect();
         proofs.sort_unstable();
-        Report::new(ends, &proofs)
+        let answered = counts.into_iter().filter_map(|(one, _)| match one {
+            Suspect::Request(digest) if self.answered.count(one, now) > 0 => Some(digest),
+            _ => None,
+        });
+        Report::new(ends, &proofs, answered.take(MAX_REPORTED_PROOFS).collect())
     }
 }
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! - A request is evidence against itself if it got no answer and its server refuses connections since.
 //!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]).
-//!   Streams whose answer had not begun, or had been running, are no evidence.
+//!   Streams whose answer had been running are no evidence. Those whose answer had not begun may only
+//!   have waited at the server, so that they are weaker evidence.
 //! - An answer that went on for a while, or was complete, is a proof in favour of its request and its
 //!   parts ([`proof::Counter`]).
 //! - What is to blame is found over the ends that all instances know ([`verdict`]). Each instance
 //!   writes the ends that it saw to a key of its own ([`evidence::Report`]), and decides by itself, so
 //!   that an instance that is cut off uses its own evidence.
+//! - A request under which three servers ended is not sent again to another one, whatever is to blame.
 //! - A request that is in quarantine, or has a part that is, is rejected before it is sent. A quarantine
 //!   ends after a fixed time, after which one more end renews it for twice the time, or when the proofs
 //!   outweigh the ends.
@@ -58,6 +60,9 @@
 const MIN_PROOFS: u32 = 20;
 /// Time after the last end under a request in which other instances may report what explains it.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+/// The same for a request that may only have waited: the longest interval between two reports of an
+/// instance, and that at which they are read.
+const WAITING_SETTLING_TIME: Duration = Duration::from_millis(2_500);
 
 /// An end of a server and when this instance learned of it.
 #[derive(Clone, Debug)]
@@ -73,6 +78,8 @@
     ends: Vec<Known>,
     /// Numbers of answers in favour of suspects, in order of the suspects.
     proofs: Vec<(Suspect, u32)>,
+    /// Requests that were answered, in their order.
+    answered: Vec<Suspect>,
     received_at: Instant,
 }
 
@@ -107,6 +114,8 @@
         /// Time for which the quarantine lasts.
         term: Duration,
     },
+    /// The request is not sent again to another server.
+    Suspected(Suspect),
     /// The time of the quarantine has passed.
     Expired(Suspect),
     /// Answers with the suspect went on, or others explain the ends.
@@ -120,10 +129,14 @@
     /// Ends that this instance saw, the oldest first.
     ends: Vec<Known>,
     proofs: Counter,
+    /// Streams that were answered, whether servers ended under them or not.
+    answered: Counter,
     /// Reports of the other instances, in order of their names.
     reports: Vec<Reported>,
     /// Suspects that are or were in quarantine, in their order.
     rows: Vec<Row>,
+    /// Requests that are not sent again to another server, in their order.
+    suspected: Vec<Suspect>,
     /// Whether reports arrived on which nothing was decided yet.
     has_new_reports: bool,
     /// Report that was written last.
@@ -143,8 +156,10 @@
             own,
             ends: Vec::new(),
             proofs: Counter::new(now),
+            answered: Counter::new(now),
             reports: Vec::new(),
             rows: Vec::new(),
+            suspected: Vec::new(),
             has_new_reports: false,
             written: None,
             is_report_due: false,
@@ -167,6 +182,12 @@
         suspects.into_iter().find_map(active)
     }
 
+    /// Returns whether a request may not be sent again to another server because several have ended under
+    /// it.
+    pub fn is_suspected(&self, suspect: Suspect) -> bool {
+        self.suspected.binary_search(&suspect).is_ok()
+    }
+
     /// Returns the numbers of suspects in quarantine.
     pub fn counts(&self, now: Instant) -> Counts {
         let mut counts = Counts::default();
@@ -197,14 +218,14 @@
             None if end.suspects().next().is_none() => return Vec::new(),
             None => {
                 if self.ends.len() == MAX_OWN_ENDS {
-                    self.ends.remove(0);
+                    self.ends.remove(self.least_telling(now));
                 }
                 self.ends.push(Known { end: end.clone(), at: now });
             }
         }
-        // An end under what is in quarantine may explain those under others.
         self.is_report_due = true;
-        self.judge(now)
+        // An end under what is in quarantine may explain those under others.
+        if end.waiting.is_none() || self.may_be_blamed(&end) { self.judge(now) } else { Vec::new() }
     }
 
     /// Records an answer that went on for a while or was complete.
@@ -215,7 +236,9 @@
                 self.proofs.add(*suspect, 1, now);
             }
         }
-        if self.find(suspects.iter().copied(), now).is_none() {
+        let is_judged = suspects.iter().any(|one| self.is_suspected(*one))
+            || self.find(suspects.iter().copied(), now).is_some();
+        if !is_judged {
             return Vec::new();
         }
         // Other instances have the suspect in quarantine too.
@@ -223,6 +246,11 @@
         self.judge(now)
     }
 
+    /// Records an answer to a stream, which shows later that the stream only waited at servers that end.
+    pub fn record_answered(&mut self, request: Suspect, now: Instant) {
+        self.answered.add(request, 1, now);
+    }
+
     /// Removes what is too old, and returns what enters or leaves quarantine because of the time.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -236,17 +264,18 @@
             now < known.at + EVIDENCE_LIFETIME
                 || known.end.suspects().any(|one| active.binary_search(&one).is_ok())
         };
-        let before = self.ends.len();
+        let (own_before, before) = (self.ends.len(), self.all_ends().count());
         self.ends.retain(is_kept);
         // A report without ends replaces the last one, so that it is not taken for recent later.
-        self.is_report_due |= before > 0 && self.ends.is_empty();
+        self.is_report_due |= own_before > 0 && self.ends.is_empty();
         for report in &mut self.reports {
             report.ends.retain(is_kept);
         }
         // Answers that went on since the last ends may clear a part.
         let is_contested = self.is_contested(&self.ends_in_force(now), now);
         self.is_report_due |= is_contested;
-        if self.is_gathering(now) {
+        let has_aged = self.all_ends().count() < before;
+        if self.is_gathering(now) || has_aged && !self.suspected.is_empty() {
             changes.extend(self.judge(now));
         }
         changes
@@ -254,14 +283,26 @@
 
     /// Puts suspects into quarantine, or takes them out of it, according to the evidence.
     fn judge(&mut self, now: Instant) -> Vec<Change> {
-        let ends = self.ends_in_force(now);
-        let record = |suspect| verdict::Record {
-            proofs: self.proof_count(suspect, now),
-            is_settled: self.is_settled(suspect, now),
+        let known = self.known_in_force(now);
+        let ends: Vec<&End> = known.iter().map(|known| &known.end).collect();
+        let history = History::new(&known);
+        let record = |suspect| {
+            let proofs = self.proof_count(suspect, now);
+            if matches!(suspect, Suspect::Part(_)) {
+                return verdict::Record { proofs, ..verdict::Record::default() };
+            }
+            let known = history.of(suspect);
+            verdict::Record {
+                proofs,
+                is_settled: !known.iter().any(|(_, known)| now < known.at + SETTLING_TIME),
+                is_answered: self.is_answered(suspect, now),
+                settled: settled(known, now),
+            }
         };
         let probation = self.rows.iter().filter(|row| row.until <= now).map(|row| row.suspect);
         let probation: Vec<Suspect> = probation.collect();
-        let verdict::Verdict { blamed, acquitted } = verdict::judge(&ends, &probation, record);
+        let verdict::Verdict { blamed, acquitted, suspected } =
+            verdict::judge(&ends, &probation, record);
         let is_cleared = |one: &Suspect| {
             let (servers, proofs) = (verdict::servers(&ends, *one), self.proof_count(*one, now));
             acquitted.contains(one) || verdict::is_cleared(*one, servers, proofs)
@@ -286,6 +327,11 @@
             }
             changes.push(Change::Entered { suspect, servers, term });
         }
+        let is_new = |one: &&Suspect| {
+            !self.is_suspected(**one) && self.row(**one).is_none_or(|row| row.until <= now)
+        };
+        changes.extend(suspected.iter().filter(is_new).copied().map(Change::Suspected));
+        self.suspected = suspected;
         changes
     }
 
@@ -299,15 +345,23 @@
             let others = self.reported_proofs(*suspect, now);
             let is_cleared =
                 |own| verdict::is_cleared(*suspect, *servers, others.saturating_add(own));
-            is_cleared(own) && !is_cleared(written)
+            let is_answered = self.answered.count(*suspect, now) > 0
+                && !self.is_reported_as_answered(*suspect, now)
+                && !self.written.iter().any(|report| report.has_answered(*suspect));
+            is_cleared(own) && !is_cleared(written) || is_answered
         };
         let counts = verdict::counts(ends);
         counts.iter().filter(|(_, servers)| *servers >= verdict::MIN_SERVERS).any(is_contested)
     }
 
+    /// Returns the ends that count.
+    fn ends_in_force(&self, now: Instant) -> Vec<&End> {
+        self.known_in_force(now).into_iter().map(|known| &known.end).collect()
+    }
+
     /// Returns the ends that count: recent ones, and those that led to a quarantine which lasts. Ends
     /// before a quarantine that is over don't count any more.
-    fn ends_in_force(&self, now: Instant) -> Vec<&End> {
+    fn known_in_force(&self, now: Instant) -> Vec<&Known> {
         let is_over = |known: &&Known| {
             let is_before = |row: &Row| row.until <= now && known.at < row.until;
             known.end.suspects().any(|one| self.row(one).is_some_and(is_before))
@@ -326,7 +380,7 @@
             .collect();
         known.sort_by_key(|known| Reverse(known.at));
         known.truncate(MAX_JUDGED_ENDS);
-        known.into_iter().map(|known| &known.end).collect()
+        known
     }
 
     /// Returns the number of answers that went on, at all instances.
@@ -346,12 +400,42 @@
         self.all_ends().any(|known| known.end.suspects().any(|one| one == suspect))
     }
 
-    /// Returns whether the other instances have had time to report on the ends under a suspect.
-    fn is_settled(&self, suspect: Suspect, now: Instant) -> bool {
-        let is_recent = |known: &Known| now < known.at + SETTLING_TIME;
-        let mut ends =
-            self.all_ends().filter(|known| known.end.suspects().any(|one| one == suspect));
-        !ends.any(is_recent)
+    /// Returns whether a request was answered at any instance.
+    fn is_answered(&self, suspect: Suspect, now: Instant) -> bool {
+        self.answered.count(suspect, now) > 0 || self.is_reported_as_answered(suspect, now)
+    }
+
+    /// Returns whether other instances have reported that a request was answered.
+    fn is_reported_as_answered(&self, suspect: Suspect, now: Instant) -> bool {
+        let mut recent =
+            self.reports.iter().filter(|row| now < row.received_at + EVIDENCE_LIFETIME);
+        recent.any(|report| report.answered.binary_search(&suspect).is_ok())
+    }
+
+    /// Returns whether the request of an end may be suspected, as several servers ended under it or it was in
+    /// quarantine before.
+    fn may_be_blamed(&self, end: &End) -> bool {
+        let Some(request) = end.request_suspect() else { return false };
+        let is_under = |known: &&Known| known.end.request_suspect() == Some(request);
+        self.row(request).is_some()
+            || self.all_ends().filter(is_under).count() >= verdict::MIN_SERVERS
+    }
+
+    /// Returns the place of the own end that says least: the oldest one of a request that was answered,
+    /// else of those that came least often.
+    fn least_telling(&self, now: Instant) -> usize {
+        let arrival = |known: &Known| (known.end.request_suspect(), known.end.request.clone());
+        let mut arrivals: Vec<_> = self.ends.iter().map(arrival).collect();
+        arrivals.sort_unstable();
+        arrivals.dedup();
+        let weight = |known: &Known| {
+            let request = known.end.request_suspect();
+            let is_answered = request.is_some_and(|one| self.is_answered(one, now));
+            let repeats = arrivals.iter().filter(|arrival| arrival.0 == request).count();
+            if is_answered { 0 } else { repeats }
+        };
+        let weights = self.ends.iter().map(weight).enumerate();
+        weights.min_by_key(|(at, weight)| (*weight, *at)).map_or(0, |(at, _)| at)
     }
 
     /// Returns the number of answers with a suspect that went on, at all instances.
@@ -376,6 +460,35 @@
     }
 }
 
+/// The ends that count under requests, by request.
+struct History<'a>(Vec<(Suspect, &'a Known)>);
+
+impl<'a> History<'a> {
+    fn new(known: &[&'a Known]) -> Self {
+        let row = |known: &&'a Known| {
+            let request = known.end.request_suspect().filter(|_| known.end.is_confirmed);
+            request.map(|request| (request, *known))
+        };
+        let mut rows: Vec<_> = known.iter().filter_map(row).collect();
+        rows.sort_unstable_by_key(|row| row.0);
+        Self(rows)
+    }
+
+    /// Returns the ends under a request.
+    fn of(&self, suspect: Suspect) -> &[(Suspect, &'a Known)] {
+        let from = self.0.partition_point(|row| row.0 < suspect);
+        let to = self.0.partition_point(|row| row.0 <= suspect);
+        &self.0[from..to]
+    }
+}
+
+/// Returns the extent of the ends on which the other instances have had time to report.
+fn settled(known: &[(Suspect, &Known)], now: Instant) -> verdict::Extent {
+    let is_settled = |known: &&Known| now >= known.at + WAITING_SETTLING_TIME;
+    let ends = known.iter().map(|row| row.1).filter(is_settled).map(|known| &known.end);
+    verdict::Extent::new(&ends.collect::<Vec<_>>())
+}
+
 /// Returns the number of answers with a suspect, of counts in order of the suspects.
 fn count_of(proofs: &[(Suspect, u32)], suspect: Suspect) -> u32 {
     proofs.binary_search_by_key(&suspect, |row| row.0).map_or(0, |at| proofs[at].1)
--- a/crates/hawthornmount-gateway/src/quarantine/monitor.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/monitor.rs
@@ -53,6 +53,16 @@
         self.update(|quarantine| quarantine.record_proof(suspects, time::now()));
     }
 
+    /// Records an answer to a stream.
+    pub fn record_answered(&self, request: Suspect) {
+        self.quarantine.lock().record_answered(request, time::now());
+    }
+
+    /// Returns whether a request may not be sent again to another server.
+    pub fn is_suspected(&self, request: Suspect) -> bool {
+        self.quarantine.lock().is_suspected(request)
+    }
+
     /// Removes what is too old.
     pub fn expire(&self) {
         self.update(|quarantine| quarantine.expire(time::now()));
@@ -121,6 +131,9 @@
                     suspect.kind(),
                     term.as_secs()
                 ),
+                Change::Suspected(suspect) => {
+                    log::info!("{} is not sent again to other servers; {suspect}", suspect.kind());
+                }
                 Change::Expired(suspect) => {
                     log::info!("{} leaves quarantine; {suspect} cause=time", suspect.kind());
                 }
--- a/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
@@ -16,6 +16,15 @@
 /// Number of times that it has to come for that, as long as others may still explain its ends. Callers
 /// send a sound request again once.
 const MIN_REPEATS: usize = 3;
+/// Number of times that an ambiguous request has to come. Callers send a stream that broke off again a
+/// few times.
+const MIN_AMBIGUOUS_REPEATS: usize = 4;
+/// Number of servers at work on a request that outweigh one at which it may only have waited.
+const WORKED_PER_WAITED: usize = 3;
+/// Number of servers, and of times that it has to come, from which those beside an ambiguous request are
+/// no longer taken for the reason.
+const MIN_CERTAIN_SERVERS: usize = 6;
+const MIN_CERTAIN_REPEATS: usize = 6;
 /// Number of servers that one answer which went on outweighs.
 pub const SERVERS_PER_PROOF: usize = 4;
 /// Number of servers from which it is no coincidence that requests ran beside others.
@@ -28,6 +37,27 @@
     pub proofs: u32,
     /// Whether the other instances have had time to report ends that may explain its own.
     pub is_settled: bool,
+    /// Whether an answer to the request was seen, before its servers ended or since.
+    pub is_answered: bool,
+    /// Ends on which the other instances have had time to report what explains them.
+    pub settled: Extent,
+}
+
+/// Numbers of servers that ended under a suspect, and of the times that it came.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Extent {
+    /// Number of servers.
+    pub servers: usize,
+    /// Number of different ids of requests.
+    pub requests: usize,
+}
+
+impl Extent {
+    /// Counts the servers and the requests of ends.
+    pub fn new(ends: &[&End]) -> Self {
+        let servers = distinct(ends.iter().map(|end| end.server_run())).len();
+        Self { servers, requests: distinct(ends.iter().map(|end| &end.request)).len() }
+    }
 }
 
 /// A suspect with the servers and requests that ended under it.
@@ -36,6 +66,8 @@
     pub suspect: Suspect,
     /// Servers in order.
     pub runs: Vec<ServerRun<'a>>,
+    /// Number of servers among them that were certainly at work on the request.
+    pub worked: usize,
     /// Servers with the requests under which they ended, in order.
     pub ends: Vec<(ServerRun<'a>, &'a RequestId)>,
     /// The ends under it.
@@ -52,14 +84,45 @@
 impl Candidate<'_> {
     /// Returns whether there is enough evidence against the suspect.
     pub fn is_blamed(&self) -> bool {
-        let needed = match self.suspect {
-            _ if self.is_on_probation => (1, 1),
-            Suspect::Part(_) => (MIN_PART_SERVERS, MIN_PART_REQUESTS),
-            Suspect::Request(_) if self.record.is_settled => (MIN_REQUEST_SERVERS, 1),
-            Suspect::Request(_) => (MIN_REQUEST_SERVERS, MIN_REPEATS),
+        let (found, needed) = match self.suspect {
+            _ if self.is_ambiguous() => (self.record.settled, self.needed_if_ambiguous()),
+            _ if self.is_on_probation => (self.extent(), (1, 1)),
+            Suspect::Part(_) => (self.extent(), (MIN_PART_SERVERS, MIN_PART_REQUESTS)),
+            Suspect::Request(_) if self.record.is_settled => {
+                (self.extent(), (MIN_REQUEST_SERVERS, 1))
+            }
+            Suspect::Request(_) => (self.extent(), (MIN_REQUEST_SERVERS, MIN_REPEATS)),
         };
         let servers = needed.0 + SERVERS_PER_PROOF * self.record.proofs as usize;
-        self.runs.len() >= servers && self.requests >= needed.1
+        found.servers >= servers && found.requests >= needed.1
+    }
+
+    /// Returns the numbers of servers and of requests that are needed to blame an ambiguous request.
+    const fn needed_if_ambiguous(&self) -> (usize, usize) {
+        if self.is_on_probation { (2, 2) } else { (MIN_REQUEST_SERVERS, MIN_AMBIGUOUS_REPEATS) }
+    }
+
+    /// Returns whether the request may be sound: it may only have waited at servers that ended, or was
+    /// answered.
+    pub const fn is_ambiguous(&self) -> bool {
+        if matches!(self.suspect, Suspect::Part(_)) {
+            return false;
+        }
+        let waited = self.runs.len() - self.worked;
+        self.record.is_answered || waited * WORKED_PER_WAITED >= self.worked
+    }
+
+    /// Returns the servers that ended under it, and how often it came.
+    pub const fn extent(&self) -> Extent {
+        Extent { servers: self.runs.len(), requests: self.requests }
+    }
+
+    /// Returns whether an ambiguous request came so often, and so many servers ended under it, that it is no
+    /// coincidence.
+    pub const fn is_certain(&self) -> bool {
+        !self.record.is_answered
+            && self.runs.len() >= MIN_CERTAIN_SERVERS
+            && self.requests >= MIN_CERTAIN_REPEATS
     }
 
     /// Returns whether a request has the part that `other` is, or the other way round.
@@ -81,8 +144,8 @@
     Id(&'a RequestId),
 }
 
-/// Returns the suspects against which there is enough evidence, in their order. Those in `probation`
-/// were in quarantine before.
+/// Returns the suspects under which several servers ended, in their order. Those in `probation` were in
+/// quarantine before, so that one is enough.
 pub fn candidates<'a>(
     ends: &[&'a End],
     probation: &[Suspect],
@@ -100,6 +163,7 @@
         ends.sort_unstable();
         Some(Candidate {
             suspect,
+            worked: worked(suspect, &rows),
             runs,
             ends,
             requests: count_requests(suspect, &evidence),
@@ -109,7 +173,7 @@
             record: record(suspect),
         })
     };
-    groups(ends).into_iter().filter_map(candidate).filter(Candidate::is_blamed)
+    groups(ends).into_iter().filter_map(candidate)
 }
 
 /// Returns the suspects of ends with the number of servers that ended under each, in their order.
@@ -140,10 +204,17 @@
 
 /// Returns the runs of the servers that ended, in order.
 fn runs<'a>(rows: &[Row<'a>]) -> Vec<ServerRun<'a>> {
-    let mut runs: Vec<_> = rows.iter().map(|row| row.end.server_run()).collect();
-    runs.sort_unstable();
-    runs.dedup();
-    runs
+    distinct(rows.iter().map(|row| row.end.server_run()))
+}
+
+/// Returns the number of servers that were certainly at work on a request when they ended; parts are not
+/// counted.
+fn worked(suspect: Suspect, rows: &[Row<'_>]) -> usize {
+    if matches!(suspect, Suspect::Part(_)) {
+        return 0;
+    }
+    let worked = rows.iter().filter(|row| row.end.waiting.is_none());
+    distinct(worked.map(|row| row.end.server_run())).len()
 }
 
 /// Returns in how many different requests a part is, or how often a request came.
@@ -151,18 +222,19 @@
     let evidence = evidence.iter();
     match suspect {
         // The same request is not different because its caller sent it again.
-        Suspect::Part(_) => count(evidence.map(|end| match end.digest {
+        Suspect::Part(_) => distinct(evidence.map(|end| match end.digest {
             Some(digest) => Identity::Digest(digest),
             None => Identity::Id(&end.request),
-        })),
-        Suspect::Request(_) => count(evidence.map(|end| &end.request)),
+        }))
+        .len(),
+        Suspect::Request(_) => distinct(evidence.map(|end| &end.request)).len(),
     }
 }
 
-/// Returns the number of different items.
-fn count<T: Ord>(items: impl Iterator<Item = T>) -> usize {
+/// Returns the different items, in order.
+pub fn distinct<T: Ord>(items: impl Iterator<Item = T>) -> Vec<T> {
     let mut items: Vec<T> = items.collect();
     items.sort_unstable();
     items.dedup();
-    items.len()
+    items
 }
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the quarantine of prompt parts that end servers, on simulated time.
 
+mod exchange;
 mod fleet;
 mod request;
+mod stream;
 
 use {
     hawthornmount_gateway::{
@@ -29,7 +31,8 @@
 
 fn end(server: &str, request: &str, parts: &[PartId]) -> End {
     let (server, request) = (server.into(), request.into());
-    End { server, start_ms: 1, request, parts: parts.to_vec(), digest: None, is_confirmed: false }
+    let parts = parts.to_vec();
+    End { server, start_ms: 1, request, parts, digest: None, waiting: None, is_confirmed: false }
 }
 
 /// Ends, each as its server, request and parts.
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
@@ -30,6 +30,7 @@
         request: request.into(),
         parts: parts.to_vec(),
         digest: Some(digest),
+        waiting: None,
         is_confirmed: true,
     }
 }
@@ -109,6 +110,7 @@
     let record = |suspect| Record {
         proofs: case.proofs.iter().find(|proof| proof.0 == suspect).map_or(0, |proof| proof.1),
         is_settled: case.is_settled,
+        ..Record::default()
     };
     let verdict = verdict::judge(&ends.iter().collect::<Vec<_>>(), &[], record);
     let blamed: Vec<Suspect> = verdict.blamed.iter().map(|one| one.suspect).collect();
