--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
@@ -189,3 +189,80 @@
     let bytes = serde_json::to_vec(&report).expect("a report is encoded").len();
     assert!(bytes <= 16 << 10, "{bytes} bytes");
 }
+
+struct Waiting {
+    /// Ends at which requests may only have waited, each as its server, the id and the digest.
+    ends: &'static [(&'static str, &'static str, Digest)],
+    answered: &'static [Digest],
+    is_suspected: bool,
+    is_blamed: bool,
+}
+
+/// Guards against a quarantine of sound requests that only waited at servers that ended (LOST).
+#[rstest]
+#[case::two_servers(Waiting {
+    ends: &[("a", "r", DEADLY), ("b", "s", DEADLY), ("b", "t", DEADLY), ("b", "u", DEADLY)],
+    answered: &[], is_suspected: false, is_blamed: false,
+})]
+#[case::came_three_times(Waiting {
+    ends: &[("a", "r", DEADLY), ("b", "r", DEADLY), ("c", "s", DEADLY), ("d", "t", DEADLY)],
+    answered: &[], is_suspected: true, is_blamed: false,
+})]
+#[case::came_four_times(Waiting {
+    ends: &[("a", "r", DEADLY), ("b", "s", DEADLY), ("c", "t", DEADLY), ("c", "u", DEADLY)],
+    answered: &[], is_suspected: true, is_blamed: true,
+})]
+#[case::beside_another_at_all_servers_but_one(Waiting {
+    ends: &[
+        ("a", "r", DEADLY), ("b", "s", DEADLY), ("c", "t", DEADLY), ("d", "u", DEADLY),
+        ("a", "v", SOUND), ("b", "v", SOUND), ("c", "v", SOUND),
+    ],
+    answered: &[], is_suspected: true, is_blamed: false,
+})]
+#[case::beside_an_answered_one(Waiting {
+    ends: &[
+        ("a", "r", DEADLY), ("b", "s", DEADLY), ("c", "t", DEADLY), ("d", "u", DEADLY),
+        ("a", "v", SOUND), ("b", "v", SOUND), ("c", "v", SOUND),
+    ],
+    answered: &[SOUND], is_suspected: true, is_blamed: true,
+})]
+#[case::answered_and_alone_at_half(Waiting {
+    ends: &[
+        ("a", "r", DEADLY), ("b", "s", DEADLY), ("c", "t", DEADLY), ("d", "u", DEADLY),
+        ("a", "v", SOUND), ("b", "w", OTHER_SOUND),
+    ],
+    answered: &[DEADLY], is_suspected: true, is_blamed: false,
+})]
+#[case::answered_and_alone(Waiting {
+    ends: &[
+        ("a", "r", DEADLY), ("b", "s", DEADLY), ("c", "t", DEADLY), ("d", "u", DEADLY),
+        ("a", "v", SOUND),
+    ],
+    answered: &[DEADLY], is_suspected: true, is_blamed: true,
+})]
+fn request_that_may_have_waited_is_suspected_before_it_is_blamed(#[case] case: Waiting) {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new("one".into(), now);
+    for digest in case.answered {
+        quarantine.record_answered(Request(*digest), now);
+    }
+    for (server, request, digest) in case.ends {
+        let waiting = End { digest: None, waiting: Some(*digest), ..end(server, request, 0, &[]) };
+        quarantine.record_end(waiting, now);
+    }
+    assert_eq!(quarantine.is_suspected(Request(DEADLY)), case.is_suspected);
+    assert_eq!(quarantine.find([Request(DEADLY)], now), None, "others may explain it");
+    let later = now + Duration::from_secs(3);
+    quarantine.expire(later);
+    assert_eq!(quarantine.find([Request(DEADLY)], later).is_some(), case.is_blamed);
+    assert_eq!(quarantine.find([Request(SOUND)], later), None);
+}
+
+/// Builds that take every request for a running one find no digest in such an end.
+#[test]
+fn end_of_a_request_that_may_have_waited_has_no_digest_for_older_builds() {
+    let waiting = End { digest: None, waiting: Some(SOUND), ..end("a", "r", 0, &[]) };
+    let value = serde_json::to_value(&waiting).expect("an end is encoded");
+    assert_eq!(value.get("digest"), None);
+    assert_eq!(serde_json::from_value::<End>(value).expect("an end is decoded"), waiting);
+}
