Bound what clients may take: memory and connections of a process

A body that arrives was bounded alone, the sum of all was not; nothing bounded the connections of a listener, the bytes that wait in their sockets, or the buffers in which hyper reads, which double up to 256 KiB for whoever sends fast.

- capacity: everything that is kept for a client is a holding of one capacity: its connection, a body, an answer.
If there is no room, what makes no progress yields, by the memory that it takes times the time for which it does; nothing yields in vain.
- A body is copied into one buffer and not kept as the frames that arrived, of which each held a handle and its part of a read buffer.
The memory of an announced length is held at once and used as bytes arrive.
- One read takes less than 16 KiB.
- The settings memory_mb (88) and file_descriptors (those of the process).

Nothing uses the capacity yet.

--- a/crates/hawthornmount-core/src/settings/check.rs
+++ b/crates/hawthornmount-core/src/settings/check.rs
@@ -1,7 +1,7 @@
 //! Validation of the settings: names, addresses and ranges.
 
 use {
-    super::{Problem, Settings},
+    super::{MIN_FILE_DESCRIPTORS, MIN_MEMORY_MB, Problem, Settings},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -69,12 +69,27 @@
         let remedy = format!("give at most {}", MAX_DRAIN.as_millis());
         problems.push(Problem::new("drain_ms", "is too long", &remedy));
     }
+    problems.extend(check_machine(settings.memory_mb, settings.file_descriptors));
     if !LOG_LEVELS.contains(&&*settings.log) {
         let remedy = format!("use {}", LOG_LEVELS.join(", "));
         problems.push(Problem::new("log", "is not a level", &remedy));
     }
 }
 
+/// Returns the problems of the settings that state what a machine has.
+pub fn check_machine(memory_mb: u32, file_descriptors: Option<u32>) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    if memory_mb < MIN_MEMORY_MB {
+        let remedy = format!("give at least {MIN_MEMORY_MB}");
+        problems.push(Problem::new("memory_mb", "is too small", &remedy));
+    }
+    if file_descriptors.is_some_and(|number| number < MIN_FILE_DESCRIPTORS) {
+        let remedy = format!("give at least {MIN_FILE_DESCRIPTORS}");
+        problems.push(Problem::new("file_descriptors", "is too small", &remedy));
+    }
+    problems
+}
+
 /// Returns whether two listen addresses conflict. Port 0 never does, because it stands for any free
 /// port.
 fn conflict(a: SocketAddr, b: SocketAddr) -> bool {
--- a/crates/hawthornmount-core/src/settings/mod.rs
+++ b/crates/hawthornmount-core/src/settings/mod.rs
@@ -3,6 +3,8 @@
 mod check;
 pub mod schema;
 
+pub use check::check_machine;
+
 use {
     crate::id::{DataCentreId, InstanceId, RegionId},
     derive_more::{Display, Error},
@@ -12,6 +14,13 @@
     std::{io, net::SocketAddr, path::Path, path::PathBuf, sync::Arc, time::Duration},
 };
 
+/// Memory of a machine if the settings state none, in megabytes.
+pub const DEFAULT_MEMORY_MB: u32 = 88;
+/// Smallest memory with which an instance can work, in megabytes.
+pub const MIN_MEMORY_MB: u32 = 48;
+/// Smallest number of descriptors with which an instance can work.
+pub const MIN_FILE_DESCRIPTORS: u32 = 128;
+
 /// Examples and validation of an instance's settings.
 const SCHEMA: Schema<Settings> = Schema { example: schema::example, check: check::check };
 
@@ -55,6 +64,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(default = "default_drain", rename = "drain_ms")]
     pub drain: Duration,
+    /// Memory of the machine, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
+    /// Number of descriptors that the process may open; those that the operating system allows if absent.
+    #[serde(default)]
+    pub file_descriptors: Option<u32>,
     /// Log level: error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log: Arc<str>,
@@ -133,6 +148,10 @@
     Duration::from_secs(30)
 }
 
+const fn default_memory_mb() -> u32 {
+    DEFAULT_MEMORY_MB
+}
+
 fn default_level() -> Arc<str> {
     "info".into()
 }
--- a/crates/hawthornmount-core/src/settings/schema.rs
+++ b/crates/hawthornmount-core/src/settings/schema.rs
@@ -126,6 +126,8 @@
         "fleet_key" => json!("at least sixteen characters"),
         "traffic_threads" => json!(2),
         "drain_ms" => json!(30_000),
+        "memory_mb" => json!(260),
+        "file_descriptors" => json!(4_100),
         "log" => json!("info"),
         _ => Value::Null,
     }
--- a/crates/hawthornmount-demo/src/deployment/mod.rs
+++ b/crates/hawthornmount-demo/src/deployment/mod.rs
@@ -4,7 +4,11 @@
 
 use {
     derive_more::{Display, Error, From},
-    hawthornmount_core::{id, merge, settings::Settings, snapshot::Health},
+    hawthornmount_core::{
+        id, merge,
+        settings::{DEFAULT_MEMORY_MB, Settings},
+        snapshot::Health,
+    },
     hawthornmount_entry::{Instance, instance},
     hawthornmount_fleet::config::{self, ApplyError},
     hawthornmount_http::server::ListenError,
@@ -300,6 +304,8 @@
         old_fleet_keys: Vec::new(),
         traffic_threads: 1,
         drain: Duration::from_secs(1),
+        memory_mb: DEFAULT_MEMORY_MB,
+        file_descriptors: None,
         log: "warn".into(),
     }
 }
--- a/crates/hawthornmount-http/src/body/mod.rs
+++ b/crates/hawthornmount-http/src/body/mod.rs
@@ -1,4 +1,8 @@
-//! Constructors of streamed and of failing bodies.
+//! Constructors of streamed and of failing bodies, and bodies that keep a guard.
+
+mod guarded;
+
+pub use guarded::Guarded;
 
 use {
     crate::Body, bytes::Bytes, futures::stream, http_body::Frame, std::error::Error,
--- a/crates/hawthornmount-http/src/connection/meter.rs
+++ b/crates/hawthornmount-http/src/connection/meter.rs
@@ -22,6 +22,10 @@
 /// read takes at most as many bytes as a head may have.
 pub const MAX_PIECE_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
+/// Largest number of bytes that are taken in one read. The buffer of a connection doubles with each read
+/// that fills it, and would grow to the size of a head for everybody who sends fast.
+const MAX_READ_BYTES: usize = (16 << 10) - 1;
+
 /// Bytes that the other end may still send.
 #[derive(Clone, Debug, Default)]
 pub struct Allowance(Arc<Counters>);
@@ -35,6 +39,13 @@
 }
 
 impl Allowance {
+    /// Allows any number of bytes.
+    pub fn unbounded() -> Self {
+        let allowance = Self::default();
+        allowance.set_whole(usize::MAX);
+        allowance
+    }
+
     /// Allows `total` bytes for the next head, body or event.
     pub fn set(&self, total: usize) {
         self.0.total.store(total, Ordering::Relaxed);
@@ -96,9 +107,12 @@
             );
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.allowance.take(buffer.filled().len() - before);
+        let wanted = buffer.remaining().min(MAX_READ_BYTES);
+        let mut piece = ReadBuf::new(buffer.initialize_unfilled_to(wanted));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut piece))?;
+        let length = piece.filled().len();
+        buffer.advance(length);
+        self.allowance.take(length);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -7,9 +7,10 @@
 pub mod meter;
 
 use {
+    crate::capacity::{self, Capacity, SOCKET_BUFFER_BYTES, Stage, body::Buffer},
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
-    http_body::Frame,
+    http_body::{Body, Frame},
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
@@ -20,7 +21,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, task::AbortHandle},
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        task::AbortHandle,
+    },
 };
 
 /// Largest head of a response, in bytes.
@@ -87,7 +91,7 @@
     ///
     /// Returns [`Failure::Unsent`] if the server does not accept the connection within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        let stream = match tokio::time::timeout(timeout, connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(Failure::unsent(&error)),
             Err(elapsed) => return Err(Failure::unsent(&elapsed)),
@@ -144,6 +148,46 @@
         self.read_pieces(body, limit, None).await
     }
 
+    /// Reads a body like [`Connection::read_body`], and waits for room in the capacity: at once for an
+    /// announced length, else as the body arrives. The memory is given back with the last copy of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Broken`] as [`Connection::read_body`] does.
+    pub async fn read_held_body(
+        &self,
+        body: &mut Incoming,
+        limit: usize,
+        capacity: &Capacity,
+    ) -> Result<Bytes, Failure> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        self.allow(limit);
+        let broken = |error: capacity::body::Failure| Failure::broken(&error);
+        let mut buffer = Buffer::new(capacity, limit).map_err(broken)?;
+        buffer.holding().set_stage(Stage::Busy);
+        let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+        let mut wanted = announced.filter(|length| *length <= limit);
+        loop {
+            if let Some(size) = wanted.take() {
+                let held = buffer.holding().resize_when_free(size).await;
+                held.map_err(|shortage| Failure::broken(&shortage))?;
+                buffer.set_held(size);
+            }
+            let Some(frame) = self.read_frame(body).await else { break };
+            let frame = frame.map_err(|error| Failure::broken(&error))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if let Some(size) = buffer.growth(data.len()).map_err(broken)? {
+                let held = buffer.holding().resize_when_free(size).await;
+                held.map_err(|shortage| Failure::broken(&shortage))?;
+                buffer.set_held(size);
+            }
+            buffer.push(&data);
+        }
+        buffer.finish().map_err(broken)
+    }
+
     /// Reads a body of at most `limit` bytes to its end, however long that takes, as long as it arrives
     /// at the rate `pace`.
     ///
@@ -255,6 +299,13 @@
     }
 }
 
+/// Opens a connection whose unread bytes are bounded in the kernel.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.connect(address).await
+}
+
 /// Returns whether an address refuses connections, which means that no process listens there any
 /// more. An address that does not answer within `timeout` may only be out of reach.
 pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
--- a/crates/hawthornmount-http/src/lib.rs
+++ b/crates/hawthornmount-http/src/lib.rs
@@ -3,10 +3,13 @@
 //! The server passes every request to one [`server::Handler`]. The client sends to socket addresses
 //! and reports whether a failed request may have reached the server. [`connection`] provides single
 //! connections over hyper, for code that has to control which connection carries a request.
+//! [`capacity`] bounds what clients may take, and [`listener`] accepts their connections.
 
 pub mod body;
+pub mod capacity;
 pub mod client;
 pub mod connection;
+pub mod listener;
 pub mod server;
 
 pub use {
