Keep the bodies of callers and the answers of servers within the memory

Callers saw a process that ended, out of memory, and with it all its requests.

Cause: each body that arrived was bounded by the limit of the configuration (4 MiB), the sum of all was not. A frame of a body kept a handle and its part of a read buffer, so that small chunks took several times what they contained. An answer of up to 4 MiB was held for each caller that did not read it.

Why it works: the body is held within one capacity before it is kept, and given back with the last copy, which retries, hedges and a pass to another instance share. What stalls or drips yields to what arrives; the caller gets 503 with Retry-After and reason no_room, nothing was sent to a server. Answers wait for room. A body that is announced as too long is refused at once. Idle connections to servers are bounded over all servers. A single body that exceeds the memory is served alone, and the log says so.

--- a/crates/hawthornmount-core/src/problem/mod.rs
+++ b/crates/hawthornmount-core/src/problem/mod.rs
@@ -113,6 +113,7 @@
         | Refusal::StoreUnavailable
         | Refusal::UsageBacklog
         | Refusal::NotReady
+        | Refusal::NoRoom
         | Refusal::Stopping
         | Refusal::Quarantined
         | Refusal::SessionLost => 503,
--- a/crates/hawthornmount-core/src/reason/mod.rs
+++ b/crates/hawthornmount-core/src/reason/mod.rs
@@ -56,6 +56,8 @@
         OverShare = "over_share",
         /// The fleet is at capacity.
         Overloaded = "overloaded",
+        /// The instance has no memory left for the body.
+        NoRoom = "no_room",
         /// The deadline can't be met.
         Deadline = "deadline",
         /// The service requires an `Idempotency-Key` header.
--- a/crates/hawthornmount-gateway/src/filter/mod.rs
+++ b/crates/hawthornmount-gateway/src/filter/mod.rs
@@ -82,7 +82,7 @@
         Box::new(admission::Admission::new(components)),
         Box::new(routing::Routing::new(components)),
         Box::new(authentication::Authentication::new(components)),
-        Box::new(buffering::Buffering),
+        Box::new(buffering::Buffering::new(components)),
         Box::new(forwarding::Forwarding::new(components)),
     ]
 }
--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -29,6 +29,7 @@
         adaptation::Adaptation,
         budget::{Budget, Cause},
         cascade::{self, Estimate},
+        clients::Clients,
         filter::{Body, Exchange, Response},
         freshness::Freshness,
         limit,
@@ -62,7 +63,7 @@
         reason::{Refusal, Retry},
         table::Table,
     },
-    hawthornmount_http::StatusCode,
+    hawthornmount_http::{StatusCode, capacity::Capacity},
     http::header,
     http_body_util::BodyExt,
     parking_lot::Mutex,
@@ -92,6 +93,7 @@
     dialect: Arc<dyn Dialect>,
     metrics: Metrics,
     pool: Pool,
+    capacity: Capacity,
     loads: Arc<Mutex<Tracker>>,
     prefill_times: Mutex<PrefillTimes>,
     adaptation: Adaptation,
@@ -121,6 +123,7 @@
         freshness: Arc<Freshness>,
         dialect: Arc<dyn Dialect>,
         metrics: Metrics,
+        clients: &Clients,
     ) -> Self {
         let quarantine = Monitor::new(settings.instance.clone(), metrics.clone());
         let limits = limit::monitor::Monitor::new(settings.instance.clone(), metrics.clone())
@@ -132,7 +135,8 @@
             freshness,
             dialect,
             metrics,
-            pool: Pool::default(),
+            pool: Pool::new(clients.idle_servers()),
+            capacity: clients.capacity().clone(),
             loads: Arc::default(),
             prefill_times: Mutex::default(),
             adaptation,
--- a/crates/hawthornmount-gateway/src/forward/response.rs
+++ b/crates/hawthornmount-gateway/src/forward/response.rs
@@ -210,7 +210,8 @@
 
     /// Reads a body of at most `limit` bytes to its end and returns its connection to the pool.
     async fn read_body(&self, mut upstream: Upstream, limit: usize) -> Result<Bytes, String> {
-        let read = upstream.connection.read_body(&mut upstream.body, limit).await;
+        let read =
+            upstream.connection.read_held_body(&mut upstream.body, limit, &self.capacity).await;
         let bytes = read.map_err(|failure| failure.cause().to_string())?;
         upstream.finish(self);
         Ok(bytes)
--- a/crates/hawthornmount-gateway/src/frontend/response.rs
+++ b/crates/hawthornmount-gateway/src/frontend/response.rs
@@ -2,15 +2,10 @@
 
 use {
     crate::{filter::Response, forward::full_body},
-    bytes::Bytes,
     hawthornmount_core::{problem::Problem, reason::Refusal},
+    hawthornmount_http::body::Guarded,
     http::{HeaderValue, StatusCode, header},
-    http_body::{Body, Frame, SizeHint},
     http_body_util::BodyExt,
-    std::{
-        pin::Pin,
-        task::{Context, Poll},
-    },
 };
 
 /// Value of the `Connection` header that closes the connection after the response.
@@ -46,31 +41,5 @@
 
 /// Keeps a guard of the request until the body of its response is sent or dropped.
 pub fn with_guard<G: Send + Unpin + 'static>(response: Response, guard: G) -> Response {
-    response.map(|body| Guarded { body, _guard: guard }.boxed_unsync())
-}
-
-/// Body that holds a guard of its request.
-struct Guarded<B, G> {
-    body: B,
-    _guard: G,
-}
-
-impl<B: Body<Data = Bytes> + Unpin, G: Unpin> Body for Guarded<B, G> {
-    type Data = Bytes;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
+    response.map(|body| Guarded::new(body, guard).boxed_unsync())
 }
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clients::Clients,
         follow::{self, Follower, State},
         forward::Forwarder,
         freshness::Freshness,
@@ -66,6 +67,8 @@
     pub settings: Settings,
     /// Metrics.
     pub metrics: Metrics,
+    /// Memory and connections for clients.
+    pub clients: Clients,
     /// View of configuration and servers.
     pub cell: Arc<Cell>,
     /// Age of the configuration.
@@ -144,6 +147,7 @@
     /// Creates the shared components of a gateway.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, dialect: Arc<dyn Dialect>) -> Self {
         let metrics = Metrics::new();
+        let clients = Clients::new(&settings);
         let cell = Arc::new(Cell::default());
         let freshness = Arc::new(Freshness::new(clock, settings.revocation, settings.propagation));
         let forwarder = Forwarder::new(
@@ -152,10 +156,12 @@
             freshness.clone(),
             dialect.clone(),
             metrics.clone(),
+            &clients,
         );
         Self {
             settings,
             metrics,
+            clients,
             cell,
             freshness,
             forwarder: Arc::new(forwarder),
--- a/crates/hawthornmount-gateway/src/lib.rs
+++ b/crates/hawthornmount-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balancing;
 pub mod budget;
 pub mod cascade;
+pub mod clients;
 pub mod evacuation;
 pub mod filter;
 pub mod follow;
--- a/crates/hawthornmount-gateway/src/pool/mod.rs
+++ b/crates/hawthornmount-gateway/src/pool/mod.rs
@@ -28,12 +28,18 @@
 }
 
 /// Idle connections, sorted by the ids of their servers.
-#[derive(Default)]
 pub struct Pool {
     rows: Mutex<Vec<ServerConnections>>,
+    /// Largest number of idle connections to all servers.
+    max_idle: usize,
 }
 
 impl Pool {
+    /// Creates a pool of at most `max_idle` connections.
+    pub const fn new(max_idle: usize) -> Self {
+        Self { rows: Mutex::new(Vec::new()), max_idle }
+    }
+
     /// Takes the most recently used connection to a server, if there is one that can be reused.
     pub fn take(&self, server: &ServerId) -> Option<Connection> {
         let now = Instant::now();
@@ -69,6 +75,9 @@
         if idle.len() > MAX_IDLE_PER_SERVER {
             idle.remove(0);
         }
+        if rows.iter().map(|row| row.idle.len()).sum::<usize>() > self.max_idle {
+            remove_first_to_expire(&mut rows);
+        }
     }
 
     /// Closes the idle connections to the servers for which `is_removed` is true.
@@ -87,3 +96,18 @@
         rows.retain(|row| !row.idle.is_empty() && is_known(&row.server));
     }
 }
+
+/// Closes the connection that expires before all others.
+fn remove_first_to_expire(rows: &mut [ServerConnections]) {
+    let first = rows
+        .iter_mut()
+        .flat_map(|row| {
+            let idle = &row.idle;
+            let at = (0..idle.len()).min_by_key(|at| idle[*at].expires)?;
+            Some((idle[at].expires, at, row))
+        })
+        .min_by_key(|(expires, ..)| *expires);
+    if let Some((_, at, row)) = first {
+        row.idle.remove(at);
+    }
+}
--- a/crates/hawthornmount-gateway/src/settings/check.rs
+++ b/crates/hawthornmount-gateway/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Settings,
-    hawthornmount_core::settings::{Problem, schema::Schema},
+    hawthornmount_core::settings::{Problem, check_machine, schema::Schema},
     serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
 };
@@ -40,6 +40,8 @@
         "exposure_slack" => json!(30),
         "retries" => json!({ "ratio": 0.9, "slack": 50, "window_ms": 10_000 }),
         "grace_ms" => json!(8_000),
+        "memory_mb" => json!(260),
+        "file_descriptors" => json!(4_100),
         "log" => json!("info"),
         _ => Value::Null,
     }
@@ -125,6 +127,7 @@
             "give the time until the process is killed",
         ));
     }
+    problems.extend(check_machine(settings.memory_mb, settings.file_descriptors));
     if !LEVELS.contains(&&*settings.log) {
         let remedy = format!("use {}", LEVELS.join(", "));
         problems.push(Problem::new("log", "is not a level", &remedy));
--- a/crates/hawthornmount-gateway/src/settings/mod.rs
+++ b/crates/hawthornmount-gateway/src/settings/mod.rs
@@ -6,7 +6,7 @@
     crate::{adaptation, limit::cold::Tolerance},
     hawthornmount_core::{
         id::{DataCentreId, InstanceId, RegionId},
-        settings::{Error, schema},
+        settings::{DEFAULT_MEMORY_MB, Error, schema},
         table::Table,
     },
     serde::{Deserialize, Serialize},
@@ -83,6 +83,12 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "grace_ms")]
     pub grace: Duration,
+    /// Memory of the machine, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
+    /// Number of descriptors that the process may open; those that the operating system allows if absent.
+    #[serde(default)]
+    pub file_descriptors: Option<u32>,
     /// Log level: error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log: Arc<str>,
@@ -132,6 +138,10 @@
     DEFAULT_ALLOWED_EXPOSURE
 }
 
+const fn default_memory_mb() -> u32 {
+    DEFAULT_MEMORY_MB
+}
+
 fn default_level() -> Arc<str> {
     "info".into()
 }
