Bound the connections of callers, and let those yield that do least

Ordinary callers got no answer: 1,500 silent connections, heads without an end or idle connections took all 1,100 descriptors of the process, and none was left for its servers, the store and other instances. Crowds on the listeners for readiness checks and passed requests did the same.

Cause: listeners accepted until no descriptor was left. An unfinished head, what a caller sends behind its request and what it does not read were bounded for each connection only, at 256 KiB and the buffers of the kernel.

Why it works: each listener has a share of the descriptors, so that a crowd on one takes nothing of another one. A connection tells what it does: without a request, idle, receiving a head or a body, not reading, at work. When its listener is full or memory is short, the one that does least for longest is closed, and a new one only if all are at work; a closed connection that was not read can be taken to another instance. The memory of a connection grows with its head, with more that waits behind its request, and with what its caller does not take. Counters: dropped_total{caller, passed_request or operator} by cause; gauges client_connections and client_memory_bytes.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -2,7 +2,6 @@
 
 use {
     super::{
-        accept,
         activity::{Activity, Phase},
         response,
         transport::{HeadTooLarge, Transport},
@@ -18,9 +17,13 @@
         problem::{Execution, Problem},
         reason::Refusal,
     },
-    hawthornmount_http::connection::{
-        describe, linger,
-        meter::{Allowance, Meter},
+    hawthornmount_http::{
+        capacity::{Holding, Shortage, Stage},
+        connection::{
+            describe, linger,
+            meter::{Allowance, Meter},
+        },
+        listener,
     },
     http::{HeaderValue, header, request},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -78,21 +81,50 @@
 pub async fn serve(listener: TcpListener, components: Arc<Components>, origin: Origin) {
     let filters = filter::chain(&components);
     let frontend = Arc::new(Frontend { components, filters, origin });
+    let group = match origin {
+        Origin::Caller => &frontend.components.clients.callers,
+        Origin::Instance => &frontend.components.clients.neighbours,
+    };
     loop {
-        let stream = accept(&listener).await;
-        tokio::spawn(frontend.clone().serve_connection(stream));
+        let stream = listener::accept(&listener).await;
+        match group.admit() {
+            Ok(holding) => {
+                tokio::spawn(frontend.clone().serve_admitted(stream, holding));
+            }
+            // Callers take a connection that is closed unread to another instance.
+            Err(shortage) => frontend.count_shortage(shortage),
+        }
     }
 }
 
 impl Frontend {
+    /// Serves one connection until it ends, or has to yield to others.
+    async fn serve_admitted(self: Arc<Self>, stream: TcpStream, holding: Holding) {
+        let holding = Arc::new(holding);
+        tokio::select! {
+            () = self.clone().serve_connection(stream, &holding) => {}
+            shortage = holding.yielded() => self.count_shortage(shortage),
+        }
+    }
+
+    /// Counts a connection that was closed because something is short.
+    fn count_shortage(&self, shortage: Shortage) {
+        log::debug!("closed a connection of a caller; cause={shortage}");
+        let part = match self.origin {
+            Origin::Caller => PART,
+            Origin::Instance => PASSED_PART,
+        };
+        self.components.metrics.count_drop(part, &shortage.to_string());
+    }
+
     /// Serves one connection until it reaches a time limit of the configuration in force. When the
     /// instance stops, requests that arrive or are in flight are completed before the connection is
     /// closed.
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, holding: &Arc<Holding>) {
         let limits = self.limits();
         let allowance = Allowance::default();
         allowance.set_whole(max_request_bytes(&limits));
-        let activity = Activity::new(self.components.serving.clone());
+        let activity = Activity::new(self.components.serving.clone(), holding.clone());
         let meter = Meter::new(stream, allowance.clone());
         let extra_head = match self.origin {
             Origin::Caller => 0,
@@ -121,6 +153,8 @@
         if let Some(error) = &error {
             self.report_end(&activity, &describe(error));
         }
+        // What the caller still sends is only discarded.
+        holding.set_stage(Stage::Idle);
         let into_stream = || connection.into_parts().io.into_inner().into_inner();
         if error.as_ref().is_some_and(|error| HeadTooLarge::is_cause_of(error)) {
             linger::send(into_stream(), HEAD_TOO_LARGE).await;
@@ -228,7 +262,7 @@
             response: None,
         };
         let outcome = match admitted {
-            Ok(()) => self.run(&mut exchange).await,
+            Ok(()) => self.run(&mut exchange, activity).await,
             Err(problem) => Err(problem),
         };
         let has_unread_body = exchange.has_unread_body();
@@ -307,9 +341,12 @@
     }
 
     /// Applies the filters to a request and returns the response.
-    async fn run(&self, exchange: &mut Exchange) -> Result<Response, Problem> {
+    async fn run(&self, exchange: &mut Exchange, activity: &Activity) -> Result<Response, Problem> {
         for filter in &self.filters {
             filter.apply(exchange).await?;
+            if exchange.incoming.is_none() {
+                activity.set_whole_body();
+            }
         }
         Ok(exchange.response.take().unwrap_or_else(response::no_response))
     }
--- a/crates/hawthornmount-gateway/src/frontend/mod.rs
+++ b/crates/hawthornmount-gateway/src/frontend/mod.rs
@@ -13,15 +13,16 @@
     crate::instance::Components,
     bytes::Bytes,
     derive_more::{Display, Error},
+    hawthornmount_http::{capacity::Group, listener},
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::net::{TcpListener, TcpStream},
+    tokio::net::TcpListener,
 };
 
-/// Delay before connections are accepted again after an error.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Name of the connections from operators among the parts that drop something.
+const OPERATORS_PART: &str = "operator";
 /// Time in which the head of a request for readiness or metrics has to arrive, and after which an
 /// idle connection is closed.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(10);
@@ -47,51 +48,44 @@
 /// # Errors
 ///
 /// Returns an error if the address can't be listened on.
-pub async fn listen(address: SocketAddr) -> Result<Bound, ListenError> {
+pub fn listen(address: SocketAddr) -> Result<Bound, ListenError> {
     let failed = |source| ListenError { address, source };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let listener = listener::listen(address).map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     Ok(Bound { address, listener })
 }
 
-/// Accepts the next connection.
-pub async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!(
-                        "TCP_NODELAY can't be set, small writes may be delayed; cause={error}"
-                    );
-                }
-                return stream;
-            }
-            Err(error) => {
-                log::warn!(
-                    "connection can't be accepted, raise the limit on open files; cause={error}"
-                );
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 /// Serves the readiness check of the load balancer and the metrics for operators; never returns.
-pub async fn serve_operators(listener: TcpListener, components: Arc<Components>) {
+pub async fn serve_operators(listener: TcpListener, components: Arc<Components>, group: Group) {
     loop {
-        let stream = accept(&listener).await;
-        let components = components.clone();
+        let stream = listener::accept(&listener).await;
+        let holding = match group.admit() {
+            Ok(holding) => holding,
+            Err(shortage) => {
+                components.metrics.count_drop(OPERATORS_PART, &shortage.to_string());
+                continue;
+            }
+        };
+        let serving = components.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let response = operator_response(&components, request.uri().path());
+            let response = operator_response(&serving, request.uri().path());
             async move { Ok::<_, Infallible>(response) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(OPERATOR_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
+        let metrics = components.metrics.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection from an operator failed; cause={error}");
+            tokio::select! {
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("connection from an operator failed; cause={error}");
+                    }
+                }
+                shortage = holding.yielded() => {
+                    metrics.count_drop(OPERATORS_PART, &shortage.to_string());
+                }
             }
         });
     }
@@ -100,6 +94,13 @@
 /// Returns the metrics at `/metrics`, and the readiness of the instance at any other path.
 fn operator_response(components: &Components, path: &str) -> Response<Full<Bytes>> {
     if path == "/metrics" {
+        let usage = components.clients.capacity().usage();
+        let gauges = &components.metrics.gauges;
+        for (name, value) in
+            [("client_connections", usage.connections), ("client_memory_bytes", usage.bytes)]
+        {
+            gauges.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
         return Response::new(Full::from(components.metrics.encode()));
     }
     let mut response = Response::new(Full::default());
--- a/crates/hawthornmount-gateway/src/frontend/transport.rs
+++ b/crates/hawthornmount-gateway/src/frontend/transport.rs
@@ -71,7 +71,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let Some(received) = self.activity.head_bytes() else {
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+            self.activity.record_more(buffer.filled().len() - before);
+            return Poll::Ready(Ok(()));
         };
         let limit = self.cell.load().rules.limits.head_bytes + self.extra_head;
         if received >= limit {
@@ -82,8 +85,7 @@
         ready!(Pin::new(&mut self.stream).poll_read(context, &mut piece))?;
         let length = piece.filled().len();
         buffer.advance(length);
-        self.activity.record_read(length);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.activity.record_read(length).map_err(io::Error::other))
     }
 }
 
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -203,8 +203,8 @@
         adapters: Adapters,
     ) -> Result<Self, Error> {
         let components = Arc::new(Components::new(settings, clock, adapters.dialect));
-        let callers = frontend::listen(components.settings.callers).await?;
-        let readiness = frontend::listen(components.settings.readiness).await?;
+        let callers = frontend::listen(components.settings.callers)?;
+        let readiness = frontend::listen(components.settings.readiness)?;
         let (callers_address, readiness_address) = (callers.address, readiness.address);
         let mut tasks = vec![
             tokio::spawn(frontend::serve_requests(
@@ -212,7 +212,11 @@
                 components.clone(),
                 Origin::Caller,
             )),
-            tokio::spawn(frontend::serve_operators(readiness.listener, components.clone())),
+            tokio::spawn(frontend::serve_operators(
+                readiness.listener,
+                components.clone(),
+                components.clients.readiness.clone(),
+            )),
             tokio::spawn(sweep(components.forwarder.clone())),
             tokio::spawn({
                 let forwarder = components.forwarder.clone();
@@ -220,10 +224,11 @@
             }),
         ];
         if let Some(address) = components.settings.operators {
-            let operators = frontend::listen(address).await?;
+            let operators = frontend::listen(address)?;
             tasks.push(tokio::spawn(frontend::serve_operators(
                 operators.listener,
                 components.clone(),
+                components.clients.operators.clone(),
             )));
         }
         let settings = &components.settings;
@@ -243,7 +248,7 @@
             },
         );
         let peers = match components.settings.peers {
-            Some(address) => Some(frontend::listen(address).await?),
+            Some(address) => Some(frontend::listen(address)?),
             None => None,
         };
         if let Some(bound) = &peers {
@@ -257,7 +262,7 @@
             }));
         }
         let passed = match components.settings.neighbours {
-            Some(address) => Some(frontend::listen(address).await?),
+            Some(address) => Some(frontend::listen(address)?),
             None => None,
         };
         let passed_requests = passed.as_ref().map(|bound| bound.address);
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -8,10 +8,11 @@
             Response, Update,
         },
     },
-    crate::{follow::replica::Cursor, frontend, rollout::driver, time},
+    crate::{follow::replica::Cursor, rollout::driver, time},
     bytes::Bytes,
     hawthornmount_core::id::InstanceId,
     hawthornmount_fleet::wire::{Keyring, Reject},
+    hawthornmount_http::listener,
     http::StatusCode,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -28,7 +29,7 @@
 /// Serves other instances; never returns.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        let stream = frontend::accept(&listener).await;
+        let stream = listener::accept(&listener).await;
         let shared = shared.clone();
         let service = service_fn(move |request: http::Request<Incoming>| {
             let shared = shared.clone();
