Bound the connections and frames on the listener for other instances

1,500 silent connections to the address `peers` took all descriptors of the process, and 60 that each sent a frame of 4 MiB without its last byte 271 MB.

Cause: a frame is authenticated once it is complete, and neither the connections nor the sum of the frames was bounded.

Why it works: frames are held within the capacity for clients, and the listener has a share of the descriptors. A connection on which a frame was accepted belongs to an instance and does not yield.

--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -303,12 +303,13 @@
         )
         .with_heartbeat(components.settings.heartbeat);
         let listener = peers.map(|bound| bound.listener.into_std()).transpose()?;
+        let clients = components.clients.clone();
         let control = runtime::Builder::new_current_thread().enable_all().build()?;
         let (control_sender, dropped) = oneshot::channel::<()>();
         thread::Builder::new().name("control".to_owned()).spawn(move || {
             control.block_on(async move {
                 if let Some(listener) = listener {
-                    serve_peers(listener, shared);
+                    serve_peers(listener, shared, &clients);
                 }
                 tokio::select! {
                     () = follower.run() => {}
@@ -371,10 +372,10 @@
 }
 
 /// Serves other instances on the current runtime, which must not be the one that bound the listener.
-fn serve_peers(listener: std::net::TcpListener, shared: Arc<relay::Shared>) {
+fn serve_peers(listener: std::net::TcpListener, shared: Arc<relay::Shared>, clients: &Clients) {
     match TcpListener::from_std(listener) {
         Ok(listener) => {
-            tokio::spawn(relay::server::serve(listener, shared));
+            tokio::spawn(relay::server::serve(listener, shared, clients.peers.clone()));
         }
         Err(error) => {
             log::error!("other instances can't follow this one, restart it; cause={error}");
--- a/crates/hawthornmount-gateway/src/relay/mod.rs
+++ b/crates/hawthornmount-gateway/src/relay/mod.rs
@@ -33,6 +33,7 @@
         metrics::Metrics,
     },
     hawthornmount_fleet::wire::Reject,
+    hawthornmount_http::capacity::Shortage,
     message::{Fetch, Follow, InFlight, Part, Update},
     parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
@@ -135,6 +136,11 @@
         self.metrics.count_drop(PART, &reject.to_string());
     }
 
+    /// Counts a connection that was closed because something is short.
+    pub fn count_shortage(&self, shortage: Shortage) {
+        self.metrics.count_drop(PART, &shortage.to_string());
+    }
+
     /// Wakes the requests of followers after a change or a confirmation.
     pub fn notify(&self) {
         self.progress.send_modify(|count| *count += 1);
--- a/crates/hawthornmount-gateway/src/relay/server.rs
+++ b/crates/hawthornmount-gateway/src/relay/server.rs
@@ -12,9 +12,16 @@
     bytes::Bytes,
     hawthornmount_core::id::InstanceId,
     hawthornmount_fleet::wire::{Keyring, Reject},
-    hawthornmount_http::listener,
+    hawthornmount_http::{
+        capacity::{
+            Capacity, Group, Holding, Stage,
+            body::{self, Failure},
+        },
+        connection::meter::{Allowance, Meter},
+        listener,
+    },
     http::StatusCode,
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{convert::Infallible, sync::Arc, time::Duration},
@@ -26,37 +33,58 @@
 /// Longest time for which a request waits for something newer.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
-/// Serves other instances; never returns.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+/// Serves other instances; never returns. Their connections belong to `group`.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, group: Group) {
     loop {
         let stream = listener::accept(&listener).await;
-        let shared = shared.clone();
+        let holding = match group.admit() {
+            Ok(holding) => Arc::new(holding),
+            Err(shortage) => {
+                shared.count_shortage(shortage);
+                continue;
+            }
+        };
+        let (served, capacity) = (shared.clone(), group.capacity().clone());
+        let requesting = holding.clone();
         let service = service_fn(move |request: http::Request<Incoming>| {
-            let shared = shared.clone();
-            async move { Ok::<_, Infallible>(respond(&shared, request).await) }
+            let (shared, capacity) = (served.clone(), capacity.clone());
+            let holding = requesting.clone();
+            async move { Ok::<_, Infallible>(respond(&shared, request, &capacity, &holding).await) }
         });
+        let stream = Meter::new(stream, Allowance::unbounded());
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
+        let shared = shared.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection from another instance failed; cause={error}");
+            tokio::select! {
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("connection from another instance failed; cause={error}");
+                    }
+                }
+                shortage = holding.yielded() => shared.count_shortage(shortage),
             }
         });
     }
 }
 
 /// Returns the response to a request, or a status without a body if it is rejected.
-async fn respond(shared: &Shared, request: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
+async fn respond(
+    shared: &Shared,
+    request: http::Request<Incoming>,
+    capacity: &Capacity,
+    holding: &Holding,
+) -> http::Response<Full<Bytes>> {
     let arrived = shared.freshness.now();
     let frame = if request.uri().path() == PATH {
-        read_frame(request).await
+        read_frame(request, capacity).await
     } else {
         Err((StatusCode::NOT_FOUND, "unknown path".into()))
     };
     let result = match frame {
-        Ok(frame) => answer(shared, &frame, arrived).await,
+        Ok(frame) => answer(shared, &frame, arrived, holding).await,
         Err(rejection) => Err(rejection),
     };
     match result {
@@ -73,17 +101,30 @@
 /// Status and cause of a rejected request.
 type Rejection = (StatusCode, Arc<str>);
 
-async fn read_frame(request: http::Request<Incoming>) -> Result<Bytes, Rejection> {
-    let read = Limited::new(request.into_body(), MAX_FRAME_BYTES).collect();
-    let Ok(body) = tokio::time::timeout(READ_TIMEOUT, read).await else {
+async fn read_frame(
+    request: http::Request<Incoming>,
+    capacity: &Capacity,
+) -> Result<Bytes, Rejection> {
+    let read = body::read(request.into_body(), MAX_FRAME_BYTES, capacity);
+    let Ok(frame) = tokio::time::timeout(READ_TIMEOUT, read).await else {
         return Err((StatusCode::REQUEST_TIMEOUT, "the frame did not arrive in time".into()));
     };
-    let body = body.map_err(|error| (StatusCode::BAD_REQUEST, error.to_string().into()))?;
-    Ok(body.to_bytes())
+    frame.map_err(|failure| {
+        let status = match failure {
+            Failure::NoRoom(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Failure::TooLong | Failure::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        (status, failure.to_string().into())
+    })
 }
 
 /// Answers a frame that arrived at `arrived`.
-async fn answer(shared: &Shared, frame: &[u8], arrived: Duration) -> Result<Vec<u8>, Rejection> {
+async fn answer(
+    shared: &Shared,
+    frame: &[u8],
+    arrived: Duration,
+    holding: &Holding,
+) -> Result<Vec<u8>, Rejection> {
     let Some(secret) = shared.secret.lock().clone() else {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "not registered yet".into()));
     };
@@ -95,6 +136,8 @@
     if request.to != shared.instance {
         return Err((StatusCode::FORBIDDEN, "addressed to another instance".into()));
     }
+    // The connection belongs to an instance, which may be silent for long.
+    holding.set_stage(Stage::Busy);
     let outcome = match request.query {
         Query::Follow(follow) => {
             Outcome::Update(answer_follower(shared, &request.from, follow, arrived).await)
--- a/crates/hawthornmount-gateway/tests/gateway/frames/service.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/frames/service.rs
@@ -14,6 +14,7 @@
             server,
         },
     },
+    hawthornmount_http::capacity::Capacity,
     hawthornmount_store::{Entry, Stamp},
     log::{LevelFilter, Log, Metadata, Record},
     parking_lot::Mutex,
@@ -71,7 +72,8 @@
     let shared = Shared::new("one".into(), freshness).with_metrics(metrics.clone());
     shared.set_secret(Some(SECRET.into()));
     shared.replica.lock().replace(entries, Stamp { era: 1, revision: 9 });
-    tokio::spawn(server::serve(listener, Arc::new(shared)));
+    let group = Capacity::new(usize::MAX).group(usize::MAX);
+    tokio::spawn(server::serve(listener, Arc::new(shared), group));
     (address, metrics)
 }
 
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -186,6 +186,8 @@
 #[case::unread_answers(Case { count: 100, script: || unread("/unsafe/", 1), action: LARGE, ..CALLERS })]
 #[case::unread_streams(Case { count: 100, script: || unread("/stream/", 1), action: STREAM, ..CALLERS })]
 #[case::silent_readiness(Case { count: 1_500, listener: Listener::Readiness, script: silent, ..CALLERS })]
+#[case::silent_peers(Case { count: 1_500, listener: Listener::Peers, script: silent, ..CALLERS })]
+#[case::frames_of_peers(Case { count: 60, listener: Listener::Peers, script: || peer_frame(), ..CALLERS })]
 #[case::silent_neighbours(Case { count: 1_500, listener: Listener::Neighbours, script: silent, ..CALLERS })]
 #[case::passed_bodies(Case { count: 40, listener: Listener::Neighbours, script: || chunked(BODY_BYTES - 1, 64 << 10, End::Stay), ..CALLERS })]
 #[tokio::test(flavor = "multi_thread")]
