Bound what callers of an entry instance take, and read no body without a key

30 callers without a key took 792 MB (outside the project's tests): their bodies were read before the key was looked at, and small chunks took many times what they contained. 120 bodies of 1 MiB without their last byte took 147 MB, a caller that sent on after its refusal filled the buffers of the kernel, and 1,500 silent connections took all descriptors on either listener. Connections waited for their heads in up to 4,096 places, and open ones were not bounded at all.

Why it works: a key that belongs to no account is refused before the body is read. Bodies are held within the capacity; connections tell what they do and yield as those of a gateway do, and each listener has a share of the descriptors.

--- a/crates/hawthornmount-entry/src/admin/mod.rs
+++ b/crates/hawthornmount-entry/src/admin/mod.rs
@@ -13,11 +13,15 @@
     async_trait::async_trait,
     hawthornmount_http::{
         Request, Response, StatusCode,
+        capacity::Shortage,
         server::{self, Handler},
     },
     std::sync::{Arc, atomic::Ordering},
 };
 
+/// Name of the connections from operators among the parts that drop something.
+const PART: &str = "operator";
+
 /// Handler of the operators' interface.
 pub struct Admin {
     components: Arc<Components>,
@@ -67,6 +71,10 @@
             _ => not_found("see docs/operators for the paths"),
         }
     }
+
+    fn closed(&self, shortage: Shortage) {
+        self.components.metrics.count_drop(PART, &shortage.to_string());
+    }
 }
 
 /// Returns whether the instance accepts requests: it has a configuration and is not stopping.
--- a/crates/hawthornmount-entry/src/api/mod.rs
+++ b/crates/hawthornmount-entry/src/api/mod.rs
@@ -14,15 +14,21 @@
     async_trait::async_trait,
     hawthornmount_core::{id, problem::Problem, reason::Refusal},
     hawthornmount_http::{
-        HeaderValue, Request, Response, StatusCode, header,
+        HeaderValue, Request, Response, StatusCode,
+        capacity::{Holding, Shortage, Stage},
+        header,
         server::{self, Handler, Rejection},
     },
+    http_body::Body as _,
     std::sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
 };
 
+/// Name of the connections from callers among the parts that drop something.
+const PART: &str = "caller";
+
 /// HTTP interface for callers.
 pub struct Api {
     inner: Arc<Inner>,
@@ -81,12 +87,18 @@
         let reason = match rejection {
             Rejection::SlowHead => Refusal::CallerTimeout,
             Rejection::LargeHead => Refusal::Malformed,
+            Rejection::NoRoom => Refusal::NoRoom,
         };
         self.inner.components.metrics.count_refusal(reason);
         log::info!(
             "connection closed: its request head was too slow or too large; reason={reason}"
         );
     }
+
+    fn closed(&self, shortage: Shortage) {
+        self.inner.components.metrics.count_drop(PART, &shortage.to_string());
+        log::debug!("connection of a caller closed; cause={shortage}");
+    }
 }
 
 impl Inner {
@@ -94,10 +106,24 @@
         let id = id::generate("req");
         let snapshot = self.components.snapshot.load();
         let limit = snapshot.config.limits.body_bytes;
-        let parsed = match parse::read(request, limit).await {
+        let holding = request.extensions().get::<Arc<Holding>>().cloned();
+        // Nothing is kept for a caller without a key.
+        let known = if request.body().is_end_stream() {
+            Ok(())
+        } else {
+            filter::account(&snapshot, request.headers()).map(drop)
+        };
+        let parsed = match known {
+            Ok(()) => parse::read(request, limit, &self.components.capacity).await,
+            Err(problem) => Err(problem),
+        };
+        let parsed = match parsed {
             Ok(parsed) => parsed,
             Err(problem) => return deliver::refuse(&self.components, &id, &problem),
         };
+        if let Some(holding) = holding {
+            holding.set_stage(Stage::Busy);
+        }
         let mut exchange = Exchange::new(snapshot, id, parsed.kind, parsed.headers);
         exchange.body = parsed.body;
         exchange.guards.push(Box::new(in_flight));
--- a/crates/hawthornmount-entry/src/filter/mod.rs
+++ b/crates/hawthornmount-entry/src/filter/mod.rs
@@ -11,6 +11,8 @@
 mod rating;
 mod selection;
 
+pub use authentication::account;
+
 use {
     crate::{answer::Summary, exchange::Exchange, instance::Components},
     async_trait::async_trait,
--- a/crates/hawthornmount-entry/src/instance/components.rs
+++ b/crates/hawthornmount-entry/src/instance/components.rs
@@ -19,7 +19,10 @@
         seed::{Platform, Source},
         wire::{Record, Standing},
     },
-    hawthornmount_http::client::Client,
+    hawthornmount_http::{
+        capacity::{Capacity, Group, machine::Machine},
+        client::Client,
+    },
     hawthornmount_ledger::{Ledger, Sharded, log::Options},
     hawthornmount_policy::{Router, adaptive::Adaptive, admission::Demand},
     hawthornmount_rollout::{Evaluator, driver::Status, inbox::Inbox, monitor::Monitor},
@@ -35,6 +38,12 @@
     },
 };
 
+/// Percentage of the descriptors for connections from callers. Each of their requests takes another
+/// one for its server.
+const CALLERS_PERCENT: usize = 30;
+/// Percentage for connections from operators.
+const OPERATORS_PERCENT: usize = 5;
+
 /// Components of one instance that its threads share: settings, clients, state and counters.
 pub struct Components {
     /// Settings of the instance.
@@ -77,6 +86,12 @@
     pub in_flight: Arc<AtomicUsize>,
     /// Whether the instance is stopping.
     pub stopping: AtomicBool,
+    /// Memory for what clients send.
+    pub capacity: Capacity,
+    /// Connections from callers.
+    pub callers: Group,
+    /// Connections from operators.
+    pub operators: Group,
 }
 
 /// Builder of the components of an instance. A component that is not set gets its default
@@ -150,7 +165,12 @@
             Some(address) => Arc::new(Remote::new(address)),
             None => Arc::new(Disabled),
         };
+        let machine = Machine::new(settings.memory_mb, settings.file_descriptors);
+        let capacity = machine.capacity();
         Components {
+            callers: capacity.group(machine.connections(CALLERS_PERCENT)),
+            operators: capacity.group(machine.connections(OPERATORS_PERCENT)),
+            capacity,
             clock,
             metrics,
             snapshot: Cell::new(),
--- a/crates/hawthornmount-entry/src/instance/mod.rs
+++ b/crates/hawthornmount-entry/src/instance/mod.rs
@@ -8,7 +8,7 @@
     crate::{admin::Admin, api::Api, control},
     derive_more::{Display, Error, From},
     hawthornmount_core::settings::Settings,
-    hawthornmount_http::server::{ListenError, Server},
+    hawthornmount_http::server::{self, ListenError, Server},
     std::{
         io,
         net::SocketAddr,
@@ -153,10 +153,12 @@
     let (sender, receiver) = std::sync::mpsc::channel();
     let settings = &components.settings;
     let (listen, admin) = (settings.listen, settings.admin);
+    let (caller_group, operator_group) = (components.callers.clone(), components.operators.clone());
     runtime.spawn(async move {
         let servers = async {
-            let callers = Server::start(listen, callers).await?;
-            let operators = Server::start(admin, operators).await?;
+            let limits = server::Limits::default();
+            let callers = Server::start_within(listen, callers, limits, caller_group).await?;
+            let operators = Server::start_within(admin, operators, limits, operator_group).await?;
             Ok((callers, operators))
         };
         let _ = sender.send(servers.await);
--- a/crates/hawthornmount-http/src/server/acceptor.rs
+++ b/crates/hawthornmount-http/src/server/acceptor.rs
@@ -3,76 +3,74 @@
 
 use {
     super::{Handler, Limits, Rejection, connection::Connections},
-    crate::connection::{
-        linger,
-        meter::{Allowance, Meter},
+    crate::{
+        capacity::{CONNECTION_BYTES, Group, Holding, Stage},
+        connection::{
+            linger,
+            meter::{Allowance, Meter},
+        },
+        listener,
     },
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore},
-    },
+    tokio::net::{TcpListener, TcpStream},
 };
 
 /// Initial size of the buffer in which the head is peeked.
 const INITIAL_PEEK_BYTES: usize = 2 * 1_024;
 /// Interval at which an incomplete head is peeked again.
 const PEEK_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum number of accepted connections that wait for the head of their first request.
-const MAX_PENDING: usize = 4_096;
-/// Delay before accepting again after `accept` failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts the connections of `listener`; never returns.
+/// Accepts the connections of `listener`, which belong to `group`; never returns.
 pub async fn accept(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
     limits: Limits,
     connections: Arc<Connections>,
+    group: Group,
 ) {
-    let permits = Arc::new(Semaphore::new(MAX_PENDING));
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connections = connections.clone();
-                tokio::spawn(serve_when_ready(
-                    stream,
-                    handler.clone(),
-                    limits,
-                    connections,
-                    permit,
-                ));
-            }
-            Err(error) => {
-                log::warn!(
-                    "can't accept a connection, raise the limit on open files; cause={error}"
-                );
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        let stream = listener::accept(&listener).await;
+        match group.admit() {
+            Ok(holding) => {
+                let (handler, connections) = (handler.clone(), connections.clone());
+                tokio::spawn(serve_admitted(stream, handler, limits, connections, holding));
             }
+            Err(shortage) => handler.closed(shortage),
         }
     }
 }
 
+/// Serves the connection until it ends, or has to yield to others.
+async fn serve_admitted(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    connections: Arc<Connections>,
+    holding: Holding,
+) {
+    let holding = Arc::new(holding);
+    tokio::select! {
+        () = serve_when_ready(stream, handler.clone(), limits, connections, &holding) => {}
+        shortage = holding.yielded() => handler.closed(shortage),
+    }
+}
+
 /// Serves the connection once a complete head has arrived, else rejects it.
 async fn serve_when_ready(
     stream: TcpStream,
     handler: Arc<dyn Handler>,
     limits: Limits,
     connections: Arc<Connections>,
-    permit: OwnedSemaphorePermit,
+    holding: &Arc<Holding>,
 ) {
-    let _ = stream.set_nodelay(true);
-    match wait_for_head(&stream, limits).await {
-        Ok(()) => {
-            drop(permit);
-            connections.serve(stream, handler).await;
-        }
+    match wait_for_head(&stream, limits, holding).await {
+        Ok(()) => connections.serve(stream, handler, limits, holding.clone()).await,
         Err(Some(rejection)) => {
             handler.rejected(rejection);
+            holding.set_stage(Stage::Idle);
             let meter = Meter::new(stream, Allowance::default());
             linger::send(meter, rejection.response().as_bytes()).await;
         }
@@ -86,7 +84,11 @@
 ///
 /// Returns the rejection whose response is to be sent, or `None` if the connection was closed or
 /// failed, or if nothing arrived until the timeout.
-async fn wait_for_head(stream: &TcpStream, limits: Limits) -> Result<(), Option<Rejection>> {
+async fn wait_for_head(
+    stream: &TcpStream,
+    limits: Limits,
+    holding: &Holding,
+) -> Result<(), Option<Rejection>> {
     let deadline = Instant::now() + limits.head_timeout;
     let mut buffer = vec![0; INITIAL_PEEK_BYTES];
     let mut previous = 0;
@@ -101,10 +103,18 @@
         if contains_head_end(&buffer[..length]) {
             return Ok(());
         }
+        if previous == 0 {
+            holding.set_stage(Stage::Head);
+        }
         if length >= limits.max_head_bytes {
             return Err(Some(Rejection::LargeHead));
         }
         if length == buffer.len() {
+            // The head is in this buffer and in that of the socket.
+            let memory = CONNECTION_BYTES + 2 * limits.max_head_bytes;
+            if holding.resize(memory).is_err() {
+                return Err(Some(Rejection::NoRoom));
+            }
             buffer.resize(limits.max_head_bytes, 0);
         } else if length == previous {
             if Instant::now() >= deadline {
--- a/crates/hawthornmount-http/src/server/connection.rs
+++ b/crates/hawthornmount-http/src/server/connection.rs
@@ -4,9 +4,14 @@
 //! gracefully on a signal only, and does not tell whether a response has been written.
 
 use {
-    super::{Handler, text},
+    super::{
+        Handler, Limits, text,
+        watched::{Activity, Watched},
+    },
     crate::{
         Body, Response, StatusCode,
+        body::Guarded,
+        capacity::{Holding, Stage},
         connection::{
             linger,
             meter::{Allowance, Meter},
@@ -27,6 +32,9 @@
     tokio::{net::TcpStream, sync::watch},
 };
 
+/// Smallest bound on the buffers of a connection, in bytes.
+const MIN_BUFFER_BYTES: usize = 64 << 10;
+
 /// Open connections on which a request has arrived.
 #[derive(Debug)]
 pub struct Connections {
@@ -60,16 +68,29 @@
     }
 
     /// Serves a connection on which the head of a request has arrived, until it is closed.
-    pub async fn serve(self: Arc<Self>, stream: TcpStream, handler: Arc<dyn Handler>) {
+    pub async fn serve(
+        self: Arc<Self>,
+        stream: TcpStream,
+        handler: Arc<dyn Handler>,
+        limits: Limits,
+        holding: Arc<Holding>,
+    ) {
         let guard = self.enter();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handle(&*handler, request).await) }
+        let activity = Arc::new(Activity::new(holding.clone()));
+        let entered = activity.clone();
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            let (handler, in_flight) = (handler.clone(), entered.enter());
+            request.extensions_mut().insert(entered.holding().clone());
+            async move {
+                let response = handle(&*handler, request).await;
+                Ok::<_, Infallible>(response.map(|body| Guarded::new(body, in_flight)))
+            }
         });
-        let allowance = Allowance::default();
-        allowance.set_whole(usize::MAX);
-        let io = TokioIo::new(Meter::new(stream, allowance));
-        let mut connection = http1::Builder::new().serve_connection(io, service);
+        let meter = Meter::new(stream, Allowance::unbounded());
+        let io = TokioIo::new(Watched::new(meter, activity));
+        let mut connection = http1::Builder::new()
+            .max_buf_size(MIN_BUFFER_BYTES.max(2 * limits.max_head_bytes))
+            .serve_connection(io, service);
         let result = tokio::select! {
             // A request that has arrived is read before the connection counts as idle.
             biased;
@@ -87,7 +108,8 @@
         }
         // A stop need not wait for callers that keep the connection open after the response.
         drop(guard);
-        linger::discard(connection.into_parts().io.into_inner()).await;
+        holding.set_stage(Stage::Idle);
+        linger::discard(connection.into_parts().io.into_inner().into_inner()).await;
     }
 
     async fn wait_for_closing(&self) {
--- a/crates/hawthornmount-http/src/server/mod.rs
+++ b/crates/hawthornmount-http/src/server/mod.rs
@@ -3,16 +3,21 @@
 mod acceptor;
 mod connection;
 mod response;
+mod watched;
 
 pub use response::{json, text};
 
 use {
-    crate::{Request, Response},
+    crate::{
+        Request, Response,
+        capacity::{Capacity, Group, Shortage},
+        listener,
+    },
     async_trait::async_trait,
     connection::Connections,
     derive_more::{Display, Error},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::task::JoinHandle,
 };
 
 /// Handles the requests of a server.
@@ -23,6 +28,9 @@
 
     /// Called for a connection that is closed before its request was read, for logs and metrics.
     fn rejected(&self, _rejection: Rejection) {}
+
+    /// Called for a connection that is closed because something is short, for logs and metrics.
+    fn closed(&self, _shortage: Shortage) {}
 }
 
 /// Limits on the head of the first request of a connection.
@@ -47,6 +55,8 @@
     SlowHead,
     /// The head of the request is too large.
     LargeHead,
+    /// There is no memory for the head of the request.
+    NoRoom,
 }
 
 impl Rejection {
@@ -57,6 +67,10 @@
                 "HTTP/1.1 408 Request Timeout\r\n",
                 "connection: close\r\ncontent-length: 0\r\n\r\n",
             ),
+            Self::NoRoom => concat!(
+                "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n",
+                "connection: close\r\ncontent-length: 0\r\n\r\n",
+            ),
             Self::LargeHead => concat!(
                 "HTTP/1.1 431 Request Header Fields Too Large\r\n",
                 "connection: close\r\ncontent-length: 0\r\n\r\n",
@@ -106,12 +120,29 @@
         address: SocketAddr,
         handler: Arc<dyn Handler>,
         limits: Limits,
+    ) -> Result<Self, ListenError> {
+        let unbounded = Capacity::new(usize::MAX).group(usize::MAX);
+        Self::start_within(address, handler, limits, unbounded).await
+    }
+
+    /// Listens like [`Server::start_with`], for connections of a group. The [`crate::capacity::Holding`] of its connection, in an `Arc`,
+    /// is an extension of each request; the handler sets the stage `Busy` once it has the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub async fn start_within(
+        address: SocketAddr,
+        handler: Arc<dyn Handler>,
+        limits: Limits,
+        group: Group,
     ) -> Result<Self, ListenError> {
         let listener =
-            TcpListener::bind(address).await.map_err(|source| ListenError { address, source })?;
+            listener::listen(address).map_err(|source| ListenError { address, source })?;
         let address = listener.local_addr().map_err(|source| ListenError { address, source })?;
         let connections = Arc::new(Connections::new());
-        let task = tokio::spawn(acceptor::accept(listener, handler, limits, connections.clone()));
+        let task =
+            tokio::spawn(acceptor::accept(listener, handler, limits, connections.clone(), group));
         Ok(Self { address, connections, task })
     }
 
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -7,6 +7,7 @@
 #[path = "../../platform/tests/clients/caller.rs"]
 mod caller;
 mod crowd;
+mod entry;
 #[path = "../../platform/tests/suite/fake/mod.rs"]
 #[allow(dead_code, reason = "the suite of the platform uses the rest")]
 mod fake;
