Serve legal bodies in chunks of one byte

A body inside the limit that came in chunks of one byte got 400, although it is valid and would have been served with a length.

Cause: all bytes of a request were bounded by twice its limits, and a chunk of one byte takes six.

Evidence: a body of 256 KiB, which is the limit in the test, was answered with 400 on, and with 200 now.

Why it works: the bound allows six bytes for each byte of a body. The memory that is kept follows the content and not the framing.

--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -43,6 +43,8 @@
 
 /// Bytes by which the framing of a small body may exceed it.
 const MIN_FRAMING_BYTES: usize = 64 << 10;
+/// Bytes that a byte of a body takes in a chunk of its own.
+const MAX_CHUNK_FRAMING: usize = 6;
 
 /// Longest interval at which a connection is compared with its time limits, which a configuration can
 /// lower.
@@ -353,7 +355,7 @@
 }
 
 /// Returns the largest number of bytes that a caller may send from the head of a request to the
-/// head of the next one. The framing of a body may be as large as the body.
+/// head of the next one. Each byte of a body may be in a chunk of its own.
 fn max_request_bytes(limits: &Limits) -> usize {
-    2 * (limits.head_bytes + limits.body_bytes) + MIN_FRAMING_BYTES
+    2 * limits.head_bytes + MAX_CHUNK_FRAMING * limits.body_bytes + MIN_FRAMING_BYTES
 }
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -210,6 +210,7 @@
 #[rstest]
 #[case::length(BODY_BYTES, None, announced(BODY_BYTES as u64, BODY_BYTES, End::Stay))]
 #[case::large_chunks(BODY_BYTES, None, ended(chunked(BODY_BYTES, 64 << 10, End::Stay)))]
+#[case::one_byte_chunks(256 << 10, None, ended(chunked(256 << 10, 1, End::Stay)))]
 #[case::head(BODY_BYTES, None, Script {
     head: head("/unsafe/", &format!("x-filler: {}", "x".repeat(HEAD_BYTES - 1_024))).into_bytes(),
     ..silent()
