Bound the buffers of connections to servers only

The store and other instances send configurations and lists of up to megabytes, over paths with long round trips, which small buffers slow down. What a client doesn't take waits on the connection to its server only.

--- a/crates/hawthornmount-gateway/src/forward/attempt.rs
+++ b/crates/hawthornmount-gateway/src/forward/attempt.rs
@@ -174,7 +174,7 @@
             let is_reused = pooled.is_some();
             let mut connection = match pooled.take() {
                 Some(connection) => connection,
-                None => match Connection::open(server.address, CONNECT_TIMEOUT).await {
+                None => match Connection::open_bounded(server.address, CONNECT_TIMEOUT).await {
                     Ok(connection) => {
                         self.record_contact(attempt);
                         connection
--- a/crates/hawthornmount-http/src/capacity/mod.rs
+++ b/crates/hawthornmount-http/src/capacity/mod.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    /// Changes the stage, if it is another one, and records that there was progress.
+    /// Changes the stage. It yields from the time at which the new stage does.
     pub fn set_stage(&self, stage: Stage) {
         let mut state = self.capacity.lock();
         let Some(at) = state.position(self.id) else { return };
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -91,7 +91,25 @@
     ///
     /// Returns [`Failure::Unsent`] if the server does not accept the connection within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        let stream = match tokio::time::timeout(timeout, connect(address)).await {
+        Self::establish(address, timeout, TcpStream::connect(address)).await
+    }
+
+    /// Opens a connection for answers that a client may take slowly: what is not read yet is bounded in the
+    /// kernel too.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Unsent`] as [`Connection::open`] does.
+    pub async fn open_bounded(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
+        Self::establish(address, timeout, connect_bounded(address)).await
+    }
+
+    async fn establish(
+        address: SocketAddr,
+        timeout: Duration,
+        connecting: impl Future<Output = io::Result<TcpStream>>,
+    ) -> Result<Self, Failure> {
+        let stream = match tokio::time::timeout(timeout, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(Failure::unsent(&error)),
             Err(elapsed) => return Err(Failure::unsent(&elapsed)),
@@ -300,7 +318,7 @@
 }
 
 /// Opens a connection whose unread bytes are bounded in the kernel.
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+async fn connect_bounded(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
     socket.connect(address).await
