Log closed connections once a second at most

Connections that were closed to make room showed in the counters only. A line gives their number since the last one, the cause, and what is in use, so that the log stays bounded beside a crowd.

--- a/crates/hawthornmount-entry/src/api/mod.rs
+++ b/crates/hawthornmount-entry/src/api/mod.rs
@@ -15,7 +15,7 @@
     hawthornmount_core::{id, problem::Problem, reason::Refusal},
     hawthornmount_http::{
         HeaderValue, Request, Response, StatusCode,
-        capacity::{Holding, Shortage, Stage},
+        capacity::{Holding, Shortage, Stage, Throttle},
         header,
         server::{self, Handler, Rejection},
     },
@@ -37,6 +37,8 @@
 struct Inner {
     components: Arc<Components>,
     chain: Vec<Box<dyn Filter>>,
+    /// Connections that were closed because something was short.
+    shortages: Throttle,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -62,6 +64,7 @@
             inner: Arc::new(Inner {
                 components: components.clone(),
                 chain: filter::chain(components),
+                shortages: Throttle::default(),
             }),
         }
     }
@@ -97,7 +100,15 @@
 
     fn closed(&self, shortage: Shortage) {
         self.inner.components.metrics.count_drop(PART, &shortage.to_string());
-        log::debug!("connection of a caller closed; cause={shortage}");
+        if let Some(count) = self.inner.shortages.count() {
+            let usage = self.inner.components.capacity.usage();
+            log::info!(
+                "closed connections to make room; part={PART} count={count} cause={shortage} \
+                 connections={} memory_bytes={}",
+                usage.connections,
+                usage.bytes
+            );
+        }
     }
 }
 
--- a/crates/hawthornmount-gateway/src/frontend/caller.rs
+++ b/crates/hawthornmount-gateway/src/frontend/caller.rs
@@ -18,7 +18,7 @@
         reason::Refusal,
     },
     hawthornmount_http::{
-        capacity::{Holding, Shortage, Stage},
+        capacity::{Holding, Shortage, Stage, Throttle},
         connection::{
             describe, linger,
             meter::{Allowance, Meter},
@@ -77,12 +77,15 @@
     components: Arc<Components>,
     filters: Vec<Box<dyn Filter>>,
     origin: Origin,
+    /// Connections that were closed because something was short.
+    shortages: Throttle,
 }
 
 /// Accepts and serves connections from callers or other instances; never returns.
 pub async fn serve(listener: TcpListener, components: Arc<Components>, origin: Origin) {
     let filters = filter::chain(&components);
-    let frontend = Arc::new(Frontend { components, filters, origin });
+    let frontend =
+        Arc::new(Frontend { components, filters, origin, shortages: Throttle::default() });
     let group = match origin {
         Origin::Caller => &frontend.components.clients.callers,
         Origin::Instance => &frontend.components.clients.neighbours,
@@ -111,12 +114,20 @@
 
     /// Counts a connection that was closed because something is short.
     fn count_shortage(&self, shortage: Shortage) {
-        log::debug!("closed a connection of a caller; cause={shortage}");
         let part = match self.origin {
             Origin::Caller => PART,
             Origin::Instance => PASSED_PART,
         };
         self.components.metrics.count_drop(part, &shortage.to_string());
+        if let Some(count) = self.shortages.count() {
+            let usage = self.components.clients.capacity().usage();
+            log::info!(
+                "closed connections to make room; part={part} count={count} cause={shortage} \
+                 connections={} memory_bytes={}",
+                usage.connections,
+                usage.bytes
+            );
+        }
     }
 
     /// Serves one connection until it reaches a time limit of the configuration in force. When the
--- a/crates/hawthornmount-http/src/capacity/mod.rs
+++ b/crates/hawthornmount-http/src/capacity/mod.rs
@@ -6,8 +6,12 @@
 pub mod body;
 mod decision;
 pub mod machine;
+mod throttle;
 
-pub use decision::{SMALL_BODY_BYTES, Stage};
+pub use {
+    decision::{SMALL_BODY_BYTES, Stage},
+    throttle::Throttle,
+};
 
 use {
     decision::{Entry, Yielding, yielding_bytes, yielding_connection, yielding_memory},
