--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -3,14 +3,13 @@
 use {
     crate::{
         MACHINE_MEMORY_BYTES,
-        caller::{CROWD_SERVICE, head, limited_configuration, settings},
+        caller::{CROWD_SERVICE, head, limited_configuration, publish, register, settings},
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
         fake::{
             server::{Action, Server},
             store::Store,
         },
-        harness::server_entry,
         process::{LogStream, Process, free_addresses},
     },
     rstest::rstest,
@@ -63,12 +62,11 @@
     async fn start_with_limits(action: Action, body_bytes: usize, memory_mb: Option<u32>) -> Self {
         let store = Store::start().await;
         let config = limited_configuration(body_bytes, HEAD_BYTES, ROUTE_TIMEOUT);
-        store.put("op/config", &config);
+        publish(&store, &config);
         let servers = [("plain", Action::Respond("good")), (CROWD_SERVICE, action)];
         for (service, action) in servers {
             let server = Server::start(&[action]).await;
-            let entry = server_entry(service, "v1", server.address, "ready");
-            store.put(&format!("servers/{service}"), &entry);
+            register(&store, service, server.address);
         }
         let addresses = free_addresses();
         let mut settings = settings(store.address, addresses);
