--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        MACHINE_MEMORY_BYTES,
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
         process::{LogStream, Process},
@@ -16,10 +15,6 @@
 const BODY_BYTES: usize = 1 << 20;
 /// Limit on heads.
 const HEAD_BYTES: usize = 32 << 10;
-/// Limit on the descriptors of the process.
-const DESCRIPTORS: u64 = 1_100;
-/// Descriptors that the process has to keep free beside any crowd.
-const SPARE_DESCRIPTORS: usize = 100;
 /// Key of an account of the example configuration.
 const KEY: &str = "authorization: Bearer demo-municipal\r\n";
 
@@ -34,8 +29,6 @@
 struct World {
     process: Process,
     listeners: [SocketAddr; 2],
-    peak_queued: usize,
-    peak_descriptors: usize,
     _deployment: Deployment,
 }
 
@@ -47,10 +40,8 @@
         settings.log = "info".into();
         let listeners = [settings.listen, settings.admin];
         let text = serde_json::to_string(&settings).expect("settings are JSON");
-        let process = Process::start("serve", &text, DESCRIPTORS, LogStream::Error);
-        let (peak_queued, peak_descriptors) = (0, 0);
-        let world =
-            Self { process, listeners, peak_queued, peak_descriptors, _deployment: deployment };
+        let process = Process::start("serve", &text, &listeners, LogStream::Error);
+        let world = Self { process, listeners, _deployment: deployment };
         world.ask("the first request").await;
         world
     }
@@ -62,30 +53,6 @@
         let answered = ask(self.process.callers, request).await;
         assert_eq!(answered, Ok(()), "{when}: an ordinary request is not answered");
     }
-
-    fn observe(&mut self) -> usize {
-        let queued = Process::queued_bytes(&self.listeners);
-        self.peak_queued = self.peak_queued.max(queued);
-        self.peak_descriptors = self.peak_descriptors.max(self.process.descriptors());
-        queued
-    }
-
-    /// Checks that the process has lived within its machine.
-    fn check(&mut self) {
-        self.observe();
-        assert!(self.process.lives(), "the process has ended");
-        let (memory, queued) = (self.process.peak_memory(), self.peak_queued);
-        println!("memory={memory} queued={queued} descriptors={}", self.peak_descriptors);
-        assert!(
-            memory + queued <= MACHINE_MEMORY_BYTES,
-            "{memory} bytes of memory and {queued} in sockets"
-        );
-        assert!(
-            self.peak_descriptors + SPARE_DESCRIPTORS <= DESCRIPTORS as usize,
-            "{} descriptors are open",
-            self.peak_descriptors
-        );
-    }
 }
 
 /// Returns the head of a completion.
@@ -140,12 +107,12 @@
     let mut world = World::start().await;
     let address = world.listeners[usize::from(case.is_operators)];
     let crowd = Crowd::start(address, case.count, case.script);
-    crowd.settle(|| world.observe()).await;
+    crowd.settle(|| world.process.observe()).await;
     world.ask("beside the crowd").await;
     let status = "GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     let healthy = ask(world.listeners[1], || status.to_owned()).await;
     assert_eq!(healthy, Ok(()), "the operators' interface is not answered");
-    world.check();
+    world.process.check();
     drop(crowd);
     world.ask("after the crowd").await;
 }
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        MACHINE_MEMORY_BYTES,
         caller::{CROWD_SERVICE, head, limited_configuration, publish, register, settings},
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
@@ -22,10 +21,6 @@
 const HEAD_BYTES: usize = 32 << 10;
 /// Time limit of the routes: longer than a case takes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Limit on the descriptors of the process: a quarter of that of the smallest machine.
-const DESCRIPTORS: u64 = 1_100;
-/// Descriptors that the process has to keep free beside any crowd.
-const SPARE_DESCRIPTORS: usize = 100;
 
 /// Listener to which a crowd connects.
 #[derive(Clone, Copy, Debug)]
@@ -49,8 +44,6 @@
     process: Process,
     addresses: [SocketAddr; 4],
     _store: Store,
-    peak_queued: usize,
-    peak_descriptors: usize,
 }
 
 impl World {
@@ -74,9 +67,8 @@
             settings["memory_mb"] = memory_mb.into();
         }
         let settings = settings.to_string();
-        let process = Process::start("gateway", &settings, DESCRIPTORS, LogStream::Output);
-        let (peak_queued, peak_descriptors) = (0, 0);
-        let world = Self { process, addresses, _store: store, peak_queued, peak_descriptors };
+        let process = Process::start("gateway", &settings, &addresses, LogStream::Output);
+        let world = Self { process, addresses, _store: store };
         world.ask("the first request").await;
         world
     }
@@ -96,31 +88,6 @@
         let answered = ask(self.process.callers, request).await;
         assert_eq!(answered, Ok(()), "{when}: an ordinary request is not answered");
     }
-
-    /// Records what the kernel knows of the process.
-    fn observe(&mut self) -> usize {
-        let queued = Process::queued_bytes(&self.addresses);
-        self.peak_queued = self.peak_queued.max(queued);
-        self.peak_descriptors = self.peak_descriptors.max(self.process.descriptors());
-        queued
-    }
-
-    /// Checks that the process has lived within its machine.
-    fn check(&mut self) {
-        self.observe();
-        assert!(self.process.lives(), "the process has ended");
-        let (memory, queued) = (self.process.peak_memory(), self.peak_queued);
-        println!("memory={memory} queued={queued} descriptors={}", self.peak_descriptors);
-        assert!(
-            memory + queued <= MACHINE_MEMORY_BYTES,
-            "{memory} bytes of memory and {queued} in sockets"
-        );
-        assert!(
-            self.peak_descriptors + SPARE_DESCRIPTORS <= DESCRIPTORS as usize,
-            "{} descriptors are open",
-            self.peak_descriptors
-        );
-    }
 }
 
 /// Returns a script that announces a body by a length and sends so many bytes of it.
@@ -193,12 +160,12 @@
     let _exclusive = exclusive().await;
     let mut world = World::start(case.action).await;
     let crowd = Crowd::start(world.address(case.listener), case.count, case.script);
-    crowd.settle(|| world.observe()).await;
+    crowd.settle(|| world.process.observe()).await;
     world.ask("beside the crowd").await;
     let readiness = "GET /readiness HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     let ready = ask(world.address(Listener::Readiness), || readiness.to_owned()).await;
     assert_eq!(ready, Ok(()), "the readiness check is not answered");
-    world.check();
+    world.process.check();
     drop(crowd);
     world.ask("after the crowd").await;
 }
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -22,6 +22,11 @@
 /// Memory of the smallest machine, in bytes: what the process holds and what waits in its sockets.
 const MACHINE_MEMORY_BYTES: usize = 88 * 1_000_000;
 
+/// Limit on the descriptors of the process: a quarter of that of the smallest machine.
+const DESCRIPTORS: usize = 1_100;
+/// Descriptors that the process has to keep free beside any crowd.
+const SPARE_DESCRIPTORS: usize = 100;
+
 /// Lets the cases run one after the other.
 async fn exclusive() -> MutexGuard<'static, ()> {
     static RUNNING: Mutex<()> = Mutex::const_new(());
