Log the limits on clients at the start; test callers without a key

Guards the order of a gateway: a crowd of bodies without a key leaves 16 MB, as before, since authentication stands before the body is read.

--- a/crates/hawthornmount-gateway/src/clients/mod.rs
+++ b/crates/hawthornmount-gateway/src/clients/mod.rs
@@ -40,6 +40,14 @@
     pub fn new(settings: &Settings) -> Self {
         let machine = Machine::new(settings.memory_mb, settings.file_descriptors);
         let capacity = machine.capacity();
+        log::info!(
+            "limits on clients; memory_bytes={} caller_connections={} \
+             neighbour_connections={} peer_connections={}",
+            capacity.memory(),
+            machine.connections(CALLERS_PERCENT),
+            machine.connections(NEIGHBOURS_PERCENT),
+            machine.connections(PEERS_PERCENT)
+        );
         let group = |percent| capacity.group(machine.connections(percent));
         Self {
             callers: group(CALLERS_PERCENT),
--- a/crates/hawthornmount-http/src/capacity/mod.rs
+++ b/crates/hawthornmount-http/src/capacity/mod.rs
@@ -138,6 +138,11 @@
         Group { capacity: self.clone(), number: state.groups.len() - 1 }
     }
 
+    /// Returns the memory of all holdings together, in bytes.
+    pub fn memory(&self) -> usize {
+        self.0.memory
+    }
+
     /// Returns the memory that large bodies may take, in bytes. A larger body is kept only while there is
     /// no other large one.
     pub fn large_memory(&self) -> usize {
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        caller::{CROWD_SERVICE, head, limited_configuration, publish, register, settings},
+        caller::{
+            CROWD_SERVICE, head, head_without_key, limited_configuration, publish, register,
+            settings,
+        },
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
         fake::{
@@ -102,6 +105,12 @@
     Script { head, rest: chunks(length, chunk).into(), end }
 }
 
+/// Returns a script with the head of a request without a key.
+fn without_key(script: Script) -> Script {
+    let head = head_without_key("/unsafe/", "transfer-encoding: chunked").into_bytes();
+    Script { head, ..script }
+}
+
 /// Returns a script that sends `begin` behind the head of a chunked body, and `rest` again and again.
 fn endless(begin: &str, rest: &str) -> Script {
     let head = head("/unsafe/", "transfer-encoding: chunked") + begin;
@@ -134,6 +143,7 @@
 #[case::large_chunks(Case { count: 40, script: || chunked(BODY_BYTES - 1, 64 << 10, End::Stay), ..CALLERS })]
 #[case::one_byte_chunks(Case { count: 40, script: || chunked(192 << 10, 1, End::Stay), ..CALLERS })]
 #[case::small_chunks(Case { count: 40, script: || chunked(1 << 20, 37, End::Stay), ..CALLERS })]
+#[case::without_key(Case { count: 60, script: || without_key(chunked(BODY_BYTES - 1, 64 << 10, End::Stay)), ..CALLERS })]
 #[case::one_byte_short(Case { count: 40, script: || announced(BODY_BYTES as u64, BODY_BYTES - 1, End::Stay), ..CALLERS })]
 #[case::dripped(Case { count: 40, script: || announced(BODY_BYTES as u64, BODY_BYTES - 4_096, End::Drip(b'x')), ..CALLERS })]
 #[case::dripped_chunks(Case { count: 40, script: || chunked(BODY_BYTES - 4_096, 64 << 10, End::Drip(b'1')), ..CALLERS })]
