--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -4,7 +4,7 @@
     crate::{
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
-        process::{LogStream, Process},
+        process::{LogStream, Process, free_addresses},
     },
     hawthornmount_demo::deployment::Deployment,
     rstest::rstest,
@@ -21,14 +21,21 @@
 struct Case {
     count: usize,
     script: fn() -> Script,
-    /// Whether the crowd connects to the operators' interface.
-    is_operators: bool,
+    listener: Listener,
+}
+
+/// Listener to which a crowd connects.
+#[derive(Clone, Copy, Debug)]
+enum Listener {
+    Callers,
+    Operators,
+    Instances,
 }
 
 /// A process beside the instances of a deployment.
 struct World {
     process: Process,
-    listeners: [SocketAddr; 2],
+    listeners: [SocketAddr; 3],
     _deployment: Deployment,
 }
 
@@ -36,9 +43,9 @@
     async fn start() -> Self {
         let deployment = Deployment::start().await.expect("the demo starts");
         let mut settings = deployment.settings("attica-a", 9);
-        [settings.listen, settings.admin] = crate::process::free_addresses();
+        [settings.listen, settings.admin, settings.fleet] = free_addresses();
         settings.log = "info".into();
-        let listeners = [settings.listen, settings.admin];
+        let listeners = [settings.listen, settings.admin, settings.fleet];
         let text = serde_json::to_string(&settings).expect("settings are JSON");
         let process = Process::start("serve", &text, &listeners, LogStream::Error);
         let world = Self { process, listeners, _deployment: deployment };
@@ -85,7 +92,7 @@
     Script { head: Vec::new(), rest: request.repeat(8_192).into_bytes().into(), end: End::Stay }
 }
 
-const CROWD: Case = Case { count: 0, script: silent, is_operators: false };
+const CROWD: Case = Case { count: 0, script: silent, listener: Listener::Callers };
 
 /// Guards against callers that fill the memory of the process or take its descriptors: it lives
 /// within a small machine beside each crowd, and answers an ordinary request.
@@ -100,12 +107,13 @@
 #[case::unfinished_heads(Case { count: 1_500, script: unfinished_head, ..CROWD })]
 #[case::silent(Case { count: 1_500, script: silent, ..CROWD })]
 #[case::pipelined(Case { count: 60, script: pipelined, ..CROWD })]
-#[case::silent_operators(Case { count: 1_500, script: silent, is_operators: true })]
+#[case::silent_operators(Case { count: 1_500, script: silent, listener: Listener::Operators })]
+#[case::silent_instances(Case { count: 1_500, script: silent, listener: Listener::Instances })]
 #[tokio::test(flavor = "multi_thread")]
 async fn process_lives_within_its_machine(#[case] case: Case) {
     let _exclusive = exclusive().await;
     let mut world = World::start().await;
-    let address = world.listeners[usize::from(case.is_operators)];
+    let address = world.listeners[case.listener as usize];
     let crowd = Crowd::start(address, case.count, case.script);
     crowd.settle(|| world.process.observe()).await;
     world.ask("beside the crowd").await;
