Count connections that have yielded until they are closed

Cause: a connection that yielded gave its place back at once, and kept its descriptor until its task ran again. Accepting goes on meanwhile.

The new test admitted without end before.

Why it works: a connection that has yielded is counted until its holding is dropped, and no more than an eighth of a group's connections may be in that state.

--- a/crates/hawthornmount-http/src/capacity/mod.rs
+++ b/crates/hawthornmount-http/src/capacity/mod.rs
@@ -33,6 +33,9 @@
 /// Share of the memory that large bodies may take, in quarters.
 const LARGE_QUARTERS: usize = 3;
 
+/// Part of the connections of a group, as a divisor, that may have yielded and still be open.
+const MAX_ENDING_SHARE: usize = 8;
+
 /// Memory and connections that clients may take.
 #[derive(Clone, Debug)]
 pub struct Capacity(Arc<Inner>);
@@ -49,6 +52,8 @@
 pub struct Holding {
     capacity: Capacity,
     id: u64,
+    /// Group of a connection.
+    group: Option<usize>,
     signal: Arc<Signal>,
 }
 
@@ -107,6 +112,8 @@
 struct Places {
     max: usize,
     used: usize,
+    /// Connections that have yielded and are not closed yet.
+    ending: usize,
 }
 
 /// Tells the owner of a holding that it has to yield.
@@ -134,7 +141,7 @@
     /// Adds a group of at most `max` connections.
     pub fn group(&self, max: usize) -> Group {
         let mut state = self.lock();
-        state.groups.push(Places { max, used: 0 });
+        state.groups.push(Places { max, used: 0, ending: 0 });
         Group { capacity: self.clone(), number: state.groups.len() - 1 }
     }
 
@@ -173,7 +180,7 @@
         state.entries.push(Entry { id, group, bytes: 0, stage, yields_at });
         let signal = Arc::new(Signal::default());
         state.signals.push(signal.clone());
-        Holding { capacity: self.clone(), id, signal }
+        Holding { capacity: self.clone(), id, group, signal }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -195,7 +202,11 @@
     /// Returns what is short if no other connection yields.
     pub fn admit(&self) -> Result<Holding, Shortage> {
         let mut state = self.capacity.lock();
-        if state.groups[self.number].used >= state.groups[self.number].max {
+        let places = &state.groups[self.number];
+        if places.used >= places.max {
+            if places.ending > places.max / MAX_ENDING_SHARE {
+                return Err(Shortage::Connections);
+            }
             let at = yielding_connection(&state.entries, self.number, Instant::now());
             state.end(at.ok_or(Shortage::Connections)?, Shortage::Connections);
         }
@@ -299,6 +310,8 @@
         let mut state = self.capacity.lock();
         if let Some(at) = state.position(self.id) {
             state.remove(at);
+        } else if let Some(group) = self.group {
+            state.groups[group].ending -= 1;
         }
         drop(state);
         self.capacity.0.released.notify_waiters();
@@ -373,6 +386,9 @@
 
     /// Removes an entry and tells its owner to give it up.
     fn end(&mut self, at: usize, cause: Shortage) {
+        if let Some(group) = self.entries[at].group {
+            self.groups[group].ending += 1;
+        }
         let signal = self.remove(at);
         match cause {
             Shortage::Memory => signal.yields_memory.store(true, Ordering::Release),
--- a/crates/hawthornmount-http/tests/capacity.rs
+++ b/crates/hawthornmount-http/tests/capacity.rs
@@ -62,6 +62,21 @@
     }
 }
 
+/// Guards against connections that have yielded but are still open, whose descriptors are in use: only a
+/// few others are admitted before these are closed.
+#[tokio::test]
+async fn connections_that_are_still_open_are_counted() {
+    let group = Capacity::new(MEMORY).group(16);
+    let mut open = Vec::new();
+    while let Ok(holding) = group.admit() {
+        open.push(holding);
+        assert!(open.len() < 32, "connections are admitted without end");
+    }
+    assert_eq!(open.len(), 16 + 3);
+    open.remove(0);
+    assert!(group.admit().is_ok());
+}
+
 /// Guards against a crowd on one listener that takes the connections of another one.
 #[tokio::test]
 async fn groups_keep_their_own_connections() {
