--- a/crates/hawthornmount-http/src/capacity/body.rs
+++ b/crates/hawthornmount-http/src/capacity/body.rs
@@ -64,9 +64,26 @@
         &self.holding
     }
 
-    /// Records that memory of this size is held for the content.
-    pub const fn set_held(&mut self, bytes: usize) {
+    /// Holds memory of this size for the content.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is short if there is no room.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), Shortage> {
+        self.holding.resize(bytes)?;
+        self.held = bytes;
+        Ok(())
+    }
+
+    /// Holds memory of this size for the content once there is room.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is short if the memory has been yielded.
+    pub async fn hold_when_free(&mut self, bytes: usize) -> Result<(), Shortage> {
+        self.holding.resize_when_free(bytes).await?;
         self.held = bytes;
+        Ok(())
     }
 
     /// Returns the size to which the buffer has to grow for more content; `None` if it need not.
@@ -127,8 +144,7 @@
         if length > limit {
             return Err(Failure::TooLong);
         }
-        buffer.holding().resize(length).map_err(Failure::NoRoom)?;
-        buffer.set_held(length);
+        buffer.hold(length).map_err(Failure::NoRoom)?;
     }
     loop {
         let frame = tokio::select! {
@@ -140,8 +156,7 @@
         let frame = frame.map_err(|error| Failure::Broken(error.to_string().into()))?;
         let Ok(data) = frame.into_data() else { continue };
         if let Some(size) = buffer.growth(data.len())? {
-            buffer.holding().resize(size).map_err(Failure::NoRoom)?;
-            buffer.set_held(size);
+            buffer.hold(size).map_err(Failure::NoRoom)?;
         }
         buffer.push(&data);
     }
--- a/crates/hawthornmount-http/src/capacity/mod.rs
+++ b/crates/hawthornmount-http/src/capacity/mod.rs
@@ -17,13 +17,10 @@
     decision::{Entry, Yielding, yielding_bytes, yielding_connection, yielding_memory},
     derive_more::{Display, Error},
     std::{
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
-        },
-        time::Instant,
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+        time::{Duration, Instant},
     },
-    tokio::sync::{Notify, futures::Notified},
+    tokio::sync::Notify,
 };
 
 /// Memory that an open connection takes, in bytes: its buffers, its task and its socket.
@@ -36,6 +33,9 @@
 /// Part of the connections of a group, as a divisor, that may have yielded and still be open.
 const MAX_ENDING_SHARE: usize = 8;
 
+/// Interval at which a holding that waits for memory is tried again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Memory and connections that clients may take.
 #[derive(Clone, Debug)]
 pub struct Capacity(Arc<Inner>);
@@ -119,8 +119,8 @@
 /// Tells the owner of a holding that it has to yield.
 #[derive(Debug, Default)]
 struct Signal {
-    yields_memory: AtomicBool,
-    yields_connection: AtomicBool,
+    /// What it has to yield for.
+    cause: OnceLock<Shortage>,
     notify: Notify,
 }
 
@@ -227,7 +227,7 @@
     pub fn resize(&self, bytes: usize) -> Result<(), Shortage> {
         let mut state = self.capacity.lock();
         let Some(at) = state.position(self.id) else {
-            return Err(self.signal.cause().unwrap_or(Shortage::Memory));
+            return Err(self.signal.cause.get().copied().unwrap_or(Shortage::Memory));
         };
         let before = state.entries[at].bytes;
         state.set_bytes(at, bytes);
@@ -266,14 +266,12 @@
     pub async fn resize_when_free(&self, bytes: usize) -> Result<(), Shortage> {
         loop {
             let released = self.capacity.0.released.notified();
-            tokio::pin!(released);
-            Notified::enable(released.as_mut());
             match self.resize(bytes) {
-                Err(Shortage::Memory) if self.signal.cause().is_none() => {}
+                Err(Shortage::Memory) if self.signal.cause.get().is_none() => {}
                 result => return result,
             }
             // What starts to lag is noticed without a notification.
-            let _ = tokio::time::timeout(std::time::Duration::from_millis(100), released).await;
+            let _ = tokio::time::timeout(RECHECK_INTERVAL, released).await;
         }
     }
 
@@ -297,8 +295,8 @@
     pub async fn yielded(&self) -> Shortage {
         loop {
             let notified = self.signal.notify.notified();
-            if let Some(cause) = self.signal.cause() {
-                return cause;
+            if let Some(cause) = self.signal.cause.get() {
+                return *cause;
             }
             notified.await;
         }
@@ -318,18 +316,6 @@
     }
 }
 
-impl Signal {
-    fn cause(&self) -> Option<Shortage> {
-        if self.yields_memory.load(Ordering::Acquire) {
-            Some(Shortage::Memory)
-        } else if self.yields_connection.load(Ordering::Acquire) {
-            Some(Shortage::Connections)
-        } else {
-            None
-        }
-    }
-}
-
 impl State {
     fn position(&self, id: u64) -> Option<usize> {
         self.entries.binary_search_by_key(&id, |entry| entry.id).ok()
@@ -390,10 +376,7 @@
             self.groups[group].ending += 1;
         }
         let signal = self.remove(at);
-        match cause {
-            Shortage::Memory => signal.yields_memory.store(true, Ordering::Release),
-            Shortage::Connections => signal.yields_connection.store(true, Ordering::Release),
-        }
+        signal.cause.get_or_init(|| cause);
         signal.notify.notify_waiters();
     }
 
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -186,20 +186,16 @@
         let mut buffer = Buffer::new(capacity, limit).map_err(broken)?;
         buffer.holding().set_stage(Stage::Busy);
         let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-        let mut wanted = announced.filter(|length| *length <= limit);
-        loop {
-            if let Some(size) = wanted.take() {
-                let held = buffer.holding().resize_when_free(size).await;
-                held.map_err(|shortage| Failure::broken(&shortage))?;
-                buffer.set_held(size);
-            }
-            let Some(frame) = self.read_frame(body).await else { break };
+        if let Some(length) = announced.filter(|length| *length <= limit) {
+            let held = buffer.hold_when_free(length).await;
+            held.map_err(|shortage| Failure::broken(&shortage))?;
+        }
+        while let Some(frame) = self.read_frame(body).await {
             let frame = frame.map_err(|error| Failure::broken(&error))?;
             let Ok(data) = frame.into_data() else { continue };
             if let Some(size) = buffer.growth(data.len()).map_err(broken)? {
-                let held = buffer.holding().resize_when_free(size).await;
+                let held = buffer.hold_when_free(size).await;
                 held.map_err(|shortage| Failure::broken(&shortage))?;
-                buffer.set_held(size);
             }
             buffer.push(&data);
         }
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -1,7 +1,6 @@
 //! Callers that connect at the same time, send what they are told to, and stay connected.
 
 use {
-    parking_lot::Mutex,
     std::{
         io,
         net::SocketAddr,
@@ -143,16 +142,16 @@
 /// Sends an ordinary request until it is answered with status 200, as callers do that come back
 /// after a refusal. Returns the statuses so far, 0 for a closed connection, if it never is.
 pub async fn ask(address: SocketAddr, request: impl Fn() -> String) -> Result<(), Vec<u16>> {
-    let statuses = Mutex::new(Vec::new());
+    let mut statuses = Vec::new();
     for _ in 0..MAX_TRIES {
         let status = ask_once(address, request().as_bytes()).await;
         if status == 200 {
             return Ok(());
         }
-        statuses.lock().push(status);
+        statuses.push(status);
         tokio::time::sleep(RETRY_PAUSE).await;
     }
-    Err(statuses.into_inner())
+    Err(statuses)
 }
 
 /// Sends a request and returns the status of the answer; 0 if there is none.
