--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -737,7 +737,13 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                // The script ends what is left if this program doesn't come to its end.
+                let pids = self.settings.with_file_name("pids");
+                let pids = File::options().create(true).append(true).open(pids);
+                let _ = writeln!(pids.unwrap(), "{}", child.id());
+                self.child = Some(child);
+            }
             Err(error) => {
                 eprintln!("the gateway can't be started: {error}");
                 std::process::exit(2);
