--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -27,11 +27,12 @@
 const SERVERS: usize = 6;
 const SLOTS: usize = 48;
 const QUEUE: usize = 144;
-/// Clients of the crowd, and the sizes of their bodies and of a header. The configuration allows bodies
-/// of 4 MB, and heads of 16 KB; bodies of the site have up to 72 KB.
+/// Clients of the crowd, and the sizes of their bodies and the parts of their prompts, which take 3.7 KB
+/// in the head. The configuration allows bodies of 4 MB, and heads of 16 KB; bodies of the site have up to
+/// 72 KB.
 const CROWD: usize = 1_080;
 const BODY: usize = 29_000;
-const HEADER: usize = 3_700;
+const PARTS: usize = 336;
 /// Ordinary clients.
 const ORDINARY: usize = 18;
 
@@ -88,8 +89,8 @@
     format!(
         "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {id}\r\n\
          X-Time-Remaining: 25000\r\nX-Model: daka510000\r\nX-Token-Counts: 100,400\r\n\
-         X-Prompt-Prefix: 5c1e07a2:50,{part:x}:50\r\nX-Note: {}\r\nContent-Length: {BODY}\r\n\r\n",
-        "n".repeat(HEADER)
+         X-Prompt-Prefix: {}{part:x}:50\r\nContent-Length: {BODY}\r\n\r\n",
+        "5c1e07a2:9,".repeat(PARTS)
     )
 }
 
