Confirm nothing from a store that may have been restored right before a start

Cause: the first list of a process was taken for settled, whatever the age of the store's era. A wait of 2 s applied only to instances that had seen the era change. Ruled out: the drill or the kill alone; a correction by other instances, since all may restart.

Change: an era is settled once the instance has seen it for 2 s, or if the store holds a record of just this era, which readers write after 2 s. A copy of the record names an earlier era. Confirmations of the content, of the directory and of other instances use this. A process that waits for its first confirmation is not ready if keys are needed. The fake store of the tests holds the record, as a store in service does.

--- a/crates/hawthornmount-gateway/src/follow/mod.rs
+++ b/crates/hawthornmount-gateway/src/follow/mod.rs
@@ -10,6 +10,7 @@
 //! other data centres.
 
 mod directory;
+pub mod era;
 mod peer;
 mod read;
 pub mod replica;
@@ -30,7 +31,7 @@
         time,
         view::{Cell, View},
     },
-    hawthornmount_store::{self as store, Event, Stamp, Store, Txn, Watch},
+    hawthornmount_store::{self as store, Era, Event, Stamp, Store, Txn, Watch},
     peer::{Followed, Transfer},
     std::{
         sync::Arc,
@@ -53,6 +54,8 @@
 const DEFAULT_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of keys that are listed per call.
 const PAGE_ENTRIES: usize = 500;
+/// Time after which the record of the era that was written is listed.
+const RECORD_DELAY: Duration = Duration::from_millis(100);
 /// Prefix of no key, with which a list returns only the revision of the store.
 const NO_KEY_PREFIX: &str = "hawthornmount/none/";
 
@@ -91,6 +94,8 @@
     was_slow: bool,
     /// When the last read of the whole content was complete.
     read_at: Option<Instant>,
+    /// Era whose record this instance last tried to write.
+    recorded_era: Option<Era>,
     /// Watch of the phases of roll-outs and of the reports on them, while one is under way.
     watch: Option<Watch>,
     /// Whether a list of all keys takes several calls or has many bytes, so that only changes are read.
@@ -132,6 +137,7 @@
             directory_due: None,
             was_slow: false,
             read_at: None,
+            recorded_era: None,
             watch: None,
             has_long_list: false,
             is_store_unreachable: false,
@@ -300,6 +306,17 @@
         });
     }
 
+    /// Writes the record of the store's era, if it is due, and returns whether this is the first attempt
+    /// in that era.
+    fn write_era(&mut self) -> bool {
+        let known = self.relay.replica.lock().get(era::KEY).cloned();
+        let Some(txn) = self.state.tracker().record(known.as_ref(), time::now()) else {
+            return false;
+        };
+        self.commit(txn, "the record of the era");
+        self.recorded_era.replace(self.state.era()) != Some(self.state.era())
+    }
+
     /// Writes the limits of servers that are due. A write that is lost is repeated.
     fn write_limits(&self) {
         let Some(limits) = self.state.limits() else { return };
@@ -324,6 +341,7 @@
     }
 
     fn publish(&self) {
+        self.freshness.set_settling(!self.state.tracker().is_settled(time::now(), Duration::ZERO));
         let Some(rules) = self.state.rules().cloned() else { return };
         let (excluded, splits) =
             (self.state.driver().excluded_versions(), self.state.driver().splits());
--- a/crates/hawthornmount-gateway/src/follow/peer.rs
+++ b/crates/hawthornmount-gateway/src/follow/peer.rs
@@ -157,8 +157,12 @@
         self.relay.notify();
     }
 
-    /// Returns whether another source is to be tried.
+    /// Returns whether another source is to be tried. No source can confirm anything before the era of
+    /// the store has lasted long enough.
     fn is_stale(&self) -> bool {
+        if !self.state.tracker().is_settled(time::now(), Duration::ZERO) {
+            return false;
+        }
         let is_older = |age: Duration, intervals| age >= self.list_interval.mul_f64(intervals);
         is_older(self.freshness.directory().age(), STALE_INTERVALS)
             || is_older(self.content_age(), STALE_CONTENT_INTERVALS)
--- a/crates/hawthornmount-gateway/src/follow/read.rs
+++ b/crates/hawthornmount-gateway/src/follow/read.rs
@@ -1,7 +1,10 @@
 //! Reading of the store: its changes, or lists of all keys.
 
 use {
-    super::{EXPOSED_FRACTION, Follower, NO_KEY_PREFIX, PAGE_ENTRIES, directory::READ_DELAY},
+    super::{
+        EXPOSED_FRACTION, Follower, NO_KEY_PREFIX, PAGE_ENTRIES, RECORD_DELAY,
+        directory::READ_DELAY,
+    },
     crate::{rollout::driver, schema::Key, time},
     hawthornmount_core::id::Revision,
     hawthornmount_store::{self as store, Changes, Event, Stamp, Store},
@@ -64,7 +67,9 @@
                     self.list_interval
                 };
                 // A long read must not make the next confirmation later.
-                interval.saturating_sub(time::now().saturating_duration_since(asked_at))
+                let delay =
+                    interval.saturating_sub(time::now().saturating_duration_since(asked_at));
+                delay.min(self.era_delay())
             }
             Err(error) => {
                 // The store answers if the directory was read.
@@ -81,6 +86,16 @@
         self.wait_for_list(time::now() + delay).await;
     }
 
+    /// Returns the time until the store is to be read because its era has lasted long enough by then, or
+    /// because the record of that can be listed.
+    fn era_delay(&mut self) -> Duration {
+        if self.write_era() {
+            return RECORD_DELAY;
+        }
+        let settling = self.state.tracker().settling(time::now());
+        settling.filter(|left| !left.is_zero()).unwrap_or(Duration::MAX)
+    }
+
     /// Confirms that nothing has changed, or lists all keys. The revision is read first only if it had
     /// not changed the last time, so that a store with frequent changes is not called twice.
     ///
@@ -125,7 +140,7 @@
     /// Returns whether an answer to a question of `asked_at` is proof even if the store was restored.
     pub(super) fn is_settled(&self, asked_at: Duration) -> bool {
         let age = self.freshness.now().saturating_sub(asked_at);
-        self.state.is_settled(time::now(), age)
+        self.state.tracker().is_settled(time::now(), age)
     }
 
     /// Lists all keys and publishes the resulting view.
--- a/crates/hawthornmount-gateway/src/follow/state.rs
+++ b/crates/hawthornmount-gateway/src/follow/state.rs
@@ -8,6 +8,7 @@
 //! is written again by those that know it.
 
 use {
+    super::era,
     crate::{
         evacuation::Evacuations,
         limit::{self, cold::Cause},
@@ -36,10 +37,6 @@
     },
 };
 
-/// Time after the start of an era in which the operator and the servers write again what the copy of
-/// the store lacked.
-const RESTATEMENT_TIME: Duration = Duration::from_secs(2);
-
 /// Known configuration, servers, roll-outs and instances.
 pub struct State {
     schema: Arc<dyn Codec>,
@@ -61,8 +58,8 @@
     /// Other instances of the data centre, with which loads are exchanged.
     exchange_peers: Option<Arc<Peers>>,
     stamp: Stamp,
-    /// When this instance saw the last change of the era.
-    era_began: Option<Instant>,
+    /// Whether the era of the store has lasted long enough.
+    tracker: era::Tracker,
     /// Keys and the revisions at which they were applied, in order of the keys.
     applied: Vec<(Arc<str>, Revision)>,
 }
@@ -85,7 +82,7 @@
             path: None,
             exchange_peers: None,
             stamp: Stamp::default(),
-            era_began: None,
+            tracker: era::Tracker::default(),
             applied: Vec::new(),
         }
     }
@@ -145,14 +142,9 @@
         self.stamp.era
     }
 
-    /// Returns whether the operator and the servers had had time to write again what the store
-    /// lacked when it was restored, at the time `age` before `now` when the store was asked. A list
-    /// that was asked for earlier does not prove that nothing newer exists, however late it arrives.
-    pub fn is_settled(&self, now: Instant, age: Duration) -> bool {
-        self.era_began.is_none_or(|began| {
-            let settled = now.checked_duration_since(began + RESTATEMENT_TIME);
-            settled.is_some_and(|settled| settled >= age)
-        })
+    /// Returns what is known of the age of that era.
+    pub const fn tracker(&self) -> &era::Tracker {
+        &self.tracker
     }
 
     /// Returns the rules of the configuration, if there is one.
@@ -262,8 +254,11 @@
     /// Prepares for the entries of another era, and returns whether the store was restored from a
     /// copy since the last list.
     fn begin_era(&mut self, stamp: Stamp, now: Instant) -> bool {
-        let is_first = self.stamp == Stamp::default();
-        if is_first || stamp.era == self.stamp.era {
+        if stamp.era == self.stamp.era {
+            return false;
+        }
+        self.tracker.begin(stamp.era, now);
+        if self.stamp == Stamp::default() {
             return false;
         }
         log::warn!(
@@ -273,7 +268,6 @@
             self.stamp
         );
         self.stamp = stamp;
-        self.era_began = Some(now);
         self.applied.clear();
         self.registry.begin_era(now);
         self.evacuations.begin_era(now);
@@ -374,6 +368,9 @@
             }
             Key::Evacuation(data_centre) => self.begin_evacuation(&data_centre, entry.revision),
             Key::Other => {
+                if self.tracker.put(entry) {
+                    return false;
+                }
                 let is_report = self.quarantine.as_ref().is_some_and(|one| one.put(entry));
                 if is_report || self.limits.as_ref().is_some_and(|limits| limits.put(entry)) {
                     return false;
--- a/crates/hawthornmount-gateway/src/freshness/mod.rs
+++ b/crates/hawthornmount-gateway/src/freshness/mod.rs
@@ -11,7 +11,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -39,6 +39,8 @@
 pub struct Freshness {
     content: Tracker,
     directory: Tracker,
+    /// Whether the store may have been restored so recently that it can't confirm anything yet.
+    is_settling: AtomicBool,
     revocation_bound: Duration,
     propagation_bound: Duration,
 }
@@ -81,6 +83,7 @@
         Self {
             content: Tracker::new(clock.clone()),
             directory: Tracker::new(clock),
+            is_settling: AtomicBool::new(false),
             revocation_bound: revocation.saturating_sub(REQUEST_TRANSIT),
             propagation_bound: propagation.mul_f64(PROPAGATION_SHARE),
         }
@@ -102,6 +105,16 @@
         self.content.confirm(asked);
     }
 
+    /// Sets whether the store may have been restored so recently that it can't confirm anything yet.
+    pub fn set_settling(&self, is_settling: bool) {
+        self.is_settling.store(is_settling, Ordering::Relaxed);
+    }
+
+    /// Returns whether the first confirmation is still to come, and the store can't give it yet.
+    pub fn awaits_first(&self) -> bool {
+        self.is_settling.load(Ordering::Relaxed) && self.content.confirmed().is_none()
+    }
+
     /// Returns the time at which the store was asked for the last confirmation, if there was one.
     pub fn confirmed(&self) -> Option<Duration> {
         self.content.confirmed()
--- a/crates/hawthornmount-gateway/src/instance/mod.rs
+++ b/crates/hawthornmount-gateway/src/instance/mod.rs
@@ -175,7 +175,9 @@
 
     /// Returns whether the load balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.cell.load().rules.revision > 0
+        let rules = &self.cell.load().rules;
+        let can_confirm_keys = !rules.requires_keys || !self.freshness.awaits_first();
+        !self.is_stopping() && rules.revision > 0 && can_confirm_keys
     }
 
     /// Returns whether the instance is stopping.
--- a/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/history.rs
@@ -2,7 +2,7 @@
 
 use {
     super::codec::{CONFIG, ORDER, READY, SERVER},
-    hawthornmount_gateway::{membership::Contact, rollout::driver::RECORD_PREFIX},
+    hawthornmount_gateway::{follow::era, membership::Contact, rollout::driver::RECORD_PREFIX},
     hawthornmount_store::{Entry, Event, Page, Stamp},
     std::sync::Arc,
 };
@@ -31,24 +31,19 @@
     pub records: Vec<Entry>,
     /// Whether the store states a new era after it was restored.
     states_era: bool,
-    is_restored: bool,
 }
 
 impl History {
     /// Creates the content of a store with the first configuration, a server and `instances`.
     pub fn new(instances: usize, has_rollout: bool, states_era: bool) -> Self {
         let first = Content { entries: Vec::new(), stamp: Stamp { era: 1, revision: 0 } };
-        let mut history = Self {
-            contents: vec![first],
-            copy: None,
-            records: Vec::new(),
-            states_era,
-            is_restored: false,
-        };
+        let mut history =
+            Self { contents: vec![first], copy: None, records: Vec::new(), states_era };
         for number in 0..instances {
             let contact = serde_json::to_string(&contact()).expect("a contact is encoded");
             history.put(&format!("hawthornmount/instance/{}", instance(number)), &contact);
         }
+        history.put(era::KEY, r#"{"settled":1}"#);
         if has_rollout {
             history.put(ORDER, "v2");
         }
@@ -83,7 +78,6 @@
         let (mut content, key, value) = self.copy.take()?;
         content.stamp.era = self.content().stamp.era + u64::from(self.states_era);
         self.contents.push(content);
-        self.is_restored = true;
         Some((key, value))
     }
 
@@ -98,11 +92,6 @@
         entries.find(|entry| *entry.key == *key).map(|entry| &*entry.value)
     }
 
-    /// Returns whether the store has been restored.
-    pub const fn is_restored(&self) -> bool {
-        self.is_restored
-    }
-
     /// Returns the answer to a question, of the content without the last `lag` changes.
     pub fn page(&self, question: &Question, lag: usize) -> Page {
         let content = &self.contents[self.contents.len() - 1 - lag];
--- a/crates/hawthornmount-gateway/tests/gateway/fence/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/mod.rs
@@ -92,7 +92,7 @@
         configurations: 1,
         drains: 1,
         restarts: 1,
-        page_entries: 2,
+        page_entries: 3,
         before: CHANGED_BETWEEN_PAGES,
         ..RELAYED
     },
--- a/crates/hawthornmount-gateway/tests/gateway/fence/node.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/node.rs
@@ -64,8 +64,6 @@
     /// Whether the server was in use, and was out of use again.
     pub has_used_server: bool,
     pub has_left_server: bool,
-    /// Whether the instance knows nothing of before the last restore of the store.
-    pub is_after_restore: bool,
     /// Hash of all that has happened to the instance, which determines its state.
     pub digest: u64,
 }
@@ -105,7 +103,6 @@
             version: 0,
             has_used_server: false,
             has_left_server: false,
-            is_after_restore: false,
             digest: 0,
         }
     }
--- a/crates/hawthornmount-gateway/tests/gateway/fence/promise.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/promise.rs
@@ -25,14 +25,6 @@
 struct Accepted {
     change: Change,
     at: Duration,
-    /// When the store had the change again, if a restore lost it.
-    lost: Option<Lost>,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Lost {
-    Still,
-    Until(Duration),
 }
 
 /// Changes that the store has accepted.
@@ -53,21 +45,7 @@
     }
 
     pub fn accept(&mut self, change: Change, at: Duration) {
-        self.accepted.push(Accepted { change, at, lost: None });
-    }
-
-    /// Records that a restore has lost the last change.
-    pub fn lose_last(&mut self) {
-        if let Some(last) = self.accepted.last_mut() {
-            last.lost = Some(Lost::Still);
-        }
-    }
-
-    /// Records that lost changes were written again.
-    pub fn restate(&mut self, at: Duration) {
-        for accepted in self.accepted.iter_mut().filter(|accepted| accepted.lost.is_some()) {
-            accepted.lost = Some(Lost::Until(at));
-        }
+        self.accepted.push(Accepted { change, at });
     }
 
     pub fn answered(&mut self, asked: Duration) {
@@ -89,21 +67,15 @@
     pub fn check(&self, node: &Node, now: Duration) -> Result<(), String> {
         let Some(confirmed) = node.confirmed() else { return Ok(()) };
         let is_recent = node.shared.freshness.is_within_revocation_bound();
-        for Accepted { change, at, lost } in &self.accepted {
+        for Accepted { change, at } in &self.accepted {
             let is_in_force = change.is_in_force(node);
-            // An instance that started after a restore can't know what that lost.
-            let known_from = match lost.filter(|_| node.is_after_restore) {
-                None => *at,
-                Some(Lost::Until(again)) => again,
-                Some(Lost::Still) => continue,
-            };
-            if !is_in_force && confirmed > known_from {
+            if !is_in_force && confirmed > *at {
                 return Err(format!(
-                    "{change:?} of {known_from:?} is missing in what it confirms of {confirmed:?}"
+                    "{change:?} of {at:?} is missing in what it confirms of {confirmed:?}"
                 ));
             }
-            if !is_in_force && is_recent && now >= known_from + REVOCATION {
-                return Err(format!("{change:?} of {known_from:?} is missing at {now:?}"));
+            if !is_in_force && is_recent && now >= *at + REVOCATION {
+                return Err(format!("{change:?} of {at:?} is missing at {now:?}"));
             }
         }
         if confirmed > self.answered {
--- a/crates/hawthornmount-gateway/tests/gateway/fence/world.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/fence/world.rs
@@ -141,10 +141,6 @@
                 let restored = self.network.lock().history.restore();
                 let due = self.now() + self.setup.fault.restatement_time(RESTATEMENT_TIME);
                 self.lost = restored.map(|(key, value)| Lost { key, value, due });
-                self.ledger.lose_last();
-                for node in &mut self.nodes {
-                    node.is_after_restore |= node.version == 0;
-                }
                 self.pass(WRITE_TIME).await;
                 self.mix_store(action);
             }
@@ -207,7 +203,6 @@
             network.history.write(&lost.key, &lost.value);
         }
         drop(network);
-        self.ledger.restate(now);
         self.mix_store("restated");
     }
 
@@ -222,12 +217,10 @@
                 one.reader == number && one.follow.is_none() && one.update.is_none()
             });
         }
-        let is_restored = network.history.is_restored();
         drop(network);
         let before = self.nodes[number].digest;
         self.nodes[number] = Node::start(&self.network, number);
         self.nodes[number].digest = before;
-        self.nodes[number].is_after_restore = is_restored;
     }
 
     fn deliver(&mut self, number: usize, lag: usize) {
--- a/crates/hawthornmount-gateway/tests/gateway/main.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod cascade;
 mod classify;
 mod cold;
+mod era;
 mod evacuation;
 mod exchange;
 mod exposure;
