Keep incomplete events of servers within the memory for clients

Cause: an incomplete event was buffered up to 1 MB for each stream, in no account. Failures were buffered up to 4 MiB each.

Change: an event has at most 64 KiB; what exceeds 4 KiB of an incomplete one is held in the capacity and yields like a body. Failures have at most 256 KiB. The events of the product's own interface have the same bound.

--- a/crates/hawthornmount-gateway/src/forward/relay.rs
+++ b/crates/hawthornmount-gateway/src/forward/relay.rs
@@ -99,7 +99,7 @@
         content_type: Option<HeaderValue>,
     ) -> Self {
         upstream.close_at(job.deadline() + CLOSE_DELAY);
-        let splitter = Splitter::new(job.resume_after());
+        let splitter = Splitter::new(job.resume_after()).within(forwarder.capacity.clone());
         progress.begin(&attempt);
         Self {
             forwarder,
@@ -383,7 +383,12 @@
     if let Some(fault) = splitter.fault() {
         return broken(&upstream.server.id, &fault.to_string());
     }
-    match upstream.frame().await {
+    let frame = tokio::select! {
+        biased;
+        fault = splitter.yielded() => return broken(&upstream.server.id, &fault.to_string()),
+        frame = upstream.frame() => frame,
+    };
+    match frame {
         None if splitter.has_partial_event() || upstream.is_without_events() => {
             Step::Broken(Retry::CutAnswer)
         }
--- a/crates/hawthornmount-gateway/src/forward/response.rs
+++ b/crates/hawthornmount-gateway/src/forward/response.rs
@@ -20,6 +20,8 @@
 
 /// Largest response that is buffered completely, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of a failure, in bytes. It describes the failure.
+const MAX_FAILURE_BYTES: usize = 256 << 10;
 /// Largest body of a refusal that is read to reuse its connection, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time in which the body of a refusal has to end for its connection to be reused.
@@ -194,7 +196,7 @@
         if self.adaptation.is_on() {
             self.loads.lock().stats(&server.id).record_error(Instant::now());
         }
-        match self.read_body(upstream, MAX_BODY_BYTES).await {
+        match self.read_body(upstream, MAX_FAILURE_BYTES).await {
             Ok(bytes) => {
                 let mut response = http::Response::new(full_body(bytes));
                 *response.status_mut() = status;
--- a/crates/hawthornmount-gateway/src/sse/mod.rs
+++ b/crates/hawthornmount-gateway/src/sse/mod.rs
@@ -5,10 +5,15 @@
     crate::message::EventId,
     bytes::{Bytes, BytesMut},
     derive_more::Display,
+    hawthornmount_http::capacity::{Capacity, Holding, Shortage, Stage},
+    std::future,
 };
 
-/// Size up to which an incomplete event is buffered, in bytes; no server sends a longer event.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size up to which an incomplete event is buffered, in bytes. An event holds a few tokens, some hundred
+/// bytes; this has room for an answer of 10,000 tokens in one event.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Size up to which an incomplete event needs no memory beyond that of its connection, in bytes.
+const UNHELD_BYTES: usize = 4 << 10;
 
 /// Why a stream can't be relayed.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -22,6 +27,9 @@
     /// An event has no id although those before it have one, so it is not one of this stream.
     #[display("an event has no id")]
     NoId,
+    /// There is no memory for an incomplete event, or it had to yield to others.
+    #[display("an event is not complete, and {_0} is reached")]
+    NoRoom(Shortage),
 }
 
 /// Complete events that can be sent to the caller.
@@ -44,6 +52,10 @@
     last: Option<EventId>,
     /// Fault after the events that were returned last.
     fault: Option<Fault>,
+    /// Capacity within which incomplete events are kept; `None` if it is not bounded.
+    capacity: Option<Capacity>,
+    /// Memory of an incomplete event that is larger than [`UNHELD_BYTES`].
+    holding: Option<Holding>,
 }
 
 impl Splitter {
@@ -52,6 +64,13 @@
         Self { last, ..Self::default() }
     }
 
+    /// Keeps incomplete events within a capacity that is shared with others.
+    #[must_use]
+    pub fn within(mut self, capacity: Capacity) -> Self {
+        self.capacity = Some(capacity);
+        self
+    }
+
     /// Returns the id of the last complete event.
     pub const fn last_id(&self) -> Option<EventId> {
         self.last
@@ -70,10 +89,18 @@
     /// Discards the incomplete event that an interrupted stream left in the buffer.
     pub fn discard_partial_event(&mut self) {
         self.fault = None;
-        self.buffer.clear();
+        (self.buffer, self.holding) = (BytesMut::new(), None);
         (self.line_start, self.searched) = (0, 0);
     }
 
+    /// Waits until the incomplete event has to yield its memory, and returns that as a fault.
+    pub async fn yielded(&self) -> Fault {
+        match &self.holding {
+            Some(holding) => Fault::NoRoom(holding.yielded().await),
+            None => future::pending().await,
+        }
+    }
+
     /// Adds bytes to the buffer and returns the events that are now complete.
     ///
     /// # Errors
@@ -110,9 +137,35 @@
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(Fault::TooLong);
         }
+        self.hold(bytes.len()).map_err(Fault::NoRoom)?;
         Ok(Events { bytes: events.freeze(), count })
     }
 
+    /// Holds the memory of the incomplete event, of which `arrived` bytes are new.
+    fn hold(&mut self, arrived: usize) -> Result<(), Shortage> {
+        let Some(capacity) = &self.capacity else { return Ok(()) };
+        if self.buffer.len() <= UNHELD_BYTES {
+            if self.holding.take().is_some() {
+                // The buffer would keep the memory of the event before.
+                self.buffer = BytesMut::from(&*self.buffer);
+            }
+            return Ok(());
+        }
+        let size = self.buffer.capacity();
+        match &self.holding {
+            Some(holding) => {
+                holding.record_progress(arrived);
+                holding.resize(size)?;
+            }
+            None => {
+                let holding = capacity.hold(size)?;
+                holding.set_stage(Stage::Body);
+                self.holding = Some(holding);
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the length of the first complete event, including the empty line that ends it. Bytes
     /// are searched once, however small the pieces are in which an event arrives.
     fn event_length(&mut self) -> Option<usize> {
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -9,6 +9,7 @@
         crowd::{Crowd, End, Script, ask, ask_once, chunks},
         exclusive,
         fake::{
+            flood::{Flood, Pace, Part},
             server::{Action, Server},
             store::Store,
         },
@@ -137,8 +138,8 @@
     Script { head: Vec::new(), rest: Arc::from([]), end: End::Stay }
 }
 
-/// Guards against callers that fill the memory of the process or take its descriptors: it lives
-/// within a small machine beside each crowd, and answers an ordinary request.
+/// Guards against callers and servers that fill the memory of the process or take its descriptors: it
+/// lives within a small machine beside each crowd, and answers an ordinary request.
 #[rstest]
 #[case::large_chunks(Case { count: 40, script: || chunked(BODY_BYTES - 1, 64 << 10, End::Stay), ..CALLERS })]
 #[case::one_byte_chunks(Case { count: 40, script: || chunked(192 << 10, 1, End::Stay), ..CALLERS })]
@@ -160,6 +161,12 @@
 #[case::pipelined(Case { count: 60, script: || unread("/safe/", 8_192), ..CALLERS })]
 #[case::unread_answers(Case { count: 100, script: || unread("/unsafe/", 1), action: LARGE, ..CALLERS })]
 #[case::unread_streams(Case { count: 100, script: || unread("/stream/", 1), action: STREAM, ..CALLERS })]
+#[case::events_without_line_end(Case { script: read_stream, action: endless_event(LINE), ..STREAMS })]
+#[case::events_of_many_lines(Case { script: read_stream, action: endless_event(DATA_LINES), ..STREAMS })]
+#[case::events_of_comments(Case { script: read_stream, action: endless_event(COMMENT_LINES), ..STREAMS })]
+#[case::events_without_end_and_reader(Case { script: || unread("/stream/", 1), action: endless_event(LINE), ..STREAMS })]
+#[case::answers_without_end(Case { count: 60, script: read_answer, action: flood(Part::Body), ..CALLERS })]
+#[case::failures_without_end(Case { count: 60, script: read_answer, action: flood(Part::FailureBody), ..CALLERS })]
 #[case::silent_readiness(Case { count: 1_500, listener: Listener::Readiness, script: silent, ..CALLERS })]
 #[case::silent_peers(Case { count: 1_500, listener: Listener::Peers, script: silent, ..CALLERS })]
 #[case::frames_of_peers(Case { count: 60, listener: Listener::Peers, script: || peer_frame(), ..CALLERS })]
@@ -211,6 +218,35 @@
 const LARGE: Action = Action::Large(1 << 20);
 const STREAM: Action = Action::Events { last: 40_000, confidence: None };
 
+/// A crowd of streams at a server whose events have no end.
+const STREAMS: Case = Case { count: 300, ..CALLERS };
+/// Parts of an event: a line without an end, lines with data, and comments.
+const LINE: &str = "data: xxx";
+const DATA_LINES: &str = "data: xx\n";
+const COMMENT_LINES: &str = ": comment\n";
+/// Bytes of such an event that a server sends at once.
+const PIECE_BYTES: usize = 8_192;
+
+/// Returns the action of a server whose first event repeats a part without end.
+fn endless_event(part: &str) -> Action {
+    let text = part.repeat(PIECE_BYTES / part.len());
+    Action::Trickle { after: 0, text: Box::leak(text.into_boxed_str()) }
+}
+
+const fn flood(part: Part) -> Action {
+    Action::Flood(Flood { part, pace: Pace::Fast })
+}
+
+/// Returns a script that reads a stream.
+fn read_stream() -> Script {
+    Script { end: End::Read, ..unread("/stream/", 1) }
+}
+
+/// Returns a script that reads an answer of the servers of the crowd.
+fn read_answer() -> Script {
+    Script { end: End::Read, ..unread("/unsafe/", 1) }
+}
+
 /// Ends the body of a script that is sent in chunks.
 fn ended(script: Script) -> Script {
     let rest = [&*script.rest, b"0\r\n\r\n"].concat().into();
