Recognize ended servers whose address does not refuse connections

Callers saw: a request that ends every server that runs it was sent to servers long after the third end.

Cause: an end counted only if the address of the server refused a connection 50 ms after the close. Nothing promises that: the address may hang, accept and close, or refuse later, and the server may be back. Each such request then had no evidence against it at all.

Change: a server that closed a connection without an answer is observed for six seconds. A refusal within 1.5 s, silence at once, three closed connections in a row while nothing else is in flight there, or a later start of the server, or at its address, show that it ended. A sound server gets two connections instead of one; at most 64 servers are observed at a time, others get the first look.

--- a/crates/hawthornmount-gateway/src/forward/mod.rs
+++ b/crates/hawthornmount-gateway/src/forward/mod.rs
@@ -74,7 +74,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::watch,
+    tokio::sync::{Semaphore, watch},
     upstream::Success,
 };
 
@@ -104,6 +104,8 @@
     exposure: Mutex<Exposure>,
     evidence: Arc<Mutex<Collector>>,
     quarantine: Arc<Monitor>,
+    /// Permits to observe servers that closed connections.
+    observations: Arc<Semaphore>,
     limits: Arc<limit::monitor::Monitor>,
     path: Arc<path::monitor::Monitor>,
     retries: Retries,
@@ -146,6 +148,7 @@
             exposure: Mutex::default(),
             evidence: Arc::default(),
             quarantine: Arc::new(quarantine),
+            observations: Arc::new(Semaphore::new(quarantine::MAX_OBSERVED)),
             limits: Arc::new(limits),
             path: Arc::new(path),
             retries: settings.retries.clone(),
--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -4,22 +4,30 @@
 use {
     super::{Forwarder, Job, attempt::Attempt},
     crate::{
+        load::Tracker,
         message::PartId,
+        path,
         quarantine::{
             evidence::{End, Suspect},
+            sight::{LOOKS, Look, Observer, Sight},
             start::Start,
         },
         registry::Server,
+        view::Cell,
     },
     hawthornmount_core::{config::Kind, problem::Problem, reason::Refusal},
     hawthornmount_http::connection,
-    std::time::{Duration, Instant},
+    parking_lot::Mutex,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
-/// Time in which a server that has ended refuses a connection: a round trip between regions.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time that a server that ends may take to close its listener after its connections.
-const END_TIME: Duration = Duration::from_millis(50);
+/// Time in which an address answers a new connection: a round trip between regions.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Number of servers that are observed at a time after they closed connections.
+pub(super) const MAX_OBSERVED: usize = 64;
 
 impl Forwarder {
     /// Checks that neither a request nor a part of it is in quarantine.
@@ -72,7 +80,7 @@
     }
 
     /// Records that a server ended under parts of a request, and under the request itself once the
-    /// server refuses connections: a sound server may close a connection too.
+    /// server is known to have ended: a sound server may close a connection too.
     fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>, may_have_waited: bool) {
         // A brittle server may have fallen over under its load.
         let is_brittle = self.limits.is_brittle(&server.service);
@@ -93,22 +101,31 @@
         };
         self.quarantine.record_end(end.clone());
         end.is_confirmed = true;
-        let (digest, address) = (job.digest, server.address);
-        let (path, service) = (self.path.clone(), server.service.clone());
-        let (quarantine, route) = (self.quarantine.clone(), job.route.id.clone());
+        // What can't be observed for longer gets the first look.
+        let permit = self.observations.clone().try_acquire_owned().ok();
+        let looks = if permit.is_some() { &LOOKS[..] } else { &LOOKS[..1] };
+        let observation = Observation {
+            server: server.clone(),
+            closed_at: Instant::now(),
+            cell: self.cell.clone(),
+            loads: self.loads.clone(),
+            path: self.path.clone(),
+        };
+        let (quarantine, route, digest) =
+            (self.quarantine.clone(), job.route.id.clone(), job.digest);
         tokio::spawn(async move {
-            tokio::time::sleep(END_TIME).await;
-            let is_refused = connection::is_refused(address, REFUSAL_TIMEOUT).await;
-            path.settle(&service).await;
-            // Without any path, a refusal says nothing about the server.
-            if is_refused && !path.is_cut_off(&service) {
-                log::info!(
-                    "server ended under a request; id={} route={route} server={} digest={digest:016x}",
-                    end.request,
-                    end.server
-                );
-                quarantine.record_end(end);
-            }
+            let _permit = permit;
+            let Some(sight) = observation.await_end(looks).await else { return };
+            log::info!(
+                "server ended under a request; id={} route={route} server={} digest={digest:016x} \
+                 after_ms={} address={:?} has_restarted={}",
+                end.request,
+                end.server,
+                observation.closed_at.elapsed().as_millis(),
+                sight.reach,
+                sight.has_restarted
+            );
+            quarantine.record_end(end);
         });
     }
 
@@ -127,6 +144,44 @@
     }
 }
 
+/// A server that has closed a connection without a whole answer, and what tells whether it has ended.
+struct Observation {
+    server: Server,
+    closed_at: Instant,
+    cell: Arc<Cell>,
+    loads: Arc<Mutex<Tracker>>,
+    path: Arc<path::monitor::Monitor>,
+}
+
+impl Observation {
+    /// Looks at the server for a while, and returns what shows that it has ended.
+    async fn await_end(&self, looks: &[Look]) -> Option<Sight> {
+        let (address, service) = (self.server.address, &self.server.service);
+        let mut observer = Observer::default();
+        for look in looks {
+            tokio::time::sleep_until((self.closed_at + look.time).into()).await;
+            let reach = if observer.probes(*look) {
+                Some(connection::probe(address, PROBE_TIMEOUT).await)
+            } else {
+                None
+            };
+            let sight = Sight {
+                reach,
+                has_restarted: self.cell.load().has_later_start(&self.server),
+                is_at_work: self.loads.lock().stats(&self.server.id).in_flight > 0,
+            };
+            if !observer.look(*look, sight) {
+                continue;
+            }
+            // Without any path, an address that can't be reached says nothing about the server.
+            self.path.settle(service).await;
+            let is_known = sight.has_restarted || !self.path.is_cut_off(service);
+            return is_known.then_some(sight);
+        }
+        None
+    }
+}
+
 impl Job {
     /// Returns the ids of the parts of the prompt that other requests can share: all except the last
     /// one.
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -5,7 +5,7 @@
 //! holds; requests with the part arrive at all instances, no two alike, and share their other parts
 //! with sound requests. A server that ends also breaks the answers of all requests that run on it.
 //!
-//! - A request is evidence against itself if it got no answer and its server refuses connections since.
+//! - A request is evidence against itself if it got no answer and its server has ended ([`sight::Observer`]).
 //!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]).
 //!   Streams whose answer had been running are no evidence. Those whose answer had not begun may only
 //!   have waited at the server, so that they are weaker evidence.
@@ -26,6 +26,7 @@
 mod exchange;
 pub mod monitor;
 pub mod proof;
+pub mod sight;
 pub mod start;
 pub mod verdict;
 
--- /dev/null
+++ b/crates/hawthornmount-gateway/src/quarantine/sight.rs
@@ -0,0 +1,87 @@
+//! Whether a server that closed a connection has ended.
+//!
+//! Load: a server ends under a request. Its address may refuse connections at once or only later, leave
+//! them unanswered, or accept and close them, and the server may be back before anybody looks. Sound
+//! servers close single connections too, and turn away those beyond their limit; links are cut with
+//! a reset, and servers leave. So one look decides only if it is clear; the others go on for a while.
+
+use {hawthornmount_http::connection::Reach, std::time::Duration};
+
+/// A time after the close of a connection at which its server is looked at.
+#[derive(Clone, Copy, Debug)]
+pub struct Look {
+    /// Time after the close.
+    pub time: Duration,
+    /// Whether a new connection is tried; else only what the store shows counts.
+    pub is_probe: bool,
+}
+
+/// The looks at a server. One that ends may take a moment to close its listener, and its next start is
+/// known with a list of the store.
+pub const LOOKS: [Look; 8] = [
+    Look::new(50, true),
+    Look::new(300, false),
+    Look::new(700, true),
+    Look::new(1_200, false),
+    Look::new(2_000, false),
+    Look::new(3_000, false),
+    Look::new(4_500, false),
+    Look::new(6_000, false),
+];
+/// Time up to which a refusal shows that the server ended when it closed the connection.
+const REFUSAL_TIME: Duration = Duration::from_millis(1_500);
+/// Number of probes in a row that are closed, from which this is not the limit on the connections of a
+/// busy server.
+const MIN_CLOSED_PROBES: usize = 3;
+
+/// What one look shows of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sight {
+    /// What its address does with a new connection, if one was tried.
+    pub reach: Option<Reach>,
+    /// Whether a later start is registered, of the server or at its address.
+    pub has_restarted: bool,
+    /// Whether requests of this instance are in flight at the server.
+    pub is_at_work: bool,
+}
+
+/// What the looks have shown so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Observer {
+    /// Number of the last probes in a row that were closed.
+    closed: usize,
+    has_probed: bool,
+}
+
+impl Look {
+    const fn new(ms: u64, is_probe: bool) -> Self {
+        Self { time: Duration::from_millis(ms), is_probe }
+    }
+}
+
+impl Observer {
+    /// Returns whether a look tries a new connection. An address that closed the last one is tried again.
+    pub const fn probes(&self, look: Look) -> bool {
+        look.is_probe || self.closed > 0
+    }
+
+    /// Takes what a look shows, and returns whether the server has ended.
+    pub fn look(&mut self, look: Look, sight: Sight) -> bool {
+        let is_first = !std::mem::replace(&mut self.has_probed, true);
+        match sight.reach {
+            Some(Reach::Closed) => self.closed += 1,
+            Some(_) => self.closed = 0,
+            None => {}
+        }
+        if sight.has_restarted {
+            return true;
+        }
+        match sight.reach {
+            Some(Reach::Refused) => look.time <= REFUSAL_TIME,
+            // An address that falls silent later may be behind a link that was cut since.
+            Some(Reach::Silent) => is_first,
+            Some(Reach::Closed) => self.closed >= MIN_CLOSED_PROBES && !sight.is_at_work,
+            Some(Reach::Accepted) | None => false,
+        }
+    }
+}
--- a/crates/hawthornmount-gateway/src/view/mod.rs
+++ b/crates/hawthornmount-gateway/src/view/mod.rs
@@ -179,6 +179,14 @@
         servers.iter().any(|one| one.id == server.id && one.start_ms == server.start_ms)
     }
 
+    /// Returns whether a later start of a server, or of another one at its address, accepts requests.
+    pub fn has_later_start(&self, server: &Server) -> bool {
+        let is_later = |one: &Arc<Server>| {
+            one.start_ms > server.start_ms && (one.id == server.id || one.address == server.address)
+        };
+        self.all_servers().any(is_later)
+    }
+
     /// Returns the servers of all services that accept requests.
     pub fn all_servers(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.endpoints.iter().flat_map(|endpoints| &endpoints.servers)
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -3,6 +3,7 @@
 mod exchange;
 mod fleet;
 mod request;
+mod sight;
 mod stream;
 
 use {
--- a/crates/hawthornmount-http/src/connection/mod.rs
+++ b/crates/hawthornmount-http/src/connection/mod.rs
@@ -25,6 +25,7 @@
         time::{Duration, Instant},
     },
     tokio::{
+        io::AsyncReadExt,
         net::{TcpSocket, TcpStream},
         task::AbortHandle,
     },
@@ -36,6 +37,9 @@
 /// trailers.
 const MAX_FRAMING_BYTES: usize = 1 << 20;
 
+/// Time in which an address closes a connection that it does not serve.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// Response whose body has not been read yet.
 pub type Response = http::Response<Incoming>;
 
@@ -330,11 +334,32 @@
     socket.connect(address).await
 }
 
-/// Returns whether an address refuses connections, which means that no process listens there any
-/// more. An address that does not answer within `timeout` may only be out of reach.
-pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
-    let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+/// What an address does with a new connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// It refuses the connection: no process listens there.
+    Refused,
+    /// It does not answer in time, or is out of reach.
+    Silent,
+    /// It accepts the connection and closes it at once.
+    Closed,
+    /// It accepts the connection.
+    Accepted,
+}
+
+/// Opens a connection to an address and closes it, and returns what the address does with it.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Reach {
+    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(mut stream)) => {
+            let mut byte = [0];
+            match tokio::time::timeout(CLOSE_TIME, stream.read(&mut byte)).await {
+                Ok(Ok(0) | Err(_)) => Reach::Closed,
+                Ok(Ok(_)) | Err(_) => Reach::Accepted,
+            }
+        }
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Reach::Refused,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
+    }
 }
 
 /// Returns the messages of an error and of its sources.
