Blame parts of prompts that end servers before the head of the answer

Callers saw: requests with a part that ends servers were sent to servers long after the fifth end.

Cause: a part had evidence against it only if the head of an answer had arrived. A server that ends before it has written the head left evidence against the whole request only, and no two requests with the part are alike, so nothing added up.

Change: the parts of a request without a head are evidence once its server is known to have ended. Such a request may only have waited, so a part that was seen in no other ones is acquitted whenever others explain its ends, however many they are. Builds that don't know the new field of the reports skip it.

--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -59,7 +59,7 @@
             start.age(now).as_millis(),
             format_parts(&parts)
         );
-        self.record_end(job, server, parts, false);
+        self.record_end(job, server, Parts { begun: parts, waiting: Vec::new() }, false);
     }
 
     /// Records that a server gave no answer and closed the connection. Streams wait without an answer
@@ -76,15 +76,16 @@
             job.digest,
             attempt.marker.sent_at().map_or(0, |sent_at| sent_at.elapsed().as_millis()),
         );
-        self.record_end(job, server, Vec::new(), is_stream);
+        let parts = Parts { begun: Vec::new(), waiting: job.shared_parts().collect() };
+        self.record_end(job, server, parts, is_stream);
     }
 
-    /// Records that a server ended under parts of a request, and under the request itself once the
-    /// server is known to have ended: a sound server may close a connection too.
-    fn record_end(&self, job: &Job, server: &Server, parts: Vec<PartId>, may_have_waited: bool) {
+    /// Records that a server ended under parts of a request whose answer had begun, and under the rest once
+    /// the server is known to have ended: a sound server may close a connection too.
+    fn record_end(&self, job: &Job, server: &Server, parts: Parts, may_have_waited: bool) {
         // A brittle server may have fallen over under its load.
         let is_brittle = self.limits.is_brittle(&server.service);
-        let parts = if is_brittle { Vec::new() } else { parts };
+        let parts = if is_brittle { Parts::default() } else { parts };
         let (digest, waiting) = if may_have_waited || is_brittle {
             (None, Some(job.digest))
         } else {
@@ -94,7 +95,8 @@
             server: server.id.clone(),
             start_ms: server.start_ms,
             request: job.id.clone(),
-            parts,
+            parts: parts.begun,
+            waiting_parts: parts.waiting,
             digest,
             waiting,
             is_confirmed: false,
@@ -144,6 +146,15 @@
     }
 }
 
+/// Shared parts of the prompt of a request whose server closed its connection.
+#[derive(Default)]
+struct Parts {
+    /// Those of a request whose answer had begun.
+    begun: Vec<PartId>,
+    /// Those of a request that may only have waited.
+    waiting: Vec<PartId>,
+}
+
 /// A server that has closed a connection without a whole answer, and what tells whether it has ended.
 struct Observation {
     server: Server,
--- a/crates/hawthornmount-gateway/src/quarantine/evidence.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/evidence.rs
@@ -37,6 +37,10 @@
     /// Parts of its prompt that other requests can share, in their order, if its answer broke off
     /// right after its head.
     pub parts: Vec<PartId>,
+    /// The same parts if its answer had not begun, so that it may only have waited at the server. Builds
+    /// that know the others only skip them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting_parts: Vec<PartId>,
     /// Digest of the request, if it was running. Builds that know parts only skip it and write none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<Digest>,
@@ -82,7 +86,8 @@
 
     /// Returns what may be to blame for the end.
     pub fn suspects(&self) -> impl Iterator<Item = Suspect> {
-        let parts = self.parts.iter().copied().map(Suspect::Part);
+        let waiting = self.waiting_parts.iter().filter(|_| self.is_confirmed);
+        let parts = self.parts.iter().chain(waiting).copied().map(Suspect::Part);
         parts.chain(self.request_suspect().filter(|_| self.is_confirmed))
     }
 
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //! with sound requests. A server that ends also breaks the answers of all requests that run on it.
 //!
 //! - A request is evidence against itself if it got no answer and its server has ended ([`sight::Observer`]).
-//!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]).
+//!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]), or
+//!   had not begun and its server has ended.
 //!   Streams whose answer had been running are no evidence. Those whose answer had not begun may only
 //!   have waited at the server, so that they are weaker evidence.
 //! - An answer that went on for a while, or was complete, is a proof in favour of its request and its
@@ -211,6 +212,7 @@
     /// such an end in addition.
     pub fn record_end(&mut self, mut end: End, now: Instant) -> Vec<Change> {
         end.parts.truncate(MAX_PARTS);
+        end.waiting_parts.truncate(MAX_PARTS);
         match self.ends.iter_mut().find(|known| known.end.is_same(&end)) {
             Some(known) if end.is_confirmed && !known.end.is_confirmed => {
                 known.end.is_confirmed = true;
@@ -226,7 +228,9 @@
         }
         self.is_report_due = true;
         // An end under what is in quarantine may explain those under others.
-        if end.waiting.is_none() || self.may_be_blamed(&end) { self.judge(now) } else { Vec::new() }
+        let is_judged =
+            end.waiting.is_none() || self.may_be_blamed(&end) || self.may_have_bad_part(&end, now);
+        if is_judged { self.judge(now) } else { Vec::new() }
     }
 
     /// Records an answer that went on for a while or was complete.
@@ -422,6 +426,17 @@
             || self.all_ends().filter(is_under).count() >= verdict::MIN_SERVERS
     }
 
+    /// Returns whether a part of a request that may only have waited may be blamed.
+    fn may_have_bad_part(&self, end: &End, now: Instant) -> bool {
+        let ends: Vec<&End> = self.all_ends().map(|known| &known.end).collect();
+        end.waiting_parts.iter().filter(|_| end.is_confirmed).any(|part| {
+            let suspect = Suspect::Part(*part);
+            let servers = verdict::servers(&ends, suspect);
+            servers >= verdict::MIN_SERVERS
+                && !verdict::is_cleared(suspect, servers, self.proof_count(suspect, now))
+        })
+    }
+
     /// Returns the place of the own end that says least: the oldest one of a request that was answered,
     /// else of those that came least often.
     fn least_telling(&self, now: Instant) -> usize {
--- a/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/candidate.rs
@@ -222,7 +222,7 @@
     let evidence = evidence.iter();
     match suspect {
         // The same request is not different because its caller sent it again.
-        Suspect::Part(_) => distinct(evidence.map(|end| match end.digest {
+        Suspect::Part(_) => distinct(evidence.map(|end| match end.digest.or(end.waiting) {
             Some(digest) => Identity::Digest(digest),
             None => Identity::Id(&end.request),
         }))
--- a/crates/hawthornmount-gateway/src/quarantine/verdict/part.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/verdict/part.rs
@@ -4,7 +4,9 @@
 //! are all different and share their other parts with sound requests. A candidate is acquitted if
 //! other ones, with no more proofs in their favour, explain its ends: such a part is often used
 //! together with bad ones, or its requests ran beside theirs. The latter is a coincidence and explains
-//! few ends only; the requests of several bad parts often run beside each other.
+//! few ends only; the requests of several bad parts often run beside each other. Requests that only wait
+//! meet the bad one at any number of servers, so a part that was seen in such requests only is acquitted
+//! whenever others explain its ends.
 
 use {
     super::{
@@ -34,7 +36,7 @@
     parts
 }
 
-impl Candidate<'_> {
+impl<'a> Candidate<'a> {
     /// Returns the number of servers that have to end without another explanation for blame.
     const fn min_unexplained(&self) -> usize {
         if self.is_on_probation { 1 } else { MIN_UNEXPLAINED }
@@ -56,7 +58,7 @@
         };
         let rest = own.into_iter().map(not_under).min_by_key(Vec::len);
         let open = rest.unwrap_or_else(|| self.runs.iter().collect());
-        without_coincidences(open, &others).len() < self.min_unexplained()
+        self.without_coincidences(open, &others).len() < self.min_unexplained()
     }
 
     /// Returns whether another candidate may explain the ends under this one.
@@ -78,20 +80,27 @@
             ends.any(|end| others.iter().any(|other| other.ends.binary_search(end).is_ok()))
         };
         let open: Vec<_> = self.runs.iter().filter(|run| !is_same_request(run)).collect();
-        without_coincidences(open, &others).len()
+        self.without_coincidences(open, &others).len()
+    }
+
+    /// Returns the servers that did not end under one of the `others` too, unless there are too many for
+    /// a coincidence.
+    fn without_coincidences<'b>(
+        &self,
+        mut runs: Vec<&'b ServerRun<'a>>,
+        others: &[&Self],
+    ) -> Vec<&'b ServerRun<'a>> {
+        if runs.len() < MAX_COINCIDENCES || self.has_only_waited() {
+            runs.retain(|run| !others.iter().any(|other| other.has_ended(run)));
+        }
+        runs
     }
-}
 
-/// Returns the servers that did not end under one of the `others` too, unless there are too many for
-/// a coincidence.
-fn without_coincidences<'a, 'b>(
-    mut runs: Vec<&'b ServerRun<'a>>,
-    others: &[&Candidate<'a>],
-) -> Vec<&'b ServerRun<'a>> {
-    if runs.len() < MAX_COINCIDENCES {
-        runs.retain(|run| !others.iter().any(|other| other.has_ended(run)));
+    /// Returns whether the answers to all requests with this part had not begun.
+    fn has_only_waited(&self) -> bool {
+        let Suspect::Part(part) = self.suspect else { return false };
+        self.evidence.iter().all(|end| end.waiting_parts.contains(&part))
     }
-    runs
 }
 
 /// Returns the candidate against which the evidence is weakest, if others explain its ends.
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/fleet.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/fleet.rs
@@ -228,6 +228,7 @@
             start_ms: lives,
             request: format!("request-{number}").into(),
             parts: request.shared.clone(),
+            waiting_parts: Vec::new(),
             digest: Some(number as u64),
             waiting: None,
             is_confirmed: true,
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -33,7 +33,16 @@
 fn end(server: &str, request: &str, parts: &[PartId]) -> End {
     let (server, request) = (server.into(), request.into());
     let parts = parts.to_vec();
-    End { server, start_ms: 1, request, parts, digest: None, waiting: None, is_confirmed: false }
+    End {
+        server,
+        start_ms: 1,
+        request,
+        parts,
+        waiting_parts: Vec::new(),
+        digest: None,
+        waiting: None,
+        is_confirmed: false,
+    }
 }
 
 /// Ends, each as its server, request and parts.
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/request.rs
@@ -29,6 +29,7 @@
         start_ms: 1,
         request: request.into(),
         parts: parts.to_vec(),
+        waiting_parts: Vec::new(),
         digest: Some(digest),
         waiting: None,
         is_confirmed: true,
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/stream.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/stream.rs
@@ -324,6 +324,7 @@
             } else {
                 (Vec::new(), None, Some(request.digest))
             };
+            let waiting_parts = if has_head { Vec::new() } else { request.parts() };
             if !has_head || run.start.is_early(now) {
                 let quarantine = &mut self.fleet.instances[request.instance].quarantine;
                 quarantine.record_end(
@@ -332,6 +333,7 @@
                         start_ms: server.lives,
                         request: format!("request-{}", run.request).into(),
                         parts,
+                        waiting_parts,
                         digest,
                         waiting,
                         is_confirmed: true,
