Blame a part of prompts without answers while requests are rare

Cause: no part is blamed before 20 answers went on within a minute, so that the parts which most requests share are not taken for the worst.

Change: a part with which no answer went on is blamed from three answers on, if some went on with each other part of its requests: those that most requests share have answers by then.

A table test of five cases fails in its first one without the change; the model of fleets passes (230 tests).

--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -60,6 +60,8 @@
 /// Number of answers that have to go on, at any instances, before parts are blamed. Before that, no
 /// part has proofs, and those that most requests share seem the worst.
 const MIN_PROOFS: u32 = 20;
+/// The same for a part without any proof, if the parts that came with it have some.
+const MIN_PROOFS_IN_COMPANY: u32 = 3;
 /// Time after the last end under a request in which other instances may report what explains it.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 /// The same for a request that may only have waited: the longest interval between two reports of an
@@ -313,11 +315,15 @@
             acquitted.contains(one) || verdict::is_cleared(*one, servers, proofs)
         };
         let cleared: Vec<Suspect> = self.active(now).into_iter().filter(is_cleared).collect();
-        let has_proofs = self.total_proofs(now) >= MIN_PROOFS;
+        let proofs = self.total_proofs(now);
+        let has_proofs = |suspect| {
+            proofs >= MIN_PROOFS
+                || proofs >= MIN_PROOFS_IN_COMPANY && self.stands_out(suspect, &ends, now)
+        };
         let is_contested = self.is_contested(&ends, now);
         let is_new = |blamed: &&verdict::Blamed| match self.row(blamed.suspect) {
             Some(row) => row.until <= now,
-            None => has_proofs || matches!(blamed.suspect, Suspect::Request(_)),
+            None => matches!(blamed.suspect, Suspect::Request(_)) || has_proofs(blamed.suspect),
         };
         let entered: Vec<verdict::Blamed> = blamed.iter().filter(is_new).copied().collect();
         self.rows.retain(|row| !cleared.contains(&row.suspect));
@@ -340,6 +346,22 @@
         changes
     }
 
+    /// Returns whether no answer with a part went on, while some did with each other part of the requests
+    /// under which servers ended with it.
+    fn stands_out(&self, suspect: Suspect, ends: &[&End], now: Instant) -> bool {
+        let is_under = |end: &&&End| end.suspects().any(|one| one == suspect);
+        let mut company: Vec<Suspect> = ends
+            .iter()
+            .filter(is_under)
+            .flat_map(|end| end.suspects())
+            .filter(|one| matches!(one, Suspect::Part(_)) && *one != suspect)
+            .collect();
+        company.sort_unstable();
+        company.dedup();
+        let has_proof = |one: &Suspect| self.proof_count(*one, now) > 0;
+        self.proof_count(suspect, now) == 0 && company.iter().all(has_proof)
+    }
+
     /// Returns whether others would blame a suspect that the answers at this instance clear, and that
     /// this instance has not reported.
     fn is_contested(&self, ends: &[&End], now: Instant) -> bool {
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -275,3 +275,33 @@
     let bytes = serde_json::to_vec(&report).expect("a report is encoded").len();
     assert!(bytes <= 16 << 10, "{bytes} bytes");
 }
+
+/// Evidence on a bad part in an hour with few requests.
+struct Quiet {
+    /// Answers that went on, by part.
+    proofs: &'static [(PartId, usize)],
+    /// Parts of the requests under which four servers ended.
+    parts: &'static [PartId],
+    is_blamed: bool,
+}
+
+/// No part was blamed before 20 answers had gone on, which takes long while requests are rare.
+#[rstest]
+#[case::others_are_answered(Quiet { proofs: &[(FIRST, 3)], parts: &[FIRST, BAD], is_blamed: true })]
+#[case::too_few_answers(Quiet { proofs: &[(FIRST, 2)], parts: &[FIRST, BAD], is_blamed: false })]
+#[case::company_without_answers(Quiet { proofs: &[(FIRST, 9)], parts: &[FIRST, 7, BAD], is_blamed: false })]
+#[case::answered_itself(Quiet { proofs: &[(FIRST, 9), (BAD, 1)], parts: &[FIRST, BAD], is_blamed: false })]
+#[case::nothing_is_answered(Quiet { proofs: &[], parts: &[BAD], is_blamed: false })]
+fn part_without_answers_is_blamed_while_requests_are_rare(#[case] case: Quiet) {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new("one".into(), now);
+    for (part, count) in case.proofs {
+        for _ in 0..*count {
+            assert!(quarantine.record_proof(&[Part(*part)], now).is_empty());
+        }
+    }
+    for (number, server) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        quarantine.record_end(end(server, &format!("r-{number}"), case.parts), now);
+    }
+    assert_eq!(quarantine.find([Part(BAD)], now).is_some(), case.is_blamed);
+}
