--- a/crates/hawthornmount-gateway/src/follow/era.rs
+++ b/crates/hawthornmount-gateway/src/follow/era.rs
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Tracker {
     era: Era,
-    /// When this instance first saw the era; `None` if the store was never restored.
+    /// When this instance first saw the era; `None` if the store states none.
     seen: Option<Instant>,
     /// Era that the record in the store names.
     recorded: Option<Era>,
--- a/crates/hawthornmount-gateway/src/quarantine/evidence.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/evidence.rs
@@ -48,7 +48,7 @@
     /// for a running one skip it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub waiting: Option<Digest>,
-    /// Whether the server refused connections since. A sound server may break off an answer too.
+    /// Whether the server is known to have ended. A sound server may break off an answer too.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_confirmed: bool,
 }
