Return whole events before a partial one that can't be kept

Callers could see: a stream with a gap. If a piece held whole events and a part of one that was too long, or for which there was no memory, the whole events were dropped, but counted as sent: the stream was resumed after them.

Cause: Splitter::push returned the fault before the events that it had split. The case of events that are too long is older; that of the memory came with the bound on incomplete events. Found by reading.

Change: the events are returned first, and the fault with the next read, as for events that are missing.

Evidence: a test of both cases; it expects the events, which push returned as an error before.

--- a/crates/hawthornmount-gateway/src/sse/mod.rs
+++ b/crates/hawthornmount-gateway/src/sse/mod.rs
@@ -134,11 +134,20 @@
             events.extend_from_slice(&event);
             count += 1;
         }
+        let fault = self.fault.or(self.keep_partial_event(bytes.len()).err());
+        match fault {
+            Some(fault) if count == 0 => return Err(fault),
+            fault => self.fault = fault,
+        }
+        Ok(Events { bytes: events.freeze(), count })
+    }
+
+    /// Checks that the incomplete event, of which `arrived` bytes are new, may be kept.
+    fn keep_partial_event(&mut self, arrived: usize) -> Result<(), Fault> {
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(Fault::TooLong);
         }
-        self.hold(bytes.len()).map_err(Fault::NoRoom)?;
-        Ok(Events { bytes: events.freeze(), count })
+        self.hold(arrived).map_err(Fault::NoRoom)
     }
 
     /// Holds the memory of the incomplete event, of which `arrived` bytes are new.
