--- a/crates/hawthornmount-http/tests/status.rs
+++ b/crates/hawthornmount-http/tests/status.rs
@@ -1,5 +1,7 @@
 //! Responses whose status is no final one.
 
+mod support;
+
 use {
     hawthornmount_http::{
         Body, Method, Request,
@@ -8,30 +10,11 @@
     },
     http_body_util::Full,
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpListener,
-    },
+    std::time::Duration,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Starts a server that answers every request with a status line and `rest`, and then closes the
-/// connection.
-async fn start(status: &'static str, rest: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let mut request = [0; 1_024];
-            let _ = stream.read(&mut request).await;
-            let _ = stream.write_all(format!("HTTP/1.1 {status} X\r\n{rest}").as_bytes()).await;
-        }
-    });
-    address
-}
-
 /// A status that is no final one was passed on as an answer.
 #[rstest]
 #[tokio::test]
@@ -50,7 +33,8 @@
     rest: &'static str,
 ) {
     let is_final = ("200".."600").contains(&status);
-    let address = start(status, rest).await;
+    let answer = format!("HTTP/1.1 {status} X\r\n{rest}").into_bytes();
+    let address = support::start(move |_| answer.clone()).await;
     let mut connection = Connection::open(address, TIMEOUT).await.expect("it is accepted");
     let sent = connection.send(http::Request::new(Full::default())).await;
     assert_eq!(sent.is_ok(), is_final, "{sent:?}");
