--- a/crates/hawthornmount-entry/src/answer/events.rs
+++ b/crates/hawthornmount-entry/src/answer/events.rs
@@ -5,15 +5,12 @@
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     hawthornmount_core::units::Tokens,
-    hawthornmount_http::Body,
+    hawthornmount_http::{Body, body::MAX_EVENT_BYTES},
     http_body_util::BodyExt,
     serde::Deserialize,
     std::sync::Arc,
 };
 
-/// Maximum size of an event that has not ended yet, in bytes. An event holds a few tokens; this has room
-/// for an answer of 10,000 tokens in one event.
-const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Length of the text kept for rating at which further pieces are left out.
 const MAX_TEXT_BYTES: usize = 16_384;
 /// Data of the terminal event.
--- a/crates/hawthornmount-gateway/src/forward/upstream.rs
+++ b/crates/hawthornmount-gateway/src/forward/upstream.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{Forwarder, guard::InFlightGuard},
-    crate::{
-        message::ResponseHead, quarantine::start::Start, registry::Server, sse::MAX_EVENT_BYTES,
-    },
+    crate::{message::ResponseHead, quarantine::start::Start, registry::Server},
     bytes::Bytes,
-    hawthornmount_http::connection::{Closing, Connection},
+    hawthornmount_http::{
+        body::MAX_EVENT_BYTES,
+        connection::{Closing, Connection},
+    },
     http::{HeaderMap, StatusCode},
     http_body::Frame,
     hyper::body::Incoming,
--- a/crates/hawthornmount-gateway/src/sse/mod.rs
+++ b/crates/hawthornmount-gateway/src/sse/mod.rs
@@ -5,13 +5,13 @@
     crate::message::EventId,
     bytes::{Bytes, BytesMut},
     derive_more::Display,
-    hawthornmount_http::capacity::{Capacity, Holding, Shortage, Stage},
+    hawthornmount_http::{
+        body::MAX_EVENT_BYTES,
+        capacity::{Capacity, Holding, Shortage, Stage},
+    },
     std::future,
 };
 
-/// Size up to which an incomplete event is buffered, in bytes. An event holds a few tokens, some hundred
-/// bytes; this has room for an answer of 10,000 tokens in one event.
-pub const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Size up to which an incomplete event needs no memory beyond that of its connection, in bytes.
 const UNHELD_BYTES: usize = 4 << 10;
 
--- a/crates/hawthornmount-http/src/body/mod.rs
+++ b/crates/hawthornmount-http/src/body/mod.rs
@@ -9,6 +9,10 @@
     tokio::sync::mpsc,
 };
 
+/// Size up to which an incomplete event of a stream is kept, in bytes. An event holds a few tokens, some
+/// hundred bytes; this has room for an answer of 10,000 tokens in one event.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
 /// Chunk of a body, or the error that aborts it.
 pub type Chunk = Result<Bytes, Box<dyn Error + Send + Sync>>;
 
