Name what tells an ended server a failure detector

The module sight with its looks is now detector, with checks and findings. Two doc lines were over the width. No behaviour and no assertion changed.

--- a/crates/hawthornmount-gateway/src/forward/quarantine.rs
+++ b/crates/hawthornmount-gateway/src/forward/quarantine.rs
@@ -8,8 +8,8 @@
         message::PartId,
         path,
         quarantine::{
+            detector::{CHECKS, Check, Detector, Finding},
             evidence::{End, Suspect},
-            sight::{LOOKS, Look, Observer, Sight},
             start::Start,
         },
         registry::Server,
@@ -103,9 +103,9 @@
         };
         self.quarantine.record_end(end.clone());
         end.is_confirmed = true;
-        // What can't be observed for longer gets the first look.
+        // What can't be observed for longer gets the first check.
         let permit = self.observations.clone().try_acquire_owned().ok();
-        let looks = if permit.is_some() { &LOOKS[..] } else { &LOOKS[..1] };
+        let checks = if permit.is_some() { &CHECKS[..] } else { &CHECKS[..1] };
         let observation = Observation {
             server: server.clone(),
             closed_at: Instant::now(),
@@ -117,15 +117,15 @@
             (self.quarantine.clone(), job.route.id.clone(), job.digest);
         tokio::spawn(async move {
             let _permit = permit;
-            let Some(sight) = observation.await_end(looks).await else { return };
+            let Some(finding) = observation.await_end(checks).await else { return };
             log::info!(
                 "server ended under a request; id={} route={route} server={} digest={digest:016x} \
                  after_ms={} address={:?} has_restarted={}",
                 end.request,
                 end.server,
                 observation.closed_at.elapsed().as_millis(),
-                sight.reach,
-                sight.has_restarted
+                finding.reach,
+                finding.has_restarted
             );
             quarantine.record_end(end);
         });
@@ -165,29 +165,29 @@
 }
 
 impl Observation {
-    /// Looks at the server for a while, and returns what shows that it has ended.
-    async fn await_end(&self, looks: &[Look]) -> Option<Sight> {
+    /// Checks the server for a while, and returns what shows that it has ended.
+    async fn await_end(&self, checks: &[Check]) -> Option<Finding> {
         let (address, service) = (self.server.address, &self.server.service);
-        let mut observer = Observer::default();
-        for look in looks {
-            tokio::time::sleep_until((self.closed_at + look.time).into()).await;
-            let reach = if observer.probes(*look) {
+        let mut detector = Detector::default();
+        for check in checks {
+            tokio::time::sleep_until((self.closed_at + check.time).into()).await;
+            let reach = if detector.probes(*check) {
                 Some(connection::probe(address, PROBE_TIMEOUT).await)
             } else {
                 None
             };
-            let sight = Sight {
+            let finding = Finding {
                 reach,
                 has_restarted: self.cell.load().has_later_start(&self.server),
                 is_at_work: self.loads.lock().stats(&self.server.id).in_flight > 0,
             };
-            if !observer.look(*look, sight) {
+            if !detector.record(*check, finding) {
                 continue;
             }
             // Without any path, an address that can't be reached says nothing about the server.
             self.path.settle(service).await;
-            let is_known = sight.has_restarted || !self.path.is_cut_off(service);
-            return is_known.then_some(sight);
+            let is_known = finding.has_restarted || !self.path.is_cut_off(service);
+            return is_known.then_some(finding);
         }
         None
     }
--- a/crates/hawthornmount-gateway/src/quarantine/detector.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/detector.rs
@@ -1,32 +1,32 @@
 //! Whether a server that closed a connection has ended.
 //!
 //! Load: a server ends under a request. Its address may refuse connections at once or only later, leave
-//! them unanswered, or accept and close them, and the server may be back before anybody looks. Sound
+//! them unanswered, or accept and close them, and the server may be back before it is checked. Sound
 //! servers close single connections too, and turn away those beyond their limit; links are cut with
-//! a reset, and servers leave. So one look decides only if it is clear; the others go on for a while.
+//! a reset, and servers leave. So one check decides only if it is clear; others follow for a while.
 
 use {hawthornmount_http::connection::Reach, std::time::Duration};
 
-/// A time after the close of a connection at which its server is looked at.
+/// A time after the close of a connection at which its server is checked.
 #[derive(Clone, Copy, Debug)]
-pub struct Look {
+pub struct Check {
     /// Time after the close.
     pub time: Duration,
     /// Whether a new connection is tried; else only what the store shows counts.
     pub is_probe: bool,
 }
 
-/// The looks at a server. One that ends may take a moment to close its listener, and its next start is
+/// The checks of a server. One that ends may take a moment to close its listener, and its next start is
 /// known with a list of the store.
-pub const LOOKS: [Look; 8] = [
-    Look::new(50, true),
-    Look::new(300, true),
-    Look::new(700, true),
-    Look::new(1_200, false),
-    Look::new(2_000, false),
-    Look::new(3_000, false),
-    Look::new(4_500, false),
-    Look::new(6_000, false),
+pub const CHECKS: [Check; 8] = [
+    Check::new(50, true),
+    Check::new(300, true),
+    Check::new(700, true),
+    Check::new(1_200, false),
+    Check::new(2_000, false),
+    Check::new(3_000, false),
+    Check::new(4_500, false),
+    Check::new(6_000, false),
 ];
 /// Time up to which a refusal shows that the server ended when it closed the connection.
 const REFUSAL_TIME: Duration = Duration::from_millis(1_500);
@@ -37,9 +37,9 @@
 /// busy server.
 const MIN_CLOSED_PROBES: usize = 3;
 
-/// What one look shows of a server.
+/// What one check shows of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Sight {
+pub struct Finding {
     /// What its address does with a new connection, if one was tried.
     pub reach: Option<Reach>,
     /// Whether a later start is registered, of the server or at its address.
@@ -48,39 +48,39 @@
     pub is_at_work: bool,
 }
 
-/// What the looks have shown so far.
+/// What the checks have shown so far.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Observer {
+pub struct Detector {
     /// Number of the last probes in a row that were closed.
     closed: usize,
 }
 
-impl Look {
+impl Check {
     const fn new(ms: u64, is_probe: bool) -> Self {
         Self { time: Duration::from_millis(ms), is_probe }
     }
 }
 
-impl Observer {
-    /// Returns whether a look tries a new connection. An address that closed the last one is tried again.
-    pub const fn probes(&self, look: Look) -> bool {
-        look.is_probe || self.closed > 0
+impl Detector {
+    /// Returns whether a check tries a new connection. An address that closed the last one is tried again.
+    pub const fn probes(&self, check: Check) -> bool {
+        check.is_probe || self.closed > 0
     }
 
-    /// Takes what a look shows, and returns whether the server has ended.
-    pub fn look(&mut self, look: Look, sight: Sight) -> bool {
-        match sight.reach {
+    /// Records what a check shows, and returns whether the server has ended.
+    pub fn record(&mut self, check: Check, finding: Finding) -> bool {
+        match finding.reach {
             Some(Reach::Closed) => self.closed += 1,
             Some(_) => self.closed = 0,
             None => {}
         }
-        if sight.has_restarted {
+        if finding.has_restarted {
             return true;
         }
-        match sight.reach {
-            Some(Reach::Refused) => look.time <= REFUSAL_TIME,
-            Some(Reach::Silent) => look.time <= SILENCE_TIME,
-            Some(Reach::Closed) => self.closed >= MIN_CLOSED_PROBES && !sight.is_at_work,
+        match finding.reach {
+            Some(Reach::Refused) => check.time <= REFUSAL_TIME,
+            Some(Reach::Silent) => check.time <= SILENCE_TIME,
+            Some(Reach::Closed) => self.closed >= MIN_CLOSED_PROBES && !finding.is_at_work,
             Some(Reach::Accepted) | None => false,
         }
     }
--- a/crates/hawthornmount-gateway/src/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/src/quarantine/mod.rs
@@ -5,9 +5,9 @@
 //! holds; requests with the part arrive at all instances, no two alike, and share their other parts
 //! with sound requests. A server that ends also breaks the answers of all requests that run on it.
 //!
-//! - A request is evidence against itself if it got no answer and its server has ended ([`sight::Observer`]).
-//!   It is evidence against its parts if its answer broke off right after its head ([`start::Start`]), or
-//!   had not begun and its server has ended.
+//! - A request is evidence against itself if it got no answer and its server has ended
+//!   ([`detector::Detector`]). It is evidence against its parts if its answer broke off right after its
+//!   head ([`start::Start`]), or had not begun and its server has ended.
 //!   Streams whose answer had been running are no evidence. Those whose answer had not begun may only
 //!   have waited at the server, so that they are weaker evidence.
 //! - An answer that went on for a while, or was complete, is a proof in favour of its request and its
@@ -23,11 +23,11 @@
 //! The module decides on observations and the time that its callers pass, except for
 //! [`monitor::Monitor`], which shares the decisions between threads and logs them.
 
+pub mod detector;
 pub mod evidence;
 mod exchange;
 pub mod monitor;
 pub mod proof;
-pub mod sight;
 pub mod start;
 pub mod verdict;
 
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/detector.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/detector.rs
@@ -1,7 +1,7 @@
 //! What shows that a server which closed a connection has ended.
 
 use {
-    hawthornmount_gateway::quarantine::sight::{LOOKS, Observer, Sight},
+    hawthornmount_gateway::quarantine::detector::{CHECKS, Detector, Finding},
     hawthornmount_http::connection::Reach::{self, Accepted, Closed, Refused, Silent},
     rstest::rstest,
 };
@@ -9,10 +9,10 @@
 /// What an address does with the connections that are tried; the last one counts for all later ones.
 struct Case {
     reaches: &'static [Reach],
-    /// Look from which a later start is registered.
+    /// Check from which a later start is registered.
     restarted_at: Option<usize>,
     is_at_work: bool,
-    /// Look that shows the end.
+    /// Check that shows the end.
     ended_at: Option<usize>,
 }
 
@@ -32,16 +32,16 @@
 #[case::back_at_once(Case { restarted_at: Some(3), ended_at: Some(3), ..SOUND })]
 #[case::at_work_and_back(Case { restarted_at: Some(5), is_at_work: true, ended_at: Some(5), ..SOUND })]
 fn end_is_found(#[case] case: Case) {
-    let (mut observer, mut probes) = (Observer::default(), 0);
+    let (mut detector, mut probes) = (Detector::default(), 0);
     let mut ended_at = None;
-    for (number, look) in LOOKS.into_iter().enumerate() {
-        let reach = observer.probes(look).then(|| {
+    for (number, check) in CHECKS.into_iter().enumerate() {
+        let reach = detector.probes(check).then(|| {
             probes += 1;
             case.reaches[(probes - 1).min(case.reaches.len() - 1)]
         });
         let has_restarted = case.restarted_at.is_some_and(|at| number >= at);
-        let sight = Sight { reach, has_restarted, is_at_work: case.is_at_work };
-        if observer.look(look, sight) {
+        let finding = Finding { reach, has_restarted, is_at_work: case.is_at_work };
+        if detector.record(check, finding) {
             ended_at = Some(number);
             break;
         }
--- a/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
+++ b/crates/hawthornmount-gateway/tests/gateway/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Tests of the quarantine of prompt parts that end servers, on simulated time.
 
+mod detector;
 mod exchange;
 mod fleet;
 mod request;
-mod sight;
 mod stream;
 
 use {
--- a/crates/hawthornmount-http/src/client/mod.rs
+++ b/crates/hawthornmount-http/src/client/mod.rs
@@ -97,8 +97,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no response head with a final status arrived; [`Error::is_unsent`] returns whether the
-    /// request can't have reached the server.
+    /// Returns an error if no response head with a final status arrived; [`Error::is_unsent`] returns
+    /// whether the request can't have reached the server.
     pub async fn send(&self, address: SocketAddr, request: Request) -> Result<Response, Error> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
